--- /dev/null
+++ b/api/generate.go
@@ -0,0 +1,6 @@
+// Package api holds the OpenAPI descriptions of the HTTP interfaces. The
+// generated code stands in internal/api.
+package api
+
+//go:generate go tool ogen --target ../internal/api/callers --package callers --clean callers.yaml
+//go:generate go tool ogen --target ../internal/api/operators --package operators --clean operators.yaml
--- /dev/null
+++ b/cmd/tealvane-standin/main.go
@@ -0,0 +1,61 @@
+// Command tealvane-standin runs stand-ins for the outside systems: all of a
+// deployment together, or one of them.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/tealvane/tealvane/internal/standin"
+)
+
+// platformName is what -only takes for the log, the weight store and the list.
+const platformName = "platform"
+
+func main() {
+	config := flag.String("config", "", "stand-ins file (YAML)")
+	only := flag.String("only", "", `run only "platform" or the endpoint of that name`)
+	flag.Parse()
+	if *config == "" || flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	if err := run(*config, *only); err != nil {
+		fmt.Fprintln(os.Stderr, "tealvane-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(config, only string) error {
+	c, err := standin.LoadConfig(config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if only == "" || only == platformName {
+		p, err := standin.StartPlatform(c.Platform, c.EntryHosts)
+		if err != nil {
+			return err
+		}
+		defer p.Close()
+		fmt.Println("platform", p.URL)
+	}
+	for _, e := range c.Endpoints {
+		if only != "" && only != e.Name {
+			continue
+		}
+		endpoint, err := standin.StartEndpoint(e, "http://"+c.Platform.Listen)
+		if err != nil {
+			return err
+		}
+		defer endpoint.Close()
+		fmt.Println("endpoint", e.Name, endpoint.URL)
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/cmd/tealvane/main.go
@@ -0,0 +1,10 @@
+// Command tealvane is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/tealvane/tealvane/internal/cli"
+)
+
+func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/tealvaned/main.go
@@ -0,0 +1,78 @@
+// Command tealvaned runs one entry host.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/tealvane/tealvane/internal/telemetry"
+	"github.com/tealvane/tealvane/pkg/entryhost"
+	"github.com/tealvane/tealvane/pkg/platform/httpadapter"
+	"github.com/tealvane/tealvane/pkg/settings"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	config := flag.String("config", "", "settings file (YAML)")
+	check := flag.Bool("check-config", false, "check the settings and exit")
+	flag.Parse()
+	if *config == "" || flag.NArg() > 0 {
+		flag.Usage()
+		return exitUsage
+	}
+	s, err := settings.Load(*config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if *check {
+		fmt.Println(*config + ": ok")
+		return exitOK
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(os.Stderr, "tealvaned:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func serve(s settings.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	tracer, flush, err := telemetry.Traces(ctx, s.OTLP, s.Host)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	identity, err := s.Peers.TLS()
+	if err != nil {
+		return err
+	}
+	h, err := entryhost.New(entryhost.Config{
+		Settings: s,
+		Log:      httpadapter.NewLog(s.Platform.Log, s.Platform.Stream),
+		Engine:   httpadapter.NewEngine(),
+		HostList: httpadapter.NewHostList(s.Platform.Hosts),
+		PeerTLS:  identity,
+		Logger:   telemetry.Logger(os.Stderr),
+		Tracer:   tracer,
+	})
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,154 @@
+// Package dev runs one entry host with all stand-ins in one process.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/examples"
+	"github.com/tealvane/tealvane/internal/api/operators"
+	"github.com/tealvane/tealvane/internal/standin"
+	"github.com/tealvane/tealvane/internal/telemetry"
+	"github.com/tealvane/tealvane/pkg/entryhost"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/platform/httpadapter"
+	"github.com/tealvane/tealvane/pkg/settings"
+)
+
+const (
+	customer     = "example"
+	readyPoll    = 20 * time.Millisecond
+	readyTimeout = 30 * time.Second
+)
+
+// Options are the addresses of the development mode.
+type Options struct {
+	Callers   string
+	Operators string
+	Out       io.Writer
+	Log       io.Writer
+	// Ready is called with the callers' address once requests are served.
+	Ready func(callers string)
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	config, err := examples.Dev.ReadFile("dev/standins.yaml")
+	if err != nil {
+		return err
+	}
+	c, found := standin.ParseConfig("standins.yaml", config)
+	if err := found.Err(); err != nil {
+		return err
+	}
+	p, err := standin.StartPlatform(c.Platform, nil)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	for _, e := range c.Endpoints {
+		endpoint, err := standin.StartEndpoint(e, p.URL)
+		if err != nil {
+			return err
+		}
+		defer endpoint.Close()
+	}
+	h, err := newHost(o, p.URL)
+	if err != nil {
+		return err
+	}
+	result := make(chan error, 1)
+	go func() { result <- h.Run(ctx) }()
+	if err := publish(ctx, "http://"+h.OperatorsAddr()); err != nil && ctx.Err() == nil {
+		return err
+	}
+	fmt.Fprintf(o.Out, "callers:   http://%s\noperators: http://%s\n", h.CallersAddr(), h.OperatorsAddr())
+	if o.Ready != nil {
+		o.Ready(h.CallersAddr())
+	}
+	return <-result
+}
+
+func newHost(o Options, platformURL string) (*entryhost.Host, error) {
+	identity, err := peer.NewDevIdentity(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := identity.TLS()
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Default()
+	s.Host = "dev"
+	s.Zone = "zone-1"
+	s.Callers.Listen = o.Callers
+	s.Operators.Listen = o.Operators
+	s.Peers.Listen = "127.0.0.1:0"
+	s.Timing.ReadinessLag = 0
+	tracer, _, err := telemetry.Traces(context.Background(), "", s.Host)
+	if err != nil {
+		return nil, err
+	}
+	return entryhost.New(entryhost.Config{
+		Settings: s,
+		Log:      httpadapter.NewLog(platformURL, s.Platform.Stream),
+		Engine:   httpadapter.NewEngine(),
+		HostList: httpadapter.NewHostList(platformURL),
+		PeerTLS:  tlsConfig,
+		Logger:   telemetry.Logger(o.Log),
+		Tracer:   tracer,
+	})
+}
+
+// noToken is the token source of an operators' interface without a token.
+type noToken struct{}
+
+// Bearer implements operators.SecuritySource.
+func (noToken) Bearer(context.Context, operators.OperationName) (operators.Bearer, error) {
+	return operators.Bearer{Token: "none"}, nil
+}
+
+// publish puts the example contract in force and waits until its pool has an owner.
+func publish(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	client, err := operators.NewClient(url, noToken{}, operators.WithClient(http.DefaultClient))
+	if err != nil {
+		return err
+	}
+	document, err := examples.Dev.ReadFile("dev/contract.yaml")
+	if err != nil {
+		return err
+	}
+	if err := until(ctx, func() bool { _, err := client.GetReadiness(ctx); return err == nil }); err != nil {
+		return errors.Wrap(err, "entry host is not ready")
+	}
+	published := func() bool {
+		_, err = client.PublishContract(ctx, &operators.Publication{Document: string(document)}, operators.PublishContractParams{Customer: customer})
+		return err == nil
+	}
+	if waitErr := until(ctx, published); waitErr != nil {
+		return errors.CombineErrors(err, waitErr)
+	}
+	return until(ctx, func() bool {
+		s, err := client.GetStatus(ctx)
+		return err == nil && len(s.Pools) > 0 && len(s.Pools[0].Endpoints) > 0
+	})
+}
+
+func until(ctx context.Context, done func() bool) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/finding"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/yamlx"
+)
+
+// Config describes the stand-ins of one deployment.
+type Config struct {
+	Platform  PlatformConfig   `yaml:"platform"`
+	Endpoints []EndpointConfig `yaml:"endpoints"`
+	// EntryHosts are shown in the list of hosts.
+	EntryHosts []EntryHostConfig `yaml:"entry_hosts"`
+}
+
+// PlatformConfig describes the log, the weight store and the list of hosts,
+// which share one address.
+type PlatformConfig struct {
+	Listen         string        `yaml:"listen"`
+	LoadsPerSecond float64       `yaml:"loads_per_second"`
+	Concurrent     int           `yaml:"concurrent"`
+	MBPerSecond    float64       `yaml:"mb_per_second"`
+	ListLag        time.Duration `yaml:"list_lag"`
+}
+
+// EndpointConfig describes one engine or plain service.
+type EndpointConfig struct {
+	Name          string        `yaml:"name"`
+	Listen        string        `yaml:"listen"`
+	Zone          string        `yaml:"availability_zone"`
+	Pool          string        `yaml:"pool"`
+	Service       string        `yaml:"service"`
+	MemoryMB      int64         `yaml:"memory_mb"`
+	ChecksFencing bool          `yaml:"checks_fencing"`
+	FirstToken    time.Duration `yaml:"first_token"`
+	PerToken      time.Duration `yaml:"per_token"`
+}
+
+// EntryHostConfig is one entry host in the list.
+type EntryHostConfig struct {
+	Name string `yaml:"name"`
+	Peer string `yaml:"peer"`
+	Zone string `yaml:"availability_zone"`
+}
+
+// LoadConfig reads a configuration file.
+func LoadConfig(file string) (Config, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Config{}, errors.Wrap(err, "stand-ins")
+	}
+	c, found := ParseConfig(file, data)
+	return c, found.Err()
+}
+
+// ParseConfig decodes a configuration.
+func ParseConfig(file string, data []byte) (Config, finding.List) {
+	c := Config{Platform: PlatformConfig{LoadsPerSecond: 15, Concurrent: 4, MBPerSecond: 8000}}
+	doc := yamlx.Decode(file, data, &c)
+	return c, doc.Findings()
+}
+
+// Platform is the log, the weight store and the list of hosts together.
+type Platform struct {
+	Log   *Log
+	Store *Store
+	Hosts *Hosts
+	URL   string
+	close func()
+}
+
+// StartPlatform serves the platform at its address.
+func StartPlatform(c PlatformConfig, entryHosts []EntryHostConfig) (*Platform, error) {
+	p := &Platform{
+		Log:   NewLog(),
+		Store: NewStore(platform.StoreLimits{LoadsPerSecond: c.LoadsPerSecond, Concurrent: c.Concurrent}, c.MBPerSecond),
+		Hosts: NewHosts(c.ListLag),
+	}
+	for _, e := range entryHosts {
+		p.Hosts.Put(platform.ListedHost{Name: e.Name, Kind: platform.EntryHost, Addr: e.Peer, Zone: e.Zone})
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/streams/", p.Log.Handler())
+	mux.Handle("/control/log", p.Log.Handler())
+	mux.Handle("/v1/hosts", p.Hosts.Handler())
+	mux.Handle("/v1/hosts/", p.Hosts.Handler())
+	mux.Handle("/", p.Store.Handler())
+	url, stop, err := listen(c.Listen, mux)
+	p.URL, p.close = url, stop
+	return p, err
+}
+
+// Close ends the platform.
+func (p *Platform) Close() { p.close() }
+
+// listen serves a handler and returns its URL.
+func listen(addr string, handler http.Handler) (string, func(), error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), func() { _ = server.Close() }, nil
+}
+
+// RunningEndpoint is an engine that is served and listed.
+type RunningEndpoint struct {
+	*Engine
+	URL  string
+	list string
+	host platform.ListedHost
+	stop func()
+}
+
+// StartEndpoint serves an engine and puts it on the list at platformURL.
+func StartEndpoint(c EndpointConfig, platformURL string) (*RunningEndpoint, error) {
+	engine := NewEngine(EngineConfig{
+		MemoryMB:      c.MemoryMB,
+		ChecksFencing: c.ChecksFencing,
+		FirstToken:    c.FirstToken,
+		PerToken:      c.PerToken,
+		Fetch: func(ctx context.Context, memoryMB int64) error {
+			return send(ctx, http.MethodPost, platformURL+"/v1/fetch", fetchRequest{memoryMB})
+		},
+	})
+	url, stop, err := listen(c.Listen, engine.Handler())
+	if err != nil {
+		return nil, err
+	}
+	e := &RunningEndpoint{Engine: engine, URL: url, stop: stop, list: platformURL + "/v1/hosts/" + c.Name}
+	e.host = platform.ListedHost{
+		Name:          c.Name,
+		Kind:          platform.EndpointHost,
+		Incarnation:   engine.Incarnation(),
+		Addr:          url,
+		Zone:          c.Zone,
+		Pool:          c.Pool,
+		Service:       c.Service,
+		ChecksFencing: c.ChecksFencing,
+	}
+	return e, send(context.Background(), http.MethodPut, e.list, e.host)
+}
+
+// Leave shows the endpoint as leaving.
+func (e *RunningEndpoint) Leave() error {
+	e.host.Leaving = true
+	return send(context.Background(), http.MethodPut, e.list, e.host)
+}
+
+// Kill ends the endpoint without a word.
+func (e *RunningEndpoint) Kill() { e.stop() }
+
+// Close takes the endpoint off the list and ends it.
+func (e *RunningEndpoint) Close() {
+	_ = send(context.Background(), http.MethodDelete, e.list, nil)
+	e.stop()
+}
+
+func send(ctx context.Context, method, url string, in any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return errors.Newf("%s %s: %s", method, url, resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,368 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// EngineConfig describes an engine.
+type EngineConfig struct {
+	MemoryMB      int64
+	ChecksFencing bool
+	FirstToken    time.Duration
+	PerToken      time.Duration
+	// Fetch loads a checkpoint from the weight store.
+	Fetch func(ctx context.Context, memoryMB int64) error
+}
+
+// EngineFaults tells an engine how to fail.
+type EngineFaults struct {
+	// CutAfter ends each stream without its end marker after that many tokens.
+	CutAfter int `json:"cut_after"`
+	// Cross labels answers with another request's ID.
+	Cross bool `json:"cross"`
+	// LoseAnswers runs that many calls and closes the connection instead of answering.
+	LoseAnswers int `json:"lose_answers"`
+	// LoadDelay slows each load.
+	LoadDelay time.Duration `json:"load_delay"`
+	// FailLoads refuses each load.
+	FailLoads bool `json:"fail_loads"`
+}
+
+// Engine is a model engine, and a plain service as well.
+type Engine struct {
+	cfg         EngineConfig
+	incarnation record.Incarnation
+
+	mu       sync.Mutex
+	faults   EngineFaults
+	token    record.Offset
+	replicas map[record.ReplicaID]*replica
+	running  map[string]context.CancelFunc
+	ran      []string
+	peakMB   int64
+	peak     map[string]int
+	loads    int
+}
+
+type replica struct {
+	platform.EngineReplica
+	loaded chan struct{}
+	failed error
+}
+
+// NewEngine returns an engine with empty memory.
+func NewEngine(cfg EngineConfig) *Engine {
+	return &Engine{
+		cfg:         cfg,
+		incarnation: record.Incarnation(uuid.NewString()),
+		replicas:    map[record.ReplicaID]*replica{},
+		running:     map[string]context.CancelFunc{},
+		peak:        map[string]int{},
+	}
+}
+
+// Incarnation identifies this run of the engine.
+func (e *Engine) Incarnation() record.Incarnation { return e.incarnation }
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Observed is what an engine saw, for tests.
+type Observed struct {
+	// Ran lists the IDs of all requests that were run, in order.
+	Ran []string `json:"ran"`
+	// PeakMB is the most memory that replicas held at once.
+	PeakMB int64 `json:"peak_mb"`
+	// Peak is the most replicas of each model at once.
+	Peak  map[string]int `json:"peak"`
+	Loads int            `json:"loads"`
+}
+
+// Observed returns what the engine saw.
+func (e *Engine) Observed() Observed {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Observed{slices.Clone(e.ran), e.peakMB, maps.Clone(e.peak), e.loads}
+}
+
+// Handler serves the engine's protocol and, under /control, its faults.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.status()) })
+	mux.HandleFunc("POST /v1/generate", e.serveGenerate)
+	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	mux.HandleFunc("POST /v1/call", e.serveCall)
+	mux.HandleFunc("POST /v1/orders/{kind}", e.serveOrder)
+	mux.HandleFunc("GET /v1/cache-events", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, map[string]any{"events": []platform.CacheEvent{}})
+	})
+	mux.HandleFunc("POST /control/engine", control(e.SetFaults))
+	mux.HandleFunc("GET /control/observed", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Observed()) })
+	return mux
+}
+
+func (e *Engine) status() platform.EngineStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := platform.EngineStatus{Incarnation: e.incarnation, MemoryMB: e.cfg.MemoryMB, Running: len(e.running)}
+	for _, id := range slices.Sorted(maps.Keys(e.replicas)) {
+		s.Replicas = append(s.Replicas, e.replicas[id].EngineReplica)
+	}
+	return s
+}
+
+type order struct {
+	Replica   record.ReplicaID `json:"replica"`
+	Model     string           `json:"model"`
+	BaseModel string           `json:"base_model"`
+	MemoryMB  int64            `json:"memory_mb"`
+	Fence     record.Offset    `json:"fence"`
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var in order
+	if !readJSON(w, r, &in) {
+		return
+	}
+	if !e.fence(in.Fence) {
+		http.Error(w, "fencing token is older than one seen before", http.StatusPreconditionFailed)
+		return
+	}
+	var err error
+	switch r.PathValue("kind") {
+	case "load":
+		err = e.load(in)
+	case "unload":
+		err = e.unload(in.Replica)
+	case "fence", "role":
+	default:
+		http.NotFound(w, r)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	writeJSON(w, in)
+}
+
+func (e *Engine) fence(token record.Offset) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.cfg.ChecksFencing {
+		return true
+	}
+	if token < e.token {
+		return false
+	}
+	e.token = token
+	return true
+}
+
+// load returns when the replica is loaded; a repeat joins the first load.
+func (e *Engine) load(o order) error {
+	r, first, faults := e.reserve(o)
+	if !first {
+		<-r.loaded
+		return r.failed
+	}
+	if faults.FailLoads {
+		r.failed = fmt.Errorf("load of %s failed", o.Model)
+	} else {
+		time.Sleep(faults.LoadDelay)
+		r.failed = e.cfg.Fetch(context.Background(), o.MemoryMB)
+	}
+	if r.failed != nil {
+		e.mu.Lock()
+		delete(e.replicas, o.Replica)
+		e.mu.Unlock()
+	}
+	close(r.loaded)
+	return r.failed
+}
+
+func (e *Engine) reserve(o order) (*replica, bool, EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := e.replicas[o.Replica]; r != nil {
+		return r, false, e.faults
+	}
+	r := &replica{
+		EngineReplica: platform.EngineReplica{ID: o.Replica, Model: o.Model, MemoryMB: o.MemoryMB},
+		loaded:        make(chan struct{}),
+	}
+	e.replicas[o.Replica] = r
+	e.loads++
+	var sum int64
+	counts := map[string]int{}
+	for _, r := range e.replicas {
+		sum += r.MemoryMB
+		counts[r.Model]++
+	}
+	e.peakMB = max(e.peakMB, sum)
+	e.peak[o.Model] = max(e.peak[o.Model], counts[o.Model])
+	return r, true, e.faults
+}
+
+// unload refuses while requests run, so that no request is cut.
+func (e *Engine) unload(id record.ReplicaID) error {
+	e.mu.Lock()
+	r := e.replicas[id]
+	e.mu.Unlock()
+	if r == nil {
+		return nil
+	}
+	<-r.loaded
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Running > 0 {
+		return fmt.Errorf("replica %s serves %d requests", id, r.Running)
+	}
+	delete(e.replicas, id)
+	return nil
+}
+
+// begin takes a request if its model is loaded.
+func (e *Engine) begin(ctx context.Context, requestID, model string) (context.Context, *replica) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.replicas {
+		if r.Model != model || !isClosed(r.loaded) {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		e.running[requestID] = cancel
+		e.ran = append(e.ran, requestID)
+		r.Running++
+		return ctx, r
+	}
+	return ctx, nil
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Engine) end(requestID string, r *replica) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel := e.running[requestID]; cancel != nil {
+		cancel()
+	}
+	delete(e.running, requestID)
+	r.Running--
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var in platform.GenerateRequest
+	if !readJSON(w, r, &in) {
+		return
+	}
+	ctx, replica := e.begin(r.Context(), in.RequestID, in.Model)
+	if replica == nil {
+		http.Error(w, "model is not loaded", http.StatusNotFound)
+		return
+	}
+	defer e.end(in.RequestID, replica)
+	e.stream(ctx, w, in)
+}
+
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, in platform.GenerateRequest) {
+	faults := e.currentFaults()
+	id := in.RequestID
+	if faults.Cross {
+		id = "another-request"
+	}
+	words := answer(in)
+	out := json.NewEncoder(w)
+	delay := e.cfg.FirstToken
+	for i := in.ResumeFrom; i < len(words); i++ {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return
+		}
+		delay = e.cfg.PerToken
+		if faults.CutAfter > 0 && i >= in.ResumeFrom+faults.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		_ = out.Encode(platform.Token{RequestID: id, Index: i, Text: words[i]})
+		w.(http.Flusher).Flush()
+	}
+	_ = out.Encode(platform.Token{RequestID: id, Index: len(words), Done: true, Reason: "stop"})
+}
+
+// answer is a function of the request alone, so that a stream can be resumed
+// on another replica.
+func answer(in platform.GenerateRequest) []string {
+	words := strings.Fields(fmt.Sprintf("%s answers: %s", in.Model, in.Prompt))
+	for i := range words[1:] {
+		words[i+1] = " " + words[i+1]
+	}
+	if in.MaxTokens > 0 && in.MaxTokens < len(words) {
+		words = words[:in.MaxTokens]
+	}
+	return words
+}
+
+func (e *Engine) currentFaults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		RequestID string `json:"request_id"`
+	}
+	if !readJSON(w, r, &in) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel := e.running[in.RequestID]; cancel != nil {
+		cancel()
+	}
+	writeJSON(w, in)
+}
+
+func (e *Engine) serveCall(w http.ResponseWriter, r *http.Request) {
+	var in platform.ServiceCall
+	if !readJSON(w, r, &in) {
+		return
+	}
+	e.mu.Lock()
+	e.ran = append(e.ran, in.RequestID)
+	n := len(e.ran)
+	lose := e.faults.LoseAnswers > 0
+	if lose {
+		e.faults.LoseAnswers--
+	}
+	e.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	body, _ := json.Marshal(map[string]any{"service": in.Service, "run": n, "echo": in.Body})
+	writeJSON(w, platform.ServiceAnswer{RequestID: in.RequestID, Status: http.StatusOK, Body: body})
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,218 @@
+// Package standin holds small stand-ins for the outside systems: the log, the
+// model engine, the weight store, the list of hosts and a plain service. They
+// serve the development mode and the tests, and can be told to fail.
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+const maxBodyBytes = 4 << 20
+
+// LogFaults tells a log how to fail.
+type LogFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// LoseAnswers takes that many appends and closes the connection instead of
+	// answering.
+	LoseAnswers int `json:"lose_answers"`
+	// Delay slows each append.
+	Delay time.Duration `json:"delay"`
+}
+
+// Log is an append-only log with one stream, kept in memory.
+type Log struct {
+	mu      sync.Mutex
+	first   record.Offset
+	records [][]byte
+	grown   chan struct{}
+	faults  LogFaults
+	appends int
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{first: 1, grown: make(chan struct{})} }
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Trim drops all records before an offset.
+func (l *Log) Trim(before record.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if before > l.first {
+		l.records = l.records[min(int(before-l.first), len(l.records)):]
+		l.first = before
+	}
+}
+
+// Last returns the offset of the last record.
+func (l *Log) Last() record.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first + record.Offset(len(l.records)) - 1
+}
+
+// Appends counts the records taken.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Append adds a record.
+func (l *Log) Append(data []byte) record.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, data)
+	l.appends++
+	close(l.grown)
+	l.grown = make(chan struct{})
+	return l.first + record.Offset(len(l.records)) - 1
+}
+
+// read returns the records from an offset on, or a channel that is closed
+// when the log has grown.
+func (l *Log) read(from record.Offset, limit int) (entries []platform.Entry, first record.Offset, grown <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from < l.first {
+		return nil, l.first, nil
+	}
+	for off := from; off < l.first+record.Offset(len(l.records)) && len(entries) < limit; off++ {
+		entries = append(entries, platform.Entry{Offset: off, Data: l.records[off-l.first]})
+	}
+	return entries, 0, l.grown
+}
+
+// Handler serves the log's protocol and, under /control, its faults.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", l.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", l.serveRead)
+	mux.HandleFunc("POST /control/log", control(l.SetFaults))
+	return mux
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Data []byte `json:"data"`
+	}
+	if !readJSON(w, r, &in) {
+		return
+	}
+	faults := l.currentFaults()
+	if faults.Down {
+		http.Error(w, "log is down", http.StatusServiceUnavailable)
+		return
+	}
+	if len(in.Data) > record.MaxBytes {
+		http.Error(w, "record is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	pause(r, faults.Delay)
+	off := l.Append(in.Data)
+	if l.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]record.Offset{"offset": off})
+}
+
+func (l *Log) currentFaults() LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+func (l *Log) loseAnswer() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.LoseAnswers == 0 {
+		return false
+	}
+	l.faults.LoseAnswers--
+	return true
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
+	limit, _ := strconv.Atoi(query.Get("limit"))
+	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
+	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	for {
+		if l.currentFaults().Down {
+			http.Error(w, "log is down", http.StatusServiceUnavailable)
+			return
+		}
+		entries, first, grown := l.read(record.Offset(from), limit)
+		if first != 0 {
+			w.WriteHeader(http.StatusGone)
+			writeJSON(w, map[string]record.Offset{"first": first})
+			return
+		}
+		if len(entries) > 0 {
+			writeJSON(w, map[string]any{"entries": entries})
+			return
+		}
+		select {
+		case <-grown:
+		case <-timeout:
+			writeJSON(w, map[string]any{"entries": entries})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// control serves a setter that takes its argument as JSON.
+func control[T any](set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in T
+		if readJSON(w, r, &in) {
+			set(in)
+			writeJSON(w, in)
+		}
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(body, out)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func pause(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+	}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,52 @@
+// Package telemetry sets up logs and traces of a daemon.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+const shutdownTimeout = 2 * time.Second
+
+// Logger returns the JSON logger of a daemon.
+func Logger(w io.Writer) *slog.Logger { return slog.New(slog.NewJSONHandler(w, nil)) }
+
+// Traces returns the provider that exports spans over OTLP/HTTP to the
+// collector at url, and a function that flushes it. Without a url nothing is
+// recorded.
+func Traces(ctx context.Context, url, host string) (trace.TracerProvider, func(), error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if url == "" {
+		return noop.NewTracerProvider(), func() {}, nil
+	}
+	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(url+"/v1/traces"))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "trace exporter")
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "tealvaned"),
+			attribute.String("host.name", host),
+		)),
+	)
+	otel.SetTracerProvider(provider)
+	flush := func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = provider.Shutdown(ctx)
+	}
+	return provider, flush, nil
+}
--- /dev/null
+++ b/pkg/entryhost/events.go
@@ -0,0 +1,130 @@
+package entryhost
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/tealvane/tealvane/internal/api/callers"
+	"github.com/tealvane/tealvane/pkg/platform"
+)
+
+// streamEnd is the last event of a whole answer, and of no other.
+const streamEnd = "data: [DONE]\n\n"
+
+// chunk is one event of a stream, in the form that OpenAI clients expect.
+type chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Index        int         `json:"index"`
+	Text         string      `json:"text,omitempty"`
+	Delta        *chunkDelta `json:"delta,omitempty"`
+	FinishReason *string     `json:"finish_reason"`
+}
+
+type chunkDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+func chatChunk(t platform.Token) (object string, choice chunkChoice) {
+	delta := &chunkDelta{Content: t.Text}
+	if t.Index == 0 {
+		delta.Role = "assistant"
+	}
+	return "chat.completion.chunk", chunkChoice{Delta: delta}
+}
+
+func textChunk(t platform.Token) (object string, choice chunkChoice) {
+	return "text_completion", chunkChoice{Text: t.Text}
+}
+
+type errorEvent struct {
+	Error callers.ErrorDetail `json:"error"`
+}
+
+// events turns an answer into an event stream. It returns once the first
+// token has come, so that a failure before it is a plain refusal. A stream
+// that breaks later ends with an error event and without the end marker.
+func (a callersAPI) events(ans *answer, form func(platform.Token) (string, chunkChoice)) (io.ReadCloser, *Refusal) {
+	first, refusal := ans.Next()
+	if refusal != nil {
+		ans.Close()
+		return nil, refusal
+	}
+	reader, writer := io.Pipe()
+	w := &eventWriter{host: a.host, answer: ans, form: form, out: writer}
+	a.host.background.Go(func() { w.run(first) })
+	return reader, nil
+}
+
+type eventWriter struct {
+	host   *Host
+	answer *answer
+	form   func(platform.Token) (string, chunkChoice)
+	out    *io.PipeWriter
+	// gone is set when the caller no longer reads.
+	gone bool
+}
+
+func (w *eventWriter) run(token platform.Token) {
+	defer w.out.Close()
+	defer w.answer.Close()
+	for {
+		w.token(token)
+		if token.Done {
+			w.write(streamEnd)
+			return
+		}
+		if w.gone && w.answer.call.key == nil {
+			return
+		}
+		next, refusal := w.answer.Next()
+		if refusal != nil {
+			w.fail(refusal)
+			return
+		}
+		token = next
+	}
+}
+
+func (w *eventWriter) token(t platform.Token) {
+	object, choice := w.form(t)
+	if t.Done {
+		choice.FinishReason = &t.Reason
+	}
+	w.event(chunk{
+		ID:      w.answer.call.requestID,
+		Object:  object,
+		Created: w.answer.started.Unix(),
+		Model:   w.answer.call.model.Name,
+		Choices: []chunkChoice{choice},
+	})
+}
+
+func (w *eventWriter) fail(r *Refusal) {
+	w.event(errorEvent{callers.ErrorDetail{Code: r.Code, Message: r.Message}})
+}
+
+func (w *eventWriter) event(v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		w.gone = true
+		return
+	}
+	w.write("data: " + string(body) + "\n\n")
+}
+
+func (w *eventWriter) write(s string) {
+	if w.gone {
+		return
+	}
+	if _, err := io.WriteString(w.out, s); err != nil {
+		w.gone = true
+	}
+}
--- /dev/null
+++ b/pkg/entryhost/host.go
@@ -0,0 +1,279 @@
+// Package entryhost is one entry host: it takes requests from callers, waits
+// for replicas, calls endpoints and takes its part in owning pools. It joins
+// the decision packages, which do no I/O, with the adapters.
+package entryhost
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/dispatch"
+	"github.com/tealvane/tealvane/pkg/journal"
+	"github.com/tealvane/tealvane/pkg/lease"
+	"github.com/tealvane/tealvane/pkg/membership"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/settings"
+	"github.com/tealvane/tealvane/pkg/state"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+// Config is what an entry host is made of.
+type Config struct {
+	Settings settings.Settings
+	Log      platform.Log
+	Engine   platform.Engine
+	HostList platform.HostList
+	// PeerTLS is the identity towards other entry hosts.
+	PeerTLS *tls.Config
+	Logger  *slog.Logger
+	Tracer  trace.TracerProvider
+}
+
+// Host is one running entry host.
+type Host struct {
+	settings settings.Settings
+	self     record.HostRef
+	engine   platform.Engine
+	list     platform.HostList
+	logger   *slog.Logger
+	tracer   trace.Tracer
+	metrics  *metrics
+
+	state   *state.State
+	journal *journal.Journal
+	ledger  *dispatch.Ledger
+	node    *peer.Node
+
+	callers   net.Listener
+	operators net.Listener
+
+	membersMu sync.Mutex
+	members   *membership.Tracker
+	listed    []platform.ListedHost
+
+	watchMu sync.Mutex
+	watch   *lease.Watcher
+
+	queuesMu sync.RWMutex
+	queues   map[queueKey]*modelQueue
+
+	ownersMu sync.Mutex
+	owners   map[string]*owner
+
+	reportNow chan struct{}
+	joined    atomic.Bool
+	stopping  atomic.Bool
+	deferred  *deferredRunner
+	// background holds requests that go on after their caller has gone.
+	background sync.WaitGroup
+}
+
+type queueKey struct {
+	kind        contract.Kind
+	pool, model string
+}
+
+// New opens the listeners of a host; Run serves them.
+func New(cfg Config) (*Host, error) {
+	h := &Host{
+		settings: cfg.Settings,
+		self: record.HostRef{
+			Host:        cfg.Settings.Host,
+			Incarnation: record.Incarnation(uuid.Must(uuid.NewV7()).String()),
+		},
+		engine:    cfg.Engine,
+		list:      cfg.HostList,
+		logger:    cfg.Logger.With("host", cfg.Settings.Host),
+		tracer:    cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
+		metrics:   newMetrics(),
+		state:     state.New(),
+		members:   membership.NewTracker(),
+		watch:     lease.NewWatcher(cfg.Settings.Timing.SessionTTL),
+		queues:    map[queueKey]*modelQueue{},
+		owners:    map[string]*owner{},
+		reportNow: make(chan struct{}, 1),
+	}
+	var err error
+	if h.node, err = peer.Listen(cfg.Settings.Peers.Listen, cfg.PeerTLS, peerHandler{h}); err != nil {
+		return nil, err
+	}
+	if h.callers, err = net.Listen("tcp", cfg.Settings.Callers.Listen); err != nil {
+		return nil, errors.Wrap(err, "callers")
+	}
+	if h.operators, err = net.Listen("tcp", cfg.Settings.Operators.Listen); err != nil {
+		return nil, errors.Wrap(err, "operators")
+	}
+	h.journal = journal.New(cfg.Log, peer.Reader{Node: h.node, Addrs: h.peerAddrs}, h.state, h.metrics.record)
+	h.ledger = dispatch.NewLedger(h.self, h.journal, h.state.Keys, cfg.Settings.Timing.BatchInterval, h.now)
+	h.deferred = newDeferredRunner(h)
+	return h, nil
+}
+
+// CallersAddr is the address on which callers are served.
+func (h *Host) CallersAddr() string { return h.callers.Addr().String() }
+
+// OperatorsAddr is the address on which operators are served.
+func (h *Host) OperatorsAddr() string { return h.operators.Addr().String() }
+
+func (h *Host) now() time.Time { return time.Now() }
+
+// Run serves until ctx ends and then shuts down gracefully: no request is cut
+// and the pools are handed over. Requests that take longer than the drain
+// timeout are cut.
+func (h *Host) Run(ctx context.Context) error {
+	callers, err := h.callersServer()
+	if err != nil {
+		return err
+	}
+	operators, err := h.operatorsServer()
+	if err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	for _, loop := range []func(context.Context){
+		h.journal.Run, h.ledger.Run, h.node.Serve,
+		h.runSession, h.runMembers, h.runOwners, h.runUsage, h.runPump, h.runSnapshots, h.deferred.run,
+	} {
+		group.Go(func() error {
+			loop(work)
+			return nil
+		})
+	}
+	group.Go(func() error { return serve(callers, h.callers) })
+	group.Go(func() error { return serve(operators, h.operators) })
+	<-ctx.Done()
+	h.drain(work, callers)
+	stop()
+	closeErr := errors.CombineErrors(operators.Close(), h.node.Close())
+	return errors.CombineErrors(group.Wait(), closeErr)
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ready tells whether the host should get requests from the balancer. A fresh
+// host is not ready before it has caught up, or it would serve by contracts
+// that are no longer in force.
+func (h *Host) Ready() bool {
+	return h.journal.CaughtUp() && !h.stopping.Load()
+}
+
+// queue returns the shard of a model.
+func (h *Host) queue(m contract.Model) *modelQueue {
+	key := queueKey{m.Kind, m.Pool, m.Name}
+	h.queuesMu.RLock()
+	q := h.queues[key]
+	h.queuesMu.RUnlock()
+	if q != nil {
+		return q
+	}
+	h.queuesMu.Lock()
+	defer h.queuesMu.Unlock()
+	if q = h.queues[key]; q == nil {
+		q = newModelQueue(h, m)
+		h.queues[key] = q
+	}
+	return q
+}
+
+func (h *Host) allQueues() []*modelQueue {
+	h.queuesMu.RLock()
+	defer h.queuesMu.RUnlock()
+	all := make([]*modelQueue, 0, len(h.queues))
+	for _, q := range h.queues {
+		all = append(all, q)
+	}
+	return all
+}
+
+// targets returns the replicas of a model, or the endpoints of a service, that
+// may get new work. An endpoint that is leaving gets none, whatever the fold
+// says of its replicas.
+func (h *Host) targets(kind contract.Kind, poolName, model string) []state.Target {
+	if kind == contract.Service {
+		return h.serviceTargets(model)
+	}
+	targets := h.state.Pools.Targets(poolName, model)
+	if len(targets) == 0 {
+		return nil
+	}
+	h.membersMu.Lock()
+	defer h.membersMu.Unlock()
+	open := targets[:0]
+	for _, t := range targets {
+		if !h.members.Leaving(t.Endpoint) {
+			open = append(open, t)
+		}
+	}
+	return open
+}
+
+func (h *Host) serviceTargets(service string) []state.Target {
+	h.membersMu.Lock()
+	defer h.membersMu.Unlock()
+	var targets []state.Target
+	for _, e := range h.members.Service(service) {
+		targets = append(targets, state.Target{
+			Replica:  record.ReplicaID(e.Name),
+			Endpoint: e.Name,
+			Addr:     e.Addr,
+			Zone:     e.Zone,
+		})
+	}
+	return targets
+}
+
+func (h *Host) loading(poolName, model string) bool {
+	return h.state.Pools.Loading(poolName, model)
+}
+
+// canLoad tells whether somebody could decide a load now.
+func (h *Host) canLoad(poolName string) bool {
+	if !h.journal.Readable() || !h.journal.Writable() {
+		return false
+	}
+	owner, epoch := h.state.Pools.Owner(poolName)
+	if epoch == 0 {
+		return false
+	}
+	h.watchMu.Lock()
+	defer h.watchMu.Unlock()
+	return h.watch.Live(h.now(), owner)
+}
+
+// runPump re-examines all queues on each change of the state and regularly.
+func (h *Host) runPump(ctx context.Context) {
+	ticker := time.NewTicker(h.settings.Timing.Tick)
+	defer ticker.Stop()
+	for {
+		changed := h.journal.Changed()
+		now := h.now()
+		for _, q := range h.allQueues() {
+			q.pump(now)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/pkg/entryhost/operators.go
@@ -0,0 +1,221 @@
+package entryhost
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/tealvane/tealvane/internal/api/operators"
+	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/finding"
+	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/state"
+)
+
+// operatorsAPI implements the operators' interface.
+type operatorsAPI struct{ host *Host }
+
+func (h *Host) operatorsServer() (*http.Server, error) {
+	api := operatorsAPI{h}
+	server, err := operators.NewServer(api, api, operators.WithErrorHandler(api.writeError))
+	if err != nil {
+		return nil, err
+	}
+	return &http.Server{Handler: bounded(server), ReadHeaderTimeout: readHeaderTimeout}, nil
+}
+
+// statusError is an error with its HTTP status.
+type statusError struct {
+	status int
+	err    error
+}
+
+func (e *statusError) Error() string { return e.err.Error() }
+
+func (e *statusError) Unwrap() error { return e.err }
+
+var errOperatorToken = &statusError{http.StatusUnauthorized, errors.New("the operators' bearer token is expected")}
+
+// HandleBearer compares the operators' token; without one in the settings the
+// interface listens on a loopback address only and takes any.
+func (a operatorsAPI) HandleBearer(ctx context.Context, _ operators.OperationName, t operators.Bearer) (context.Context, error) {
+	want := a.host.settings.Operators.TokenSHA256
+	sum := sha256.Sum256([]byte(t.Token))
+	got := hex.EncodeToString(sum[:])
+	if want != "" && subtle.ConstantTimeCompare([]byte(want), []byte(got)) != 1 {
+		return ctx, errOperatorToken
+	}
+	return ctx, nil
+}
+
+// NewError turns any error into the typed body.
+func (a operatorsAPI) NewError(_ context.Context, err error) *operators.ErrorStatusCode {
+	out := &operators.ErrorStatusCode{StatusCode: http.StatusBadRequest, Response: operators.Error{Message: err.Error()}}
+	var security *ogenerrors.SecurityError
+	var status *statusError
+	var found finding.List
+	switch {
+	case errors.As(err, &status):
+		out.StatusCode = status.status
+	case errors.As(err, &security):
+		out.StatusCode = http.StatusUnauthorized
+	}
+	if errors.As(err, &found) {
+		out.StatusCode = http.StatusUnprocessableEntity
+		for _, f := range found {
+			out.Response.Findings = append(out.Response.Findings, operators.Finding{Line: f.Line, Field: f.Field, Message: f.Message})
+		}
+	}
+	return out
+}
+
+func (a operatorsAPI) writeError(ctx context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	out := a.NewError(ctx, err)
+	body, _ := out.Response.MarshalJSON()
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(out.StatusCode)
+	_, _ = w.Write(body)
+}
+
+// ListContracts implements operators.Handler.
+func (a operatorsAPI) ListContracts(context.Context) ([]operators.Contract, error) {
+	list := []operators.Contract{}
+	for _, customer := range a.host.state.Contracts.Customers() {
+		if e, ok := a.host.state.Contracts.Get(customer); ok {
+			list = append(list, contractView(e))
+		}
+	}
+	return list, nil
+}
+
+func contractView(e state.ContractEntry) operators.Contract {
+	return operators.Contract{
+		Customer: e.Contract.Customer,
+		Version:  int64(e.Version),
+		Offset:   int64(e.Offset),
+		Document: string(e.Document),
+	}
+}
+
+// GetContract implements operators.Handler.
+func (a operatorsAPI) GetContract(_ context.Context, params operators.GetContractParams) (*operators.Contract, error) {
+	e, ok := a.host.state.Contracts.Get(params.Customer)
+	if !ok {
+		return nil, &statusError{http.StatusNotFound, errors.Newf("no contract of %q", params.Customer)}
+	}
+	out := contractView(e)
+	return &out, nil
+}
+
+// PublishContract implements operators.Handler. Faults of the document are
+// found before it is published; the race of two operators is decided by the
+// fold.
+func (a operatorsAPI) PublishContract(ctx context.Context, req *operators.Publication, params operators.PublishContractParams) (*operators.Contract, error) {
+	c, found := contract.Parse("", []byte(req.Document))
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	if c.Customer != params.Customer {
+		return nil, errors.Newf("the document is of customer %q, not %q", c.Customer, params.Customer)
+	}
+	if err := c.CheckCapacity(a.poolMemory(), a.otherContracts(params.Customer)).Err(); err != nil {
+		return nil, err
+	}
+	out, err := a.host.journal.Append(ctx, record.Record{Contract: &record.Contract{
+		Customer: params.Customer,
+		Base:     uint64(req.BaseVersion),
+		Document: []byte(req.Document),
+	}})
+	if err != nil {
+		return nil, &statusError{http.StatusServiceUnavailable, err}
+	}
+	if out.Void != nil {
+		return nil, &statusError{http.StatusConflict, out.Void}
+	}
+	return &operators.Contract{
+		Customer: params.Customer,
+		Version:  req.BaseVersion + 1,
+		Offset:   int64(out.Offset),
+		Document: req.Document,
+	}, nil
+}
+
+// poolMemory sums the memory of the known endpoints by pool. The platform's
+// list names pools before the first contract makes hosts look at them.
+func (a operatorsAPI) poolMemory() map[string]int64 {
+	sums := map[string]int64{}
+	a.host.membersMu.Lock()
+	for _, l := range a.host.members.Targets() {
+		if l.Pool != "" {
+			sums[l.Pool] += 0
+		}
+	}
+	a.host.membersMu.Unlock()
+	for name := range sums {
+		p := a.host.state.Pools.Get(name)
+		if len(p.Endpoints) == 0 {
+			sums[name] = unknownMemory
+		}
+		for _, e := range p.Endpoints {
+			if !e.Lost {
+				sums[name] += e.MemoryMB
+			}
+		}
+	}
+	return sums
+}
+
+// unknownMemory stands for a pool whose endpoints were not asked yet.
+const unknownMemory = 1 << 40
+
+func (a operatorsAPI) otherContracts(customer string) []*contract.Contract {
+	var others []*contract.Contract
+	for _, name := range a.host.state.Contracts.Customers() {
+		if e, ok := a.host.state.Contracts.Get(name); ok && name != customer {
+			others = append(others, e.Contract)
+		}
+	}
+	return others
+}
+
+// GetHealth implements operators.Handler.
+func (a operatorsAPI) GetHealth(context.Context) (operators.Text, error) {
+	return operators.Text{Data: strings.NewReader("ok\n")}, nil
+}
+
+// GetReadiness implements operators.Handler.
+func (a operatorsAPI) GetReadiness(context.Context) (operators.Text, error) {
+	if !a.host.Ready() {
+		return operators.Text{}, &statusError{http.StatusServiceUnavailable, errors.New("not ready")}
+	}
+	return operators.Text{Data: strings.NewReader("ready\n")}, nil
+}
+
+// GetMetrics implements operators.Handler.
+func (a operatorsAPI) GetMetrics(ctx context.Context) (operators.Text, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "/metrics", nil)
+	if err != nil {
+		return operators.Text{}, err
+	}
+	out := &bufferWriter{header: http.Header{}}
+	a.host.metrics.handler.ServeHTTP(out, r)
+	return operators.Text{Data: &out.body}, nil
+}
+
+// bufferWriter collects the answer of a handler.
+type bufferWriter struct {
+	header http.Header
+	body   bytes.Buffer
+}
+
+func (w *bufferWriter) Header() http.Header { return w.header }
+
+func (w *bufferWriter) Write(p []byte) (int, error) { return w.body.Write(p) }
+
+func (w *bufferWriter) WriteHeader(int) {}
--- /dev/null
+++ b/pkg/entryhost/queue.go
@@ -0,0 +1,291 @@
+package entryhost
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/admission"
+	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/pool"
+	"github.com/tealvane/tealvane/pkg/routing"
+	"github.com/tealvane/tealvane/pkg/state"
+)
+
+const (
+	// suspectFor is how long a replica that failed is used only as a last choice.
+	suspectFor = 2 * time.Second
+	// ewmaShift weighs a new observation with one eighth.
+	ewmaShift = 8
+)
+
+// modelQueue is the shard of one model of one pool: its waiting and running
+// requests on this host, under its own lock.
+type modelQueue struct {
+	host  *Host
+	pool  string
+	model string
+	kind  contract.Kind
+
+	mu       sync.Mutex
+	waiting  admission.Queue
+	inflight map[string]int
+	suspect  map[string]time.Time
+	use      map[string]*customerUse
+	limits   contract.Model
+	service  time.Duration
+	loadTime time.Duration
+	// loadSeen is when this host first saw a load under way, zero without one.
+	loadSeen time.Time
+}
+
+// customerUse is one customer's use of the model on this host.
+type customerUse struct {
+	waiting  int
+	inflight int
+	lastEnd  time.Time
+}
+
+// slot is a place at a replica. It must be released once.
+type slot struct {
+	queue    *modelQueue
+	customer string
+	target   state.Target
+	since    time.Time
+}
+
+func newModelQueue(h *Host, m contract.Model) *modelQueue {
+	return &modelQueue{
+		host:     h,
+		pool:     m.Pool,
+		model:    m.Name,
+		kind:     m.Kind,
+		inflight: map[string]int{},
+		suspect:  map[string]time.Time{},
+		use:      map[string]*customerUse{},
+		limits:   m,
+	}
+}
+
+// acquire waits for a place at a replica until the deadline. A request that
+// cannot be served in time is refused at once, with when to come back.
+func (q *modelQueue) acquire(ctx context.Context, customer string, m contract.Model, deadline time.Time) (*slot, *Refusal) {
+	now := q.host.now()
+	q.mu.Lock()
+	q.limits = m
+	if q.waiting.Len() == 0 {
+		if s := q.takeSlot(now, customer); s != nil {
+			q.mu.Unlock()
+			return s, nil
+		}
+	}
+	reason, retryAfter := admission.Decide(q.situation(now, q.waiting.Ahead(deadline)), deadline.Sub(now))
+	if reason != admission.ReasonNone {
+		q.mu.Unlock()
+		return nil, q.refuse(reason, retryAfter)
+	}
+	w := admission.NewWaiter(customer, deadline)
+	q.waiting.Push(w)
+	q.useOf(customer).waiting++
+	q.mu.Unlock()
+	q.host.reportSoon()
+	return q.await(ctx, w)
+}
+
+func (q *modelQueue) await(ctx context.Context, w *admission.Waiter) (*slot, *Refusal) {
+	timer := time.NewTimer(w.Deadline.Sub(q.host.now()))
+	defer timer.Stop()
+	refusal := notRun(string(admission.ReasonDeadline), minRetryAfter, "the deadline has passed")
+	select {
+	case answer := <-w.Answer:
+		return q.finish(w, answer)
+	case <-timer.C:
+	case <-ctx.Done():
+		refusal = notRun("cancelled", minRetryAfter, "the caller has gone")
+	}
+	q.mu.Lock()
+	removed := q.waiting.Remove(w)
+	if removed {
+		q.useOf(w.Customer).waiting--
+	}
+	q.mu.Unlock()
+	if removed {
+		return nil, refusal
+	}
+	// The answer was given at the same moment.
+	return q.finish(w, <-w.Answer)
+}
+
+func (q *modelQueue) finish(w *admission.Waiter, a admission.Answer) (*slot, *Refusal) {
+	if a.Reason != admission.ReasonNone {
+		return nil, q.refuse(a.Reason, a.RetryAfter)
+	}
+	for _, t := range q.host.targets(q.kind, q.pool, q.model) {
+		if string(t.Replica) == a.Replica {
+			return &slot{queue: q, customer: w.Customer, target: t, since: q.host.now()}, nil
+		}
+	}
+	// The replica was retired between grant and use.
+	q.giveBack(w.Customer, a.Replica)
+	return nil, nil
+}
+
+func (q *modelQueue) refuse(reason admission.Reason, retryAfter time.Duration) *Refusal {
+	q.host.metrics.refusal(q.model, string(reason))
+	return notRun(string(reason), retryAfter, "model %s cannot answer in time", q.model)
+}
+
+func (q *modelQueue) useOf(customer string) *customerUse {
+	u := q.use[customer]
+	if u == nil {
+		u = &customerUse{}
+		q.use[customer] = u
+	}
+	return u
+}
+
+// takeSlot reserves a place at a replica with room, or returns nil.
+func (q *modelQueue) takeSlot(now time.Time, customer string) *slot {
+	targets := q.host.targets(q.kind, q.pool, q.model)
+	candidates := make([]routing.Candidate, len(targets))
+	for i, t := range targets {
+		id := string(t.Replica)
+		candidates[i] = routing.Candidate{
+			Replica: id,
+			Zone:    t.Zone,
+			Own:     q.inflight[id],
+			Limit:   q.limits.Concurrency,
+			Suspect: now.Before(q.suspect[id]),
+		}
+	}
+	i := routing.Pick(candidates, q.host.settings.Zone, rand.IntN)
+	if i < 0 {
+		return nil
+	}
+	q.inflight[string(targets[i].Replica)]++
+	q.useOf(customer).inflight++
+	return &slot{queue: q, customer: customer, target: targets[i], since: now}
+}
+
+// pump grants free places in order of deadline and refuses those waiting
+// requests that have become hopeless.
+func (q *modelQueue) pump(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.watchLoad(now)
+	for q.waiting.Len() > 0 {
+		s := q.takeSlot(now, q.waiting.First().Customer)
+		if s == nil {
+			break
+		}
+		w := q.waiting.Pop()
+		q.useOf(w.Customer).waiting--
+		w.Answer <- admission.Answer{Replica: string(s.target.Replica)}
+	}
+	for _, w := range q.waiting.All() {
+		reason, retryAfter := admission.Decide(q.situation(now, q.waiting.Before(w)), w.Deadline.Sub(now))
+		if reason == admission.ReasonNone {
+			continue
+		}
+		q.waiting.Remove(w)
+		q.useOf(w.Customer).waiting--
+		w.Answer <- admission.Answer{Reason: reason, RetryAfter: retryAfter}
+	}
+}
+
+// watchLoad measures how long loads take, as this host sees them.
+func (q *modelQueue) watchLoad(now time.Time) {
+	loading := q.host.loading(q.pool, q.model)
+	switch {
+	case loading && q.loadSeen.IsZero():
+		q.loadSeen = now
+	case !loading && !q.loadSeen.IsZero():
+		if len(q.host.targets(q.kind, q.pool, q.model)) > 0 {
+			q.loadTime = average(q.loadTime, now.Sub(q.loadSeen))
+		}
+		q.loadSeen = time.Time{}
+	}
+}
+
+func average(old, observed time.Duration) time.Duration {
+	if old == 0 {
+		return observed
+	}
+	return old + (observed-old)/ewmaShift
+}
+
+// situation is what an estimate for a request with that many ahead depends on.
+func (q *modelQueue) situation(now time.Time, ahead int) admission.Situation {
+	s := admission.Situation{
+		Slots:    len(q.host.targets(q.kind, q.pool, q.model)) * q.limits.Concurrency,
+		Ahead:    ahead,
+		Service:  q.service,
+		LoadTime: q.loadTime,
+		CanLoad:  q.kind != contract.Service && q.host.canLoad(q.pool),
+	}
+	for _, n := range q.inflight {
+		s.Ahead += n
+	}
+	if s.LoadTime == 0 {
+		s.LoadTime = q.limits.LoadEstimate
+	}
+	if !q.loadSeen.IsZero() {
+		s.Loading = true
+		s.LoadElapsed = now.Sub(q.loadSeen)
+	}
+	return s
+}
+
+// release gives the place back. A failed replica is avoided for a while.
+func (s *slot) release(failed bool) {
+	q := s.queue
+	now := q.host.now()
+	q.mu.Lock()
+	if failed {
+		q.suspect[string(s.target.Replica)] = now.Add(suspectFor)
+	} else {
+		q.service = average(q.service, now.Sub(s.since))
+	}
+	q.mu.Unlock()
+	q.giveBack(s.customer, string(s.target.Replica))
+	q.pump(now)
+}
+
+func (q *modelQueue) giveBack(customer, replica string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.inflight[replica]--
+	if q.inflight[replica] == 0 {
+		delete(q.inflight, replica)
+	}
+	u := q.useOf(customer)
+	u.inflight--
+	u.lastEnd = q.host.now()
+}
+
+// usage reports the use by each customer since the model was last used.
+func (q *modelQueue) usage(now time.Time) []pool.Usage {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []pool.Usage
+	for customer, u := range q.use {
+		if u.waiting == 0 && u.inflight == 0 && now.Sub(u.lastEnd) > usageMemory {
+			delete(q.use, customer)
+			continue
+		}
+		list = append(list, pool.Usage{
+			Customer:  customer,
+			Model:     q.model,
+			Waiting:   u.waiting,
+			Inflight:  u.inflight,
+			Remaining: q.waiting.Earliest().Sub(now),
+			Idle:      max(0, now.Sub(u.lastEnd)),
+		})
+	}
+	return list
+}
+
+// usageMemory is how long an ended use is still reported; it covers a few
+// lost reports and the take-over of the pool.
+const usageMemory = 10 * time.Second
--- /dev/null
+++ b/pkg/peer/frame.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// ErrMessage is returned for a message that is too large or malformed.
+var ErrMessage = errors.New("bad peer message")
+
+const frameHeaderBytes = 4
+
+func writeFrame(w io.Writer, v any) error {
+	body, err := record.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode peer message")
+	}
+	if len(body) > maxMessageBytes {
+		return errors.Wrapf(ErrMessage, "%d bytes", len(body))
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, frameHeaderBytes+len(body)), uint32(len(body)))
+	_, err = w.Write(append(frame, body...))
+	return err
+}
+
+// readFrame returns io.EOF when the stream ends before a frame.
+func readFrame(r io.Reader, v any) error {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxMessageBytes {
+		return errors.Wrapf(ErrMessage, "%d bytes", size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return errors.Wrapf(ErrMessage, "%v", err)
+	}
+	if err := record.Unmarshal(body, v); err != nil {
+		return errors.Wrapf(ErrMessage, "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/peer/message.go
@@ -0,0 +1,64 @@
+// Package peer carries messages between entry hosts over QUIC with mutual
+// TLS. One stream carries one request and its answer.
+package peer
+
+import (
+	"github.com/tealvane/tealvane/pkg/membership"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/pool"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// protocolVersion is the version that this build speaks.
+const protocolVersion = 1
+
+// maxMessageBytes bounds one message; a tail answer is the largest.
+const maxMessageBytes = 8 << 20
+
+// maxTail bounds the records of one tail answer, whatever was asked for.
+const maxTail = 2000
+
+// Request is a message to another host. Exactly one body is set; a request
+// whose kind a host does not know gets an empty answer.
+type Request struct {
+	Version  int          `cbor:"1,keyasint"`
+	Usage    *UsageReport `cbor:"2,keyasint,omitempty"`
+	Tail     *TailRequest `cbor:"3,keyasint,omitempty"`
+	Snapshot bool         `cbor:"4,keyasint,omitempty"`
+	Leave    *LeaveNotice `cbor:"5,keyasint,omitempty"`
+}
+
+// UsageReport tells a pool's owner how a host uses its models.
+type UsageReport struct {
+	Host   string       `cbor:"1,keyasint"`
+	Pool   string       `cbor:"2,keyasint"`
+	Models []pool.Usage `cbor:"3,keyasint"`
+}
+
+// TailRequest asks for records from an offset on.
+type TailRequest struct {
+	From  record.Offset `cbor:"1,keyasint"`
+	Limit int           `cbor:"2,keyasint"`
+}
+
+// LeaveNotice tells that endpoints are leaving.
+type LeaveNotice struct {
+	Endpoints []membership.Leave `cbor:"1,keyasint"`
+}
+
+// Response is one message of an answer; a snapshot takes several.
+type Response struct {
+	Version int              `cbor:"1,keyasint"`
+	Entries []platform.Entry `cbor:"2,keyasint,omitempty"`
+	// TrimmedFirst is set when the records asked for are no longer kept.
+	TrimmedFirst record.Offset    `cbor:"3,keyasint,omitempty"`
+	Chunk        *record.Snapshot `cbor:"4,keyasint,omitempty"`
+}
+
+// Handler answers the requests of other hosts.
+type Handler interface {
+	HandleUsage(r UsageReport)
+	HandleLeave(l LeaveNotice)
+	HandleTail(r TailRequest) ([]platform.Entry, error)
+	HandleSnapshot() ([]record.Snapshot, error)
+}
--- /dev/null
+++ b/pkg/peer/tls.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// serverName stands in every host's certificate. Hosts are replaced at any
+// time and known by IP number, so that the authority, not the name, tells a
+// peer from a stranger.
+const serverName = "tealvane-peer"
+
+const alpn = "tealvane/1"
+
+const devValidity = 30 * 24 * time.Hour
+
+// TLSConfig returns the configuration of a host with its certificate; both
+// sides of a connection must present one that roots has signed.
+func TLSConfig(cert tls.Certificate, roots *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      roots,
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   serverName,
+		NextProtos:   []string{alpn},
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+// DevIdentity is a certificate authority with one certificate for all hosts,
+// for development only.
+type DevIdentity struct {
+	CA, Cert, Key []byte
+}
+
+// NewDevIdentity makes a fresh authority and certificate, as PEM.
+func NewDevIdentity(now time.Time) (DevIdentity, error) {
+	caKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return DevIdentity{}, err
+	}
+	ca := &x509.Certificate{
+		SerialNumber:          big.NewInt(now.UnixNano()),
+		Subject:               pkix.Name{CommonName: "tealvane development authority"},
+		NotBefore:             now.Add(-time.Hour),
+		NotAfter:              now.Add(devValidity),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	caDER, err := x509.CreateCertificate(rand.Reader, ca, ca, &caKey.PublicKey, caKey)
+	if err != nil {
+		return DevIdentity{}, err
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return DevIdentity{}, err
+	}
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano() + 1),
+		Subject:      pkix.Name{CommonName: serverName},
+		DNSNames:     []string{serverName},
+		NotBefore:    ca.NotBefore,
+		NotAfter:     ca.NotAfter,
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	leafDER, err := x509.CreateCertificate(rand.Reader, leaf, ca, &key.PublicKey, caKey)
+	if err != nil {
+		return DevIdentity{}, err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return DevIdentity{}, err
+	}
+	return DevIdentity{
+		CA:   pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: caDER}),
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: leafDER}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
+	}, nil
+}
+
+// TLS returns the identity as a configuration.
+func (d DevIdentity) TLS() (*tls.Config, error) {
+	cert, err := tls.X509KeyPair(d.Cert, d.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "development certificate")
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(d.CA)
+	return TLSConfig(cert, roots), nil
+}
--- /dev/null
+++ b/pkg/platform/httpadapter/client.go
@@ -0,0 +1,120 @@
+// Package httpadapter meets the outside systems over HTTP and JSON.
+package httpadapter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/platform"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is read whole.
+	maxAnswerBytes = 16 << 20
+	maxErrorBytes  = 4 << 10
+)
+
+// client is the common part of the adapters.
+type client struct {
+	http *http.Client
+}
+
+// newClient returns a client that never follows a redirect: a call must reach
+// the system it was meant for, once.
+func newClient(transport http.RoundTripper) client {
+	return client{http: &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// call sends in as JSON and decodes the answer into out; either may be nil.
+func (c client) call(ctx context.Context, method, target string, in, out any) error {
+	resp, err := c.send(ctx, method, target, in)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	// Read to the end, so that the connection can be used again.
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err == nil && out != nil {
+		err = json.Unmarshal(answer, out)
+	}
+	if err != nil {
+		return errors.Wrapf(platform.ErrUnavailable, "%s %s: %v", method, target, err)
+	}
+	return nil
+}
+
+// send returns the response to a call when its status is 2xx. The error wraps
+// ErrRejected when the call certainly had no effect: no connection was made,
+// or the other side said so with a 4xx status.
+func (c client) send(ctx context.Context, method, target string, in any) (*http.Response, error) {
+	var body []byte
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.Wrapf(platform.ErrRejected, "encode request: %v", err)
+		}
+		body = encoded
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(platform.ErrRejected, "%v", err)
+	}
+	// No Idempotency-Key is ever sent on: net/http repeats a POST that carries
+	// one on its own when the connection breaks, and the request runs twice.
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, errors.Wrapf(platform.ErrRejected, "%v", err)
+		}
+		return nil, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+	}
+	if resp.StatusCode >= 200 && resp.StatusCode < 300 {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	return nil, statusError(resp)
+}
+
+// statusCode is an answer with a status outside 2xx.
+type statusCode struct {
+	code int
+	body []byte
+}
+
+func (e *statusCode) Error() string { return http.StatusText(e.code) + ": " + string(e.body) }
+
+func statusError(resp *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	status := &statusCode{resp.StatusCode, bytes.TrimSpace(body)}
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+		return errors.Mark(status, platform.ErrRejected)
+	}
+	return errors.Mark(status, platform.ErrUnavailable)
+}
+
+func statusOf(err error) (*statusCode, bool) {
+	var status *statusCode
+	ok := errors.As(err, &status)
+	return status, ok
+}
+
+func join(base, path string, query url.Values) string {
+	target := base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	return target
+}
--- /dev/null
+++ b/pkg/platform/httpadapter/engine.go
@@ -0,0 +1,161 @@
+package httpadapter
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+const (
+	dialTimeout       = time.Second
+	statusTimeout     = time.Second
+	cancelTimeout     = time.Second
+	idlePerHost       = 256
+	maxTokenLineBytes = 1 << 20
+)
+
+// Engine is the client of model endpoints and plain services.
+type Engine struct {
+	client
+}
+
+// NewEngine returns a client for all endpoints.
+func NewEngine() *Engine {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	return &Engine{newClient(transport)}
+}
+
+// Status implements platform.Engine.
+func (e *Engine) Status(ctx context.Context, addr string) (platform.EngineStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var out platform.EngineStatus
+	err := e.call(ctx, http.MethodGet, addr+"/v1/status", nil, &out)
+	return out, errors.Wrap(err, "engine status")
+}
+
+// Generate implements platform.Engine.
+func (e *Engine) Generate(ctx context.Context, addr string, r platform.GenerateRequest) (platform.TokenStream, error) {
+	resp, err := e.send(ctx, http.MethodPost, addr+"/v1/generate", r)
+	if status, ok := statusOf(err); ok && status.code == http.StatusNotFound {
+		return nil, errors.Mark(err, platform.ErrNotLoaded)
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "generate")
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxTokenLineBytes)
+	return &tokenStream{request: r.RequestID, next: r.ResumeFrom, body: resp.Body, lines: lines}, nil
+}
+
+// tokenStream checks that each token belongs to the request and follows the
+// last one. A late answer on a reused connection shows as another request's
+// ID, a cut one as an end of data without the end marker.
+type tokenStream struct {
+	request string
+	next    int
+	body    io.ReadCloser
+	lines   *bufio.Scanner
+}
+
+// Next implements platform.TokenStream.
+func (s *tokenStream) Next() (platform.Token, error) {
+	if !s.lines.Scan() {
+		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "stream ended before its end marker: %v", s.lines.Err())
+	}
+	var t platform.Token
+	if err := json.Unmarshal(s.lines.Bytes(), &t); err != nil {
+		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "%v", err)
+	}
+	if t.RequestID != s.request {
+		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "answer to request %q", t.RequestID)
+	}
+	if t.Index != s.next {
+		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "token %d instead of %d", t.Index, s.next)
+	}
+	s.next++
+	return t, nil
+}
+
+// Close implements platform.TokenStream.
+func (s *tokenStream) Close() error { return s.body.Close() }
+
+type cancelRequest struct {
+	RequestID string `json:"request_id"`
+}
+
+// Cancel implements platform.Engine.
+func (e *Engine) Cancel(ctx context.Context, addr, requestID string) error {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	err := e.call(ctx, http.MethodPost, addr+"/v1/cancel", cancelRequest{requestID}, nil)
+	return errors.Wrap(err, "cancel")
+}
+
+// Call implements platform.Engine.
+func (e *Engine) Call(ctx context.Context, addr string, c platform.ServiceCall) (platform.ServiceAnswer, error) {
+	var out platform.ServiceAnswer
+	if err := e.call(ctx, http.MethodPost, addr+"/v1/call", c, &out); err != nil {
+		return platform.ServiceAnswer{}, errors.Wrap(err, "call")
+	}
+	if out.RequestID != c.RequestID {
+		return platform.ServiceAnswer{}, errors.Wrapf(platform.ErrBroken, "answer to request %q", out.RequestID)
+	}
+	return out, nil
+}
+
+type cacheEventsAnswer struct {
+	Events []platform.CacheEvent `json:"events"`
+}
+
+// CacheEvents implements platform.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, addr string, from uint64) ([]platform.CacheEvent, error) {
+	var out cacheEventsAnswer
+	query := url.Values{"from": {strconv.FormatUint(from, 10)}}
+	err := e.call(ctx, http.MethodGet, join(addr, "/v1/cache-events", query), nil, &out)
+	return out.Events, errors.Wrap(err, "cache events")
+}
+
+type kvCache struct {
+	RequestID string `json:"request_id"`
+	Data      []byte `json:"data"`
+}
+
+// ExportKV implements platform.Engine.
+func (e *Engine) ExportKV(ctx context.Context, addr, requestID string) ([]byte, error) {
+	var out kvCache
+	err := e.call(ctx, http.MethodPost, addr+"/v1/kv/export", kvCache{RequestID: requestID}, &out)
+	return out.Data, errors.Wrap(err, "export KV cache")
+}
+
+// ImportKV implements platform.Engine.
+func (e *Engine) ImportKV(ctx context.Context, addr, requestID string, data []byte) error {
+	err := e.call(ctx, http.MethodPost, addr+"/v1/kv/import", kvCache{requestID, data}, nil)
+	return errors.Wrap(err, "import KV cache")
+}
+
+type roleRequest struct {
+	Role  string        `json:"role"`
+	Fence record.Offset `json:"fence"`
+}
+
+// SetRole implements platform.Engine.
+func (e *Engine) SetRole(ctx context.Context, addr, role string, fence record.Offset) error {
+	err := e.call(ctx, http.MethodPost, addr+"/v1/orders/role", roleRequest{role, fence}, nil)
+	return errors.Wrap(err, "set role")
+}
--- /dev/null
+++ b/pkg/platform/httpadapter/log.go
@@ -0,0 +1,123 @@
+package httpadapter
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+const (
+	appendTimeout = 2 * time.Second
+	readSlack     = 2 * time.Second
+)
+
+// Log is the client of the log service for one stream.
+type Log struct {
+	client
+	base string
+}
+
+// NewLog returns a client for a stream of the log service at base URL.
+func NewLog(base, stream string) *Log {
+	return &Log{newClient(http.DefaultTransport.(*http.Transport).Clone()), base + "/v1/streams/" + url.PathEscape(stream)}
+}
+
+type appendRequest struct {
+	Data []byte `json:"data"`
+}
+
+type appendAnswer struct {
+	Offset record.Offset `json:"offset"`
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (record.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	var out appendAnswer
+	err := l.call(ctx, http.MethodPost, l.base+"/records", appendRequest{data}, &out)
+	if status, ok := statusOf(err); ok && status.code >= 400 && status.code < 500 && status.code != http.StatusTooManyRequests {
+		err = errors.Mark(err, platform.ErrInvalid)
+	}
+	return out.Offset, errors.Wrap(err, "append")
+}
+
+type readAnswer struct {
+	Entries []platform.Entry `json:"entries"`
+}
+
+type trimmedAnswer struct {
+	First record.Offset `json:"first"`
+}
+
+// Read implements platform.LogReader.
+func (l *Log) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+	defer cancel()
+	query := url.Values{
+		"from":    {strconv.FormatUint(uint64(from), 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var out readAnswer
+	err := l.call(ctx, http.MethodGet, join(l.base, "/records", query), nil, &out)
+	if status, ok := statusOf(err); ok && status.code == http.StatusGone {
+		var trimmed trimmedAnswer
+		if json.Unmarshal(status.body, &trimmed) == nil {
+			return nil, &platform.TrimmedError{First: trimmed.First}
+		}
+	}
+	if err != nil {
+		return nil, errors.Wrapf(platform.ErrUnavailable, "read: %v", err)
+	}
+	return out.Entries, nil
+}
+
+// HostList is the client of the platform's list of hosts.
+type HostList struct {
+	client
+	base string
+}
+
+// NewHostList returns a client for the list at base URL.
+func NewHostList(base string) *HostList { return &HostList{newClient(http.DefaultTransport), base} }
+
+type listAnswer struct {
+	Hosts []platform.ListedHost `json:"hosts"`
+}
+
+// List implements platform.HostList.
+func (h *HostList) List(ctx context.Context) ([]platform.ListedHost, error) {
+	ctx, cancel := context.WithTimeout(ctx, readSlack)
+	defer cancel()
+	var out listAnswer
+	err := h.call(ctx, http.MethodGet, h.base+"/v1/hosts", nil, &out)
+	return out.Hosts, errors.Wrap(err, "list hosts")
+}
+
+// WeightStore is the client of the weight store.
+type WeightStore struct {
+	client
+	base string
+}
+
+// NewWeightStore returns a client for the store at base URL.
+func NewWeightStore(base string) *WeightStore {
+	return &WeightStore{newClient(http.DefaultTransport), base}
+}
+
+// Limits implements platform.WeightStore.
+func (w *WeightStore) Limits(ctx context.Context) (platform.StoreLimits, error) {
+	ctx, cancel := context.WithTimeout(ctx, readSlack)
+	defer cancel()
+	var out platform.StoreLimits
+	err := w.call(ctx, http.MethodGet, w.base+"/v1/limits", nil, &out)
+	return out, errors.Wrap(err, "limits of the weight store")
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,232 @@
+// Package settings reads and checks the YAML settings of an entry host.
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/finding"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/yamlx"
+)
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	// Host is the name of the entry host, unique among those that run.
+	Host string `yaml:"host"`
+	// Zone is the availability zone in which the host runs.
+	Zone      string    `yaml:"availability_zone"`
+	Callers   Listener  `yaml:"callers"`
+	Operators Operators `yaml:"operators"`
+	Peers     Peers     `yaml:"peers"`
+	Platform  Platform  `yaml:"platform"`
+	Timing    Timing    `yaml:"timing"`
+	Store     Store     `yaml:"weight_store"`
+	// OTLP is the base URL of a trace collector; empty exports no traces.
+	OTLP string `yaml:"otlp"`
+}
+
+// Listener is an address to listen on, as IP number and port.
+type Listener struct {
+	Listen string `yaml:"listen"`
+}
+
+// Operators is the listener of the operators' interface.
+type Operators struct {
+	Listen string `yaml:"listen"`
+	// TokenSHA256 is the digest of the operators' bearer token. Without one
+	// the interface must listen on a loopback address.
+	TokenSHA256 string `yaml:"token_sha256"`
+}
+
+// Peers is the address and identity towards other entry hosts.
+type Peers struct {
+	Listen string `yaml:"listen"`
+	// Advertise is the address that other hosts use; by default the one listened on.
+	Advertise string `yaml:"advertise"`
+	CA        string `yaml:"ca_file"`
+	Cert      string `yaml:"cert_file"`
+	Key       string `yaml:"key_file"`
+}
+
+// Platform holds the base URLs of the outside systems.
+type Platform struct {
+	Log    string `yaml:"log"`
+	Stream string `yaml:"stream"`
+	Hosts  string `yaml:"host_list"`
+}
+
+// Store is the share of the weight store that each pool of this deployment may use.
+type Store struct {
+	Concurrent int     `yaml:"concurrent"`
+	PerSecond  float64 `yaml:"per_second"`
+}
+
+// Timing holds all periods; see Default for their defaults.
+type Timing struct {
+	// SessionRenew is the period of a host's heartbeat in the log.
+	SessionRenew time.Duration `yaml:"session_renew"`
+	// SessionTTL is how long a silent host keeps its pools.
+	SessionTTL time.Duration `yaml:"session_ttl"`
+	// Tick is the period of the owner's decisions and of usage reports.
+	Tick time.Duration `yaml:"tick"`
+	// HostListPoll and Probe are the periods of the list and of status calls.
+	HostListPoll time.Duration `yaml:"host_list_poll"`
+	Probe        time.Duration `yaml:"probe"`
+	// BatchInterval separates two records of idempotency keys.
+	BatchInterval time.Duration `yaml:"batch_interval"`
+	// ReadinessLag is how long a stopping host still takes new requests,
+	// because the balancer notices late.
+	ReadinessLag time.Duration `yaml:"readiness_lag"`
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout time.Duration `yaml:"drain_timeout"`
+	// SnapshotEvery is the number of records between two snapshots.
+	SnapshotEvery int `yaml:"snapshot_every"`
+}
+
+// Default returns the settings before a file is read. All defaults stand here.
+func Default() Settings {
+	return Settings{
+		Callers:   Listener{Listen: "127.0.0.1:7001"},
+		Operators: Operators{Listen: "127.0.0.1:7101"},
+		Peers:     Peers{Listen: "127.0.0.1:7201"},
+		Platform:  Platform{Stream: "tealvane"},
+		Timing: Timing{
+			SessionRenew:  time.Second,
+			SessionTTL:    4 * time.Second,
+			Tick:          100 * time.Millisecond,
+			HostListPoll:  500 * time.Millisecond,
+			Probe:         500 * time.Millisecond,
+			BatchInterval: 10 * time.Millisecond,
+			ReadinessLag:  2 * time.Second,
+			DrainTimeout:  10 * time.Minute,
+			SnapshotEvery: 5000,
+		},
+		Store: Store{Concurrent: 4, PerSecond: 8},
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings")
+	}
+	s, found := Parse(file, data)
+	return s, found.Err()
+}
+
+// Parse decodes and checks settings; all findings are returned together.
+func Parse(file string, data []byte) (Settings, finding.List) {
+	s := Default()
+	doc := yamlx.Decode(file, data, &s)
+	if len(doc.Findings()) == 0 {
+		s.check(doc)
+	}
+	return s, doc.Findings()
+}
+
+func (s *Settings) check(doc *yamlx.Document) {
+	if s.Host == "" {
+		doc.Add("host", "a name is expected")
+	}
+	if s.Zone == "" {
+		doc.Add("availability_zone", "a name is expected")
+	}
+	checkAddr(doc, "callers.listen", s.Callers.Listen)
+	checkAddr(doc, "operators.listen", s.Operators.Listen)
+	checkAddr(doc, "peers.listen", s.Peers.Listen)
+	if s.Peers.Advertise != "" {
+		checkAddr(doc, "peers.advertise", s.Peers.Advertise)
+	}
+	s.checkFiles(doc)
+	checkURL(doc, "platform.log", s.Platform.Log)
+	checkURL(doc, "platform.host_list", s.Platform.Hosts)
+	if s.OTLP != "" {
+		checkURL(doc, "otlp", s.OTLP)
+	}
+	if s.Operators.TokenSHA256 == "" && !loopback(s.Operators.Listen) {
+		doc.Add("operators.token_sha256", "is required unless operators.listen is a loopback address")
+	}
+	s.Timing.check(doc)
+	if s.Store.Concurrent < 1 || s.Store.PerSecond <= 0 {
+		doc.Add("weight_store", "concurrent and per_second must be positive")
+	}
+}
+
+func (s *Settings) checkFiles(doc *yamlx.Document) {
+	for field, file := range map[string]string{
+		"peers.ca_file":   s.Peers.CA,
+		"peers.cert_file": s.Peers.Cert,
+		"peers.key_file":  s.Peers.Key,
+	} {
+		if file == "" {
+			doc.Add(field, "a file is expected; peers authenticate each other")
+		}
+	}
+}
+
+func (t Timing) check(doc *yamlx.Document) {
+	for _, p := range []struct {
+		field string
+		value time.Duration
+		low   time.Duration
+	}{
+		{"timing.session_renew", t.SessionRenew, 100 * time.Millisecond},
+		{"timing.session_ttl", t.SessionTTL, 2 * t.SessionRenew},
+		{"timing.tick", t.Tick, 10 * time.Millisecond},
+		{"timing.host_list_poll", t.HostListPoll, 10 * time.Millisecond},
+		{"timing.probe", t.Probe, 10 * time.Millisecond},
+		{"timing.batch_interval", t.BatchInterval, 0},
+		{"timing.readiness_lag", t.ReadinessLag, 0},
+		{"timing.drain_timeout", t.DrainTimeout, time.Second},
+	} {
+		if p.value < p.low {
+			doc.Add(p.field, "at least %s is expected", p.low)
+		}
+	}
+	if t.SnapshotEvery < 100 {
+		doc.Add("timing.snapshot_every", "at least 100 is expected")
+	}
+}
+
+func checkAddr(doc *yamlx.Document, field, addr string) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil {
+		doc.Add(field, "%q is no IP number with port", addr)
+	}
+}
+
+func checkURL(doc *yamlx.Document, field, raw string) {
+	u, err := url.Parse(raw)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		doc.Add(field, "%q is no http or https URL", raw)
+	}
+}
+
+func loopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	return err == nil && net.ParseIP(host) != nil && net.ParseIP(host).IsLoopback()
+}
+
+// TLS loads the identity towards other entry hosts.
+func (p Peers) TLS() (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(p.Cert, p.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers.cert_file, peers.key_file")
+	}
+	pem, err := os.ReadFile(p.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers.ca_file")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("peers.ca_file: %s holds no certificate", p.CA)
+	}
+	return peer.TLSConfig(cert, roots), nil
+}
--- /dev/null
+++ b/pkg/state/contracts.go
@@ -0,0 +1,129 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// ContractEntry is the contract of a customer that is in force.
+type ContractEntry struct {
+	Version  uint64
+	Offset   record.Offset
+	Document []byte
+	Contract *contract.Contract
+}
+
+// Contracts holds the contracts in force.
+type Contracts struct {
+	mu      sync.RWMutex
+	entries map[string]ContractEntry
+}
+
+func newContracts() *Contracts {
+	return &Contracts{entries: map[string]ContractEntry{}}
+}
+
+// publish puts a contract in force by compare-and-set on the version. Of two
+// operators who start from the same version the second is void, and a delayed
+// copy of an old publication can never bring an old contract back.
+func (c *Contracts) publish(off record.Offset, p record.Contract) error {
+	current := c.entries[p.Customer]
+	if p.Base != current.Version {
+		return errors.Wrapf(ErrStale, "version of %q is %d, not %d", p.Customer, current.Version, p.Base)
+	}
+	parsed, found := contract.Parse("", p.Document)
+	if err := found.Err(); err != nil {
+		return errors.Wrapf(ErrInvalid, "contract of %q: %v", p.Customer, err)
+	}
+	if parsed.Customer != p.Customer {
+		return errors.Wrapf(ErrInvalid, "document of %q published as %q", parsed.Customer, p.Customer)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[p.Customer] = ContractEntry{
+		Version:  p.Base + 1,
+		Offset:   off,
+		Document: p.Document,
+		Contract: parsed,
+	}
+	return nil
+}
+
+// Get returns the contract of a customer that is in force.
+func (c *Contracts) Get(customer string) (ContractEntry, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	e, ok := c.entries[customer]
+	return e, ok
+}
+
+// Customers returns all customers in order.
+func (c *Contracts) Customers() []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Sorted(maps.Keys(c.entries))
+}
+
+// Authenticate returns the contract whose credentials hold token.
+func (c *Contracts) Authenticate(token string) (ContractEntry, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, e := range c.entries {
+		if e.Contract.Authenticates(token) {
+			return e, true
+		}
+	}
+	return ContractEntry{}, false
+}
+
+// model returns a customer's model entry.
+func (c *Contracts) model(customer, name string) (contract.Model, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	e, ok := c.entries[customer]
+	if !ok {
+		return contract.Model{}, false
+	}
+	return e.Contract.Model(name)
+}
+
+// PoolNames returns the pools that hold loadable models, in order.
+func (c *Contracts) PoolNames() []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	names := map[string]bool{}
+	for _, e := range c.entries {
+		for _, m := range e.Contract.Models {
+			if m.Loadable() {
+				names[m.Pool] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// PoolModel is a loadable model of a pool with its customer.
+type PoolModel struct {
+	Customer string
+	contract.Model
+}
+
+// Models returns the loadable models of a pool, in order of customer and contract.
+func (c *Contracts) Models(pool string) []PoolModel {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var models []PoolModel
+	for _, customer := range slices.Sorted(maps.Keys(c.entries)) {
+		for _, m := range c.entries[customer].Contract.Models {
+			if m.Pool == pool && m.Loadable() {
+				models = append(models, PoolModel{Customer: customer, Model: m})
+			}
+		}
+	}
+	return models
+}
--- /dev/null
+++ b/pkg/state/deferred.go
@@ -0,0 +1,87 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// DeferredRequest is an accepted request whose answer is fetched later.
+type DeferredRequest struct {
+	record.Deferred
+	// Answer is nil until the request has run.
+	Answer *record.DeferFinish
+}
+
+// DeferredRequests holds the deferred requests since the horizon.
+type DeferredRequests struct {
+	mu       sync.RWMutex
+	requests map[string]DeferredRequest
+}
+
+func newDeferredRequests() *DeferredRequests {
+	return &DeferredRequests{requests: map[string]DeferredRequest{}}
+}
+
+// accept keeps a request. A delayed copy finds the ID known or, after it was
+// dropped, older than the horizon.
+func (d *DeferredRequests) accept(r record.Deferred, horizon time.Time) error {
+	created, ok := record.Key{Value: r.ID}.Time()
+	if !ok || created.Before(horizon) {
+		return errors.Wrapf(ErrStale, "deferred request %s", r.ID)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.requests[r.ID]; known {
+		return errors.Wrapf(ErrStale, "deferred request %s", r.ID)
+	}
+	d.requests[r.ID] = DeferredRequest{Deferred: r}
+	return nil
+}
+
+func (d *DeferredRequests) finish(f record.DeferFinish) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.requests[f.ID]
+	if !ok || r.Answer != nil {
+		return errors.Wrapf(ErrStale, "deferred request %s", f.ID)
+	}
+	r.Answer = &f
+	d.requests[f.ID] = r
+	return nil
+}
+
+func (d *DeferredRequests) dropBefore(horizon time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.requests, func(id string, _ DeferredRequest) bool {
+		created, _ := record.Key{Value: id}.Time()
+		return created.Before(horizon)
+	})
+}
+
+// Get returns a deferred request.
+func (d *DeferredRequests) Get(id string) (DeferredRequest, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	r, ok := d.requests[id]
+	return r, ok
+}
+
+// Open returns the requests without an answer, oldest first.
+func (d *DeferredRequests) Open() []DeferredRequest {
+	return slices.DeleteFunc(d.sorted(), func(r DeferredRequest) bool { return r.Answer != nil })
+}
+
+func (d *DeferredRequests) sorted() []DeferredRequest {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(d.requests), func(a, b DeferredRequest) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+}
--- /dev/null
+++ b/pkg/state/snapshot.go
@@ -0,0 +1,234 @@
+package state
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// chunkBytes leaves room for the envelope below record.MaxBytes.
+const chunkBytes = record.MaxBytes - 4<<10
+
+// ErrSnapshot is returned for chunks that do not form a snapshot.
+var ErrSnapshot = errors.New("not a complete snapshot")
+
+// image is the encoded form of the state. Its encoding is deterministic, so
+// that two hosts write the same chunks for the same offset.
+type image struct {
+	Applied   record.Offset
+	Horizon   time.Time
+	Contracts []contractImage
+	Sessions  []Session
+	Pools     []Pool
+	Keys      []keyPair
+	Deferred  []DeferredRequest
+}
+
+type contractImage struct {
+	Customer string
+	Version  uint64
+	Offset   record.Offset
+	Document []byte
+}
+
+// Snapshot encodes the state as records. It must not run beside Apply.
+func (s *State) Snapshot() ([]record.Record, error) {
+	img := image{
+		Applied:  s.Applied(),
+		Horizon:  s.Keys.Horizon(),
+		Sessions: s.Hosts.Sessions(),
+		Keys:     s.Keys.sorted(),
+		Deferred: s.Deferred.sorted(),
+	}
+	for _, customer := range s.Contracts.Customers() {
+		e, _ := s.Contracts.Get(customer)
+		img.Contracts = append(img.Contracts, contractImage{customer, e.Version, e.Offset, e.Document})
+	}
+	for _, name := range s.Pools.Names() {
+		img.Pools = append(img.Pools, s.Pools.Get(name))
+	}
+	data, err := record.Marshal(img)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	return split(img.Applied, data), nil
+}
+
+func split(asOf record.Offset, data []byte) []record.Record {
+	chunks := slices.Collect(slices.Chunk(data, chunkBytes))
+	digest := xxhash.Sum64(data)
+	records := make([]record.Record, len(chunks))
+	for i, chunk := range chunks {
+		records[i] = record.Record{ID: record.NewID(), Snapshot: &record.Snapshot{
+			AsOf:   asOf,
+			Digest: digest,
+			Index:  i,
+			Count:  len(chunks),
+			Data:   chunk,
+		}}
+	}
+	return records
+}
+
+// Restore returns the state that the chunks of one snapshot encode.
+func Restore(chunks []record.Snapshot) (*State, error) {
+	data, err := join(chunks)
+	if err != nil {
+		return nil, err
+	}
+	var img image
+	if err := record.Unmarshal(data, &img); err != nil {
+		return nil, errors.Wrap(err, "decode snapshot")
+	}
+	s := New()
+	s.applied.Store(uint64(img.Applied))
+	s.Keys.horizon = img.Horizon
+	for _, c := range img.Contracts {
+		parsed, found := contract.Parse("", c.Document)
+		if err := found.Err(); err != nil {
+			return nil, errors.Wrapf(err, "contract of %q in snapshot", c.Customer)
+		}
+		s.Contracts.entries[c.Customer] = ContractEntry{c.Version, c.Offset, c.Document, parsed}
+	}
+	for _, session := range img.Sessions {
+		s.Hosts.sessions[session.HostRef] = session
+	}
+	for _, p := range img.Pools {
+		s.Pools.create(p.Name).Pool = p.withMaps()
+	}
+	for _, pair := range img.Keys {
+		s.Keys.shard(pair.Key).entries[pair.Key] = pair.Entry
+	}
+	for _, r := range img.Deferred {
+		s.Deferred.requests[r.ID] = r
+	}
+	return s, nil
+}
+
+func (p Pool) withMaps() Pool {
+	if p.Endpoints == nil {
+		p.Endpoints = map[string]Endpoint{}
+	}
+	if p.Replicas == nil {
+		p.Replicas = map[record.ReplicaID]Replica{}
+	}
+	return p
+}
+
+func join(chunks []record.Snapshot) ([]byte, error) {
+	if len(chunks) == 0 || len(chunks) != chunks[0].Count {
+		return nil, errors.Wrapf(ErrSnapshot, "%d chunks", len(chunks))
+	}
+	var data bytes.Buffer
+	for i, c := range chunks {
+		if c.Index != i {
+			return nil, errors.Wrapf(ErrSnapshot, "chunk %d is missing", i)
+		}
+		data.Write(c.Data)
+	}
+	if xxhash.Sum64(data.Bytes()) != chunks[0].Digest {
+		return nil, errors.Wrap(ErrSnapshot, "digest differs")
+	}
+	return data.Bytes(), nil
+}
+
+// Replace takes over the content of a restored state. It refuses to go back
+// to an older offset than was shown, which would bring old contracts back.
+func (s *State) Replace(from *State) error {
+	if from.Applied() < s.Applied() {
+		return errors.Wrapf(ErrStale, "snapshot at %d, state at %d", from.Applied(), s.Applied())
+	}
+	s.Contracts.mu.Lock()
+	s.Contracts.entries = from.Contracts.entries
+	s.Contracts.mu.Unlock()
+	s.Hosts.mu.Lock()
+	s.Hosts.sessions = from.Hosts.sessions
+	s.Hosts.mu.Unlock()
+	s.Pools.mu.Lock()
+	s.Pools.pools = from.Pools.pools
+	s.Pools.mu.Unlock()
+	s.Keys.horizonMu.Lock()
+	s.Keys.horizon = from.Keys.horizon
+	s.Keys.horizonMu.Unlock()
+	for i := range s.Keys.shards {
+		s.Keys.shards[i].mu.Lock()
+		s.Keys.shards[i].entries = from.Keys.shards[i].entries
+		s.Keys.shards[i].mu.Unlock()
+	}
+	s.Deferred.mu.Lock()
+	s.Deferred.requests = from.Deferred.requests
+	s.Deferred.mu.Unlock()
+	s.applied.Store(uint64(from.Applied()))
+	return nil
+}
+
+// snapshotKey tells interchangeable chunks from others.
+type snapshotKey struct {
+	asOf   record.Offset
+	digest uint64
+}
+
+// Snapshots collects the chunks seen in the log. It is not part of the state:
+// it only serves to find the newest complete snapshot.
+type Snapshots struct {
+	mu     sync.RWMutex
+	chunks map[snapshotKey]map[int]record.Snapshot
+	newest []record.Snapshot
+}
+
+func newSnapshots() *Snapshots {
+	return &Snapshots{chunks: map[snapshotKey]map[int]record.Snapshot{}}
+}
+
+// Add collects a chunk that was read outside the fold.
+func (s *Snapshots) Add(off record.Offset, c record.Snapshot) { s.add(off, c) }
+
+func (s *Snapshots) add(_ record.Offset, c record.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.newest) > 0 && c.AsOf <= s.newest[0].AsOf {
+		return
+	}
+	key := snapshotKey{c.AsOf, c.Digest}
+	if s.chunks[key] == nil {
+		s.chunks[key] = map[int]record.Snapshot{}
+	}
+	s.chunks[key][c.Index] = c
+	if len(s.chunks[key]) < c.Count {
+		return
+	}
+	s.newest = inOrder(s.chunks[key])
+	maps.DeleteFunc(s.chunks, func(k snapshotKey, _ map[int]record.Snapshot) bool { return k.asOf <= c.AsOf })
+}
+
+func inOrder(chunks map[int]record.Snapshot) []record.Snapshot {
+	ordered := make([]record.Snapshot, 0, len(chunks))
+	for _, i := range slices.Sorted(maps.Keys(chunks)) {
+		ordered = append(ordered, chunks[i])
+	}
+	return ordered
+}
+
+// Newest returns the chunks of the newest complete snapshot.
+func (s *Snapshots) Newest() []record.Snapshot {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Clone(s.newest)
+}
+
+// NewestAsOf returns the offset of the newest complete snapshot, 0 without one.
+func (s *Snapshots) NewestAsOf() record.Offset {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if len(s.newest) == 0 {
+		return 0
+	}
+	return s.newest[0].AsOf
+}
