--- a/cmd/tealvane-standin/main.go
+++ b/cmd/tealvane-standin/main.go
@@ -19,22 +19,26 @@
 func main() {
 	config := flag.String("config", "", "stand-ins file (YAML)")
 	only := flag.String("only", "", `run only "platform" or the endpoint of that name`)
+	platformURL := flag.String("platform", "", "base URL of the platform's stand-in; by default the address in the file")
 	flag.Parse()
 	if *config == "" || flag.NArg() > 0 {
 		flag.Usage()
 		os.Exit(2)
 	}
-	if err := run(*config, *only); err != nil {
+	if err := run(*config, *only, *platformURL); err != nil {
 		fmt.Fprintln(os.Stderr, "tealvane-standin:", err)
 		os.Exit(1)
 	}
 }
 
-func run(config, only string) error {
+func run(config, only, platformURL string) error {
 	c, err := standin.LoadConfig(config)
 	if err != nil {
 		return err
 	}
+	if platformURL == "" {
+		platformURL = "http://" + c.Platform.Listen
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if only == "" || only == platformName {
@@ -43,13 +47,14 @@
 			return err
 		}
 		defer p.Close()
+		platformURL = p.URL
 		fmt.Println("platform", p.URL)
 	}
 	for _, e := range c.Endpoints {
 		if only != "" && only != e.Name {
 			continue
 		}
-		endpoint, err := standin.StartEndpoint(e, "http://"+c.Platform.Listen)
+		endpoint, err := standin.StartEndpoint(e, platformURL)
 		if err != nil {
 			return err
 		}
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -155,6 +155,7 @@
 	}
 	group.Go(func() error { return serve(callers, h.callers) })
 	group.Go(func() error { return serve(operators, h.operators) })
+	h.logger.Info("serving", "callers", h.CallersAddr(), "operators", h.OperatorsAddr(), "peers", h.node.Addr())
 	<-ctx.Done()
 	h.drain(work, callers)
 	stop()
--- a/pkg/entryhost/once.go
+++ b/pkg/entryhost/once.go
@@ -13,6 +13,7 @@
 	"github.com/tealvane/tealvane/pkg/dispatch"
 	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/state"
 )
 
 // keyFor checks the idempotency key of a request for m. Requests that may be
@@ -46,6 +47,9 @@
 	ctx, span := h.tracer.Start(ctx, "claim")
 	defer span.End()
 	outcome, err := h.ledger.Claim(ctx, key, digest)
+	for errors.Is(err, dispatch.ErrTaken) && h.awaitOutcome(ctx, key) {
+		outcome, err = h.ledger.Claim(ctx, key, digest)
+	}
 	switch {
 	case err == nil:
 		return outcome, nil
@@ -63,6 +67,26 @@
 	}
 }
 
+// awaitOutcome waits for the next change of the state while the attempt that
+// holds a key can still record its outcome. It returns false when no outcome
+// is to be expected.
+func (h *Host) awaitOutcome(ctx context.Context, key record.Key) bool {
+	changed := h.journal.Changed()
+	entry := h.state.Keys.Get(key)
+	h.watchMu.Lock()
+	live := h.watch.Live(h.now(), entry.Holder)
+	h.watchMu.Unlock()
+	if entry.State == state.KeyClaimed && !live {
+		return false
+	}
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // logRetryAfter is when to come back while the log is out of reach.
 const logRetryAfter = 5 * time.Second
 
--- /dev/null
+++ b/test/process/cluster_test.go
@@ -0,0 +1,352 @@
+package process_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tealvane/tealvane/examples"
+	"github.com/tealvane/tealvane/internal/api/operators"
+	"github.com/tealvane/tealvane/pkg/peer"
+)
+
+// waitLimit bounds each wait for an event. It is far above what any of them
+// takes, so that a slow machine changes no verdict.
+const waitLimit = 60 * time.Second
+
+var build struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+// binaries builds the commands once for all tests of the package.
+func binaries(t testing.TB) string {
+	build.once.Do(func() {
+		build.dir, build.err = os.MkdirTemp("", "tealvane")
+		if build.err != nil {
+			return
+		}
+		out, err := exec.Command("go", "build", "-o", build.dir, "../../cmd/...").CombinedOutput()
+		if err != nil {
+			build.err = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if build.err != nil {
+		t.Fatal(build.err)
+	}
+	return build.dir
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	os.RemoveAll(build.dir)
+	os.Exit(code)
+}
+
+// process is one started program; its output is read line by line.
+type process struct {
+	t     testing.TB
+	cmd   *exec.Cmd
+	lines chan string
+	done  chan struct{}
+}
+
+func start(t testing.TB, name string, args ...string) *process {
+	t.Helper()
+	p := &process{
+		t:     t,
+		cmd:   exec.Command(filepath.Join(binaries(t), name), args...),
+		lines: make(chan string, 1000),
+		done:  make(chan struct{}),
+	}
+	reader, writer := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = writer, writer
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		writer.Close()
+		close(p.done)
+	}()
+	go func() {
+		scanner := bufio.NewScanner(reader)
+		for scanner.Scan() {
+			select {
+			case p.lines <- scanner.Text():
+			default:
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// line returns the first line of output that holds a text.
+func (p *process) line(text string) string {
+	p.t.Helper()
+	timeout := time.After(waitLimit)
+	for {
+		select {
+		case l := <-p.lines:
+			if strings.Contains(l, text) {
+				return l
+			}
+		case <-timeout:
+			p.t.Fatalf("no line with %q from %s", text, p.cmd.Args)
+		}
+	}
+}
+
+// exited waits for the end of the process and returns its exit code.
+func (p *process) exited() int {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(waitLimit):
+		p.t.Fatalf("%s did not end", p.cmd.Args)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// entry is one entry host.
+type entry struct {
+	*process
+	name      string
+	callers   string
+	operators *operators.Client
+}
+
+type cluster struct {
+	t         testing.TB
+	platform  string
+	endpoints map[string]string
+	procs     map[string]*process
+	entries   []*entry
+	dir       string
+}
+
+const standins = `
+platform: {listen: 127.0.0.1:0, loads_per_second: 50, concurrent: 4, mb_per_second: 80000}
+entry_hosts:
+  - {name: entry-1}
+  - {name: entry-2}
+  - {name: entry-3}
+endpoints:
+  - {name: engine-1, listen: 127.0.0.1:0, availability_zone: zone-1, pool: engines, memory_mb: 24000, checks_fencing: true, first_token: 5ms, per_token: 1ms}
+  - {name: engine-2, listen: 127.0.0.1:0, availability_zone: zone-2, pool: engines, memory_mb: 24000, first_token: 5ms, per_token: 1ms}
+  - {name: engine-3, listen: 127.0.0.1:0, availability_zone: zone-2, pool: engines, memory_mb: 24000, checks_fencing: true, first_token: 5ms, per_token: 1ms}
+  - {name: screening-1, listen: 127.0.0.1:0, availability_zone: zone-1, service: screening}
+  - {name: lookup-1, listen: 127.0.0.1:0, availability_zone: zone-2, service: lookup}
+`
+
+// newCluster starts the stand-ins and entry hosts, each as a process, and
+// publishes the example contract.
+func newCluster(t testing.TB, hosts int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, endpoints: map[string]string{}, procs: map[string]*process{}, dir: t.TempDir()}
+	c.write("standins.yaml", standins)
+	platform := start(t, "tealvane-standin", "-config", c.path("standins.yaml"), "-only", "platform")
+	c.platform = strings.Fields(platform.line("platform http"))[1]
+	for _, name := range []string{"engine-1", "engine-2", "engine-3", "screening-1", "lookup-1"} {
+		c.startEndpoint(name)
+	}
+	id, err := peer.NewDevIdentity(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.write("ca.pem", string(id.CA))
+	c.write("cert.pem", string(id.Cert))
+	c.write("key.pem", string(id.Key))
+	for i := range hosts {
+		c.entries = append(c.entries, c.startEntry(i+1))
+	}
+	for _, e := range c.entries {
+		c.until("readiness", func() bool {
+			_, err := e.operators.GetReadiness(context.Background())
+			return err == nil
+		})
+	}
+	c.publish(c.entries[0], 0, c.contract())
+	c.until("owned pool with endpoints", func() bool {
+		s, err := c.entries[0].operators.GetStatus(context.Background())
+		return err == nil && len(s.Pools) == 1 && len(s.Pools[0].Endpoints) == 3
+	})
+	return c
+}
+
+func (c *cluster) path(name string) string { return filepath.Join(c.dir, name) }
+
+func (c *cluster) write(name, text string) {
+	c.t.Helper()
+	if err := os.WriteFile(c.path(name), []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) startEndpoint(name string) {
+	p := start(c.t, "tealvane-standin", "-config", c.path("standins.yaml"), "-only", name, "-platform", c.platform)
+	c.endpoints[name] = strings.Fields(p.line("endpoint " + name))[2]
+	c.procs[name] = p
+}
+
+func (c *cluster) startEntry(i int) *entry {
+	name := fmt.Sprintf("entry-%d", i)
+	file := name + ".yaml"
+	c.write(file, fmt.Sprintf(`
+host: %s
+availability_zone: zone-%d
+callers: {listen: 127.0.0.1:0}
+operators: {listen: 127.0.0.1:0}
+peers: {listen: 127.0.0.1:0, ca_file: %[3]s/ca.pem, cert_file: %[3]s/cert.pem, key_file: %[3]s/key.pem}
+platform: {log: "%[4]s", host_list: "%[4]s"}
+weight_store: {concurrent: 4, per_second: 50}
+timing: {readiness_lag: 100ms, session_renew: 200ms, session_ttl: 2s, tick: 20ms, probe: 100ms, host_list_poll: 100ms, drain_timeout: 60s}
+`, name, 1+i%2, c.dir, c.platform))
+	p := start(c.t, "tealvaned", "-config", c.path(file))
+	var serving struct{ Callers, Operators string }
+	if err := json.Unmarshal([]byte(p.line(`"serving"`)), &serving); err != nil {
+		c.t.Fatal(err)
+	}
+	client, err := operators.NewClient("http://"+serving.Operators, loopback{})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return &entry{process: p, name: name, callers: "http://" + serving.Callers, operators: client}
+}
+
+// loopback is the token source of an interface that needs no token.
+type loopback struct{}
+
+func (loopback) Bearer(context.Context, operators.OperationName) (operators.Bearer, error) {
+	return operators.Bearer{Token: "none"}, nil
+}
+
+func (c *cluster) contract() string {
+	document, err := examples.Dev.ReadFile("dev/contract.yaml")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return string(document)
+}
+
+func (c *cluster) publish(e *entry, base int64, document string) {
+	c.t.Helper()
+	c.until("publication", func() bool {
+		_, err := e.operators.PublishContract(context.Background(),
+			&operators.Publication{BaseVersion: base, Document: document},
+			operators.PublishContractParams{Customer: "example"})
+		return err == nil
+	})
+}
+
+// until polls for an event that only the system's interfaces show.
+func (c *cluster) until(what string, done func() bool) {
+	c.t.Helper()
+	timeout := time.After(waitLimit)
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-timeout:
+			c.t.Fatalf("no %s", what)
+		case <-ticker.C:
+		}
+	}
+}
+
+// owner returns the entry host that owns the pool, as one of the others sees it.
+func (c *cluster) owner(asked *entry) *entry {
+	c.t.Helper()
+	s, err := asked.operators.GetStatus(context.Background())
+	if err != nil || len(s.Pools) == 0 {
+		c.t.Fatalf("status: %v", err)
+	}
+	for _, e := range c.entries {
+		if e.name == s.Pools[0].Owner {
+			return e
+		}
+	}
+	c.t.Fatalf("unknown owner %q", s.Pools[0].Owner)
+	return nil
+}
+
+// others returns the entry hosts but one.
+func (c *cluster) others(than *entry) []*entry {
+	var list []*entry
+	for _, e := range c.entries {
+		if e != than {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// reply is the final answer to one request.
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func post(url, key, body string) reply {
+	r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer dev-token")
+	r.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(data), header: resp.Header, err: err}
+}
+
+func (e *entry) complete(model, prompt string) reply {
+	return post(e.callers+"/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":%q}`, model, prompt))
+}
+
+// observed returns what an endpoint really did.
+func (c *cluster) observed(name string) (o struct {
+	Ran    []string
+	PeakMB int64 `json:"peak_mb"`
+	Peak   map[string]int
+	Loads  int
+}) {
+	c.t.Helper()
+	resp, err := http.Get(c.endpoints[name] + "/control/observed")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&o); err != nil {
+		c.t.Fatal(err)
+	}
+	return o
+}
