Bound replicas and memory under failure: tests seen to fail without each guard

Change: rounds in which the owner gets far enough; contracts that change sizes; stale observations; a focused test for each guard. The explicit fence order and its record are gone: the unload order itself raises the token, and a replica that may still be loaded stays counted, so nothing else needed it; a new owner now loads at once after a takeover.

--- a/pkg/pool/controller.go
+++ b/pkg/pool/controller.go
@@ -57,7 +57,6 @@
 	planning  bool
 	confirmed map[record.ReplicaID]bool
 	loaded    map[record.ReplicaID]bool
-	fenced    map[string]record.Incarnation
 	successor *record.HostRef
 	// recordAt is when Quiesced or Handover may be appended again.
 	recordAt time.Time
@@ -75,8 +74,7 @@
 	at time.Time
 }
 
-// orderKey serializes orders: one at a time for each replica, and one fence
-// for each endpoint.
+// orderKey serializes the orders for each replica.
 type orderKey struct {
 	endpoint string
 	replica  record.ReplicaID
@@ -157,8 +155,6 @@
 	}
 	delete(c.orders, key)
 	switch o.Kind {
-	case OrderFence:
-		c.fenced[o.Endpoint] = o.Incarnation
 	case OrderLoad:
 		c.loaded[o.Replica] = true
 	case OrderUnload:
@@ -197,7 +193,7 @@
 	maps.DeleteFunc(c.usage, func(_ usageKey, u usageEntry) bool { return now.Sub(u.at) > usageTTL })
 	maps.DeleteFunc(c.orders, func(key orderKey, s *orderState) bool {
 		_, known := p.Replicas[key.replica]
-		return key.replica != "" && !known && !s.pending && now.After(s.retryAt)
+		return !known && !s.pending && now.After(s.retryAt)
 	})
 }
 
@@ -207,7 +203,6 @@
 func (c *Controller) forget() {
 	c.confirmed = map[record.ReplicaID]bool{}
 	c.loaded = map[record.ReplicaID]bool{}
-	c.fenced = map[string]record.Incarnation{}
 	c.haveList = false
 	c.recordAt = time.Time{}
 	maps.DeleteFunc(c.orders, func(_ orderKey, s *orderState) bool { return !s.pending })
--- a/pkg/pool/messages.go
+++ b/pkg/pool/messages.go
@@ -11,17 +11,15 @@
 
 // The kinds of orders.
 const (
-	// OrderFence raises the endpoint's fencing token.
-	OrderFence OrderKind = iota
 	// OrderLoad loads a replica; it is idempotent per replica ID.
-	OrderLoad
+	OrderLoad OrderKind = iota
 	// OrderUnload unloads a replica; it succeeds when the replica is not loaded.
 	OrderUnload
 )
 
 // String names the kind.
 func (k OrderKind) String() string {
-	return [...]string{"fence", "load", "unload"}[k]
+	return [...]string{"load", "unload"}[k]
 }
 
 // Order is a command to an endpoint.
--- a/pkg/pool/step.go
+++ b/pkg/pool/step.go
@@ -41,16 +41,13 @@
 
 func (s *step) decide(d record.Decision) { s.decisions = append(s.decisions, d) }
 
-// reconcileEndpoints brings the fold up to what was observed, and fences.
+// reconcileEndpoints brings the fold up to what was observed.
 func (s *step) reconcileEndpoints() {
 	for _, name := range slices.Sorted(maps.Keys(s.c.observed)) {
 		o := s.c.observed[name]
 		known, ok := s.pool.Endpoints[name]
-		switch {
-		case !ok || known.Lost || known.EndpointSeen != o.EndpointSeen:
+		if !ok || known.Lost || known.EndpointSeen != o.EndpointSeen {
 			s.register(o)
-		case o.ChecksFencing && known.FencedEpoch != s.pool.Epoch:
-			s.raiseFence(known)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.pool.Endpoints)) {
@@ -72,14 +69,6 @@
 	s.decide(record.Decision{Endpoint: &seen})
 }
 
-func (s *step) raiseFence(e state.Endpoint) {
-	if s.c.fenced[e.Endpoint] == e.Incarnation {
-		s.decide(record.Decision{Fenced: &record.Fenced{Endpoint: e.Endpoint, Incarnation: e.Incarnation}})
-		return
-	}
-	s.send(Order{Kind: OrderFence, Endpoint: e.Endpoint})
-}
-
 // driveReplicas sends the orders that the fold's decisions call for, and
 // records their results.
 func (s *step) driveReplicas() {
@@ -163,15 +152,11 @@
 	}
 }
 
-// usable endpoints are observed in the same incarnation that the fold knows,
-// and have accepted this epoch if they check fencing tokens.
+// usable endpoints are observed in the same incarnation that the fold knows.
 func (s *step) usable(endpoint string) bool {
 	e, known := s.pool.Endpoints[endpoint]
 	o, listed := s.c.observed[endpoint]
-	if !known || !listed || e.Lost || e.Incarnation != o.Incarnation {
-		return false
-	}
-	return !e.ChecksFencing || e.FencedEpoch == s.pool.Epoch
+	return known && listed && !e.Lost && e.Incarnation == o.Incarnation
 }
 
 // unloadStrays unloads replicas that an endpoint lists and the fold does not
--- a/pkg/pool/world_test.go
+++ b/pkg/pool/world_test.go
@@ -9,21 +9,26 @@
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
-	"pgregory.net/rapid"
 )
 
 const (
 	testPool   = "p"
 	customer   = "c"
 	capacityMB = 100
-	modelMB    = 40
 )
 
-// world is a set of hosts, a log and endpoints whose messages are delivered
-// in any order. Its checks look only at the log's bytes and at what the
+// failer is what *testing.T and *rapid.T have in common.
+type failer interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
+// world is a set of hosts, a log and endpoints whose messages wait until they
+// are delivered. Its checks look only at the log's bytes and at what the
 // endpoints really hold.
 type world struct {
-	t         *rapid.T
+	t         failer
 	now       time.Time
 	log       [][]byte
 	hosts     []*host
@@ -32,6 +37,9 @@
 	orders    []*orderMsg
 	ids       int
 	loads     int
+	version   uint64
+	// stale is an old observation of all endpoints.
+	stale []pool.Observation
 }
 
 type host struct {
@@ -43,7 +51,6 @@
 type appendMsg struct {
 	from   *host
 	data   []byte
-	isPlan bool
 	landed bool
 }
 
@@ -62,17 +69,26 @@
 	loaded      map[record.ReplicaID]pool.Order
 }
 
-func newWorld(t *rapid.T) *world {
+// limits is the contract of the world, by model.
+type limits map[string]modelLimits
+
+type modelLimits struct {
+	max int
+	mb  int64
+}
+
+func newWorld(t failer, fencing ...bool) *world {
 	w := &world{t: t, now: time.Unix(1_700_000_000, 0)}
-	for i := range 3 {
+	for i, f := range fencing {
 		w.endpoints = append(w.endpoints, &endpoint{
 			name:        fmt.Sprintf("e%d", i),
-			fencing:     i%2 == 0,
+			fencing:     f,
 			incarnation: record.Incarnation(w.nextID("i")),
 			loaded:      map[record.ReplicaID]pool.Order{},
 		})
 	}
-	w.publish(map[string]int{"a": 2, "b": 1})
+	w.stale = w.observation()
+	w.publish(limits{"a": {2, 40}, "b": {1, 40}})
 	for range 3 {
 		w.hosts = append(w.hosts, nil)
 		w.boot(len(w.hosts) - 1)
@@ -85,7 +101,7 @@
 	return fmt.Sprintf("%s%04d", prefix, w.ids)
 }
 
-// boot starts a new run of host i; a former run is gone with its connections.
+// boot starts a new run of host i.
 func (w *world) boot(i int) {
 	ref := record.HostRef{Host: fmt.Sprintf("h%d", i), Incarnation: record.Incarnation(w.nextID("i"))}
 	h := &host{ref: ref, st: state.New()}
@@ -100,82 +116,54 @@
 	w.land(record.Record{Join: &record.HostJoin{HostRef: ref}})
 }
 
-func (w *world) land(r record.Record) {
+func (w *world) encode(r record.Record) []byte {
 	r.ID = record.ID(w.nextID("rec"))
 	data, err := record.Encode(r)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.log = append(w.log, data)
+	return data
 }
 
-func contractYAML(limits map[string]int) []byte {
+func (w *world) land(r record.Record) { w.log = append(w.log, w.encode(r)) }
+
+func (w *world) publish(l limits) {
 	doc := "customer: c\ncredentials: [{sha256: " + fmt.Sprintf("%064d", 0) + "}]\nmodels:\n"
 	for _, m := range []string{"a", "b"} {
-		doc += fmt.Sprintf("- {name: %s, pool: p, max_replicas: %d, weights_mb: %d, keep_alive: 1s}\n", m, limits[m], modelMB)
-	}
-	return []byte(doc)
-}
-
-func (w *world) publish(limits map[string]int) {
-	version := uint64(0)
-	for _, data := range w.log {
-		if r, err := record.Decode(data); err == nil && r.Contract != nil {
-			version++
-		}
-	}
-	w.land(record.Record{Contract: &record.Contract{Customer: customer, Base: version, Document: contractYAML(limits)}})
-}
-
-func pick[T any](w *world, list []T, label string) T {
-	if len(list) == 0 {
-		w.t.Skip("nothing to pick")
+		doc += fmt.Sprintf("- {name: %s, pool: p, max_replicas: %d, weights_mb: %d, keep_alive: 1s}\n", m, l[m].max, l[m].mb)
 	}
-	return list[rapid.IntRange(0, len(list)-1).Draw(w.t, label)]
+	w.land(record.Record{Contract: &record.Contract{Customer: customer, Base: w.version, Document: []byte(doc)}})
+	w.version++
 }
 
-func (w *world) step() {
-	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 800).Draw(w.t, "ms")) * time.Millisecond)
-	h := pick(w, w.hosts, "host")
+// step lets a host decide; its messages wait.
+func (w *world) step(h *host) {
 	for _, e := range h.ctrl.Step(w.now, h.st) {
-		w.carryOut(h, e)
-	}
-}
-
-func (w *world) carryOut(h *host, e pool.Effect) {
-	r := record.Record{ID: record.ID(w.nextID("rec")), Plan: e.Plan, Quiesced: e.Quiesced, Handover: e.Handover}
-	if e.Order != nil {
-		w.orders = append(w.orders, &orderMsg{from: h, Order: *e.Order})
-		return
-	}
-	data, err := record.Encode(r)
-	if err != nil {
-		w.t.Fatal(err)
+		if e.Order != nil {
+			w.orders = append(w.orders, &orderMsg{from: h, Order: *e.Order})
+			continue
+		}
+		r := record.Record{Plan: e.Plan, Quiesced: e.Quiesced, Handover: e.Handover}
+		w.appends = append(w.appends, &appendMsg{from: h, data: w.encode(r)})
 	}
-	w.appends = append(w.appends, &appendMsg{from: h, data: data, isPlan: e.Plan != nil})
 }
 
-// landAppend lands any append under way, perhaps for the second time.
-func (w *world) landAppend() {
-	a := pick(w, w.appends, "append")
-	w.log = append(w.log, a.data)
-	a.landed = true
-	if rapid.Bool().Draw(w.t, "again later") {
-		return
+// landAll lands the appends of a host and settles its plan.
+func (w *world) landAll(h *host) {
+	for _, a := range w.appends {
+		if a.from == h && !a.landed {
+			w.log = append(w.log, a.data)
+			a.landed = true
+		}
 	}
-	w.appends = slices.DeleteFunc(w.appends, func(b *appendMsg) bool { return a == b })
-}
-
-// settlePlan ends the wait for a plan: settled, or given up when its answer
-// was lost while its record may still land.
-func (w *world) settlePlan() {
-	pick(w, w.hosts, "host").ctrl.PlanDone()
+	w.fold(h, len(w.log))
+	h.ctrl.PlanDone()
+	// Keep a few landed records; delayed copies of them may land again.
+	w.appends = w.appends[max(0, len(w.appends)-10):]
 }
 
-func (w *world) fold() {
-	h := pick(w, w.hosts, "host")
-	n := rapid.IntRange(1, 20).Draw(w.t, "records")
-	for range n {
+func (w *world) fold(h *host, n int) {
+	for ; n > 0; n-- {
 		next := int(h.st.Applied())
 		if next >= len(w.log) {
 			return
@@ -186,21 +174,15 @@
 	}
 }
 
-// claim takes the pool at any time: no lease is looked at.
-func (w *world) claim() {
-	h := pick(w, w.hosts, "host")
+// claim takes the pool; no lease is looked at.
+func (w *world) claim(h *host) {
 	_, epoch := h.st.Pools.Owner(testPool)
 	w.land(record.Record{Claim: &record.PoolClaim{Pool: testPool, PrevEpoch: epoch, Owner: h.ref}})
 }
 
-func (w *world) handOver() {
-	pick(w, w.hosts, "from").ctrl.HandOver(pick(w, w.hosts, "to").ref)
-}
-
-// kill ends a host. Its requests that no endpoint has read are lost with its
-// connections; an endpoint that checks tokens may still read them.
-func (w *world) kill() {
-	i := rapid.IntRange(0, len(w.hosts)-1).Draw(w.t, "host")
+// kill ends a host and starts its next run. Its requests that no endpoint has
+// read are lost with its connections; one that checks tokens may still read them.
+func (w *world) kill(i int, listedAsGone bool) {
 	h := w.hosts[i]
 	w.orders = slices.DeleteFunc(w.orders, func(o *orderMsg) bool {
 		return o.from == h && !w.endpoint(o.Endpoint).fencing
@@ -208,7 +190,7 @@
 	for _, o := range w.orders {
 		o.abandoned = o.abandoned || o.from == h
 	}
-	if rapid.Bool().Draw(w.t, "listed as gone") {
+	if listedAsGone {
 		w.land(record.Record{Gone: &record.HostGone{HostRef: h.ref}})
 	}
 	w.boot(i)
@@ -220,16 +202,14 @@
 }
 
 // restart empties an endpoint; it also forgets its fencing token.
-func (w *world) restart() {
-	e := pick(w, w.endpoints, "endpoint")
+func (w *world) restart(e *endpoint) {
+	w.stale = w.observation()
 	e.incarnation = record.Incarnation(w.nextID("i"))
 	e.token = 0
 	clear(e.loaded)
 }
 
-func (w *world) observe() { w.observeFor(pick(w, w.hosts, "host")) }
-
-func (w *world) observeFor(h *host) {
+func (w *world) observation() []pool.Observation {
 	var list []pool.Observation
 	for _, e := range w.endpoints {
 		var loaded []record.ReplicaID
@@ -248,99 +228,56 @@
 			Loaded:    loaded,
 		})
 	}
-	h.ctrl.Observe(list)
+	return list
 }
 
-func (w *world) demand(h *host) {
+// demand reports waiting requests of all models to a host.
+func (w *world) demand(h *host, waiting map[string]int) {
 	var list []pool.Usage
 	for _, model := range []string{"a", "b"} {
-		waiting := rapid.SampledFrom([]int{0, 5, 20, 40}).Draw(w.t, "waiting "+model)
-		list = append(list, pool.Usage{Customer: customer, Model: model, Waiting: waiting, Remaining: time.Second, Idle: time.Hour})
+		list = append(list, pool.Usage{
+			Customer:  customer,
+			Model:     model,
+			Waiting:   waiting[model],
+			Remaining: time.Second,
+			Idle:      time.Hour,
+		})
 	}
 	h.ctrl.Report(w.now, "x", list)
 }
 
-// round lets one host work for a while without a failure, so that schedules
-// get far enough for failures to matter.
-func (w *world) round() {
-	h := pick(w, w.hosts, "host")
-	w.foldAll(h)
-	owner, epoch := h.st.Pools.Owner(testPool)
-	i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.ref == owner })
-	switch {
-	case i >= 0 && rapid.IntRange(0, 4).Draw(w.t, "same owner") > 0:
-		h = w.hosts[i]
-		w.foldAll(h)
-	case owner != h.ref:
-		w.land(record.Record{Claim: &record.PoolClaim{Pool: testPool, PrevEpoch: epoch, Owner: h.ref}})
-		w.foldAll(h)
-	}
-	w.observeFor(h)
-	w.demand(h)
+// work lets a host decide, append and observe for a few rounds. Its orders
+// arrive if deliver is set.
+func (w *world) work(h *host, waiting map[string]int, deliver bool) {
 	for range 8 {
-		for _, e := range h.ctrl.Step(w.now, h.st) {
-			w.carryOut(h, e)
-		}
-		for _, a := range w.appends {
-			if a.from == h && !a.landed {
-				w.log = append(w.log, a.data)
-				a.landed = true
-			}
-		}
-		w.foldAll(h)
-		h.ctrl.PlanDone()
 		w.now = w.now.Add(200 * time.Millisecond)
-		if rapid.Bool().Draw(w.t, "orders arrive") {
+		w.fold(h, len(w.log))
+		h.ctrl.Observe(w.observation())
+		w.demand(h, waiting)
+		w.step(h)
+		w.landAll(h)
+		if deliver {
 			w.deliverFrom(h)
 		}
 	}
-	// Keep a few landed records as delayed copies.
-	w.appends = w.appends[max(0, len(w.appends)-10):]
 }
 
 func (w *world) deliverFrom(h *host) {
 	for _, o := range slices.Clone(w.orders) {
 		if o.from == h && !o.abandoned {
-			w.deliverOne(o)
+			w.deliver(o, false)
 		}
 	}
 }
 
-func (w *world) foldAll(h *host) {
-	for next := int(h.st.Applied()); next < len(w.log); next++ {
-		if _, _, err := h.st.Apply(record.Offset(next+1), w.log[next]); err != nil {
-			w.t.Fatal(err)
-		}
-	}
-}
-
-// rarely skips most calls of an action that sets everything back.
-func (w *world) rarely(action func()) {
-	if rapid.IntRange(0, 3).Draw(w.t, "rarely") > 0 {
-		w.t.Skip("not this time")
-	}
-	action()
-}
-
-func (w *world) lowerOrRaise() {
-	w.publish(map[string]int{
-		"a": rapid.IntRange(1, 3).Draw(w.t, "max a"),
-		"b": rapid.IntRange(1, 3).Draw(w.t, "max b"),
-	})
-}
-
 // deliver lets an order arrive, and reports its result unless it gets lost.
-func (w *world) deliver() {
-	w.deliverOne(pick(w, w.orders, "order"))
-}
-
-func (w *world) deliverOne(o *orderMsg) {
+func (w *world) deliver(o *orderMsg, answerLost bool) {
 	w.orders = slices.DeleteFunc(w.orders, func(x *orderMsg) bool { return x == o })
 	result := w.execute(o.Order)
 	if o.abandoned {
 		return
 	}
-	if rapid.IntRange(0, 9).Draw(w.t, "answer lost") == 0 {
+	if answerLost {
 		result = pool.OrderUnknown
 	}
 	o.from.ctrl.OrderDone(w.now, o.Order, result)
@@ -348,11 +285,7 @@
 
 // abandon breaks the connection of an order before its answer. An endpoint
 // that checks tokens may read the order later all the same.
-func (w *world) abandon() {
-	o := pick(w, w.orders, "order")
-	if o.abandoned {
-		w.t.Skip("abandoned before")
-	}
+func (w *world) abandon(o *orderMsg) {
 	o.abandoned = true
 	o.from.ctrl.OrderDone(w.now, o.Order, pool.OrderUnknown)
 	if !w.endpoint(o.Endpoint).fencing {
@@ -382,6 +315,7 @@
 
 // checkLoad verifies the promises at the moment in which they can break.
 func (w *world) checkLoad(e *endpoint, o pool.Order) {
+	w.t.Helper()
 	memory := int64(0)
 	for _, l := range e.loaded {
 		memory += l.MemoryMB
@@ -389,17 +323,22 @@
 	if memory > capacityMB {
 		w.t.Fatalf("endpoint %s holds %d MB of %d", e.name, memory, capacityMB)
 	}
+	count := w.loadedCount(o.Model)
+	if limit := w.limitSince(o); count > limit {
+		w.t.Fatalf("%d replicas of %s are loaded, the contract allows %d", count, o.Model, limit)
+	}
+}
+
+func (w *world) loadedCount(model string) int {
 	count := 0
 	for _, e := range w.endpoints {
 		for _, l := range e.loaded {
-			if l.Model == o.Model {
+			if l.Model == model {
 				count++
 			}
 		}
 	}
-	if limit := w.limitSince(o); count > limit {
-		w.t.Fatalf("%d replicas of %s are loaded, the contract allows %d", count, o.Model, limit)
-	}
+	return count
 }
 
 // limitSince is the largest limit in force since the replica was decided:
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -124,7 +124,6 @@
 // Decision is one step of a plan. Exactly one field is set.
 type Decision struct {
 	Endpoint *EndpointSeen `cbor:"1,keyasint,omitempty"`
-	Fenced   *Fenced       `cbor:"2,keyasint,omitempty"`
 	Place    *Place        `cbor:"3,keyasint,omitempty"`
 	Ready    *Ready        `cbor:"4,keyasint,omitempty"`
 	Retire   *Retire       `cbor:"5,keyasint,omitempty"`
@@ -148,12 +147,6 @@
 	Incarnation Incarnation `cbor:"2,keyasint"`
 }
 
-// Fenced states that an endpoint has accepted the plan's epoch as fencing token.
-type Fenced struct {
-	Endpoint    string      `cbor:"1,keyasint"`
-	Incarnation Incarnation `cbor:"2,keyasint"`
-}
-
 // Place reserves memory for a replica and allows its load order.
 type Place struct {
 	Replica  ReplicaID `cbor:"1,keyasint"`
--- a/pkg/state/plan.go
+++ b/pkg/state/plan.go
@@ -35,8 +35,6 @@
 		return nil
 	case d.Lost != nil:
 		return p.loseEndpoint(off, *d.Lost)
-	case d.Fenced != nil:
-		return p.fence(*d.Fenced)
 	case d.Place != nil:
 		return p.place(off, *d.Place, contracts)
 	case d.Ready != nil:
@@ -50,16 +48,15 @@
 }
 
 // seeEndpoint registers an endpoint. After a restart its memory is empty, but
-// an order sent to the former run may still arrive at the new one. So the
-// replicas are retired and stay counted until their unload is confirmed.
+// this may be an old observation of a run before the present one, whose
+// replicas are loaded. So all are retired and stay counted until their unload
+// is confirmed by the run that was observed.
 func (p *lockedPool) seeEndpoint(off record.Offset, seen record.EndpointSeen) {
 	known, ok := p.Endpoints[seen.Endpoint]
-	fenced := known.FencedEpoch
 	if ok && known.Incarnation != seen.Incarnation {
 		p.retireAll(off, seen.Endpoint)
-		fenced = 0
 	}
-	p.Endpoints[seen.Endpoint] = Endpoint{EndpointSeen: seen, FencedEpoch: fenced}
+	p.Endpoints[seen.Endpoint] = Endpoint{EndpointSeen: seen}
 }
 
 func (p *lockedPool) loseEndpoint(off record.Offset, lost record.EndpointLost) error {
@@ -83,16 +80,6 @@
 	}
 }
 
-func (p *lockedPool) fence(f record.Fenced) error {
-	e, ok := p.Endpoints[f.Endpoint]
-	if !ok || e.Incarnation != f.Incarnation {
-		return errors.Wrapf(ErrStale, "endpoint %q", f.Endpoint)
-	}
-	e.FencedEpoch = p.Epoch
-	p.Endpoints[f.Endpoint] = e
-	return nil
-}
-
 // place reserves capacity. This check, and not the owner's, bounds replicas
 // and memory: it sees every reservation in the order of the log.
 func (p *lockedPool) place(off record.Offset, d record.Place, contracts *Contracts) error {
--- a/pkg/state/pools.go
+++ b/pkg/state/pools.go
@@ -45,8 +45,6 @@
 // Endpoint is a model endpoint of a pool.
 type Endpoint struct {
 	record.EndpointSeen
-	// FencedEpoch is the epoch that the endpoint accepted as fencing token.
-	FencedEpoch record.Offset
 	// Lost endpoints have left the platform's list.
 	Lost bool
 }
@@ -95,15 +93,15 @@
 }
 
 // MayFree tells whether the memory of a retired replica may be given back once
-// its unload is confirmed.
+// the present owner's unload order was accepted.
 //
 // A former owner that was paused between decision and order may still send a
 // load order for the replica; it would show as memory used twice. Either the
-// endpoint refuses it, because it has accepted the current epoch as fencing
-// token, or no owner of the replica's time is left that could send it.
+// endpoint refuses it, because the unload order raised its fencing token, or
+// no owner of the replica's time is left that could send it.
 func (p *Pool) MayFree(r Replica) bool {
 	e := p.Endpoints[r.Endpoint]
-	if e.ChecksFencing && !e.Lost && e.FencedEpoch == p.Epoch {
+	if e.ChecksFencing && !e.Lost {
 		return true
 	}
 	return !slices.ContainsFunc(p.Former, func(f Former) bool { return f.Epoch >= r.Epoch })
