--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -54,7 +54,10 @@
 	state   *state.State
 	journal *journal.Journal
 	ledger  *dispatch.Ledger
-	node    *peer.Node
+	peers   peer.Sender
+	// peerAddr is where other entry hosts reach this one.
+	peerAddr string
+	node     *peer.Node
 
 	callers   net.Listener
 	operators net.Listener
@@ -87,7 +90,25 @@
 
 // New opens the listeners of a host; Run serves them.
 func New(cfg Config) (*Host, error) {
-	h := &Host{
+	h := newHost(cfg)
+	node, err := peer.Listen(cfg.Settings.Peers.Listen, cfg.PeerTLS, peerHandler{h})
+	if err != nil {
+		return nil, err
+	}
+	h.node = node
+	if h.callers, err = net.Listen("tcp", cfg.Settings.Callers.Listen); err != nil {
+		return nil, errors.Wrap(err, "callers")
+	}
+	if h.operators, err = net.Listen("tcp", cfg.Settings.Operators.Listen); err != nil {
+		return nil, errors.Wrap(err, "operators")
+	}
+	h.connect(cfg.Log, node, node.Addr())
+	return h, nil
+}
+
+// newHost returns a host without any connection to others.
+func newHost(cfg Config) *Host {
+	return &Host{
 		settings: cfg.Settings,
 		self: record.HostRef{
 			Host:        cfg.Settings.Host,
@@ -105,20 +126,27 @@
 		owners:    map[string]*owner{},
 		reportNow: make(chan struct{}, 1),
 	}
-	var err error
-	if h.node, err = peer.Listen(cfg.Settings.Peers.Listen, cfg.PeerTLS, peerHandler{h}); err != nil {
-		return nil, err
-	}
-	if h.callers, err = net.Listen("tcp", cfg.Settings.Callers.Listen); err != nil {
-		return nil, errors.Wrap(err, "callers")
-	}
-	if h.operators, err = net.Listen("tcp", cfg.Settings.Operators.Listen); err != nil {
-		return nil, errors.Wrap(err, "operators")
+}
+
+// connect joins the host with the log and the other hosts. addr is where
+// other hosts reach this one, unless the settings name another address.
+func (h *Host) connect(log platform.Log, peers peer.Sender, addr string) {
+	h.peers = peers
+	h.peerAddr = addr
+	if h.settings.Peers.Advertise != "" {
+		h.peerAddr = h.settings.Peers.Advertise
 	}
-	h.journal = journal.New(cfg.Log, peer.Reader{Node: h.node, Addrs: h.peerAddrs}, h.state, h.metrics.record)
-	h.ledger = dispatch.NewLedger(h.self, h.journal, h.state.Keys, cfg.Settings.Timing.BatchInterval, h.now)
+	h.journal = journal.New(log, peer.Reader{Peers: peers, Addrs: h.peerAddrs}, h.state, h.metrics.record)
+	h.ledger = dispatch.NewLedger(h.self, h.journal, h.state.Keys, h.settings.Timing.BatchInterval, h.now)
 	h.deferred = newDeferredRunner(h)
-	return h, nil
+}
+
+// loops are the host's own activities, apart from its servers.
+func (h *Host) loops() []func(context.Context) {
+	return []func(context.Context){
+		h.journal.Run, h.ledger.Run, h.runSession, h.runMembers, h.runOwners,
+		h.runUsage, h.runPump, h.runSnapshots, h.deferred.run,
+	}
 }
 
 // CallersAddr is the address on which callers are served.
@@ -141,13 +169,11 @@
 	if err != nil {
 		return err
 	}
+	defer h.metrics.closer.Close()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	for _, loop := range []func(context.Context){
-		h.journal.Run, h.ledger.Run, h.node.Serve,
-		h.runSession, h.runMembers, h.runOwners, h.runUsage, h.runPump, h.runSnapshots, h.deferred.run,
-	} {
+	for _, loop := range append(h.loops(), h.node.Serve) {
 		group.Go(func() error {
 			loop(work)
 			return nil
--- a/pkg/entryhost/loops.go
+++ b/pkg/entryhost/loops.go
@@ -58,7 +58,7 @@
 func (h *Host) renew(ctx context.Context) {
 	r := record.Record{Renew: &record.HostRenew{HostRef: h.self, Leaving: h.stopping.Load()}}
 	if !h.state.Hosts.Has(h.self) {
-		r = record.Record{Join: &record.HostJoin{HostRef: h.self, PeerAddr: h.peerAddr(), Zone: h.settings.Zone}}
+		r = record.Record{Join: &record.HostJoin{HostRef: h.self, PeerAddr: h.peerAddr, Zone: h.settings.Zone}}
 	}
 	if err := h.appendSoon(ctx, r); err != nil {
 		h.metrics.renewFailed()
@@ -67,13 +67,6 @@
 	h.joined.Store(true)
 }
 
-func (h *Host) peerAddr() string {
-	if h.settings.Peers.Advertise != "" {
-		return h.settings.Peers.Advertise
-	}
-	return h.node.Addr()
-}
-
 func (h *Host) claimPools(ctx context.Context, now time.Time) {
 	for _, name := range h.state.Contracts.PoolNames() {
 		owner, epoch := h.state.Pools.Owner(name)
@@ -119,7 +112,7 @@
 	h.logger.Info("endpoints are leaving", "endpoints", news)
 	for _, addr := range h.peerAddrs() {
 		go func() {
-			_, _ = h.node.Send(ctx, addr, peer.Request{Leave: &peer.LeaveNotice{Endpoints: news}})
+			_, _ = h.peers.Send(ctx, addr, peer.Request{Leave: &peer.LeaveNotice{Endpoints: news}})
 		}()
 	}
 }
@@ -142,7 +135,7 @@
 		h.membersMu.Lock()
 		unlisted := h.members.EntryGone(now, s.Host)
 		h.membersMu.Unlock()
-		if s.PeerAddr == h.peerAddr() || !live && unlisted {
+		if s.PeerAddr == h.peerAddr || !live && unlisted {
 			_ = h.appendSoon(ctx, record.Record{Gone: &record.HostGone{HostRef: s.HostRef}})
 		}
 	}
@@ -172,7 +165,7 @@
 // peerAddrs returns the addresses of the other entry hosts. A fresh host that
 // has no state yet takes them from the platform's list.
 func (h *Host) peerAddrs() []string {
-	seen := map[string]bool{h.peerAddr(): true}
+	seen := map[string]bool{h.peerAddr: true}
 	var addrs []string
 	add := func(addr string) {
 		if addr != "" && !seen[addr] {
@@ -244,7 +237,7 @@
 	for _, s := range h.state.Hosts.Sessions() {
 		if s.HostRef == owner {
 			go func() {
-				_, _ = h.node.Send(ctx, s.PeerAddr, peer.Request{Usage: &r})
+				_, _ = h.peers.Send(ctx, s.PeerAddr, peer.Request{Usage: &r})
 			}()
 		}
 	}
--- a/pkg/entryhost/metrics.go
+++ b/pkg/entryhost/metrics.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -14,19 +15,20 @@
 // explains each.
 type metrics struct {
 	scope   tally.Scope
+	closer  io.Closer
 	handler http.Handler
 }
 
 func newMetrics() *metrics {
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "tealvane",
 		CachedReporter:         reporter,
 		Separator:              promreporter.DefaultSeparator,
 		OmitCardinalityMetrics: true,
 	}, time.Second)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
 }
 
 func (m *metrics) count(name string, tags map[string]string) {
--- /dev/null
+++ b/pkg/peer/answer.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/platform"
+)
+
+// Answer lets a handler answer a request. An unknown kind gets an empty answer,
+// an error none.
+func Answer(h Handler, r Request) []Response {
+	switch {
+	case r.Usage != nil:
+		h.HandleUsage(*r.Usage)
+	case r.Leave != nil:
+		h.HandleLeave(*r.Leave)
+	case r.Tail != nil:
+		r.Tail.Limit = min(r.Tail.Limit, maxTail)
+		return answerTail(h, *r.Tail)
+	case r.Snapshot:
+		return answerSnapshot(h)
+	}
+	return []Response{{}}
+}
+
+func answerTail(h Handler, r TailRequest) []Response {
+	entries, err := h.HandleTail(r)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		return []Response{{TrimmedFirst: trimmed.First}}
+	}
+	if err != nil {
+		return nil
+	}
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if size > maxMessageBytes/2 {
+			entries = entries[:i]
+			break
+		}
+	}
+	return []Response{{Entries: entries}}
+}
+
+func answerSnapshot(h Handler) []Response {
+	chunks, err := h.HandleSnapshot()
+	if err != nil {
+		return nil
+	}
+	responses := make([]Response, len(chunks))
+	for i := range chunks {
+		responses[i].Chunk = &chunks[i]
+	}
+	return responses
+}
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -10,8 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
-	"github.com/tealvane/tealvane/pkg/platform"
-	"github.com/tealvane/tealvane/pkg/record"
 )
 
 const (
@@ -104,7 +102,7 @@
 		stream.CancelWrite(0)
 		return
 	}
-	for _, response := range n.answer(r) {
+	for _, response := range Answer(n.handler, r) {
 		response.Version = protocolVersion
 		if writeFrame(stream, response) != nil {
 			stream.CancelWrite(0)
@@ -113,53 +111,6 @@
 	}
 }
 
-func (n *Node) answer(r Request) []Response {
-	switch {
-	case r.Usage != nil:
-		n.handler.HandleUsage(*r.Usage)
-	case r.Leave != nil:
-		n.handler.HandleLeave(*r.Leave)
-	case r.Tail != nil:
-		r.Tail.Limit = min(r.Tail.Limit, maxTail)
-		return n.answerTail(*r.Tail)
-	case r.Snapshot:
-		return n.answerSnapshot()
-	}
-	return []Response{{}}
-}
-
-func (n *Node) answerTail(r TailRequest) []Response {
-	entries, err := n.handler.HandleTail(r)
-	var trimmed *platform.TrimmedError
-	if errors.As(err, &trimmed) {
-		return []Response{{TrimmedFirst: trimmed.First}}
-	}
-	if err != nil {
-		return nil
-	}
-	size := 0
-	for i, e := range entries {
-		size += len(e.Data)
-		if size > maxMessageBytes/2 {
-			entries = entries[:i]
-			break
-		}
-	}
-	return []Response{{Entries: entries}}
-}
-
-func (n *Node) answerSnapshot() []Response {
-	chunks, err := n.handler.HandleSnapshot()
-	if err != nil {
-		return nil
-	}
-	responses := make([]Response, len(chunks))
-	for i := range chunks {
-		responses[i].Chunk = &chunks[i]
-	}
-	return responses
-}
-
 // Send sends a request and returns the messages of its answer.
 func (n *Node) Send(ctx context.Context, addr string, r Request) ([]Response, error) {
 	r.Version = protocolVersion
@@ -232,78 +183,3 @@
 		delete(n.conns, addr)
 	}
 }
-
-// Reader reads the log's tail from other hosts.
-type Reader struct {
-	Node *Node
-	// Addrs returns the addresses of the other hosts, best first.
-	Addrs func() []string
-}
-
-// ErrNoPeer means that no other host answered.
-var ErrNoPeer = errors.Wrap(platform.ErrUnavailable, "no peer answered")
-
-// tailPoll is the pause between two reads from peers that had nothing new.
-const tailPoll = 50 * time.Millisecond
-
-// Read implements platform.LogReader: it returns the longest tail that a host
-// has, since any of them may be behind.
-func (r Reader) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]platform.Entry, error) {
-	end := time.Now().Add(wait)
-	for {
-		entries, err := r.readOnce(ctx, from, limit)
-		if err != nil || len(entries) > 0 || time.Now().After(end) {
-			return entries, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(tailPoll):
-		}
-	}
-}
-
-func (r Reader) readOnce(ctx context.Context, from record.Offset, limit int) ([]platform.Entry, error) {
-	var best []platform.Entry
-	err := error(ErrNoPeer)
-	for _, addr := range r.Addrs() {
-		answer, sendErr := r.Node.Send(ctx, addr, Request{Tail: &TailRequest{From: from, Limit: limit}})
-		if sendErr != nil {
-			continue
-		}
-		if first := answer[0].TrimmedFirst; first != 0 {
-			if len(best) == 0 {
-				err = &platform.TrimmedError{First: first}
-			}
-			continue
-		}
-		if entries := answer[0].Entries; best == nil || len(entries) > len(best) {
-			best, err = entries, nil
-		}
-	}
-	return best, err
-}
-
-// Snapshot returns the newest state among the other hosts, as chunks.
-func (r Reader) Snapshot(ctx context.Context) ([]record.Snapshot, error) {
-	var best []record.Snapshot
-	for _, addr := range r.Addrs() {
-		answer, err := r.Node.Send(ctx, addr, Request{Snapshot: true})
-		if err != nil || answer[0].Chunk == nil {
-			continue
-		}
-		chunks := make([]record.Snapshot, 0, len(answer))
-		for _, a := range answer {
-			if a.Chunk != nil {
-				chunks = append(chunks, *a.Chunk)
-			}
-		}
-		if best == nil || chunks[0].AsOf > best[0].AsOf {
-			best = chunks
-		}
-	}
-	if best == nil {
-		return nil, ErrNoPeer
-	}
-	return best, nil
-}
--- /dev/null
+++ b/pkg/peer/reader.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// Sender sends requests to other hosts; Node is one.
+type Sender interface {
+	Send(ctx context.Context, addr string, r Request) ([]Response, error)
+}
+
+// Reader reads the log's tail from other hosts.
+type Reader struct {
+	Peers Sender
+	// Addrs returns the addresses of the other hosts, best first.
+	Addrs func() []string
+}
+
+// ErrNoPeer means that no other host answered.
+var ErrNoPeer = errors.Wrap(platform.ErrUnavailable, "no peer answered")
+
+// tailPoll is the pause between two reads from peers that had nothing new.
+const tailPoll = 50 * time.Millisecond
+
+// Read implements platform.LogReader: it returns the longest tail that a host
+// has, since any of them may be behind.
+func (r Reader) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]platform.Entry, error) {
+	end := time.Now().Add(wait)
+	for {
+		entries, err := r.readOnce(ctx, from, limit)
+		if err != nil || len(entries) > 0 || time.Now().After(end) {
+			return entries, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(tailPoll):
+		}
+	}
+}
+
+func (r Reader) readOnce(ctx context.Context, from record.Offset, limit int) ([]platform.Entry, error) {
+	var best []platform.Entry
+	err := error(ErrNoPeer)
+	for _, addr := range r.Addrs() {
+		answer, sendErr := r.Peers.Send(ctx, addr, Request{Tail: &TailRequest{From: from, Limit: limit}})
+		if sendErr != nil {
+			continue
+		}
+		if first := answer[0].TrimmedFirst; first != 0 {
+			if len(best) == 0 {
+				err = &platform.TrimmedError{First: first}
+			}
+			continue
+		}
+		if entries := answer[0].Entries; best == nil || len(entries) > len(best) {
+			best, err = entries, nil
+		}
+	}
+	return best, err
+}
+
+// Snapshot returns the newest state among the other hosts, as chunks.
+func (r Reader) Snapshot(ctx context.Context) ([]record.Snapshot, error) {
+	var best []record.Snapshot
+	for _, addr := range r.Addrs() {
+		answer, err := r.Peers.Send(ctx, addr, Request{Snapshot: true})
+		if err != nil || answer[0].Chunk == nil {
+			continue
+		}
+		chunks := make([]record.Snapshot, 0, len(answer))
+		for _, a := range answer {
+			if a.Chunk != nil {
+				chunks = append(chunks, *a.Chunk)
+			}
+		}
+		if best == nil || chunks[0].AsOf > best[0].AsOf {
+			best = chunks
+		}
+	}
+	if best == nil {
+		return nil, ErrNoPeer
+	}
+	return best, nil
+}
