Prove that contracts never revert, on whole hosts in virtual time

Change: schedules of racing and repeated publications, outages, cuts, kills and trims on three hosts; the checker recomputes what was accepted from the log's bytes; adapter tests for orders bound to an incarnation, fencing, crossed and cut streams, lost answers.

--- a/pkg/entryhost/fake_test.go
+++ b/pkg/entryhost/fake_test.go
@@ -17,6 +17,7 @@
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/settings"
+	"github.com/tealvane/tealvane/pkg/state"
 	"go.opentelemetry.io/otel/trace/noop"
 )
 
@@ -37,6 +38,9 @@
 	cut     map[string]bool
 	running sync.WaitGroup
 	booted  int
+	// all keeps the trimmed records too.
+	all           []platform.Entry
+	snapshotEvery int
 }
 
 // fakeHost is a host with adapters that fail once it is dead.
@@ -78,6 +82,9 @@
 	s.Host = name
 	s.Zone = "z"
 	s.Timing.ReadinessLag = 100 * time.Millisecond
+	if f.snapshotEvery > 0 {
+		s.Timing.SnapshotEvery = f.snapshotEvery
+	}
 	h := &fakeHost{fakes: f}
 	h.Host = newHost(Config{
 		Settings: s,
@@ -128,7 +135,7 @@
 	f := h.fakes
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h.dead.Load() || f.down {
+	if h.dead.Load() || f.down || f.cut[h.settings.Host] {
 		return 0, errors.Wrap(platform.ErrRejected, "down")
 	}
 	if f.late > 0 {
@@ -154,6 +161,7 @@
 func (f *fakes) landLocked(data []byte) record.Offset {
 	off := f.first + record.Offset(len(f.records))
 	f.records = append(f.records, platform.Entry{Offset: off, Data: data})
+	f.all = append(f.all, platform.Entry{Offset: off, Data: data})
 	return off
 }
 
@@ -188,11 +196,48 @@
 	return slices.Clone(tail[:min(limit, len(tail))]), nil
 }
 
-func (f *fakes) trim(before record.Offset) {
+// history returns all records, the trimmed ones too.
+func (f *fakes) history() []platform.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.all)
+}
+
+// trimToSnapshot drops the records that the newest snapshot replaces. It
+// reports false when there is none.
+func (f *fakes) trimToSnapshot() bool {
+	snapshots := state.New().Snapshots
+	for _, e := range f.history() {
+		if r, err := record.Decode(e.Data); err == nil && r.Snapshot != nil {
+			snapshots.Add(e.Offset, *r.Snapshot)
+		}
+	}
+	keep := snapshots.NewestAsOf() + 1
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if keep <= f.first {
+		return false
+	}
+	f.records = f.records[keep-f.first:]
+	f.first = keep
+	return true
+}
+
+// repeatPublication lands a delayed copy of an earlier publication.
+func (f *fakes) repeatPublication(n int) {
+	var copies [][]byte
+	for _, e := range f.history() {
+		if r, err := record.Decode(e.Data); err == nil && r.Contract != nil {
+			copies = append(copies, e.Data)
+		}
+	}
+	f.land(copies[n%len(copies)])
+}
+
+func (f *fakes) setCut(host string, cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.records = f.records[before-f.first:]
-	f.first = before
+	f.cut[host] = cut
 }
 
 func (f *fakes) setDown(down bool) {
--- /dev/null
+++ b/pkg/platform/httpadapter/adapter_test.go
@@ -0,0 +1,200 @@
+package httpadapter_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/standin"
+	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/platform/httpadapter"
+	"github.com/tealvane/tealvane/pkg/pool"
+)
+
+func newEngine(fencing bool) *standin.Engine {
+	return standin.NewEngine(standin.EngineConfig{
+		MemoryMB:      100,
+		ChecksFencing: fencing,
+		Fetch:         func(context.Context, int64) error { return nil },
+	})
+}
+
+func load(e *standin.Engine, addr string) pool.Order {
+	return pool.Order{
+		Kind:        pool.OrderLoad,
+		Endpoint:    "e",
+		Addr:        addr,
+		Incarnation: e.Incarnation(),
+		Replica:     "r1",
+		Model:       "m",
+		MemoryMB:    10,
+		Fence:       7,
+	}
+}
+
+// An engine loads a replica that was counted for its former run. An order is
+// decided, the engine restarts under the same address with empty memory that
+// is given to others, and the order arrives there.
+func TestOrderReachesOnlyItsIncarnation(t *testing.T) {
+	is := is.New(t)
+	old, restarted := newEngine(false), newEngine(false)
+	server := httptest.NewServer(restarted.Handler())
+	defer server.Close()
+	result, err := httpadapter.NewEngine().Order(context.Background(), load(old, server.URL))
+	is.True(err != nil)
+	is.Equal(result, pool.OrderRefused)
+	is.Equal(restarted.Observed().Loads, 0)
+
+	result, err = httpadapter.NewEngine().Order(context.Background(), load(restarted, server.URL))
+	is.NoErr(err)
+	is.Equal(result, pool.OrderOK)
+}
+
+// The engine restarts between the look at its incarnation and the order: the
+// connection is gone with the old process, and no second one may be made.
+func TestOrderIsNotSentOnASecondConnection(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(false)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		engine.Handler().ServeHTTP(w, r)
+	})
+	mux.Handle("/", engine.Handler())
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	result, err := httpadapter.NewEngine().Order(context.Background(), load(engine, server.URL))
+	is.True(err != nil)
+	is.Equal(result, pool.OrderRefused)
+	is.Equal(engine.Observed().Loads, 0)
+}
+
+// An owner that lost its pool sends an order late; the engine refuses its
+// fencing token and loads nothing.
+func TestOldFencingTokenIsRefused(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(true)
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	client := httpadapter.NewEngine()
+	unload := load(engine, server.URL)
+	unload.Kind = pool.OrderUnload
+	unload.Fence = 9
+	result, err := client.Order(context.Background(), unload)
+	is.NoErr(err)
+	is.Equal(result, pool.OrderOK)
+	result, _ = client.Order(context.Background(), load(engine, server.URL))
+	is.Equal(result, pool.OrderRefused)
+	is.Equal(engine.Observed().Loads, 0)
+}
+
+func startLoaded(t *testing.T) (*standin.Engine, string, *httpadapter.Engine) {
+	engine := newEngine(false)
+	server := httptest.NewServer(engine.Handler())
+	t.Cleanup(server.Close)
+	client := httpadapter.NewEngine()
+	if result, err := client.Order(context.Background(), load(engine, server.URL)); result != pool.OrderOK {
+		t.Fatal(err)
+	}
+	return engine, server.URL, client
+}
+
+func readAll(s platform.TokenStream) (text string, err error) {
+	defer s.Close()
+	for {
+		token, err := s.Next()
+		if err != nil || token.Done {
+			return text, err
+		}
+		text += token.Text
+	}
+}
+
+// A caller gets another request's answer, or half of its own as if it were
+// whole: the engine mislabels its stream, or its connection breaks.
+func TestBrokenStreamsAreNoticed(t *testing.T) {
+	for name, fault := range map[string]standin.EngineFaults{
+		"crossed": {Cross: true},
+		"cut":     {CutAfter: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			engine, url, client := startLoaded(t)
+			request := platform.GenerateRequest{RequestID: "q", Replica: "r1", Model: "m", Prompt: "a b c"}
+			stream, err := client.Generate(context.Background(), url, request)
+			is.NoErr(err)
+			text, err := readAll(stream)
+			is.NoErr(err)
+			is.Equal(text, "m answers: a b c")
+
+			engine.SetFaults(fault)
+			stream, err = client.Generate(context.Background(), url, request)
+			is.NoErr(err)
+			_, err = readAll(stream)
+			is.True(errors.Is(err, platform.ErrBroken))
+		})
+	}
+}
+
+// A refused request is called "not run": the model is not loaded, or nobody
+// listens. A lost answer is not, since the service has run the call.
+func TestWhatIsKnownOfAFailedCall(t *testing.T) {
+	is := is.New(t)
+	engine, url, client := startLoaded(t)
+	_, err := client.Generate(context.Background(), url, platform.GenerateRequest{RequestID: "q", Model: "other"})
+	is.True(errors.Is(err, platform.ErrNotLoaded))
+	is.True(errors.Is(err, platform.ErrRejected))
+
+	_, err = client.Call(context.Background(), "http://"+closedPort(t), platform.ServiceCall{RequestID: "c"})
+	is.True(errors.Is(err, platform.ErrRejected))
+
+	engine.SetFaults(standin.EngineFaults{LoseAnswers: 1})
+	_, err = client.Call(context.Background(), url, platform.ServiceCall{RequestID: "c", Service: "s"})
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(!errors.Is(err, platform.ErrRejected))
+	is.Equal(len(engine.Observed().Ran), 1)
+}
+
+func closedPort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A contract change whose answer was lost has taken effect all the same, and
+// a reader that is behind the kept records is told where they begin.
+func TestLogAnswers(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	server := httptest.NewServer(log.Handler())
+	defer server.Close()
+	client := httpadapter.NewLog(server.URL, "s")
+	off, err := client.Append(context.Background(), []byte("one"))
+	is.NoErr(err)
+	is.Equal(int(off), 1)
+
+	log.SetFaults(standin.LogFaults{LoseAnswers: 1})
+	_, err = client.Append(context.Background(), []byte("two"))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.Equal(int(log.Last()), 2)
+
+	entries, err := client.Read(context.Background(), 1, 10, time.Second)
+	is.NoErr(err)
+	is.Equal(len(entries), 2)
+	log.Trim(2)
+	_, err = client.Read(context.Background(), 1, 10, time.Second)
+	var trimmed *platform.TrimmedError
+	is.True(errors.As(err, &trimmed))
+	is.Equal(int(trimmed.First), 2)
+
+	_, err = client.Append(context.Background(), make([]byte, 300<<10))
+	is.True(errors.Is(err, platform.ErrInvalid))
+}
