--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -182,11 +182,7 @@
 		return 0, false
 	}
 	if s.Slots == 0 {
-		wait = s.LoadTime
-		if s.Loading {
-			wait = max(s.LoadTime-s.LoadElapsed, s.LoadElapsed/overdueShare)
-		}
-		return wait, true
+		return loadWait(s), true
 	}
 	if s.Ahead < s.Slots {
 		return 0, true
@@ -195,6 +191,17 @@
 	return time.Duration(rounds) * s.Service, true
 }
 
+func loadWait(s Situation) time.Duration {
+	switch {
+	case !s.Loading:
+		return s.LoadTime
+	case s.LoadElapsed < s.LoadTime:
+		return s.LoadTime - s.LoadElapsed
+	default:
+		return s.LoadElapsed / overdueShare
+	}
+}
+
 // Admit tells whether a new request with that much time left should wait, and
 // otherwise why not and when to come back. It asks for some time to spare: a
 // request that only just fits would be given up late, when the estimate turns
--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,72 @@
+package admission_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/admission"
+	"pgregory.net/rapid"
+)
+
+// The earliest deadline is always served first, whatever was removed before.
+func TestEarliestDeadlineFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q admission.Queue
+		var model []*admission.Waiter
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch {
+			case len(model) > 0 && rapid.IntRange(0, 2).Draw(t, "pop") == 0:
+				w := q.Pop()
+				for _, other := range model {
+					if other.Deadline.Before(w.Deadline) {
+						t.Fatal("a later deadline was served first")
+					}
+				}
+				model = remove(model, w)
+			case len(model) > 0 && rapid.IntRange(0, 3).Draw(t, "remove") == 0:
+				w := model[rapid.IntRange(0, len(model)-1).Draw(t, "which")]
+				if !q.Remove(w) || q.Remove(w) {
+					t.Fatal("a waiter is removed exactly once")
+				}
+				model = remove(model, w)
+			default:
+				w := admission.NewWaiter("c", time.Unix(int64(rapid.IntRange(0, 20).Draw(t, "deadline")), 0))
+				q.Push(w)
+				model = append(model, w)
+			}
+			if q.Len() != len(model) || len(q.InOrder()) != len(model) {
+				t.Fatal("waiters were lost")
+			}
+		}
+	})
+}
+
+func remove(list []*admission.Waiter, w *admission.Waiter) []*admission.Waiter {
+	return slices.DeleteFunc(list, func(x *admission.Waiter) bool { return x == w })
+}
+
+func TestDecisions(t *testing.T) {
+	second := time.Second
+	for _, c := range []struct {
+		name string
+		s    admission.Situation
+		left time.Duration
+		want admission.Reason
+	}{
+		{"free slot", admission.Situation{Slots: 1}, second, admission.ReasonNone},
+		{"deadline has passed", admission.Situation{Slots: 1}, 0, admission.ReasonDeadline},
+		{"nobody can load", admission.Situation{LoadTime: second}, 9 * second, admission.ReasonNoDecision},
+		{"load fits", admission.Situation{LoadTime: second, CanLoad: true}, 2 * second, admission.ReasonNone},
+		{"load does not fit", admission.Situation{LoadTime: 3 * second, CanLoad: true}, 2 * second, admission.ReasonLoad},
+		{"load fits without spare time", admission.Situation{LoadTime: 2 * second, CanLoad: true}, 2 * second, admission.ReasonLoad},
+		{"load is nearly done", admission.Situation{LoadTime: 9 * second, Loading: true, LoadElapsed: 8 * second}, 2 * second, admission.ReasonNone},
+		{"load is overdue", admission.Situation{LoadTime: second, Loading: true, LoadElapsed: 8 * second}, second, admission.ReasonLoad},
+		{"queue fits", admission.Situation{Slots: 2, Ahead: 4, Service: second}, 3 * second, admission.ReasonNone},
+		{"queue is too long", admission.Situation{Slots: 2, Ahead: 8, Service: second}, 3 * second, admission.ReasonQueue},
+	} {
+		if got, retryAfter := admission.Admit(c.s, c.left); got != c.want || (got != admission.ReasonNone && retryAfter <= 0) {
+			t.Errorf("%s: %q, retry after %s", c.name, got, retryAfter)
+		}
+	}
+}
--- a/pkg/entryhost/callers.go
+++ b/pkg/entryhost/callers.go
@@ -32,7 +32,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &http.Server{Handler: bounded(flushed(server)), ReadHeaderTimeout: readHeaderTimeout}, nil
+	return &http.Server{Handler: h.closing(bounded(flushed(server))), ReadHeaderTimeout: readHeaderTimeout}, nil
+}
+
+// closing ends each connection with its present answer while the host stops.
+// A connection that is only closed by the shutdown may have a request on its
+// way; its caller would see it cut.
+func (h *Host) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func bounded(next http.Handler) http.Handler {
--- a/pkg/entryhost/fake_test.go
+++ b/pkg/entryhost/fake_test.go
@@ -36,6 +36,8 @@
 	list    []platform.ListedHost
 	hosts   map[string]*fakeHost
 	cut     map[string]bool
+	// frozen are the old lists that some hosts still see.
+	frozen  map[string][]platform.ListedHost
 	running sync.WaitGroup
 	booted  int
 	// all keeps the trimmed records too.
@@ -57,7 +59,7 @@
 }
 
 func newFakes() *fakes {
-	return &fakes{first: 1, engines: map[string]*fakeEngine{}, hosts: map[string]*fakeHost{}, cut: map[string]bool{}}
+	return &fakes{first: 1, engines: map[string]*fakeEngine{}, hosts: map[string]*fakeHost{}, cut: map[string]bool{}, frozen: map[string][]platform.ListedHost{}}
 }
 
 func (f *fakes) addEngine(name, poolName string, fencing bool) *fakeEngine {
@@ -274,6 +276,9 @@
 	h.fakes.mu.Lock()
 	defer h.fakes.mu.Unlock()
 	list := slices.Clone(h.fakes.list)
+	if old, frozen := h.fakes.frozen[h.settings.Host]; frozen {
+		list = slices.Clone(old)
+	}
 	for addr, other := range h.fakes.hosts {
 		if !other.dead.Load() {
 			list = append(list, platform.ListedHost{Name: other.settings.Host, Kind: platform.EntryHost, Addr: addr})
--- a/pkg/entryhost/load_test.go
+++ b/pkg/entryhost/load_test.go
@@ -139,6 +139,15 @@
 		}
 		time.Sleep(26 * time.Second)
 		is.Equal(burst(hosts, "m1", 1, 0)[0].refusal, nil)
+
+		// Unloaded again, the model is known to take too long: the refusal comes
+		// at once, and who comes back when told finds it loaded.
+		time.Sleep(20 * time.Second)
+		c := burst(hosts[:1], "m1", 1, 0)[0]
+		is.True(c.refusal != nil)
+		is.True(c.end.Sub(c.start) < tolerance)
+		time.Sleep(c.refusal.RetryAfter + time.Second)
+		is.Equal(burst(hosts[:1], "m1", 1, 0)[0].refusal, nil)
 	})
 }
 
@@ -149,6 +158,8 @@
 	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
 		is.Equal(burst(hosts, "m0", 30, time.Second)[0].refusal, nil)
 		leaving := loadedOn(f, "m0")
+		// Only the first host's list is up to date.
+		f.freezeList("h1", "h2")
 		f.setLeaving(leaving.name, true)
 		time.Sleep(time.Second)
 		f.setLeaving(leaving.name, false)
@@ -174,6 +185,15 @@
 	return nil
 }
 
+// freezeList keeps the list of some hosts as it is.
+func (f *fakes) freezeList(hosts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range hosts {
+		f.frozen[h] = slices.Clone(f.list)
+	}
+}
+
 func (f *fakes) setLeaving(name string, leaving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
