Learn how long an idle model stays loaded from its own gaps

Cause: a fixed keep-alive pays idle hours for models that will not come back and cold starts for those that come a little later. Change: pkg/keepalive, a pure function of a histogram of gaps and of the contract's costs; it keeps a model for a first time, or loads it ahead of the next request; without weights in the contract keep_alive counts as before. A benchmark replays a seeded week for both users' sizes of today.

--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -53,7 +53,9 @@
 	Models      []Model      `yaml:"models"`
 	// KeyRetention is how long the idempotency key of a request is kept.
 	KeyRetention time.Duration `yaml:"key_retention"`
-	// Weights price the two measures against each other.
+	// Weights price the two measures against each other. With them the time for
+	// which an idle model stays loaded follows from its own gaps between
+	// requests; without them keep_alive counts.
 	Weights Weights `yaml:"weights"`
 
 	byName map[string]*Model
@@ -163,9 +165,6 @@
 	if c.KeyRetention == 0 {
 		c.KeyRetention = defaultKeyRetention
 	}
-	if c.Weights == (Weights{}) {
-		c.Weights = Weights{IdleHour: 1, ColdStartSecond: 1}
-	}
 	for i := range c.Models {
 		m := &c.Models[i]
 		setDefault(&m.Kind, Base)
--- /dev/null
+++ b/pkg/dispatch/bench_test.go
@@ -0,0 +1,72 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/tealvane/tealvane/pkg/dispatch"
+	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/state"
+)
+
+// appendTime is the time in which the log answers and the fold sees a record.
+const appendTime = 4 * time.Millisecond
+
+// foldAppender folds records at once, after the time of an append.
+type foldAppender struct {
+	mu sync.Mutex
+	st *state.State
+}
+
+func (a *foldAppender) Append(_ context.Context, r record.Record) (state.Outcome, error) {
+	time.Sleep(appendTime)
+	data, err := record.Encode(r)
+	if err != nil {
+		return state.Outcome{}, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out, _, err := a.st.Apply(a.st.Applied()+1, data)
+	return out, err
+}
+
+// BenchmarkAppends reports the appends per second of one host, and how long a
+// claim takes, by the rate of non-idempotent requests.
+func BenchmarkAppends(b *testing.B) {
+	for _, rate := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			st := state.New()
+			l := dispatch.NewLedger(record.HostRef{Host: "h"}, &foldAppender{st: st}, st.Keys, 10*time.Millisecond, time.Now)
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			go l.Run(ctx)
+			var requests sync.WaitGroup
+			var mu sync.Mutex
+			var claiming time.Duration
+			n := max(rate*2, 3)
+			start := time.Now()
+			for i := range n {
+				time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+				requests.Go(func() {
+					key := record.Key{Customer: "c", Value: uuid.Must(uuid.NewV7()).String()}
+					claimed := time.Now()
+					if _, err := l.Claim(ctx, key, 1); err != nil {
+						b.Error(err)
+						return
+					}
+					mu.Lock()
+					claiming += time.Since(claimed)
+					mu.Unlock()
+					l.Finish(record.KeyOutcome{Key: key, Status: 200, Body: make([]byte, 200)})
+				})
+			}
+			requests.Wait()
+			b.ReportMetric(float64(l.Batches())/time.Since(start).Seconds(), "appends/s")
+			b.ReportMetric(float64(claiming.Microseconds())/float64(n)/1000, "claim-ms")
+		})
+	}
+}
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -145,7 +145,7 @@
 func (h *Host) loops() []func(context.Context) {
 	return []func(context.Context){
 		h.journal.Run, h.ledger.Run, h.runSession, h.runMembers, h.runOwners,
-		h.runUsage, h.runPump, h.runSnapshots, h.deferred.run,
+		h.runUsage, h.runPump, h.runUpkeep, h.deferred.run,
 	}
 }
 
--- a/pkg/entryhost/loops.go
+++ b/pkg/entryhost/loops.go
@@ -243,23 +243,45 @@
 	}
 }
 
-// runSnapshots writes a snapshot when enough records have come since the last.
-// The preferred host writes it; a second writer does no harm.
-func (h *Host) runSnapshots(ctx context.Context) {
+// runUpkeep writes snapshots and moves the horizon of idempotency keys. The
+// preferred host does it; a second writer does no harm.
+func (h *Host) runUpkeep(ctx context.Context) {
 	every(ctx, h.settings.Timing.SessionRenew, func(ctx context.Context) {
 		h.watchMu.Lock()
-		best, ok := lease.Preferred("snapshot", h.watch.Candidates(h.now()))
+		best, ok := lease.Preferred("upkeep", h.watch.Candidates(h.now()))
 		h.watchMu.Unlock()
-		due := h.state.Snapshots.NewestAsOf() + record.Offset(h.settings.Timing.SnapshotEvery)
-		if !ok || best != h.self || h.state.Applied() < due || !h.journal.Readable() {
+		if !ok || best != h.self || !h.journal.Readable() {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
+		h.moveHorizon(ctx)
+		due := h.state.Snapshots.NewestAsOf() + record.Offset(h.settings.Timing.SnapshotEvery)
+		if h.state.Applied() < due {
+			return
+		}
 		if err := h.journal.WriteSnapshot(ctx); err != nil {
 			h.metrics.snapshotFailed()
 		}
 	})
 }
 
-const snapshotTimeout = time.Minute
+const (
+	snapshotTimeout = time.Minute
+	// horizonStep is the least by which the horizon moves, so that it costs few records.
+	horizonStep = time.Hour
+)
+
+// moveHorizon forgets keys that are older than every contract asks for.
+func (h *Host) moveHorizon(ctx context.Context) {
+	keep := time.Duration(0)
+	for _, customer := range h.state.Contracts.Customers() {
+		if e, ok := h.state.Contracts.Get(customer); ok {
+			keep = max(keep, e.Contract.KeyRetention)
+		}
+	}
+	before := h.now().Add(-keep)
+	if keep > 0 && before.Sub(h.state.Keys.Horizon()) > horizonStep {
+		_ = h.appendSoon(ctx, record.Record{Horizon: &record.Horizon{Before: before}})
+	}
+}
--- /dev/null
+++ b/pkg/keepalive/bench_test.go
@@ -0,0 +1,164 @@
+package keepalive_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/keepalive"
+)
+
+// series are the arrivals of one model.
+type series struct {
+	arrivals []time.Duration
+	load     time.Duration
+}
+
+const simulated = 7 * 24 * time.Hour
+
+// workload draws the arrivals of a user's models: a third come in sessions
+// during the day, a third at random with rates from one a minute to one a day,
+// a third are scheduled jobs with some jitter.
+func workload(models int, seed uint64) []series {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	list := make([]series, models)
+	for i := range list {
+		list[i].load = time.Duration(2+rnd.Float64()*8) * time.Second
+		switch i % 3 {
+		case 0:
+			list[i].arrivals = sessions(rnd)
+		case 1:
+			list[i].arrivals = atRandom(rnd)
+		default:
+			list[i].arrivals = scheduled(rnd)
+		}
+	}
+	return list
+}
+
+func exponential(rnd *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(rnd.ExpFloat64() * float64(mean))
+}
+
+func sessions(rnd *rand.Rand) (list []time.Duration) {
+	between := time.Duration(1+rnd.Float64()*12) * time.Hour
+	within := time.Duration(5+rnd.Float64()*55) * time.Second
+	for at := exponential(rnd, between); at < simulated; at += exponential(rnd, between) {
+		for range 1 + rnd.IntN(30) {
+			list = append(list, at)
+			at += exponential(rnd, within)
+		}
+	}
+	return list
+}
+
+func atRandom(rnd *rand.Rand) (list []time.Duration) {
+	mean := time.Duration(float64(time.Minute) * math.Pow(1440, rnd.Float64()))
+	for at := exponential(rnd, mean); at < simulated; at += exponential(rnd, mean) {
+		list = append(list, at)
+	}
+	return list
+}
+
+func scheduled(rnd *rand.Rand) (list []time.Duration) {
+	period := []time.Duration{15 * time.Minute, time.Hour, 6 * time.Hour, 24 * time.Hour}[rnd.IntN(4)]
+	for at := exponential(rnd, period); at < simulated; at += period {
+		list = append(list, at+time.Duration(rnd.Float64()*0.02*float64(period)))
+	}
+	return list
+}
+
+// outcome sums what a policy did.
+type outcome struct {
+	idle  time.Duration
+	waits []float64
+}
+
+// run replays arrivals under a policy that chooses a plan after each request.
+func (o *outcome) run(s series, choose func(*keepalive.Gaps, time.Duration) keepalive.Plan) {
+	var gaps keepalive.Gaps
+	plan := choose(&gaps, s.load)
+	for i := 1; i < len(s.arrivals); i++ {
+		gap := s.arrivals[i] - s.arrivals[i-1]
+		o.idle += idleTime(plan, gap)
+		wait := s.load
+		if plan.Keep >= gap || plan.Ahead(gap) {
+			wait = max(0, s.load-max(gap-plan.WakeAt, 0))
+			if plan.Keep >= gap {
+				wait = 0
+			}
+		}
+		o.waits = append(o.waits, wait.Seconds())
+		gaps.Observe(gap)
+		if i%8 == 0 || i < 16 {
+			plan = choose(&gaps, s.load)
+		}
+	}
+}
+
+// idleTime is how long the model was loaded for nothing in a gap; the load
+// ahead counts too.
+func idleTime(p keepalive.Plan, gap time.Duration) time.Duration {
+	idle := min(gap, p.Keep)
+	if p.WakeUntil > 0 {
+		idle += max(0, min(gap, p.WakeUntil)-max(p.WakeAt, p.Keep))
+	}
+	return idle
+}
+
+func (o *outcome) report(b *testing.B) {
+	slices.Sort(o.waits)
+	at := func(q float64) float64 { return o.waits[int(q*float64(len(o.waits)-1))] }
+	cold, sum := 0, 0.0
+	for _, w := range o.waits {
+		sum += w
+		if w > 0 {
+			cold++
+		}
+	}
+	b.ReportMetric(o.idle.Hours(), "idle-hours")
+	b.ReportMetric(at(0.5), "cold-p50-s")
+	b.ReportMetric(at(0.99), "cold-p99-s")
+	b.ReportMetric(100*float64(cold)/float64(len(o.waits)), "cold-%")
+	b.ReportMetric(sum/float64(len(o.waits))*1000, "mean-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+func benchmarkPolicy(b *testing.B, list []series, choose func(*keepalive.Gaps, time.Duration) keepalive.Plan) {
+	for range b.N {
+		var o outcome
+		for _, s := range list {
+			o.run(s, choose)
+		}
+		o.report(b)
+	}
+}
+
+// BenchmarkKeepAlive reports, for a week of both users' sizes of today, the
+// hours for which accelerators were loaded for nothing and the cold starts:
+// for fixed timeouts, and for the policy by what a cold start second costs.
+func BenchmarkKeepAlive(b *testing.B) {
+	for _, user := range []struct {
+		name   string
+		models int
+	}{{"abay", 220}, {"alas", 105}} {
+		list := workload(user.models, 7)
+		for _, timeout := range []time.Duration{0, 30 * time.Second, 2 * time.Minute, 10 * time.Minute, time.Hour, 4 * time.Hour} {
+			b.Run(fmt.Sprintf("%s/fixed=%s", user.name, timeout), func(b *testing.B) {
+				benchmarkPolicy(b, list, func(*keepalive.Gaps, time.Duration) keepalive.Plan {
+					return keepalive.Plan{Keep: timeout}
+				})
+			})
+		}
+		for _, cold := range []float64{0.001, 0.01, 0.03, 0.1, 0.2, 1} {
+			b.Run(fmt.Sprintf("%s/policy=%g", user.name, cold), func(b *testing.B) {
+				benchmarkPolicy(b, list, func(g *keepalive.Gaps, load time.Duration) keepalive.Plan {
+					return g.Choose(keepalive.Cost{IdleHour: 1, ColdStartSecond: cold, Load: load}, 2*time.Minute)
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/keepalive/keepalive_test.go
@@ -0,0 +1,71 @@
+package keepalive_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/keepalive"
+	"pgregory.net/rapid"
+)
+
+var even = keepalive.Cost{IdleHour: 1, ColdStartSecond: 0.05, Load: 5 * time.Second}
+
+func TestFewGapsUseTheContract(t *testing.T) {
+	is := is.New(t)
+	var g keepalive.Gaps
+	g.Observe(time.Hour)
+	is.Equal(g.Choose(even, time.Minute), keepalive.Plan{Keep: time.Minute})
+}
+
+// A report that comes every hour is loaded ahead and not kept for the hour.
+func TestRegularGapsAreWokenAhead(t *testing.T) {
+	is := is.New(t)
+	var g keepalive.Gaps
+	for range 30 {
+		g.Observe(time.Hour)
+	}
+	p := g.Choose(even, time.Minute)
+	is.True(p.Ahead(time.Hour))
+	is.True(!p.Loaded(20 * time.Minute))
+	is.True(p.WakeAt < time.Hour-even.Load)
+}
+
+// Requests that come in sessions are kept for the session only.
+func TestSessionsAreKept(t *testing.T) {
+	is := is.New(t)
+	var g keepalive.Gaps
+	for i := range 100 {
+		gap := 20 * time.Second
+		if i%20 == 0 {
+			gap = time.Duration(1+i) * time.Hour
+		}
+		g.Observe(gap)
+	}
+	p := g.Choose(even, time.Minute)
+	is.True(p.Loaded(20 * time.Second))
+	is.True(!p.Loaded(30 * time.Minute))
+}
+
+// Whatever the gaps: dearer cold starts never shorten the time kept by more
+// than they win, plans are well formed, and the choice is a function of its input.
+func TestPlansAreWellFormed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g keepalive.Gaps
+		for range rapid.IntRange(0, 50).Draw(t, "gaps") {
+			g.Observe(time.Duration(rapid.Int64Range(0, int64(100*time.Hour)).Draw(t, "gap")))
+		}
+		c := keepalive.Cost{
+			IdleHour:        rapid.Float64Range(0.01, 10).Draw(t, "idle"),
+			ColdStartSecond: rapid.Float64Range(0.0001, 1).Draw(t, "cold"),
+			Load:            time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "load")),
+		}
+		p := g.Choose(c, time.Minute)
+		if p.Keep < 0 || p.WakeAt < 0 || p.WakeUntil > 0 && p.WakeUntil <= p.WakeAt {
+			t.Fatalf("%+v", p)
+		}
+		if p != g.Choose(c, time.Minute) {
+			t.Fatal("two choices differ")
+		}
+	})
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -28,6 +28,9 @@
 	LastUsed time.Time
 	// KeepAlive is how long an idle replica stays loaded.
 	KeepAlive time.Duration
+	// Ahead is set while the next request is expected soon: one replica is
+	// loaded and kept for it.
+	Ahead bool
 }
 
 // Phase is the stage of a replica as far as placement cares.
@@ -216,7 +219,7 @@
 		if m == nil || !d.evictable(r, m) {
 			continue
 		}
-		if d.snap.Now.Sub(m.LastUsed) > m.KeepAlive {
+		if !m.Ahead && d.snap.Now.Sub(m.LastUsed) > m.KeepAlive {
 			d.retire(r)
 		}
 	}
@@ -265,6 +268,9 @@
 // wanted is the number of replicas that the demand justifies.
 func wanted(m *Model) int {
 	load := m.Waiting + m.Inflight
+	if m.Waiting == 0 && m.Ahead {
+		return max(m.Min, min(1, m.Max))
+	}
 	if m.Waiting == 0 {
 		return m.Min
 	}
--- a/pkg/pool/controller.go
+++ b/pkg/pool/controller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/keepalive"
 	"github.com/tealvane/tealvane/pkg/placement"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
@@ -51,6 +52,8 @@
 	haveList  bool
 	usage     map[usageKey]usageEntry
 	lastUsed  map[modelKey]time.Time
+	gaps      map[modelKey]*keepalive.Gaps
+	plans     map[modelKey]keepalive.Plan
 	orders    map[orderKey]*orderState
 	store     *rate.Limiter
 	epoch     record.Offset
@@ -94,6 +97,8 @@
 		observed: map[string]Observation{},
 		usage:    map[usageKey]usageEntry{},
 		lastUsed: map[modelKey]time.Time{},
+		gaps:     map[modelKey]*keepalive.Gaps{},
+		plans:    map[modelKey]keepalive.Plan{},
 		orders:   map[orderKey]*orderState{},
 		store:    rate.NewLimiter(rate.Limit(cfg.StorePerSecond), max(1, cfg.StoreConcurrent)),
 	}
@@ -120,11 +125,50 @@
 			used = now
 		}
 		if used.After(c.lastUsed[key]) {
+			c.noteGap(key, used)
 			c.lastUsed[key] = used
 		}
 	}
 }
 
+// minGap is the shortest gap that is noted; shorter ones are the distance
+// between two reports of the same use.
+const minGap = time.Second
+
+// noteGap learns from the time between two uses of a model.
+func (c *Controller) noteGap(key modelKey, used time.Time) {
+	last, known := c.lastUsed[key]
+	gap := used.Sub(last)
+	if !known || gap < minGap {
+		return
+	}
+	if c.gaps[key] == nil {
+		c.gaps[key] = &keepalive.Gaps{}
+	}
+	c.gaps[key].Observe(gap)
+	delete(c.plans, key)
+}
+
+// keepPlan says how long a model stays loaded, and when it is loaded ahead.
+// Without weights in the contract its keep-alive counts.
+func (c *Controller) keepPlan(key modelKey, m state.PoolModel) keepalive.Plan {
+	gaps := c.gaps[key]
+	if gaps == nil || m.Weights == (contract.Weights{}) {
+		return keepalive.Plan{Keep: m.KeepAlive}
+	}
+	plan, known := c.plans[key]
+	if !known {
+		cost := keepalive.Cost{
+			IdleHour:        m.Weights.IdleHour,
+			ColdStartSecond: m.Weights.ColdStartSecond,
+			Load:            m.LoadEstimate,
+		}
+		plan = gaps.Choose(cost, m.KeepAlive)
+		c.plans[key] = plan
+	}
+	return plan
+}
+
 // HandOver stops new work; the pool passes to the successor as soon as no
 // order is under way.
 func (c *Controller) HandOver(to record.HostRef) { c.successor = &to }
@@ -281,8 +325,10 @@
 	demand.Min = m.MinReplicas
 	demand.Max = m.MaxReplicas
 	demand.Concurrency = m.Concurrency
-	demand.KeepAlive = m.KeepAlive
 	demand.LastUsed = c.lastUsed[key]
+	plan := c.keepPlan(key, m)
+	demand.KeepAlive = plan.Keep
+	demand.Ahead = plan.Ahead(now.Sub(demand.LastUsed))
 	if m.Kind == contract.Adapter {
 		demand.BaseModel = m.BaseModel
 	}
--- a/pkg/pool/failure_test.go
+++ b/pkg/pool/failure_test.go
@@ -207,3 +207,27 @@
 		is.True(n <= 3)
 	}
 }
+
+// A model is used every 20 s and was kept loaded for 1 s by the contract's
+// keep-alive. With weights in the contract the owner learns the gaps and keeps
+// it, or loads it ahead, so that the next request finds it loaded.
+func TestKeepAliveIsLearned(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, true)
+	h := w.hosts[0]
+	w.weights = "weights: {idle_hour: 1, cold_start_second: 1}\n"
+	w.publish(limits{"a": {1, 40}, "b": {1, 40}})
+	w.fold(h, len(w.log))
+	w.claim(h)
+	loadsBefore := 0
+	for i := range 20 {
+		loadsBefore = w.loads
+		w.work(h, wantA, true)
+		for range 10 {
+			w.work(h, idle, true)
+		}
+		if i > 10 {
+			is.Equal(w.loads, loadsBefore)
+		}
+	}
+}
--- a/pkg/pool/world_test.go
+++ b/pkg/pool/world_test.go
@@ -38,6 +38,8 @@
 	ids       int
 	loads     int
 	version   uint64
+	// weights stands in all contracts.
+	weights string
 	// stale is an old observation of all endpoints.
 	stale []pool.Observation
 }
@@ -128,7 +130,7 @@
 func (w *world) land(r record.Record) { w.log = append(w.log, w.encode(r)) }
 
 func (w *world) publish(l limits) {
-	doc := "customer: c\ncredentials: [{sha256: " + fmt.Sprintf("%064d", 0) + "}]\nmodels:\n"
+	doc := "customer: c\ncredentials: [{sha256: " + fmt.Sprintf("%064d", 0) + "}]\n" + w.weights + "models:\n"
 	for _, m := range []string{"a", "b"} {
 		doc += fmt.Sprintf("- {name: %s, pool: p, max_replicas: %d, weights_mb: %d, keep_alive: 1s}\n", m, l[m].max, l[m].mb)
 	}
@@ -240,7 +242,7 @@
 			Model:     model,
 			Waiting:   waiting[model],
 			Remaining: time.Second,
-			Idle:      time.Hour,
+			Idle:      24 * time.Hour,
 		})
 	}
 	h.ctrl.Report(w.now, "x", list)
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -248,23 +248,24 @@
 	Data   []byte `cbor:"5,keyasint"`
 }
 
-// Limits on decoded input; they bound memory for hostile bytes.
+// Limits on decoded input; they bound memory for hostile bytes. A snapshot may
+// hold more elements: its bytes are bounded and were digested before.
 const (
-	maxArrayElements = 100_000
-	maxMapPairs      = 100_000
-	maxNesting       = 16
+	maxElements         = 100_000
+	maxSnapshotElements = 50_000_000
+	maxNesting          = 16
 )
 
 var (
-	encMode = must(cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeUnixMicro}.EncMode())
-	decMode = must(cbor.DecOptions{
-		MaxArrayElements:  maxArrayElements,
-		MaxMapPairs:       maxMapPairs,
-		MaxNestedLevels:   maxNesting,
-		ExtraReturnErrors: cbor.ExtraDecErrorNone,
-	}.DecMode())
+	encMode      = must(cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeUnixMicro}.EncMode())
+	decMode      = must(decOptions(maxElements).DecMode())
+	snapshotMode = must(decOptions(maxSnapshotElements).DecMode())
 )
 
+func decOptions(elements int) cbor.DecOptions {
+	return cbor.DecOptions{MaxArrayElements: elements, MaxMapPairs: elements, MaxNestedLevels: maxNesting}
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
@@ -279,6 +280,9 @@
 // fields are ignored.
 func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
 
+// UnmarshalSnapshot decodes the joined data of a snapshot.
+func UnmarshalSnapshot(data []byte, v any) error { return snapshotMode.Unmarshal(data, v) }
+
 // Encode returns the record's bytes; it fails for a record above MaxBytes.
 func Encode(r Record) ([]byte, error) {
 	r.Version = FormatVersion
--- a/pkg/state/contracts.go
+++ b/pkg/state/contracts.go
@@ -110,6 +110,7 @@
 // PoolModel is a loadable model of a pool with its customer.
 type PoolModel struct {
 	Customer string
+	Weights  contract.Weights
 	contract.Model
 }
 
@@ -119,9 +120,10 @@
 	defer c.mu.RUnlock()
 	var models []PoolModel
 	for _, customer := range slices.Sorted(maps.Keys(c.entries)) {
-		for _, m := range c.entries[customer].Contract.Models {
+		doc := c.entries[customer].Contract
+		for _, m := range doc.Models {
 			if m.Pool == pool && m.Loadable() {
-				models = append(models, PoolModel{Customer: customer, Model: m})
+				models = append(models, PoolModel{Customer: customer, Weights: doc.Weights, Model: m})
 			}
 		}
 	}
--- a/pkg/state/snapshot.go
+++ b/pkg/state/snapshot.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	var img image
-	if err := record.Unmarshal(data, &img); err != nil {
+	if err := record.UnmarshalSnapshot(data, &img); err != nil {
 		return nil, errors.Wrap(err, "decode snapshot")
 	}
 	s := New()
--- a/test/process/bench_test.go
+++ b/test/process/bench_test.go
@@ -3,14 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/tealvane/tealvane/examples"
+	"github.com/tealvane/tealvane/internal/api/operators"
 )
 
 // firstToken returns the time until the first token of a stream came.
@@ -96,3 +99,54 @@
 	}
 	reportQuantiles(b, "cold", cold)
 }
+
+// BenchmarkContractInForce measures the time from the publication of a
+// contract until the last of nine hosts shows it.
+func BenchmarkContractInForce(b *testing.B) {
+	c := newCluster(b, 9)
+	document := c.contract()
+	var times []time.Duration
+	b.ResetTimer()
+	for i := range b.N {
+		base := int64(i + 1)
+		start := time.Now()
+		c.publish(c.entries[i%len(c.entries)], base, document)
+		for _, e := range c.entries {
+			c.shows(e, base+1)
+		}
+		times = append(times, time.Since(start))
+	}
+	reportQuantiles(b, "in-force", times)
+}
+
+// shows waits, without a pause, until a host shows a version of the contract.
+func (c *cluster) shows(e *entry, version int64) {
+	for {
+		out, err := e.operators.GetContract(context.Background(), operators.GetContractParams{Customer: "example"})
+		if err == nil && out.Version >= version {
+			return
+		}
+	}
+}
+
+// BenchmarkTakeover measures the time from the end of a pool's owner until
+// another host owns the pool: after a kill, and after a planned stop, in which
+// the pool is handed over and is never without an owner.
+func BenchmarkTakeover(b *testing.B) {
+	for name, signal := range map[string]syscall.Signal{"kill": syscall.SIGKILL, "planned": syscall.SIGTERM} {
+		b.Run(name, func(b *testing.B) {
+			var times []time.Duration
+			for range b.N {
+				c := newCluster(b, 3)
+				owner := c.owner(c.entries[0])
+				other := c.others(owner)[0]
+				start := time.Now()
+				owner.signal(signal)
+				for c.owner(other) == owner {
+				}
+				times = append(times, time.Since(start))
+			}
+			reportQuantiles(b, name, times)
+		})
+	}
+}
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -18,7 +18,10 @@
 	"time"
 
 	"github.com/tealvane/tealvane/examples"
+	// The commands are built by the tests; without this import the test cache
+	// would not see that they have changed.
 	"github.com/tealvane/tealvane/internal/api/operators"
+	_ "github.com/tealvane/tealvane/internal/cli"
 	"github.com/tealvane/tealvane/pkg/peer"
 )
 
