Make an owner's step linear in its models

Cause: placement counted all replicas anew for each model, and the step summed the reserved memory of each endpoint over all replicas. Ruled out: copying the pool (its share does not grow faster than linearly). Change: counts by model are kept while deciding; reserved memory is summed once.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -106,9 +106,17 @@
 	slots     int
 	out       Actions
 	retired   map[record.ReplicaID]bool
-	placed    map[modelKey]int
+	// live counts the replicas of each model that serve or will serve, counted
+	// all that hold memory; the contract bounds the latter.
+	live    map[modelKey]int
+	counted map[modelKey]int
+	// adapters counts adapter replicas by the base that carries them.
+	adapters map[baseKey]int
 }
 
+// baseKey names the replicas of a base model on one endpoint.
+type baseKey struct{ customer, base, endpoint string }
+
 // Decide returns what to load and to retire. Models whose requests have the
 // earliest deadline come first for the load slots and the memory.
 func Decide(snap Snapshot) Actions {
@@ -118,12 +126,15 @@
 		endpoints: slices.Clone(snap.Endpoints),
 		slots:     snap.LoadSlots,
 		retired:   map[record.ReplicaID]bool{},
-		placed:    map[modelKey]int{},
+		live:      map[modelKey]int{},
+		counted:   map[modelKey]int{},
+		adapters:  map[baseKey]int{},
 	}
 	models := slices.Clone(snap.Models)
 	for i := range models {
 		d.models[modelKey{models[i].Customer, models[i].Name}] = &models[i]
 	}
+	d.count()
 	d.passDemandToBases(models)
 	d.retireExcess()
 	d.retireIdle()
@@ -134,6 +145,19 @@
 	return d.out
 }
 
+func (d *decider) count() {
+	for _, r := range d.snap.Replicas {
+		key := modelKey{r.Customer, r.Model}
+		d.counted[key]++
+		if r.Phase != Retiring {
+			d.live[key]++
+		}
+		if m := d.models[key]; m != nil && m.BaseModel != "" {
+			d.adapters[baseKey{r.Customer, m.BaseModel, r.Endpoint}]++
+		}
+	}
+}
+
 // byUrgency orders models with waiting requests by deadline before the others.
 func byUrgency(a, b Model) int {
 	if (a.Waiting > 0) != (b.Waiting > 0) {
@@ -208,6 +232,9 @@
 		return
 	}
 	d.retired[r.ID] = true
+	if r.Phase != Retiring {
+		d.live[modelKey{r.Customer, r.Model}]--
+	}
 	d.out.Retires = append(d.out.Retires, r.ID)
 }
 
@@ -233,36 +260,11 @@
 	if m.Waiting > 0 || m.Inflight > 0 {
 		return false
 	}
-	return d.live(modelKey{r.Customer, r.Model}) > m.Min && !d.carriesAdapter(r)
+	return d.live[modelKey{r.Customer, r.Model}] > m.Min && !d.carriesAdapter(r)
 }
 
 func (d *decider) carriesAdapter(base Replica) bool {
-	return slices.ContainsFunc(d.snap.Replicas, func(r Replica) bool {
-		m := d.models[modelKey{r.Customer, r.Model}]
-		return r.Endpoint == base.Endpoint && m != nil && m.BaseModel == base.Model && r.Customer == base.Customer
-	})
-}
-
-// live counts replicas that serve or will serve.
-func (d *decider) live(key modelKey) int {
-	n := d.placed[key]
-	for _, r := range d.snap.Replicas {
-		if r.Customer == key.customer && r.Model == key.name && r.Phase != Retiring && !d.retired[r.ID] {
-			n++
-		}
-	}
-	return n
-}
-
-// counted counts all replicas that hold memory; it is what the contract bounds.
-func (d *decider) counted(key modelKey) int {
-	n := d.placed[key]
-	for _, r := range d.snap.Replicas {
-		if r.Customer == key.customer && r.Model == key.name {
-			n++
-		}
-	}
-	return n
+	return d.adapters[baseKey{base.Customer, base.Model, base.Endpoint}] > 0
 }
 
 // wanted is the number of replicas that the demand justifies.
@@ -280,7 +282,7 @@
 
 func (d *decider) wake(m *Model) {
 	key := modelKey{m.Customer, m.Name}
-	for d.live(key) < wanted(m) && d.counted(key) < m.Max && d.slots > 0 {
+	for d.live[key] < wanted(m) && d.counted[key] < m.Max && d.slots > 0 {
 		if !d.placeOne(m) {
 			return
 		}
@@ -295,7 +297,8 @@
 	}
 	d.endpoints[i].FreeMB -= m.MemoryMB
 	d.slots--
-	d.placed[modelKey{m.Customer, m.Name}]++
+	d.live[modelKey{m.Customer, m.Name}]++
+	d.counted[modelKey{m.Customer, m.Name}]++
 	d.out.Places = append(d.out.Places, Place{Customer: m.Customer, Model: m.Name, Endpoint: d.endpoints[i].Name})
 	return true
 }
--- a/pkg/pool/step.go
+++ b/pkg/pool/step.go
@@ -232,6 +232,10 @@
 
 func (s *step) snapshot() placement.Snapshot {
 	snap := placement.Snapshot{Now: s.now, LoadSlots: s.c.cfg.StoreConcurrent - s.loading()}
+	reserved := map[string]int64{}
+	for _, r := range s.pool.Replicas {
+		reserved[r.Endpoint] += r.MemoryMB
+	}
 	demand := s.c.demand()
 	for _, m := range s.order {
 		snap.Models = append(snap.Models, s.c.placementModel(s.now, m, demand[modelKey{m.Customer, m.Name}]))
@@ -243,7 +247,7 @@
 			snap.Endpoints = append(snap.Endpoints, placement.Endpoint{
 				Name:   name,
 				Zone:   e.Zone,
-				FreeMB: e.MemoryMB - s.pool.ReservedMB(name),
+				FreeMB: e.MemoryMB - reserved[name],
 			})
 		}
 	}
