Route by own requests and by load reports that fade with age

Cause: load reports were not used at all; two hosts could choose the same busy replica for ever. Change: hosts probe the endpoints they use; of two random replicas the better by own requests plus others' requests, which fade with the report's age.

--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -221,6 +221,16 @@
 	return q
 }
 
+// knownQueue returns the shard of a loadable model that was used before, or nil.
+func (h *Host) knownQueue(poolName, model string) *modelQueue {
+	h.queuesMu.RLock()
+	defer h.queuesMu.RUnlock()
+	if q := h.queues[queueKey{contract.Base, poolName, model}]; q != nil {
+		return q
+	}
+	return h.queues[queueKey{contract.Adapter, poolName, model}]
+}
+
 func (h *Host) allQueues() []*modelQueue {
 	h.queuesMu.RLock()
 	defer h.queuesMu.RUnlock()
--- a/pkg/entryhost/loops.go
+++ b/pkg/entryhost/loops.go
@@ -146,22 +146,45 @@
 	h.membersMu.Lock()
 	targets := h.members.Targets()
 	h.membersMu.Unlock()
+	used := h.usedEndpoints()
 	var group sync.WaitGroup
 	for _, t := range targets {
 		owner, _ := h.state.Pools.Owner(t.Pool)
-		if t.Pool == "" || owner != h.self {
+		if t.Pool == "" || owner != h.self && !used[t.Name] {
 			continue
 		}
-		group.Go(func() {
-			status, err := h.engine.Status(ctx, t.Addr)
-			h.membersMu.Lock()
-			defer h.membersMu.Unlock()
-			h.members.Probed(h.now(), t.Name, status, err)
-		})
+		group.Go(func() { h.probe(ctx, t) })
 	}
 	group.Wait()
 }
 
+func (h *Host) probe(ctx context.Context, t platform.ListedHost) {
+	status, err := h.engine.Status(ctx, t.Addr)
+	now := h.now()
+	h.membersMu.Lock()
+	h.members.Probed(now, t.Name, status, err)
+	h.membersMu.Unlock()
+	for _, r := range status.Replicas {
+		if q := h.knownQueue(t.Pool, r.Model); q != nil {
+			q.noteLoad(now, string(r.ID), r.Running)
+		}
+	}
+}
+
+// usedEndpoints are those with replicas that this host sends requests to now.
+func (h *Host) usedEndpoints() map[string]bool {
+	used := map[string]bool{}
+	for _, q := range h.allQueues() {
+		if !q.active() {
+			continue
+		}
+		for _, t := range h.targets(q.kind, q.pool, q.model) {
+			used[t.Endpoint] = true
+		}
+	}
+	return used
+}
+
 // peerAddrs returns the addresses of the other entry hosts. A fresh host that
 // has no state yet takes them from the platform's list.
 func (h *Host) peerAddrs() []string {
--- a/pkg/entryhost/queue.go
+++ b/pkg/entryhost/queue.go
@@ -32,6 +32,8 @@
 	waiting  admission.Queue
 	inflight map[string]int
 	suspect  map[string]time.Time
+	// others are the requests of other hosts, by the engines' reports.
+	others   map[string]loadReport
 	use      map[string]*customerUse
 	limits   contract.Model
 	service  time.Duration
@@ -59,6 +61,24 @@
 	since    time.Time
 }
 
+// loadReport is the number of other hosts' requests at a replica.
+type loadReport struct {
+	running int
+	at      time.Time
+}
+
+// noteLoad takes in the report of an engine on one replica.
+func (q *modelQueue) noteLoad(now time.Time, replica string, running int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.others[replica] = loadReport{running: max(0, running-q.inflight[replica]), at: now}
+	for id, r := range q.others {
+		if now.Sub(r.at) > usageMemory {
+			delete(q.others, id)
+		}
+	}
+}
+
 func newModelQueue(h *Host, m contract.Model) *modelQueue {
 	return &modelQueue{
 		host:     h,
@@ -67,6 +87,7 @@
 		kind:     m.Kind,
 		inflight: map[string]int{},
 		suspect:  map[string]time.Time{},
+		others:   map[string]loadReport{},
 		use:      map[string]*customerUse{},
 		limits:   m,
 	}
@@ -142,6 +163,13 @@
 	return notRun(string(reason), retryAfter, "model %s cannot answer in time", q.model)
 }
 
+// active tells whether requests wait or run.
+func (q *modelQueue) active() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting.Len() > 0 || len(q.inflight) > 0
+}
+
 func (q *modelQueue) useOf(customer string) *customerUse {
 	u := q.use[customer]
 	if u == nil {
@@ -163,9 +191,11 @@
 			Own:     q.inflight[id],
 			Limit:   q.limits.Concurrency,
 			Suspect: now.Before(q.suspect[id]),
+			Others:  q.others[id].running,
+			Age:     now.Sub(q.others[id].at),
 		}
 	}
-	i := routing.Pick(candidates, q.host.settings.Zone, rand.IntN)
+	i := routing.Pick(candidates, q.host.settings.Zone, q.service, rand.IntN)
 	if i < 0 {
 		return nil
 	}
--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,192 @@
+package routing_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/routing"
+	"pgregory.net/rapid"
+)
+
+// A request never goes to a replica without room, and to one that failed
+// lately only when the other choice failed too.
+func TestPickRespectsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []routing.Candidate
+		room := false
+		for i := range rapid.IntRange(0, 6).Draw(t, "n") {
+			c := routing.Candidate{
+				Replica: fmt.Sprint(i),
+				Own:     rapid.IntRange(0, 4).Draw(t, "own"),
+				Others:  rapid.IntRange(0, 9).Draw(t, "others"),
+				Limit:   rapid.IntRange(1, 4).Draw(t, "limit"),
+				Suspect: rapid.Bool().Draw(t, "suspect"),
+			}
+			room = room || c.Own < c.Limit
+			list = append(list, c)
+		}
+		i := routing.Pick(list, "z", time.Second, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
+		if (i >= 0) != room {
+			t.Fatalf("picked %d of %+v", i, list)
+		}
+		if i >= 0 && list[i].Own >= list[i].Limit {
+			t.Fatalf("no room at %+v", list[i])
+		}
+	})
+}
+
+// The simulation behind BenchmarkLag: hosts send requests to replicas that
+// serve a few at a time; hosts see the load of a replica late.
+const (
+	simHosts    = 9
+	simReplicas = 18
+	simPlaces   = 4
+	simService  = 100 * time.Millisecond
+	simLoad     = 0.85
+	simRequests = 60_000
+)
+
+type simReplica struct {
+	free    []time.Duration // when each place gets free
+	load    []sample        // load over time
+	own     [simHosts]int
+	ownLoad [simHosts][]sample // own requests over time
+}
+
+type sample struct {
+	at   time.Duration
+	load int
+}
+
+// seen returns the load as it was lag ago.
+func (r *simReplica) seen(now, lag time.Duration) int { return loadAt(r.load, now-lag) }
+
+func loadAt(samples []sample, at time.Duration) int {
+	i, _ := slices.BinarySearchFunc(samples, at+1, func(s sample, at time.Duration) int { return int(s.at - at) })
+	if i == 0 {
+		return 0
+	}
+	return samples[i-1].load
+}
+
+type finish struct {
+	at      time.Duration
+	replica int
+	host    int
+}
+
+type finishes []finish
+
+func (f finishes) Len() int           { return len(f) }
+func (f finishes) Less(i, j int) bool { return f[i].at < f[j].at }
+func (f finishes) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
+func (f *finishes) Push(x any)        { *f = append(*f, x.(finish)) }
+func (f *finishes) Pop() any {
+	old := *f
+	x := old[len(old)-1]
+	*f = old[:len(old)-1]
+	return x
+}
+
+type chooser func(replicas []*simReplica, host int, now, lag time.Duration, rnd *rand.Rand) int
+
+func chooseRandom(replicas []*simReplica, _ int, _, _ time.Duration, rnd *rand.Rand) int {
+	return rnd.IntN(len(replicas))
+}
+
+// chooseLeast takes the least reported load, as all other hosts do.
+func chooseLeast(replicas []*simReplica, _ int, now, lag time.Duration, _ *rand.Rand) int {
+	best := 0
+	for i, r := range replicas {
+		if r.seen(now, lag) < replicas[best].seen(now, lag) {
+			best = i
+		}
+	}
+	return best
+}
+
+func choosePick(replicas []*simReplica, host int, now, lag time.Duration, rnd *rand.Rand) int {
+	list := make([]routing.Candidate, len(replicas))
+	for i, r := range replicas {
+		list[i] = routing.Candidate{
+			Own:    r.own[host],
+			Others: r.seen(now, lag) - loadAt(r.ownLoad[host], now-lag),
+			Age:    lag,
+			Limit:  simRequests,
+		}
+	}
+	return routing.Pick(list, "", simService, rnd.IntN)
+}
+
+// simulate returns the 99th percentile of the time from arrival to end.
+func simulate(choose chooser, lag time.Duration) time.Duration {
+	rnd := rand.New(rand.NewPCG(5, 5))
+	replicas := make([]*simReplica, simReplicas)
+	for i := range replicas {
+		replicas[i] = &simReplica{free: make([]time.Duration, simPlaces)}
+	}
+	mean := float64(simService) / (simReplicas * simPlaces * simLoad)
+	var running finishes
+	var times []time.Duration
+	now := time.Duration(0)
+	for range simRequests {
+		now += time.Duration(rnd.ExpFloat64() * mean)
+		for len(running) > 0 && running[0].at <= now {
+			done := heap.Pop(&running).(finish)
+			r := replicas[done.replica]
+			r.note(done.at, done.host, -1)
+		}
+		host := rnd.IntN(simHosts)
+		i := choose(replicas, host, now, lag, rnd)
+		end := replicas[i].start(now, time.Duration(rnd.ExpFloat64()*float64(simService)))
+		replicas[i].note(now, host, 1)
+		heap.Push(&running, finish{end, i, host})
+		times = append(times, end-now)
+	}
+	slices.Sort(times)
+	return times[len(times)*99/100]
+}
+
+func (r *simReplica) note(at time.Duration, host, change int) {
+	r.own[host] += change
+	r.ownLoad[host] = append(r.ownLoad[host], sample{at, r.own[host]})
+	load := change
+	if len(r.load) > 0 {
+		load += r.load[len(r.load)-1].load
+	}
+	r.load = append(r.load, sample{at, load})
+}
+
+// start takes the place that gets free first.
+func (r *simReplica) start(now, service time.Duration) time.Duration {
+	i := 0
+	for j := range r.free {
+		if r.free[j] < r.free[i] {
+			i = j
+		}
+	}
+	r.free[i] = max(now, r.free[i]) + service
+	return r.free[i]
+}
+
+// BenchmarkLag reports the p99 of requests by how late load reports are.
+func BenchmarkLag(b *testing.B) {
+	choosers := []struct {
+		name   string
+		choose chooser
+	}{{"random", chooseRandom}, {"least", chooseLeast}, {"pick", choosePick}}
+	for _, lag := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
+		for _, c := range choosers {
+			b.Run(fmt.Sprintf("lag=%s/%s", lag, c.name), func(b *testing.B) {
+				for range b.N {
+					b.ReportMetric(float64(simulate(c.choose, lag).Milliseconds()), "p99-ms")
+				}
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
