Share a model's places among customers

Cause: earliest deadline first over all customers lets one customer's burst make another's few requests wait for seconds behind it. Ruled out: refusing the burst's requests earlier (they fit their deadlines). Change: the queue keeps customers apart; the next place goes to the earliest deadline of the customer that runs fewest requests, and estimates count a customer's own requests against its share of the places.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -26,11 +26,12 @@
 	RetryAfter time.Duration
 }
 
-// Queue holds waiting requests, earliest deadline first. It is not safe for
-// concurrent use.
+// Queue holds waiting requests by customer, each customer's earliest deadline
+// first. It is not safe for concurrent use.
 type Queue struct {
-	items waiterHeap
-	seq   uint64
+	customers map[string]*waiterHeap
+	len       int
+	seq       uint64
 }
 
 // NewWaiter returns a request that is in no queue yet.
@@ -40,17 +41,16 @@
 
 // Push adds a waiter.
 func (q *Queue) Push(w *Waiter) {
+	if q.customers == nil {
+		q.customers = map[string]*waiterHeap{}
+	}
+	if q.customers[w.Customer] == nil {
+		q.customers[w.Customer] = &waiterHeap{}
+	}
 	q.seq++
 	w.seq = q.seq
-	heap.Push(&q.items, w)
-}
-
-// Pop removes the waiter with the earliest deadline, nil when none waits.
-func (q *Queue) Pop() *Waiter {
-	if len(q.items) == 0 {
-		return nil
-	}
-	return heap.Pop(&q.items).(*Waiter)
+	q.len++
+	heap.Push(q.customers[w.Customer], w)
 }
 
 // Remove takes a waiter out and tells whether it was still in the queue.
@@ -58,25 +58,57 @@
 	if w.index < 0 {
 		return false
 	}
-	heap.Remove(&q.items, w.index)
+	items := q.customers[w.Customer]
+	heap.Remove(items, w.index)
+	if len(*items) == 0 {
+		delete(q.customers, w.Customer)
+	}
+	q.len--
 	return true
 }
 
 // Len is the number of waiters.
-func (q *Queue) Len() int { return len(q.items) }
+func (q *Queue) Len() int { return q.len }
 
 // Earliest returns the earliest deadline, zero when none waits.
 func (q *Queue) Earliest() time.Time {
-	if len(q.items) == 0 {
+	w := q.Next(func(string) int { return 0 })
+	if w == nil {
 		return time.Time{}
 	}
-	return q.items[0].Deadline
+	return w.Deadline
 }
 
-// Ahead counts the waiters with an earlier deadline than a new one would have.
-func (q *Queue) Ahead(deadline time.Time) int {
+// Next returns the waiter to serve next, nil when none waits: the earliest
+// deadline of the customer that runs fewest requests. A customer's burst then
+// takes what others leave, and does not starve them.
+func (q *Queue) Next(running func(customer string) int) *Waiter {
+	var best *Waiter
+	for _, items := range q.customers {
+		w := (*items)[0]
+		if best == nil || before(w, best, running) {
+			best = w
+		}
+	}
+	return best
+}
+
+func before(a, b *Waiter, running func(string) int) bool {
+	if x, y := running(a.Customer), running(b.Customer); x != y {
+		return x < y
+	}
+	return earlier(a, b)
+}
+
+// Ahead counts the waiters of a customer that are served before a new one of
+// its would be.
+func (q *Queue) Ahead(customer string, deadline time.Time) int {
+	items := q.customers[customer]
+	if items == nil {
+		return 0
+	}
 	n := 0
-	for _, w := range q.items {
+	for _, w := range *items {
 		if !w.Deadline.After(deadline) {
 			n++
 		}
@@ -84,20 +116,19 @@
 	return n
 }
 
-// First returns the waiter with the earliest deadline, nil when none waits.
-func (q *Queue) First() *Waiter {
-	if len(q.items) == 0 {
-		return nil
-	}
-	return q.items[0]
-}
+// Waits tells whether a customer has a waiting request.
+func (q *Queue) Waits(customer string) bool { return q.customers[customer] != nil }
 
-// InOrder returns the waiters in the order in which they will be served.
-func (q *Queue) InOrder() []*Waiter {
-	all := slices.Clone(q.items)
-	slices.SortFunc(all, func(a, b *Waiter) int {
-		return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.seq, b.seq))
-	})
+// InOrder returns each customer's waiters in the order in which they will be served.
+func (q *Queue) InOrder() map[string][]*Waiter {
+	all := make(map[string][]*Waiter, len(q.customers))
+	for customer, items := range q.customers {
+		list := slices.Clone(*items)
+		slices.SortFunc(list, func(a, b *Waiter) int {
+			return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.seq, b.seq))
+		})
+		all[customer] = list
+	}
 	return all
 }
 
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -17,7 +17,8 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch {
 			case len(model) > 0 && rapid.IntRange(0, 2).Draw(t, "pop") == 0:
-				w := q.Pop()
+				w := q.Next(func(string) int { return 0 })
+				q.Remove(w)
 				for _, other := range model {
 					if other.Deadline.Before(w.Deadline) {
 						t.Fatal("a later deadline was served first")
@@ -35,7 +36,7 @@
 				q.Push(w)
 				model = append(model, w)
 			}
-			if q.Len() != len(model) || len(q.InOrder()) != len(model) {
+			if q.Len() != len(model) || len(q.InOrder()["c"]) != len(model) {
 				t.Fatal("waiters were lost")
 			}
 		}
@@ -46,6 +47,26 @@
 	return slices.DeleteFunc(list, func(x *admission.Waiter) bool { return x == w })
 }
 
+// A customer's burst does not starve another: the one that runs fewer requests
+// is served first, each by its own deadlines.
+func TestSharesByCustomer(t *testing.T) {
+	var q admission.Queue
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	for i := range int64(3) {
+		q.Push(admission.NewWaiter("burst", at(i)))
+	}
+	q.Push(admission.NewWaiter("small", at(9)))
+	running := map[string]int{"burst": 2, "small": 1}
+	count := func(customer string) int { return running[customer] }
+	if w := q.Next(count); w.Customer != "small" {
+		t.Fatalf("%s is served first", w.Customer)
+	}
+	running["small"] = 2
+	if w := q.Next(count); w.Customer != "burst" || !w.Deadline.Equal(at(0)) {
+		t.Fatalf("%s with deadline %s is served first", w.Customer, w.Deadline)
+	}
+}
+
 func TestDecisions(t *testing.T) {
 	second := time.Second
 	for _, c := range []struct {
--- a/pkg/entryhost/call_test.go
+++ b/pkg/entryhost/call_test.go
@@ -48,6 +48,8 @@
 	answers  int
 	// wait is the caller's longest wait, by default that of the contract.
 	wait time.Duration
+	// customer is "c" unless set.
+	customer string
 }
 
 // expected is the whole answer to the call.
@@ -71,20 +73,21 @@
 		c.end = time.Now()
 		c.answers++
 	}()
-	entry, ok := h.state.Contracts.Get("c")
+	customer := cmp.Or(c.customer, "c")
+	entry, ok := h.state.Contracts.Get(customer)
 	if !ok {
 		c.refusal = notRun("no contract", 0, "")
 		return
 	}
 	m, _ := entry.Contract.Model(c.model)
-	key, refusal := keyFor("c", m, c.key)
+	key, refusal := keyFor(customer, m, c.key)
 	if refusal != nil {
 		c.refusal = refusal
 		return
 	}
 	if m.Loadable() {
 		c.generate(h, call{
-			customer:  "c",
+			customer:  customer,
 			model:     m,
 			requestID: c.id,
 			key:       key,
@@ -95,7 +98,7 @@
 		return
 	}
 	body, refusal := h.callService(context.Background(), serviceCall{
-		customer:  "c",
+		customer:  customer,
 		service:   m,
 		requestID: c.id,
 		key:       key,
--- a/pkg/entryhost/fake_test.go
+++ b/pkg/entryhost/fake_test.go
@@ -169,7 +169,7 @@
 	off := f.first + record.Offset(len(f.records))
 	f.records = append(f.records, platform.Entry{Offset: off, Data: data})
 	f.all = append(f.all, platform.Entry{Offset: off, Data: data})
-	if r, err := record.Decode(data); err == nil && r.Contract != nil && int(r.Contract.Base) == len(f.documents) {
+	if r, err := record.Decode(data); err == nil && r.Contract != nil && r.Contract.Customer == "c" && int(r.Contract.Base) == len(f.documents) {
 		f.documents = append(f.documents, string(r.Contract.Document))
 	}
 	return off
@@ -304,10 +304,12 @@
 }
 
 // publish lands a contract directly in the log, as operators may.
-func (f *fakes) publish(base uint64, document string) {
+func (f *fakes) publish(base uint64, document string) { f.publishFor("c", base, document) }
+
+func (f *fakes) publishFor(customer string, base uint64, document string) {
 	data, err := record.Encode(record.Record{
 		ID:       record.NewID(),
-		Contract: &record.Contract{Customer: "c", Base: base, Document: []byte(document)},
+		Contract: &record.Contract{Customer: customer, Base: base, Document: []byte(document)},
 	})
 	if err != nil {
 		panic(err)
--- a/pkg/entryhost/load_test.go
+++ b/pkg/entryhost/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -94,6 +95,31 @@
 	})
 }
 
+// One customer's burst makes another one's few requests for the same model
+// wait for seconds behind it.
+func TestBurstDoesNotStarveOthers(t *testing.T) {
+	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
+		f.publishFor("d", 0, strings.Replace(testContract, "customer: c", "customer: d", 1))
+		is.Equal(burst(hosts, "m1", 1, 0)[0].refusal, nil)
+		var small []*testCall
+		var waiting sync.WaitGroup
+		for i := range 12 {
+			c := &testCall{id: fmt.Sprintf("small-%d", i), model: "m1", customer: "d"}
+			small = append(small, c)
+			waiting.Go(func() {
+				time.Sleep(300*time.Millisecond + time.Duration(i)*20*time.Millisecond)
+				c.do(hosts[i%len(hosts)])
+			})
+		}
+		burst(hosts, "m1", 1000, 200*time.Millisecond)
+		waiting.Wait()
+		for _, c := range small {
+			is.Equal(c.refusal, nil)
+			is.True(c.end.Sub(c.start) < time.Second)
+		}
+	})
+}
+
 // The log is down and a model is not loaded: nobody can decide to load it. The
 // caller is told so at once, with when to come back; loaded models go on.
 func TestColdRequestWhileLogIsDown(t *testing.T) {
--- a/pkg/entryhost/queue.go
+++ b/pkg/entryhost/queue.go
@@ -105,7 +105,7 @@
 			return s, nil
 		}
 	}
-	reason, retryAfter := admission.Admit(q.situation(now, q.waiting.Ahead(deadline)), deadline.Sub(now))
+	reason, retryAfter := admission.Admit(q.situation(now, customer, q.waiting.Ahead(customer, deadline)), deadline.Sub(now))
 	if reason != admission.ReasonNone {
 		q.wantLater(now, customer, reason, retryAfter)
 		q.mu.Unlock()
@@ -204,16 +204,22 @@
 	return &slot{queue: q, customer: customer, target: targets[i], since: now}
 }
 
-// grant gives free places to waiting requests in order of deadline.
+func (q *modelQueue) running(customer string) int { return q.useOf(customer).inflight }
+
+// grant gives free places to waiting requests, by customer's share and deadline.
 func (q *modelQueue) grant(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for q.waiting.Len() > 0 {
-		s := q.takeSlot(now, q.waiting.First().Customer)
+	for {
+		w := q.waiting.Next(q.running)
+		if w == nil {
+			return
+		}
+		s := q.takeSlot(now, w.Customer)
 		if s == nil {
 			return
 		}
-		w := q.waiting.Pop()
+		q.waiting.Remove(w)
 		q.useOf(w.Customer).waiting--
 		w.Answer <- admission.Answer{Replica: string(s.target.Replica)}
 	}
@@ -225,18 +231,24 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.watchLoad(now)
-	for rank, w := range q.waiting.InOrder() {
-		reason, retryAfter := admission.Keep(q.situation(now, rank), w.Deadline.Sub(now))
-		if reason == admission.ReasonNone {
-			continue
+	for customer, list := range q.waiting.InOrder() {
+		for rank, w := range list {
+			reason, retryAfter := admission.Keep(q.situation(now, customer, rank), w.Deadline.Sub(now))
+			if reason != admission.ReasonNone {
+				q.giveUp(now, w, reason, retryAfter)
+			}
 		}
-		q.waiting.Remove(w)
-		q.useOf(w.Customer).waiting--
-		q.wantLater(now, w.Customer, reason, retryAfter)
-		w.Answer <- admission.Answer{Reason: reason, RetryAfter: retryAfter}
 	}
 }
 
+// giveUp answers a waiting request that cannot be served in time.
+func (q *modelQueue) giveUp(now time.Time, w *admission.Waiter, reason admission.Reason, retryAfter time.Duration) {
+	q.waiting.Remove(w)
+	q.useOf(w.Customer).waiting--
+	q.wantLater(now, w.Customer, reason, retryAfter)
+	w.Answer <- admission.Answer{Reason: reason, RetryAfter: retryAfter}
+}
+
 func (q *modelQueue) wantLater(now time.Time, customer string, reason admission.Reason, retryAfter time.Duration) {
 	if reason == admission.ReasonLoad {
 		q.useOf(customer).wantedUntil = now.Add(max(retryAfter, minRetryAfter))
@@ -264,18 +276,16 @@
 	return old + (observed-old)/ewmaShift
 }
 
-// situation is what an estimate for a request with that many ahead depends on.
-func (q *modelQueue) situation(now time.Time, ahead int) admission.Situation {
+// situation is what an estimate for a customer's request with that many of its
+// own ahead depends on.
+func (q *modelQueue) situation(now time.Time, customer string, ahead int) admission.Situation {
 	s := admission.Situation{
-		Slots:    len(q.host.targets(q.kind, q.pool, q.model)) * q.limits.Concurrency,
-		Ahead:    ahead,
+		Slots:    q.share(customer, len(q.host.targets(q.kind, q.pool, q.model))*q.limits.Concurrency),
+		Ahead:    ahead + q.running(customer),
 		Service:  q.service,
 		LoadTime: q.loadTime,
 		CanLoad:  q.kind != contract.Service && q.host.canLoad(q.pool),
 	}
-	for _, n := range q.inflight {
-		s.Ahead += n
-	}
 	if s.LoadTime == 0 {
 		s.LoadTime = q.limits.LoadEstimate
 	}
@@ -286,6 +296,18 @@
 	return s
 }
 
+// share is the part of the places that a customer gets while others use the
+// model too.
+func (q *modelQueue) share(customer string, slots int) int {
+	users := 1
+	for other, u := range q.use {
+		if other != customer && (u.inflight > 0 || q.waiting.Waits(other)) {
+			users++
+		}
+	}
+	return (slots + users - 1) / users
+}
+
 // release gives the place back. A failed replica is avoided for a while.
 func (s *slot) release(failed bool) {
 	q := s.queue
