Use refuse ranks and the weight store's limits; test settings and commands

Cause: refuse_rank and the weight store's interface were read by nobody. Change: each rank asks for another eighth of the estimated wait to spare, so higher ranks are refused first; a host asks the store for its limits at start; tests of settings, exit codes and the development mode.

--- a/cmd/tealvaned/main.go
+++ b/cmd/tealvaned/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/tealvane/tealvane/internal/telemetry"
 	"github.com/tealvane/tealvane/pkg/entryhost"
+	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/platform/httpadapter"
 	"github.com/tealvane/tealvane/pkg/settings"
 )
@@ -62,8 +63,13 @@
 	if err != nil {
 		return err
 	}
+	var store platform.WeightStore
+	if s.Platform.WeightStore != "" {
+		store = httpadapter.NewWeightStore(s.Platform.WeightStore)
+	}
 	h, err := entryhost.New(entryhost.Config{
 		Settings: s,
+		Store:    store,
 		Log:      httpadapter.NewLog(s.Platform.Log, s.Platform.Stream),
 		Engine:   httpadapter.NewEngine(),
 		HostList: httpadapter.NewHostList(s.Platform.Hosts),
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/dev"
+)
+
+// run returns the exit code and what was printed.
+func run(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = Run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "bad.yaml")
+	is.NoErr(os.WriteFile(file, []byte("customer: c\nmodels:\n- {name: a, colour: red}\n- {name: b, weights_mb: x}\n"), 0o600))
+	code, _, errOut := run("contract", "check", file)
+	is.Equal(code, 1)
+	is.Equal(strings.Count(errOut, file+":"), 2)
+	is.True(strings.Contains(errOut, file+":3: models[0].colour: unknown field"))
+
+	code, out, _ := run("contract", "check", "../../examples/dev/contract.yaml")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "ok"))
+	code, out, _ = run("version")
+	is.Equal(code, 0)
+	is.True(strings.HasPrefix(out, "tealvane "))
+	for _, wrong := range [][]string{{}, {"unknown"}, {"contract"}, {"contract", "check"}, {"contract", "publish", "x"}, {"call"}, {"dev-certs"}, {"-flag"}} {
+		code, _, _ = run(wrong...)
+		is.Equal(code, 2)
+	}
+	code, _, errOut = run("status", "-operators", "http://127.0.0.1:1")
+	is.Equal(code, 1)
+	is.True(errOut != "")
+}
+
+// The development mode serves a cold and a warm request, and ends by itself
+// when it is asked to.
+func TestDevelopmentMode(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ready := make(chan string, 1)
+	done := make(chan error, 1)
+	go func() {
+		done <- dev.Run(ctx, dev.Options{
+			Callers:   "127.0.0.1:0",
+			Operators: "127.0.0.1:0",
+			Out:       io.Discard,
+			Log:       io.Discard,
+			Ready:     func(addr string) { ready <- addr },
+		})
+	}()
+	var url string
+	select {
+	case addr := <-ready:
+		url = "http://" + addr
+	case err := <-done:
+		t.Fatal(err)
+	}
+	for range 2 {
+		code, out, errOut := run("call", "-callers", url, "-token", "dev-token", "-model", "summary", "hello")
+		is.Equal(errOut, "")
+		is.Equal(code, 0)
+		is.True(strings.Contains(out, "summary answers: hello"))
+	}
+	code, out, _ := run("call", "-callers", url, "-token", "dev-token", "-service", "screening", `{"name":"x"}`)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, `"run":1`))
+	code, _, errOut := run("call", "-callers", url, "-token", "wrong", "-model", "summary", "hello")
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "401"))
+	code, _, errOut = run("call", "-callers", url, "-token", "dev-token", "-model", "other", "hello")
+	is.Equal(code, 1)
+	is.True(strings.Contains(errOut, "403"))
+	http.DefaultClient.CloseIdleConnections()
+	stop()
+	is.NoErr(<-done)
+}
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -236,13 +236,15 @@
 // Admit tells whether a new request with that much time left should wait, and
 // otherwise why not and when to come back. It asks for some time to spare: a
 // request that only just fits would be given up late, when the estimate turns
-// out a little short.
-func Admit(s Situation, left time.Duration) (reason Reason, retryAfter time.Duration) {
+// out a little short. Each refuse rank asks for as much again, so that classes
+// of a higher rank are refused first when queues grow.
+func Admit(s Situation, left time.Duration, rank int) (reason Reason, retryAfter time.Duration) {
 	wait, _ := Estimate(s)
-	return Keep(s, left-wait/spareShare)
+	return Keep(s, left-time.Duration(1+rank)*wait/spareShare)
 }
 
-// spareShare is the part of the estimated wait that a new request must have to spare.
+// spareShare is the part of the estimated wait that a new request of rank 0
+// must have to spare.
 const spareShare = 8
 
 // Keep tells whether a request that waits already should go on waiting.
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -74,19 +74,21 @@
 		s    admission.Situation
 		left time.Duration
 		want admission.Reason
+		rank int
 	}{
-		{"free slot", admission.Situation{Slots: 1}, second, admission.ReasonNone},
-		{"deadline has passed", admission.Situation{Slots: 1}, 0, admission.ReasonDeadline},
-		{"nobody can load", admission.Situation{LoadTime: second}, 9 * second, admission.ReasonNoDecision},
-		{"load fits", admission.Situation{LoadTime: second, CanLoad: true}, 2 * second, admission.ReasonNone},
-		{"load does not fit", admission.Situation{LoadTime: 3 * second, CanLoad: true}, 2 * second, admission.ReasonLoad},
-		{"load fits without spare time", admission.Situation{LoadTime: 2 * second, CanLoad: true}, 2 * second, admission.ReasonLoad},
-		{"load is nearly done", admission.Situation{LoadTime: 9 * second, Loading: true, LoadElapsed: 8 * second}, 2 * second, admission.ReasonNone},
-		{"load is overdue", admission.Situation{LoadTime: second, Loading: true, LoadElapsed: 8 * second}, second, admission.ReasonLoad},
-		{"queue fits", admission.Situation{Slots: 2, Ahead: 4, Service: second}, 3 * second, admission.ReasonNone},
-		{"queue is too long", admission.Situation{Slots: 2, Ahead: 8, Service: second}, 3 * second, admission.ReasonQueue},
+		{"free slot", admission.Situation{Slots: 1}, second, admission.ReasonNone, 0},
+		{"deadline has passed", admission.Situation{Slots: 1}, 0, admission.ReasonDeadline, 0},
+		{"nobody can load", admission.Situation{LoadTime: second}, 9 * second, admission.ReasonNoDecision, 0},
+		{"load fits", admission.Situation{LoadTime: second, CanLoad: true}, 2 * second, admission.ReasonNone, 0},
+		{"load does not fit", admission.Situation{LoadTime: 3 * second, CanLoad: true}, 2 * second, admission.ReasonLoad, 0},
+		{"load fits without spare time", admission.Situation{LoadTime: 2 * second, CanLoad: true}, 2 * second, admission.ReasonLoad, 0},
+		{"load is nearly done", admission.Situation{LoadTime: 9 * second, Loading: true, LoadElapsed: 8 * second}, 2 * second, admission.ReasonNone, 0},
+		{"load is overdue", admission.Situation{LoadTime: second, Loading: true, LoadElapsed: 8 * second}, second, admission.ReasonLoad, 0},
+		{"queue fits", admission.Situation{Slots: 2, Ahead: 4, Service: second}, 3 * second, admission.ReasonNone, 0},
+		{"queue fits a low rank only", admission.Situation{Slots: 2, Ahead: 4, Service: second}, 3 * second, admission.ReasonQueue, 4},
+		{"queue is too long", admission.Situation{Slots: 2, Ahead: 8, Service: second}, 3 * second, admission.ReasonQueue, 0},
 	} {
-		if got, retryAfter := admission.Admit(c.s, c.left); got != c.want || (got != admission.ReasonNone && retryAfter <= 0) {
+		if got, retryAfter := admission.Admit(c.s, c.left, c.rank); got != c.want || (got != admission.ReasonNone && retryAfter <= 0) {
 			t.Errorf("%s: %q, retry after %s", c.name, got, retryAfter)
 		}
 	}
--- a/pkg/contract/check.go
+++ b/pkg/contract/check.go
@@ -57,6 +57,9 @@
 		}
 		names[class.Name] = true
 		checkDuration(doc, field+".max_wait", class.MaxWait, time.Millisecond, maxWait)
+		if class.RefuseRank < 0 || class.RefuseRank > maxRefuseRank {
+			doc.Add(field+".refuse_rank", "0 to %d are expected", maxRefuseRank)
+		}
 	}
 	return names
 }
--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -43,6 +43,7 @@
 	maxMemoryMB    = 16 << 20
 	maxWait        = 24 * time.Hour
 	maxConcurrency = 4096
+	maxRefuseRank  = 9
 )
 
 // Contract is one customer's contract.
@@ -71,7 +72,8 @@
 type Class struct {
 	Name    string        `yaml:"name"`
 	MaxWait time.Duration `yaml:"max_wait"`
-	// RefuseRank orders refusals under pressure: a higher rank is refused first.
+	// RefuseRank orders refusals under pressure: a higher rank, from 0 to 9, is
+	// refused first.
 	RefuseRank int `yaml:"refuse_rank"`
 }
 
--- a/pkg/entryhost/answer.go
+++ b/pkg/entryhost/answer.go
@@ -24,6 +24,7 @@
 type call struct {
 	customer  string
 	model     contract.Model
+	rank      int
 	requestID string
 	key       *record.Key
 	digest    uint64
@@ -147,7 +148,7 @@
 		// A part of the answer was passed on in time; the rest may take longer.
 		deadline = a.host.now().Add(a.call.model.LoadEstimate + time.Second)
 	}
-	return a.host.queue(a.call.model).acquire(ctx, a.call.customer, a.call.model, deadline)
+	return a.host.queue(a.call.model).acquire(ctx, a.call.customer, a.call.model, a.call.rank, deadline)
 }
 
 func (a *answer) generate(s *slot) (platform.TokenStream, error) {
--- a/pkg/entryhost/callers.go
+++ b/pkg/entryhost/callers.go
@@ -191,6 +191,7 @@
 	return a.host.start(ctx, call{
 		customer:  entry.Contract.Customer,
 		model:     m,
+		rank:      entry.Contract.Class(m).RefuseRank,
 		requestID: newRequestID(),
 		key:       key,
 		digest:    digest(in.model, in.prompt),
@@ -311,6 +312,7 @@
 	body, refusal := a.host.callService(ctx, serviceCall{
 		customer:  entry.Contract.Customer,
 		service:   m,
+		rank:      entry.Contract.Class(m).RefuseRank,
 		requestID: newRequestID(),
 		key:       key,
 		digest:    digest(m.Name, string(req)),
--- a/pkg/entryhost/deferred.go
+++ b/pkg/entryhost/deferred.go
@@ -123,6 +123,7 @@
 	c := call{
 		customer:  r.Customer,
 		model:     m,
+		rank:      entry.Contract.Class(m).RefuseRank,
 		requestID: newRequestID(),
 		deadline:  d.host.now().Add(deferredWait),
 		prompt:    body.Prompt,
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -35,6 +35,8 @@
 	Log      platform.Log
 	Engine   platform.Engine
 	HostList platform.HostList
+	// Store may be nil; the settings then say what the weight store allows.
+	Store platform.WeightStore
 	// PeerTLS is the identity towards other entry hosts.
 	PeerTLS *tls.Config
 	Logger  *slog.Logger
@@ -47,6 +49,7 @@
 	self     record.HostRef
 	engine   platform.Engine
 	list     platform.HostList
+	store    platform.WeightStore
 	logger   *slog.Logger
 	tracer   trace.Tracer
 	metrics  *metrics
@@ -116,6 +119,7 @@
 		},
 		engine:    cfg.Engine,
 		list:      cfg.HostList,
+		store:     cfg.Store,
 		logger:    cfg.Logger.With("host", cfg.Settings.Host),
 		tracer:    cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
 		metrics:   newMetrics(),
@@ -170,6 +174,7 @@
 		return err
 	}
 	defer h.metrics.closer.Close()
+	h.askStore(ctx)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
--- a/pkg/entryhost/owner.go
+++ b/pkg/entryhost/owner.go
@@ -21,6 +21,21 @@
 	wake chan struct{}
 }
 
+// askStore lowers the share of the weight store to what the store allows. An
+// answer that does not come leaves the settings in force.
+func (h *Host) askStore(ctx context.Context) {
+	if h.store == nil {
+		return
+	}
+	limits, err := h.store.Limits(ctx)
+	if err != nil {
+		h.logger.Warn("the weight store did not tell its limits", "error", err)
+		return
+	}
+	h.settings.Store.Concurrent = min(h.settings.Store.Concurrent, limits.Concurrent)
+	h.settings.Store.PerSecond = min(h.settings.Store.PerSecond, limits.LoadsPerSecond)
+}
+
 // runOwners starts a loop for each pool that the contracts name.
 func (h *Host) runOwners(ctx context.Context) {
 	var loops sync.WaitGroup
--- a/pkg/entryhost/queue.go
+++ b/pkg/entryhost/queue.go
@@ -95,7 +95,7 @@
 
 // acquire waits for a place at a replica until the deadline. A request that
 // cannot be served in time is refused at once, with when to come back.
-func (q *modelQueue) acquire(ctx context.Context, customer string, m contract.Model, deadline time.Time) (*slot, *Refusal) {
+func (q *modelQueue) acquire(ctx context.Context, customer string, m contract.Model, rank int, deadline time.Time) (*slot, *Refusal) {
 	now := q.host.now()
 	q.mu.Lock()
 	q.limits = m
@@ -105,7 +105,7 @@
 			return s, nil
 		}
 	}
-	reason, retryAfter := admission.Admit(q.situation(now, customer, q.waiting.Ahead(customer, deadline)), deadline.Sub(now))
+	reason, retryAfter := admission.Admit(q.situation(now, customer, q.waiting.Ahead(customer, deadline)), deadline.Sub(now), rank)
 	if reason != admission.ReasonNone {
 		q.wantLater(now, customer, reason, retryAfter)
 		q.mu.Unlock()
--- a/pkg/entryhost/service.go
+++ b/pkg/entryhost/service.go
@@ -16,6 +16,7 @@
 type serviceCall struct {
 	customer  string
 	service   contract.Model
+	rank      int
 	requestID string
 	key       *record.Key
 	digest    uint64
@@ -29,7 +30,7 @@
 func (h *Host) callService(ctx context.Context, c serviceCall) (json.RawMessage, *Refusal) {
 	run := &serviceRun{host: h, call: c}
 	for range maxAttempts {
-		s, refusal := h.queue(c.service).acquire(ctx, c.customer, c.service, c.deadline)
+		s, refusal := h.queue(c.service).acquire(ctx, c.customer, c.service, c.rank, c.deadline)
 		if refusal != nil {
 			return nil, run.refuse(refusal)
 		}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -59,9 +59,12 @@
 	Log    string `yaml:"log"`
 	Stream string `yaml:"stream"`
 	Hosts  string `yaml:"host_list"`
+	// WeightStore is asked for its limits; empty takes them from weight_store.
+	WeightStore string `yaml:"weight_store"`
 }
 
-// Store is the share of the weight store that each pool of this deployment may use.
+// Store is the share of the weight store that each pool may use. The store's own
+// limits go first where they are lower.
 type Store struct {
 	Concurrent int     `yaml:"concurrent"`
 	PerSecond  float64 `yaml:"per_second"`
@@ -147,6 +150,9 @@
 	s.checkFiles(doc)
 	checkURL(doc, "platform.log", s.Platform.Log)
 	checkURL(doc, "platform.host_list", s.Platform.Hosts)
+	if s.Platform.WeightStore != "" {
+		checkURL(doc, "platform.weight_store", s.Platform.WeightStore)
+	}
 	if s.OTLP != "" {
 		checkURL(doc, "otlp", s.OTLP)
 	}
