Let messages in flight end before a test's bubble does

Cause: one long run in about 200 schedules panicked with 'main bubble goroutine has exited but blocked goroutines remain'. The stacks show usage reports asleep on their hop: time stands still once the main function of a synctest bubble has returned. Ruled out: a blocked goroutine of the host (all stacks were in the fake's time.Sleep). Change: the fakes let some virtual time pass at the end.

--- a/pkg/entryhost/fake_test.go
+++ b/pkg/entryhost/fake_test.go
@@ -131,6 +131,9 @@
 		h.background.Wait()
 		_ = h.metrics.closer.Close()
 	}
+	// Messages that nobody waits for are still on their way. Time stands still
+	// in a bubble whose main function has returned, and they would never end.
+	time.Sleep(settleTime)
 }
 
 // Append implements platform.Log.
