Continue the caller's trace; close listeners on a failed start

Change: trace context is taken from callers and passed to endpoints; the token is hashed once; listeners are closed; entries expire; the log stand-in can be told to trim over HTTP.

--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -92,6 +92,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/streams/", p.Log.Handler())
 	mux.Handle("/control/log", p.Log.Handler())
+	mux.Handle("/control/log/", p.Log.Handler())
 	mux.Handle("/v1/hosts", p.Hosts.Handler())
 	mux.Handle("/v1/hosts/", p.Hosts.Handler())
 	mux.Handle("/", p.Store.Handler())
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -103,6 +103,7 @@
 	mux.HandleFunc("POST /v1/streams/{stream}/records", l.serveAppend)
 	mux.HandleFunc("GET /v1/streams/{stream}/records", l.serveRead)
 	mux.HandleFunc("POST /control/log", control(l.SetFaults))
+	mux.HandleFunc("POST /control/log/trim", control(func(in struct{ Before record.Offset }) { l.Trim(in.Before) }))
 	return mux
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
@@ -27,7 +25,6 @@
 // collector at url, and a function that flushes it. Without a url nothing is
 // recorded.
 func Traces(ctx context.Context, url, host string) (trace.TracerProvider, func(), error) {
-	otel.SetTextMapPropagator(propagation.TraceContext{})
 	if url == "" {
 		return noop.NewTracerProvider(), func() {}, nil
 	}
@@ -42,7 +39,6 @@
 			attribute.String("host.name", host),
 		)),
 	)
-	otel.SetTracerProvider(provider)
 	flush := func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -150,12 +150,16 @@
 	return Class{MaxWait: DefaultMaxWait}
 }
 
-// Authenticates tells whether token is one of the contract's credentials. The
-// comparison takes the same time for every wrong token, so that an attacker
-// learns no prefix of a digest.
-func (c *Contract) Authenticates(token string) bool {
+// TokenDigest returns what a credential holds of a token.
+func TokenDigest(token string) []byte {
 	sum := sha256.Sum256([]byte(token))
-	digest := []byte(hex.EncodeToString(sum[:]))
+	return []byte(hex.EncodeToString(sum[:]))
+}
+
+// Holds tells whether a token's digest is one of the contract's credentials.
+// The comparison takes the same time for every wrong token, so that an
+// attacker learns no prefix of a digest.
+func (c *Contract) Holds(digest []byte) bool {
 	match := 0
 	for _, credential := range c.Credentials {
 		match |= subtle.ConstantTimeCompare(digest, []byte(credential.SHA256))
--- a/pkg/entryhost/callers.go
+++ b/pkg/entryhost/callers.go
@@ -13,6 +13,7 @@
 	"github.com/tealvane/tealvane/pkg/contract"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
+	"go.opentelemetry.io/otel/propagation"
 )
 
 // maxRequestBytes bounds the body of a caller's request.
@@ -28,11 +29,11 @@
 
 func (h *Host) callersServer() (*http.Server, error) {
 	api := callersAPI{h}
-	server, err := callers.NewServer(api, api, callers.WithErrorHandler(api.writeError))
+	server, err := callers.NewServer(api, api, callers.WithTracerProvider(h.provider), callers.WithErrorHandler(api.writeError))
 	if err != nil {
 		return nil, err
 	}
-	return &http.Server{Handler: h.closing(bounded(flushed(server))), ReadHeaderTimeout: readHeaderTimeout}, nil
+	return &http.Server{Handler: h.closing(traced(bounded(flushed(server)))), ReadHeaderTimeout: readHeaderTimeout}, nil
 }
 
 // closing ends each connection with its present answer while the host stops.
@@ -47,6 +48,14 @@
 	})
 }
 
+// traced continues the caller's trace.
+func traced(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
 func bounded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
--- a/pkg/entryhost/fake_test.go
+++ b/pkg/entryhost/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/settings"
 	"github.com/tealvane/tealvane/pkg/state"
+	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 )
 
@@ -40,6 +41,7 @@
 	// all keeps the trimmed records too.
 	all           []platform.Entry
 	snapshotEvery int
+	tracer        trace.TracerProvider
 	// documents are the contracts that count, by version: a publication counts
 	// when it is based on the version before it.
 	documents []string
@@ -56,7 +58,7 @@
 }
 
 func newFakes() *fakes {
-	return &fakes{first: 1, engines: map[string]*fakeEngine{}, hosts: map[string]*fakeHost{}, cut: map[string]bool{}, frozen: map[string][]platform.ListedHost{}}
+	return &fakes{first: 1, engines: map[string]*fakeEngine{}, hosts: map[string]*fakeHost{}, cut: map[string]bool{}, frozen: map[string][]platform.ListedHost{}, tracer: noop.NewTracerProvider()}
 }
 
 func (f *fakes) addEngine(name, poolName string, fencing bool) *fakeEngine {
@@ -95,7 +97,7 @@
 		Engine:   fakeEngines{h},
 		HostList: h,
 		Logger:   slog.New(slog.DiscardHandler),
-		Tracer:   noop.NewTracerProvider(),
+		Tracer:   f.tracer,
 	})
 	f.mu.Lock()
 	f.booted++
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -51,6 +51,7 @@
 	list     platform.HostList
 	store    platform.WeightStore
 	logger   *slog.Logger
+	provider trace.TracerProvider
 	tracer   trace.Tracer
 	metrics  *metrics
 
@@ -100,10 +101,11 @@
 	}
 	h.node = node
 	if h.callers, err = net.Listen("tcp", cfg.Settings.Callers.Listen); err != nil {
-		return nil, errors.Wrap(err, "callers")
+		return nil, errors.CombineErrors(errors.Wrap(err, "callers"), node.Close())
 	}
 	if h.operators, err = net.Listen("tcp", cfg.Settings.Operators.Listen); err != nil {
-		return nil, errors.Wrap(err, "operators")
+		closeErr := errors.CombineErrors(h.callers.Close(), node.Close())
+		return nil, errors.CombineErrors(errors.Wrap(err, "operators"), closeErr)
 	}
 	h.connect(cfg.Log, node, node.Addr())
 	return h, nil
@@ -121,6 +123,7 @@
 		list:      cfg.HostList,
 		store:     cfg.Store,
 		logger:    cfg.Logger.With("host", cfg.Settings.Host),
+		provider:  cfg.Tracer,
 		tracer:    cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
 		metrics:   newMetrics(),
 		state:     state.New(),
--- a/pkg/entryhost/operators.go
+++ b/pkg/entryhost/operators.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
@@ -23,7 +21,7 @@
 
 func (h *Host) operatorsServer() (*http.Server, error) {
 	api := operatorsAPI{h}
-	server, err := operators.NewServer(api, api, operators.WithErrorHandler(api.writeError))
+	server, err := operators.NewServer(api, api, operators.WithTracerProvider(h.provider), operators.WithErrorHandler(api.writeError))
 	if err != nil {
 		return nil, err
 	}
@@ -46,9 +44,7 @@
 // interface listens on a loopback address only and takes any.
 func (a operatorsAPI) HandleBearer(ctx context.Context, _ operators.OperationName, t operators.Bearer) (context.Context, error) {
 	want := a.host.settings.Operators.TokenSHA256
-	sum := sha256.Sum256([]byte(t.Token))
-	got := hex.EncodeToString(sum[:])
-	if want != "" && subtle.ConstantTimeCompare([]byte(want), []byte(got)) != 1 {
+	if want != "" && subtle.ConstantTimeCompare([]byte(want), contract.TokenDigest(t.Token)) != 1 {
 		return ctx, errOperatorToken
 	}
 	return ctx, nil
--- a/pkg/entryhost/queue.go
+++ b/pkg/entryhost/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,8 +17,8 @@
 const (
 	// suspectFor is how long a replica that failed is used only as a last choice.
 	suspectFor = 2 * time.Second
-	// ewmaShift weighs a new observation with one eighth.
-	ewmaShift = 8
+	// averageWeight is the part that a new observation has in a moving average, as a divisor.
+	averageWeight = 8
 )
 
 // modelQueue is the shard of one model of one pool: its waiting and running
@@ -231,6 +232,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.watchLoad(now)
+	maps.DeleteFunc(q.suspect, func(_ string, until time.Time) bool { return now.After(until) })
 	for customer, list := range q.waiting.InOrder() {
 		for rank, w := range list {
 			reason, retryAfter := admission.Keep(q.situation(now, customer, rank), w.Deadline.Sub(now))
@@ -273,7 +275,7 @@
 	if old == 0 {
 		return observed
 	}
-	return old + (observed-old)/ewmaShift
+	return old + (observed-old)/averageWeight
 }
 
 // situation is what an estimate for a customer's request with that many of its
--- a/pkg/platform/httpadapter/client.go
+++ b/pkg/platform/httpadapter/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/platform"
+	"go.opentelemetry.io/otel/propagation"
 )
 
 const (
@@ -74,6 +75,7 @@
 	// No Idempotency-Key is ever sent on: net/http repeats a POST that carries
 	// one on its own when the connection breaks, and the request runs twice.
 	req.Header.Set("Content-Type", "application/json")
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if !connected.Load() {
--- a/pkg/state/contracts.go
+++ b/pkg/state/contracts.go
@@ -71,10 +71,11 @@
 
 // Authenticate returns the contract whose credentials hold token.
 func (c *Contracts) Authenticate(token string) (ContractEntry, bool) {
+	digest := contract.TokenDigest(token)
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	for _, e := range c.entries {
-		if e.Contract.Authenticates(token) {
+		if e.Contract.Holds(digest) {
 			return e, true
 		}
 	}
--- a/pkg/state/pools.go
+++ b/pkg/state/pools.go
@@ -155,7 +155,7 @@
 	}
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	return p.Pool.Owner, p.Epoch
+	return p.Owner, p.Epoch
 }
 
 // Names returns all claimed pools in order.
@@ -222,7 +222,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.Epoch != 0 {
-		p.Former = append(p.Former, Former{Epoch: p.Epoch, Owner: p.Pool.Owner})
+		p.Former = append(p.Former, Former{Epoch: p.Epoch, Owner: p.Owner})
 	}
 	p.start(off, c.Owner)
 	return nil
@@ -244,7 +244,7 @@
 func (p *lockedPool) start(epoch record.Offset, owner record.HostRef) {
 	p.Epoch = epoch
 	p.Changed = epoch
-	p.Pool.Owner = owner
+	p.Owner = owner
 	p.Seq = 0
 }
 
