Keep replicas loaded over a take-over

Cause: a new owner had not asked the endpoints yet and took them for lost; it retired all replicas, and every model was cold after each take-over. Seen while reading: endpoints that never answered were left out of what the owner is told. TestTakeoverKeepsReplicas failed with all replicas replaced. Ruled out: an idle keep-alive (the first form of the test let models idle for longer than theirs; it now keeps them in use). Change: a new owner begins with the endpoints that the fold knows and uses only what they answered since its ownership began. Claims are looked at with each tick and not with each heartbeat: what was seen late was added to the time without an owner, and TestOwnerDiesWhileRequestsWait failed in one run of the whole suite. A caller who has gone no longer marks a replica as failing, and a graceful shutdown does not wait for background requests past its limit.

--- a/pkg/entryhost/answer.go
+++ b/pkg/entryhost/answer.go
@@ -191,7 +191,8 @@
 			return token, nil
 		}
 		a.sent = true
-		a.close(true)
+		// A caller who has gone is no fault of the replica.
+		a.close(a.ctx.Err() == nil)
 		if a.ctx.Err() != nil {
 			return platform.Token{}, outcomeUnknown("the caller has gone")
 		}
--- a/pkg/entryhost/drain.go
+++ b/pkg/entryhost/drain.go
@@ -30,7 +30,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		h.logger.Warn("requests were cut", "error", err)
 	}
-	h.background.Wait()
+	h.waitBackground(ctx)
 	h.waitFor(ctx, func() bool { return h.ledger.Pending() == 0 })
 	// Wait for the hand-over, but not for another host that may never come.
 	handover, cancelHandover := context.WithTimeout(ctx, h.settings.Timing.SessionTTL)
@@ -49,6 +49,19 @@
 	}
 }
 
+// waitBackground waits for requests that go on after their caller has gone.
+func (h *Host) waitBackground(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		h.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // waitFor returns when done is true or ctx ends.
 func (h *Host) waitFor(ctx context.Context, done func() bool) {
 	ticker := time.NewTicker(h.settings.Timing.Tick)
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -151,7 +151,7 @@
 // loops are the host's own activities, apart from its servers.
 func (h *Host) loops() []func(context.Context) {
 	return []func(context.Context){
-		h.journal.Run, h.ledger.Run, h.runSession, h.runMembers, h.runOwners,
+		h.journal.Run, h.ledger.Run, h.runSession, h.runClaims, h.runMembers, h.runOwners,
 		h.runUsage, h.runPump, h.runUpkeep, h.deferred.run,
 	}
 }
--- a/pkg/entryhost/load_test.go
+++ b/pkg/entryhost/load_test.go
@@ -261,3 +261,50 @@
 		is.Equal(burst(others[1:], "m1", 1, 0)[0].refusal, nil)
 	})
 }
+
+// After a take-over all models are cold: the new owner has not asked the
+// endpoints yet, or its list leaves them out for a moment, and it takes them
+// for lost and retires their replicas.
+func TestTakeoverKeepsReplicas(t *testing.T) {
+	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
+		for _, model := range []string{"m0", "m1", "m2"} {
+			is.Equal(burst(hosts, model, 1, 0)[0].refusal, nil)
+		}
+		before := f.replicaIDs()
+		owner, others := ownerOf(hosts)
+		f.freezeList("h0", "h1", "h2")
+		f.mu.Lock()
+		for h := range f.frozen {
+			f.frozen[h] = nil
+		}
+		f.mu.Unlock()
+		owner.kill()
+		for i := range 16 {
+			if i == 9 {
+				f.mu.Lock()
+				clear(f.frozen)
+				f.mu.Unlock()
+			}
+			for _, model := range []string{"m0", "m1", "m2"} {
+				is.Equal(burst(others, model, 2, 0)[0].refusal, nil)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		is.True(others[0].state.Pools.Get("p").Owner != owner.self)
+		is.Equal(f.replicaIDs(), before)
+	})
+}
+
+// replicaIDs returns what the engines hold.
+func (f *fakes) replicaIDs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for _, e := range f.engines {
+		for id := range e.replicas {
+			ids = append(ids, string(id))
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/pkg/entryhost/loops.go
+++ b/pkg/entryhost/loops.go
@@ -38,13 +38,23 @@
 	return out.Void
 }
 
-// runSession joins, sends heartbeats and claims pools without a live owner.
+// runSession joins and sends heartbeats.
 func (h *Host) runSession(ctx context.Context) {
 	every(ctx, h.settings.Timing.SessionRenew, func(ctx context.Context) {
+		if h.journal.CaughtUp() {
+			h.renew(ctx)
+		}
+	})
+}
+
+// runClaims watches the sessions of all hosts and claims pools without a live
+// owner. It looks more often than heartbeats come: what it sees late is added
+// to the time for which a pool has no owner.
+func (h *Host) runClaims(ctx context.Context) {
+	every(ctx, h.settings.Timing.Tick, func(ctx context.Context) {
 		if !h.journal.CaughtUp() {
 			return
 		}
-		h.renew(ctx)
 		now := h.now()
 		h.watchMu.Lock()
 		h.watch.Observe(now, h.state.Hosts.Sessions(), h.journal.Readable())
--- a/pkg/entryhost/owner.go
+++ b/pkg/entryhost/owner.go
@@ -7,8 +7,10 @@
 
 	"github.com/tealvane/tealvane/pkg/lease"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/state"
 )
 
 // owner runs the controller of one pool, a shard under its own lock.
@@ -19,6 +21,9 @@
 	mu   sync.Mutex
 	ctrl *pool.Controller
 	wake chan struct{}
+	// epoch and since tell which ownership of this host was last seen to begin, and when.
+	epoch record.Offset
+	since time.Time
 }
 
 // askStore lowers the share of the weight store to what the store allows. An
@@ -96,13 +101,10 @@
 // step runs the controller and carries out its effects.
 func (o *owner) step(ctx context.Context) {
 	now := o.host.now()
-	ref, _ := o.host.state.Pools.Owner(o.name)
+	ref, epoch := o.host.state.Pools.Owner(o.name)
 	o.mu.Lock()
 	if ref == o.host.self {
-		o.host.membersMu.Lock()
-		observed := o.host.members.Pool(o.name)
-		o.host.membersMu.Unlock()
-		o.ctrl.Observe(observed)
+		o.observe(now, epoch)
 		o.planHandover(now)
 	}
 	effects := o.ctrl.Step(now, o.host.state)
@@ -112,6 +114,36 @@
 	}
 }
 
+// observe tells the controller what is known of the endpoints. With a new
+// ownership it begins anew, from the endpoints that the fold knows.
+func (o *owner) observe(now time.Time, epoch record.Offset) {
+	o.host.membersMu.Lock()
+	defer o.host.membersMu.Unlock()
+	if o.epoch != epoch {
+		o.epoch, o.since = epoch, now
+		o.host.members.Know(now, foldEndpoints(o.host.state.Pools.Get(o.name)))
+	}
+	o.ctrl.Observe(o.host.members.Pool(o.name, o.since))
+}
+
+func foldEndpoints(p state.Pool) []platform.ListedHost {
+	var hosts []platform.ListedHost
+	for _, e := range p.Endpoints {
+		if !e.Lost {
+			hosts = append(hosts, platform.ListedHost{
+				Name:          e.Endpoint,
+				Kind:          platform.EndpointHost,
+				Incarnation:   e.Incarnation,
+				Addr:          e.Addr,
+				Zone:          e.Zone,
+				Pool:          p.Name,
+				ChecksFencing: e.ChecksFencing,
+			})
+		}
+	}
+	return hosts
+}
+
 // planHandover names the successor while the host is stopping.
 func (o *owner) planHandover(now time.Time) {
 	if !o.host.stopping.Load() {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -38,6 +38,8 @@
 	listed    bool
 	// lastSign is when the endpoint was last listed or reachable.
 	lastSign time.Time
+	// probedAt is when the endpoint last answered a probe.
+	probedAt time.Time
 }
 
 // NewTracker returns an empty tracker.
@@ -84,6 +86,17 @@
 	return now.Sub(last) > LostAfter
 }
 
+// Know adds endpoints that are known from elsewhere, so that they are probed.
+// A new owner's list may leave out an endpoint for a moment; without a probe
+// it would be taken for lost, with all its replicas.
+func (t *Tracker) Know(now time.Time, hosts []platform.ListedHost) {
+	for _, h := range hosts {
+		if t.members[h.Name] == nil {
+			t.members[h.Name] = &member{host: h, lastSign: now}
+		}
+	}
+}
+
 // MarkLeaving notes that a run is leaving and tells whether that is news. It
 // is never taken back for the same run: a list that contradicts itself, or a
 // slower host's older list, would otherwise send new work to the endpoint.
@@ -105,6 +118,7 @@
 	if m.reachable {
 		m.status = status
 		m.lastSign = now
+		m.probedAt = now
 	}
 }
 
@@ -163,13 +177,22 @@
 	return hosts
 }
 
-// Pool returns what an owner needs to know of its pool's endpoints. Those
-// that never answered are left out.
-func (t *Tracker) Pool(name string) []pool.Observation {
+// Pool returns what an owner needs to know of its pool's endpoints. What they
+// answered before since is not told: it may be older than what a former owner
+// has loaded. An endpoint that has not answered since has no incarnation; that
+// it is in the list says that it is not lost.
+func (t *Tracker) Pool(name string, since time.Time) []pool.Observation {
 	var list []pool.Observation
 	for _, endpoint := range slices.Sorted(maps.Keys(t.members)) {
 		m := t.members[endpoint]
-		if m.host.Pool != name || m.status.Incarnation == "" {
+		if m.host.Pool != name {
+			continue
+		}
+		if m.probedAt.Before(since) {
+			list = append(list, pool.Observation{
+				EndpointSeen: record.EndpointSeen{Endpoint: endpoint},
+				Leaving:      t.memberLeaving(m),
+			})
 			continue
 		}
 		o := pool.Observation{
