--- a/cmd/tealvaned/main.go
+++ b/cmd/tealvaned/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/tealvane/tealvane/internal/telemetry"
 	"github.com/tealvane/tealvane/pkg/entryhost"
-	"github.com/tealvane/tealvane/pkg/platform"
-	"github.com/tealvane/tealvane/pkg/platform/httpadapter"
+	"github.com/tealvane/tealvane/pkg/external"
+	"github.com/tealvane/tealvane/pkg/external/httpadapter"
 	"github.com/tealvane/tealvane/pkg/settings"
 )
 
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	var store platform.WeightStore
+	var store external.WeightStore
 	if s.Platform.WeightStore != "" {
 		store = httpadapter.NewWeightStore(s.Platform.WeightStore)
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -14,8 +14,8 @@
 	"github.com/tealvane/tealvane/internal/standin"
 	"github.com/tealvane/tealvane/internal/telemetry"
 	"github.com/tealvane/tealvane/pkg/entryhost"
+	"github.com/tealvane/tealvane/pkg/external/httpadapter"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/platform/httpadapter"
 	"github.com/tealvane/tealvane/pkg/settings"
 )
 
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/finding"
-	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/yamlx"
 )
 
@@ -83,11 +83,11 @@
 func StartPlatform(c PlatformConfig, entryHosts []EntryHostConfig) (*Platform, error) {
 	p := &Platform{
 		Log:   NewLog(),
-		Store: NewStore(platform.StoreLimits{LoadsPerSecond: c.LoadsPerSecond, Concurrent: c.Concurrent}, c.MBPerSecond),
+		Store: NewStore(external.StoreLimits{LoadsPerSecond: c.LoadsPerSecond, Concurrent: c.Concurrent}, c.MBPerSecond),
 		Hosts: NewHosts(c.ListLag),
 	}
 	for _, e := range entryHosts {
-		p.Hosts.Put(platform.ListedHost{Name: e.Name, Kind: platform.EntryHost, Addr: e.Peer, Zone: e.Zone})
+		p.Hosts.Put(external.ListedHost{Name: e.Name, Kind: external.EntryHost, Addr: e.Peer, Zone: e.Zone})
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/streams/", p.Log.Handler())
@@ -120,7 +120,7 @@
 	*Engine
 	URL  string
 	list string
-	host platform.ListedHost
+	host external.ListedHost
 	stop func()
 }
 
@@ -140,9 +140,9 @@
 		return nil, err
 	}
 	e := &RunningEndpoint{Engine: engine, URL: url, stop: stop, list: platformURL + "/v1/hosts/" + c.Name}
-	e.host = platform.ListedHost{
+	e.host = external.ListedHost{
 		Name:          c.Name,
-		Kind:          platform.EndpointHost,
+		Kind:          external.EndpointHost,
 		Incarnation:   engine.Incarnation(),
 		Addr:          url,
 		Zone:          c.Zone,
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -57,7 +57,7 @@
 }
 
 type replica struct {
-	platform.EngineReplica
+	external.EngineReplica
 	loaded chan struct{}
 	failed error
 }
@@ -110,17 +110,17 @@
 	mux.HandleFunc("POST /v1/call", e.serveCall)
 	mux.HandleFunc("POST /v1/orders/{kind}", e.serveOrder)
 	mux.HandleFunc("GET /v1/cache-events", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, map[string]any{"events": []platform.CacheEvent{}})
+		writeJSON(w, map[string]any{"events": []external.CacheEvent{}})
 	})
 	mux.HandleFunc("POST /control/engine", control(e.SetFaults))
 	mux.HandleFunc("GET /control/observed", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Observed()) })
 	return mux
 }
 
-func (e *Engine) status() platform.EngineStatus {
+func (e *Engine) status() external.EngineStatus {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := platform.EngineStatus{Incarnation: e.incarnation, MemoryMB: e.cfg.MemoryMB, Running: len(e.running)}
+	s := external.EngineStatus{Incarnation: e.incarnation, MemoryMB: e.cfg.MemoryMB, Running: len(e.running)}
 	for _, id := range slices.Sorted(maps.Keys(e.replicas)) {
 		s.Replicas = append(s.Replicas, e.replicas[id].EngineReplica)
 	}
@@ -204,7 +204,7 @@
 		return r, false, e.faults
 	}
 	r := &replica{
-		EngineReplica: platform.EngineReplica{ID: o.Replica, Model: o.Model, MemoryMB: o.MemoryMB},
+		EngineReplica: external.EngineReplica{ID: o.Replica, Model: o.Model, MemoryMB: o.MemoryMB},
 		loaded:        make(chan struct{}),
 	}
 	e.replicas[o.Replica] = r
@@ -275,7 +275,7 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	var in platform.GenerateRequest
+	var in external.GenerateRequest
 	if !readJSON(w, r, &in) {
 		return
 	}
@@ -288,7 +288,7 @@
 	e.stream(ctx, w, in)
 }
 
-func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, in platform.GenerateRequest) {
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, in external.GenerateRequest) {
 	faults := e.currentFaults()
 	id := in.RequestID
 	if faults.Cross {
@@ -307,15 +307,15 @@
 		if faults.CutAfter > 0 && i >= in.ResumeFrom+faults.CutAfter {
 			panic(http.ErrAbortHandler)
 		}
-		_ = out.Encode(platform.Token{RequestID: id, Index: i, Text: words[i]})
+		_ = out.Encode(external.Token{RequestID: id, Index: i, Text: words[i]})
 		w.(http.Flusher).Flush()
 	}
-	_ = out.Encode(platform.Token{RequestID: id, Index: len(words), Done: true, Reason: "stop"})
+	_ = out.Encode(external.Token{RequestID: id, Index: len(words), Done: true, Reason: "stop"})
 }
 
 // answer is a function of the request alone, so that a stream can be resumed
 // on another replica.
-func answer(in platform.GenerateRequest) []string {
+func answer(in external.GenerateRequest) []string {
 	words := strings.Fields(fmt.Sprintf("%s answers: %s", in.Model, in.Prompt))
 	for i := range words[1:] {
 		words[i+1] = " " + words[i+1]
@@ -348,7 +348,7 @@
 }
 
 func (e *Engine) serveCall(w http.ResponseWriter, r *http.Request) {
-	var in platform.ServiceCall
+	var in external.ServiceCall
 	if !readJSON(w, r, &in) {
 		return
 	}
@@ -364,5 +364,5 @@
 		panic(http.ErrAbortHandler)
 	}
 	body, _ := json.Marshal(map[string]any{"service": in.Service, "run": n, "echo": in.Body})
-	writeJSON(w, platform.ServiceAnswer{RequestID: in.RequestID, Status: http.StatusOK, Body: body})
+	writeJSON(w, external.ServiceAnswer{RequestID: in.RequestID, Status: http.StatusOK, Body: body})
 }
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -85,14 +85,14 @@
 
 // read returns the records from an offset on, or a channel that is closed
 // when the log has grown.
-func (l *Log) read(from record.Offset, limit int) (entries []platform.Entry, first record.Offset, grown <-chan struct{}) {
+func (l *Log) read(from record.Offset, limit int) (entries []external.Entry, first record.Offset, grown <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if from < l.first {
 		return nil, l.first, nil
 	}
 	for off := from; off < l.first+record.Offset(len(l.records)) && len(entries) < limit; off++ {
-		entries = append(entries, platform.Entry{Offset: off, Data: l.records[off-l.first]})
+		entries = append(entries, external.Entry{Offset: off, Data: l.records[off-l.first]})
 	}
 	return entries, 0, l.grown
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"golang.org/x/time/rate"
 )
 
@@ -14,7 +14,7 @@
 // limit share its speed.
 type Store struct {
 	mu      sync.Mutex
-	limits  platform.StoreLimits
+	limits  external.StoreLimits
 	mbPerS  float64
 	slow    float64
 	limiter *rate.Limiter
@@ -23,7 +23,7 @@
 }
 
 // NewStore returns a store; mbPerSecond is the speed of one load.
-func NewStore(limits platform.StoreLimits, mbPerSecond float64) *Store {
+func NewStore(limits external.StoreLimits, mbPerSecond float64) *Store {
 	return &Store{
 		limits:  limits,
 		mbPerS:  mbPerSecond,
@@ -100,35 +100,35 @@
 type Hosts struct {
 	mu      sync.Mutex
 	lag     time.Duration
-	shown   map[string]platform.ListedHost
+	shown   map[string]external.ListedHost
 	changes []hostChange
 }
 
 type hostChange struct {
 	at   time.Time
 	name string
-	host *platform.ListedHost
+	host *external.ListedHost
 }
 
 // NewHosts returns an empty list whose changes show after lag.
 func NewHosts(lag time.Duration) *Hosts {
-	return &Hosts{lag: lag, shown: map[string]platform.ListedHost{}}
+	return &Hosts{lag: lag, shown: map[string]external.ListedHost{}}
 }
 
 // Put adds or replaces a host.
-func (h *Hosts) Put(host platform.ListedHost) { h.change(host.Name, &host) }
+func (h *Hosts) Put(host external.ListedHost) { h.change(host.Name, &host) }
 
 // Remove removes a host.
 func (h *Hosts) Remove(name string) { h.change(name, nil) }
 
-func (h *Hosts) change(name string, host *platform.ListedHost) {
+func (h *Hosts) change(name string, host *external.ListedHost) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.changes = append(h.changes, hostChange{time.Now().Add(h.lag), name, host})
 }
 
 // List returns what the list shows now.
-func (h *Hosts) List() []platform.ListedHost {
+func (h *Hosts) List() []external.ListedHost {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -141,7 +141,7 @@
 			h.shown[c.name] = *c.host
 		}
 	}
-	list := []platform.ListedHost{}
+	list := []external.ListedHost{}
 	for _, host := range h.shown {
 		list = append(list, host)
 	}
@@ -155,7 +155,7 @@
 		writeJSON(w, map[string]any{"hosts": h.List()})
 	})
 	mux.HandleFunc("PUT /v1/hosts/{name}", func(w http.ResponseWriter, r *http.Request) {
-		var host platform.ListedHost
+		var host external.ListedHost
 		if readJSON(w, r, &host) {
 			host.Name = r.PathValue("name")
 			h.Put(host)
--- a/pkg/entryhost/answer.go
+++ b/pkg/entryhost/answer.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/tealvane/tealvane/pkg/contract"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -43,7 +43,7 @@
 	ctx     context.Context
 	call    call
 	slot    *slot
-	stream  platform.TokenStream
+	stream  external.TokenStream
 	span    trace.Span
 	next    int
 	tries   int
@@ -100,7 +100,7 @@
 			return nil
 		}
 		s.release(true)
-		if !errors.Is(err, platform.ErrRejected) {
+		if !errors.Is(err, external.ErrRejected) {
 			a.sent = true
 			if a.call.model.NonIdempotent {
 				return a.refuse(outcomeUnknown("the endpoint did not answer: %v", err))
@@ -151,9 +151,9 @@
 	return a.host.queue(a.call.model).acquire(ctx, a.call.customer, a.call.model, a.call.rank, deadline)
 }
 
-func (a *answer) generate(s *slot) (platform.TokenStream, error) {
+func (a *answer) generate(s *slot) (external.TokenStream, error) {
 	ctx, span := a.host.tracer.Start(a.ctx, "endpoint", trace.WithAttributes(attribute.String("endpoint", s.target.Endpoint)))
-	stream, err := a.host.engine.Generate(ctx, s.target.Addr, platform.GenerateRequest{
+	stream, err := a.host.engine.Generate(ctx, s.target.Addr, external.GenerateRequest{
 		RequestID:   a.call.requestID,
 		Replica:     s.target.Replica,
 		Model:       a.call.model.Name,
@@ -173,7 +173,7 @@
 
 // Next returns the next token. After an error nothing may be shown as the
 // end of the answer.
-func (a *answer) Next() (platform.Token, *Refusal) {
+func (a *answer) Next() (external.Token, *Refusal) {
 	for {
 		token, err := a.stream.Next()
 		if err == nil {
@@ -194,14 +194,14 @@
 		// A caller who has gone is no fault of the replica.
 		a.close(a.ctx.Err() == nil)
 		if a.ctx.Err() != nil {
-			return platform.Token{}, outcomeUnknown("the caller has gone")
+			return external.Token{}, outcomeUnknown("the caller has gone")
 		}
 		if a.call.model.NonIdempotent || a.tries >= maxAttempts {
-			return platform.Token{}, a.broken(err)
+			return external.Token{}, a.broken(err)
 		}
 		a.host.metrics.retried(a.call.model.Name, "resume")
 		if refusal := a.open(); refusal != nil {
-			return platform.Token{}, a.broken(refusal)
+			return external.Token{}, a.broken(refusal)
 		}
 	}
 }
--- a/pkg/entryhost/drain.go
+++ b/pkg/entryhost/drain.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -123,7 +123,7 @@
 }
 
 // HandleTail implements peer.Handler.
-func (p peerHandler) HandleTail(r peer.TailRequest) ([]platform.Entry, error) {
+func (p peerHandler) HandleTail(r peer.TailRequest) ([]external.Entry, error) {
 	return p.host.journal.Recent(r.From, r.Limit)
 }
 
@@ -131,7 +131,7 @@
 // nothing to offer.
 func (p peerHandler) HandleSnapshot() ([]record.Snapshot, error) {
 	if !p.host.journal.CaughtUp() {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
 	records, err := p.host.journal.Snapshot()
 	if err != nil {
--- a/pkg/entryhost/events.go
+++ b/pkg/entryhost/events.go
@@ -5,7 +5,7 @@
 	"io"
 
 	"github.com/tealvane/tealvane/internal/api/callers"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 )
 
 // streamEnd is the last event of a whole answer, and of no other.
@@ -32,7 +32,7 @@
 	Content string `json:"content,omitempty"`
 }
 
-func chatChunk(t platform.Token) (object string, choice chunkChoice) {
+func chatChunk(t external.Token) (object string, choice chunkChoice) {
 	delta := &chunkDelta{Content: t.Text}
 	if t.Index == 0 {
 		delta.Role = "assistant"
@@ -40,7 +40,7 @@
 	return "chat.completion.chunk", chunkChoice{Delta: delta}
 }
 
-func textChunk(t platform.Token) (object string, choice chunkChoice) {
+func textChunk(t external.Token) (object string, choice chunkChoice) {
 	return "text_completion", chunkChoice{Text: t.Text}
 }
 
@@ -53,7 +53,7 @@
 // events turns an answer into an event stream. It returns once the first
 // token has come, so that a failure before it is a plain refusal. A stream
 // that breaks later ends with an error event and without the end marker.
-func (a callersAPI) events(ans *answer, form func(platform.Token) (string, chunkChoice)) (io.ReadCloser, *Refusal) {
+func (a callersAPI) events(ans *answer, form func(external.Token) (string, chunkChoice)) (io.ReadCloser, *Refusal) {
 	first, refusal := ans.Next()
 	if refusal != nil {
 		ans.Close()
@@ -68,13 +68,13 @@
 type eventWriter struct {
 	host   *Host
 	answer *answer
-	form   func(platform.Token) (string, chunkChoice)
+	form   func(external.Token) (string, chunkChoice)
 	out    *io.PipeWriter
 	// gone is set when the caller no longer reads.
 	gone bool
 }
 
-func (w *eventWriter) run(token platform.Token) {
+func (w *eventWriter) run(token external.Token) {
 	defer w.out.Close()
 	defer w.answer.Close()
 	for {
@@ -95,7 +95,7 @@
 	}
 }
 
-func (w *eventWriter) token(t platform.Token) {
+func (w *eventWriter) token(t external.Token) {
 	object, choice := w.form(t)
 	if t.Done {
 		choice.FinishReason = &t.Reason
--- a/pkg/entryhost/fake_engine_test.go
+++ b/pkg/entryhost/fake_engine_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 )
@@ -34,7 +34,7 @@
 }
 
 type fakeReplica struct {
-	platform.EngineReplica
+	external.EngineReplica
 	readyAt time.Time
 }
 
@@ -54,26 +54,26 @@
 	e := a.host.fakes.engines[addr]
 	if e == nil || e.dead || a.host.dead.Load() {
 		a.host.fakes.mu.Unlock()
-		return nil, platform.ErrRejected
+		return nil, external.ErrRejected
 	}
 	return e, nil
 }
 
-// Status implements platform.Engine.
-func (a fakeEngines) Status(_ context.Context, addr string) (platform.EngineStatus, error) {
+// Status implements external.Engine.
+func (a fakeEngines) Status(_ context.Context, addr string) (external.EngineStatus, error) {
 	e, err := a.reach(addr)
 	if err != nil {
-		return platform.EngineStatus{}, err
+		return external.EngineStatus{}, err
 	}
 	defer a.host.fakes.mu.Unlock()
-	s := platform.EngineStatus{Incarnation: e.incarnation, MemoryMB: e.memoryMB}
+	s := external.EngineStatus{Incarnation: e.incarnation, MemoryMB: e.memoryMB}
 	for _, r := range e.replicas {
 		s.Replicas = append(s.Replicas, r.EngineReplica)
 	}
 	return s, nil
 }
 
-// Order implements platform.Engine.
+// Order implements external.Engine.
 func (a fakeEngines) Order(ctx context.Context, o pool.Order) (pool.OrderResult, error) {
 	e, err := a.reach(o.Addr)
 	if err != nil {
@@ -82,13 +82,13 @@
 	refused := e.incarnation != o.Incarnation || e.fencing && o.Fence < e.token
 	if refused {
 		a.host.fakes.mu.Unlock()
-		return pool.OrderRefused, platform.ErrRejected
+		return pool.OrderRefused, external.ErrRejected
 	}
 	e.token = max(e.token, o.Fence)
 	if o.Kind == pool.OrderUnload {
 		defer a.host.fakes.mu.Unlock()
 		if r := e.replicas[o.Replica]; r != nil && r.Running > 0 {
-			return pool.OrderRefused, platform.ErrRejected
+			return pool.OrderRefused, external.ErrRejected
 		}
 		delete(e.replicas, o.Replica)
 		return pool.OrderOK, nil
@@ -96,7 +96,7 @@
 	r := e.replicas[o.Replica]
 	if r == nil {
 		r = &fakeReplica{
-			EngineReplica: platform.EngineReplica{ID: o.Replica, Model: o.Model, MemoryMB: o.MemoryMB},
+			EngineReplica: external.EngineReplica{ID: o.Replica, Model: o.Model, MemoryMB: o.MemoryMB},
 			readyAt:       time.Now().Add(e.loadTime),
 		}
 		e.replicas[o.Replica] = r
@@ -116,8 +116,8 @@
 	fakeTokens  = 5
 )
 
-// Generate implements platform.Engine.
-func (a fakeEngines) Generate(ctx context.Context, addr string, r platform.GenerateRequest) (platform.TokenStream, error) {
+// Generate implements external.Engine.
+func (a fakeEngines) Generate(ctx context.Context, addr string, r external.GenerateRequest) (external.TokenStream, error) {
 	e, err := a.reach(addr)
 	if err != nil {
 		return nil, err
@@ -125,13 +125,13 @@
 	defer a.host.fakes.mu.Unlock()
 	replica := e.replicas[r.Replica]
 	if replica == nil || time.Now().Before(replica.readyAt) {
-		return nil, platform.ErrNotLoaded
+		return nil, external.ErrNotLoaded
 	}
 	e.ran = append(e.ran, r.RequestID)
 	e.started = append(e.started, time.Now())
 	if e.loseAnswers > 0 {
 		e.loseAnswers--
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
 	replica.Running++
 	return &fakeStream{ctx: ctx, engine: e, replica: replica, request: r, next: r.ResumeFrom, cutAfter: e.cutAfter, cross: e.cross}, nil
@@ -141,7 +141,7 @@
 	ctx      context.Context
 	engine   *fakeEngine
 	replica  *fakeReplica
-	request  platform.GenerateRequest
+	request  external.GenerateRequest
 	next     int
 	sent     int
 	cutAfter int
@@ -152,20 +152,20 @@
 // fakeText is the answer to a prompt, which names the request.
 func fakeText(prompt string) string { return strings.Repeat(prompt+" ", fakeTokens) }
 
-// Next implements platform.TokenStream. The adapter's own checks stand in
+// Next implements external.TokenStream. The adapter's own checks stand in
 // httpadapter; here a crossed answer already shows as broken.
-func (s *fakeStream) Next() (platform.Token, error) {
+func (s *fakeStream) Next() (external.Token, error) {
 	select {
 	case <-time.After(fakeService / fakeTokens):
 	case <-s.ctx.Done():
-		return platform.Token{}, s.ctx.Err()
+		return external.Token{}, s.ctx.Err()
 	}
 	s.engine.fakes.mu.Lock()
 	defer s.engine.fakes.mu.Unlock()
 	if s.engine.dead || s.cross || s.cutAfter > 0 && s.sent >= s.cutAfter {
-		return platform.Token{}, platform.ErrBroken
+		return external.Token{}, external.ErrBroken
 	}
-	t := platform.Token{RequestID: s.request.RequestID, Index: s.next, Text: s.request.Prompt + " "}
+	t := external.Token{RequestID: s.request.RequestID, Index: s.next, Text: s.request.Prompt + " "}
 	if s.next == fakeTokens {
 		t.Text, t.Done, t.Reason = "", true, "stop"
 	}
@@ -174,7 +174,7 @@
 	return t, nil
 }
 
-// Close implements platform.TokenStream.
+// Close implements external.TokenStream.
 func (s *fakeStream) Close() error {
 	s.engine.fakes.mu.Lock()
 	defer s.engine.fakes.mu.Unlock()
@@ -185,11 +185,11 @@
 	return nil
 }
 
-// Call implements platform.Engine.
-func (a fakeEngines) Call(_ context.Context, addr string, c platform.ServiceCall) (platform.ServiceAnswer, error) {
+// Call implements external.Engine.
+func (a fakeEngines) Call(_ context.Context, addr string, c external.ServiceCall) (external.ServiceAnswer, error) {
 	e, err := a.reach(addr)
 	if err != nil {
-		return platform.ServiceAnswer{}, err
+		return external.ServiceAnswer{}, err
 	}
 	e.ran = append(e.ran, c.RequestID)
 	run := len(e.ran)
@@ -200,14 +200,14 @@
 	a.host.fakes.mu.Unlock()
 	time.Sleep(fakeService)
 	if lose || a.host.dead.Load() {
-		return platform.ServiceAnswer{}, platform.ErrUnavailable
+		return external.ServiceAnswer{}, external.ErrUnavailable
 	}
-	return platform.ServiceAnswer{RequestID: c.RequestID, Status: 200, Body: []byte(fmt.Sprintf(`"%s run %d"`, e.name, run))}, nil
+	return external.ServiceAnswer{RequestID: c.RequestID, Status: 200, Body: []byte(fmt.Sprintf(`"%s run %d"`, e.name, run))}, nil
 }
 
 func (fakeEngines) Cancel(context.Context, string, string) error { return nil }
 
-func (fakeEngines) CacheEvents(context.Context, string, uint64) ([]platform.CacheEvent, error) {
+func (fakeEngines) CacheEvents(context.Context, string, uint64) ([]external.CacheEvent, error) {
 	return nil, nil
 }
 
--- a/pkg/entryhost/fake_test.go
+++ b/pkg/entryhost/fake_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/settings"
 	"github.com/tealvane/tealvane/pkg/state"
@@ -25,21 +25,21 @@
 // fakes are the outside systems of some hosts that run in virtual time.
 type fakes struct {
 	mu      sync.Mutex
-	records []platform.Entry
+	records []external.Entry
 	first   record.Offset
 	down    bool
 	lose    int
 	late    int
 	engines map[string]*fakeEngine
-	list    []platform.ListedHost
+	list    []external.ListedHost
 	hosts   map[string]*fakeHost
 	cut     map[string]bool
 	// frozen are the old lists that some hosts still see.
-	frozen  map[string][]platform.ListedHost
+	frozen  map[string][]external.ListedHost
 	running sync.WaitGroup
 	booted  int
 	// all keeps the trimmed records too.
-	all           []platform.Entry
+	all           []external.Entry
 	snapshotEvery int
 	tracer        trace.TracerProvider
 	// documents are the contracts that count, by version: a publication counts
@@ -58,16 +58,16 @@
 }
 
 func newFakes() *fakes {
-	return &fakes{first: 1, engines: map[string]*fakeEngine{}, hosts: map[string]*fakeHost{}, cut: map[string]bool{}, frozen: map[string][]platform.ListedHost{}, tracer: noop.NewTracerProvider()}
+	return &fakes{first: 1, engines: map[string]*fakeEngine{}, hosts: map[string]*fakeHost{}, cut: map[string]bool{}, frozen: map[string][]external.ListedHost{}, tracer: noop.NewTracerProvider()}
 }
 
 func (f *fakes) addEngine(name, poolName string, fencing bool) *fakeEngine {
 	e := &fakeEngine{fakes: f, name: name, fencing: fencing, memoryMB: 100, loadTime: time.Second}
 	e.restart()
 	f.engines[name] = e
-	f.list = append(f.list, platform.ListedHost{
+	f.list = append(f.list, external.ListedHost{
 		Name:          name,
-		Kind:          platform.EndpointHost,
+		Kind:          external.EndpointHost,
 		Incarnation:   e.incarnation,
 		Addr:          name,
 		Pool:          poolName,
@@ -138,25 +138,25 @@
 	time.Sleep(settleTime)
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (h *fakeHost) Append(ctx context.Context, data []byte) (record.Offset, error) {
 	time.Sleep(hop)
 	f := h.fakes
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if h.dead.Load() || f.down || f.cut[h.settings.Host] {
-		return 0, errors.Wrap(platform.ErrRejected, "down")
+		return 0, errors.Wrap(external.ErrRejected, "down")
 	}
 	if f.late > 0 {
 		// The call times out, and its record lands a moment later.
 		f.late--
 		time.AfterFunc(2*time.Second, func() { f.land(data) })
-		return 0, platform.ErrUnavailable
+		return 0, external.ErrUnavailable
 	}
 	off := f.landLocked(data)
 	if f.lose > 0 {
 		f.lose--
-		return 0, platform.ErrUnavailable
+		return 0, external.ErrUnavailable
 	}
 	return off, nil
 }
@@ -169,16 +169,16 @@
 
 func (f *fakes) landLocked(data []byte) record.Offset {
 	off := f.first + record.Offset(len(f.records))
-	f.records = append(f.records, platform.Entry{Offset: off, Data: data})
-	f.all = append(f.all, platform.Entry{Offset: off, Data: data})
+	f.records = append(f.records, external.Entry{Offset: off, Data: data})
+	f.all = append(f.all, external.Entry{Offset: off, Data: data})
 	if r, err := record.Decode(data); err == nil && r.Contract != nil && r.Contract.Customer == "c" && int(r.Contract.Base) == len(f.documents) {
 		f.documents = append(f.documents, string(r.Contract.Document))
 	}
 	return off
 }
 
-// Read implements platform.LogReader.
-func (h *fakeHost) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]platform.Entry, error) {
+// Read implements external.LogReader.
+func (h *fakeHost) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]external.Entry, error) {
 	end := time.Now().Add(wait)
 	for {
 		time.Sleep(hop)
@@ -194,15 +194,15 @@
 	}
 }
 
-func (h *fakeHost) readNow(from record.Offset, limit int) ([]platform.Entry, error) {
+func (h *fakeHost) readNow(from record.Offset, limit int) ([]external.Entry, error) {
 	f := h.fakes
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if h.dead.Load() || f.down || f.cut[h.settings.Host] {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
 	if from < f.first {
-		return nil, &platform.TrimmedError{First: f.first}
+		return nil, &external.TrimmedError{First: f.first}
 	}
 	tail := f.records[min(int(from-f.first), len(f.records)):]
 	return slices.Clone(tail[:min(limit, len(tail))]), nil
@@ -224,7 +224,7 @@
 }
 
 // history returns all records, the trimmed ones too.
-func (f *fakes) history() []platform.Entry {
+func (f *fakes) history() []external.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.all)
@@ -273,8 +273,8 @@
 	f.down = down
 }
 
-// List implements platform.HostList.
-func (h *fakeHost) List(context.Context) ([]platform.ListedHost, error) {
+// List implements external.HostList.
+func (h *fakeHost) List(context.Context) ([]external.ListedHost, error) {
 	h.fakes.mu.Lock()
 	defer h.fakes.mu.Unlock()
 	list := slices.Clone(h.fakes.list)
@@ -283,7 +283,7 @@
 	}
 	for addr, other := range h.fakes.hosts {
 		if !other.dead.Load() {
-			list = append(list, platform.ListedHost{Name: other.settings.Host, Kind: platform.EntryHost, Addr: addr})
+			list = append(list, external.ListedHost{Name: other.settings.Host, Kind: external.EntryHost, Addr: addr})
 		}
 	}
 	return list, nil
@@ -296,11 +296,11 @@
 	to := h.fakes.hosts[addr]
 	h.fakes.mu.Unlock()
 	if to == nil || to.dead.Load() || h.dead.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
 	answer := peer.Answer(peerHandler{to.Host}, r)
 	if len(answer) == 0 {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
 	return answer, nil
 }
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -17,11 +17,11 @@
 	"github.com/google/uuid"
 	"github.com/tealvane/tealvane/pkg/contract"
 	"github.com/tealvane/tealvane/pkg/dispatch"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/journal"
 	"github.com/tealvane/tealvane/pkg/lease"
 	"github.com/tealvane/tealvane/pkg/membership"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/settings"
 	"github.com/tealvane/tealvane/pkg/state"
@@ -32,11 +32,11 @@
 // Config is what an entry host is made of.
 type Config struct {
 	Settings settings.Settings
-	Log      platform.Log
-	Engine   platform.Engine
-	HostList platform.HostList
+	Log      external.Log
+	Engine   external.Engine
+	HostList external.HostList
 	// Store may be nil; the settings then say what the weight store allows.
-	Store platform.WeightStore
+	Store external.WeightStore
 	// PeerTLS is the identity towards other entry hosts.
 	PeerTLS *tls.Config
 	Logger  *slog.Logger
@@ -47,9 +47,9 @@
 type Host struct {
 	settings settings.Settings
 	self     record.HostRef
-	engine   platform.Engine
-	list     platform.HostList
-	store    platform.WeightStore
+	engine   external.Engine
+	list     external.HostList
+	store    external.WeightStore
 	logger   *slog.Logger
 	provider trace.TracerProvider
 	tracer   trace.Tracer
@@ -68,7 +68,7 @@
 
 	membersMu sync.Mutex
 	members   *membership.Tracker
-	listed    []platform.ListedHost
+	listed    []external.ListedHost
 
 	watchMu sync.Mutex
 	watch   *lease.Watcher
@@ -95,7 +95,7 @@
 // New opens the listeners of a host; Run serves them.
 func New(cfg Config) (*Host, error) {
 	h := newHost(cfg)
-	node, err := peer.Listen(cfg.Settings.Peers.Listen, cfg.PeerTLS, peerHandler{h})
+	node, err := peer.Listen(cfg.Settings.Peers.Listen, cfg.PeerTLS, peer.HandlerResponder(peerHandler{h}))
 	if err != nil {
 		return nil, err
 	}
@@ -137,7 +137,7 @@
 
 // connect joins the host with the log and the other hosts. addr is where
 // other hosts reach this one, unless the settings name another address.
-func (h *Host) connect(log platform.Log, peers peer.Sender, addr string) {
+func (h *Host) connect(log external.Log, peers peer.Sender, addr string) {
 	h.peers = peers
 	h.peerAddr = addr
 	if h.settings.Peers.Advertise != "" {
--- a/pkg/entryhost/load_test.go
+++ b/pkg/entryhost/load_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/internal/api/callers"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 )
 
 // burst sends calls to a model at hosts in turn and waits for all answers.
@@ -223,7 +223,7 @@
 func (f *fakes) setLeaving(name string, leaving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	i := slices.IndexFunc(f.list, func(l platform.ListedHost) bool { return l.Name == name })
+	i := slices.IndexFunc(f.list, func(l external.ListedHost) bool { return l.Name == name })
 	f.list[i].Leaving = leaving
 }
 
--- a/pkg/entryhost/loops.go
+++ b/pkg/entryhost/loops.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/lease"
 	"github.com/tealvane/tealvane/pkg/membership"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 )
@@ -168,7 +168,7 @@
 	group.Wait()
 }
 
-func (h *Host) probe(ctx context.Context, t platform.ListedHost) {
+func (h *Host) probe(ctx context.Context, t external.ListedHost) {
 	status, err := h.engine.Status(ctx, t.Addr)
 	now := h.now()
 	h.membersMu.Lock()
@@ -218,7 +218,7 @@
 	h.membersMu.Lock()
 	defer h.membersMu.Unlock()
 	for _, l := range h.listed {
-		if l.Kind == platform.EntryHost {
+		if l.Kind == external.EntryHost {
 			add(l.Addr)
 		}
 	}
--- a/pkg/entryhost/once.go
+++ b/pkg/entryhost/once.go
@@ -11,7 +11,7 @@
 	"github.com/tealvane/tealvane/internal/api/callers"
 	"github.com/tealvane/tealvane/pkg/contract"
 	"github.com/tealvane/tealvane/pkg/dispatch"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
 )
@@ -98,7 +98,7 @@
 }
 
 // keep collects the text of an answer that is recorded for repeats.
-func (a *answer) keep(t platform.Token) {
+func (a *answer) keep(t external.Token) {
 	if a.claimed && len(a.text) <= dispatch.MaxOutcomeBytes {
 		a.text = append(a.text, t.Text...)
 	}
@@ -106,7 +106,7 @@
 
 // settle ends the claim of the call's key: with the answer, as unknown when it
 // may have run, or by giving the key back when it certainly did not.
-func (a *answer) settle(end *platform.Token) {
+func (a *answer) settle(end *external.Token) {
 	if !a.claimed {
 		return
 	}
@@ -125,7 +125,7 @@
 
 // replay is a recorded answer as a stream.
 type replay struct {
-	tokens []platform.Token
+	tokens []external.Token
 	// count is the number of tokens of the recorded answer.
 	count int
 }
@@ -135,7 +135,7 @@
 	if refusal := recorded(o, &kept); refusal != nil {
 		return nil, refusal
 	}
-	return &replay{count: kept.Tokens, tokens: []platform.Token{
+	return &replay{count: kept.Tokens, tokens: []external.Token{
 		{RequestID: requestID, Text: kept.Text},
 		{RequestID: requestID, Index: 1, Done: true, Reason: kept.Reason},
 	}}, nil
@@ -160,15 +160,15 @@
 	return nil
 }
 
-// Next implements platform.TokenStream.
-func (r *replay) Next() (platform.Token, error) {
+// Next implements external.TokenStream.
+func (r *replay) Next() (external.Token, error) {
 	if len(r.tokens) == 0 {
-		return platform.Token{}, platform.ErrBroken
+		return external.Token{}, external.ErrBroken
 	}
 	t := r.tokens[0]
 	r.tokens = r.tokens[1:]
 	return t, nil
 }
 
-// Close implements platform.TokenStream.
+// Close implements external.TokenStream.
 func (r *replay) Close() error { return nil }
--- a/pkg/entryhost/owner.go
+++ b/pkg/entryhost/owner.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/lease"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
@@ -126,13 +126,13 @@
 	o.ctrl.Observe(o.host.members.Pool(o.name, o.since))
 }
 
-func foldEndpoints(p state.Pool) []platform.ListedHost {
-	var hosts []platform.ListedHost
+func foldEndpoints(p state.Pool) []external.ListedHost {
+	var hosts []external.ListedHost
 	for _, e := range p.Endpoints {
 		if !e.Lost {
-			hosts = append(hosts, platform.ListedHost{
+			hosts = append(hosts, external.ListedHost{
 				Name:          e.Endpoint,
-				Kind:          platform.EndpointHost,
+				Kind:          external.EndpointHost,
 				Incarnation:   e.Incarnation,
 				Addr:          e.Addr,
 				Zone:          e.Zone,
--- a/pkg/entryhost/service.go
+++ b/pkg/entryhost/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/contract"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -83,7 +83,7 @@
 	}
 	ctx, span := r.host.tracer.Start(ctx, "endpoint")
 	defer span.End()
-	answer, err := r.host.engine.Call(ctx, s.target.Addr, platform.ServiceCall{
+	answer, err := r.host.engine.Call(ctx, s.target.Addr, external.ServiceCall{
 		RequestID: r.call.requestID,
 		Service:   r.call.service.Name,
 		Body:      r.call.body,
@@ -94,7 +94,7 @@
 		return answer.Body, nil, false
 	}
 	span.RecordError(err)
-	if errors.Is(err, platform.ErrRejected) {
+	if errors.Is(err, external.ErrRejected) {
 		return nil, nil, true
 	}
 	r.sent = true
--- a/pkg/platform/platform.go
+++ b/pkg/external/external.go
@@ -1,7 +1,7 @@
-// Package platform declares what the system needs from the outside: the log
+// Package external declares what the system needs from the outside: the log
 // service, the model engines, the weight store and the list of hosts.
 // Adapters implement it; their addresses come from settings.
-package platform
+package external
 
 import (
 	"context"
--- a/pkg/platform/httpadapter/adapter_test.go
+++ b/pkg/external/httpadapter/adapter_test.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/internal/standin"
-	"github.com/tealvane/tealvane/pkg/platform"
-	"github.com/tealvane/tealvane/pkg/platform/httpadapter"
+	"github.com/tealvane/tealvane/pkg/external"
+	"github.com/tealvane/tealvane/pkg/external/httpadapter"
 	"github.com/tealvane/tealvane/pkg/pool"
 )
 
@@ -104,7 +104,7 @@
 	return engine, server.URL, client
 }
 
-func readAll(s platform.TokenStream) (text string, err error) {
+func readAll(s external.TokenStream) (text string, err error) {
 	defer s.Close()
 	for {
 		token, err := s.Next()
@@ -125,7 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			engine, url, client := startLoaded(t)
-			request := platform.GenerateRequest{RequestID: "q", Replica: "r1", Model: "m", Prompt: "a b c"}
+			request := external.GenerateRequest{RequestID: "q", Replica: "r1", Model: "m", Prompt: "a b c"}
 			stream, err := client.Generate(context.Background(), url, request)
 			is.NoErr(err)
 			text, err := readAll(stream)
@@ -136,7 +136,7 @@
 			stream, err = client.Generate(context.Background(), url, request)
 			is.NoErr(err)
 			_, err = readAll(stream)
-			is.True(errors.Is(err, platform.ErrBroken))
+			is.True(errors.Is(err, external.ErrBroken))
 		})
 	}
 }
@@ -146,17 +146,17 @@
 func TestWhatIsKnownOfAFailedCall(t *testing.T) {
 	is := is.New(t)
 	engine, url, client := startLoaded(t)
-	_, err := client.Generate(context.Background(), url, platform.GenerateRequest{RequestID: "q", Model: "other"})
-	is.True(errors.Is(err, platform.ErrNotLoaded))
-	is.True(errors.Is(err, platform.ErrRejected))
+	_, err := client.Generate(context.Background(), url, external.GenerateRequest{RequestID: "q", Model: "other"})
+	is.True(errors.Is(err, external.ErrNotLoaded))
+	is.True(errors.Is(err, external.ErrRejected))
 
-	_, err = client.Call(context.Background(), "http://"+closedPort(t), platform.ServiceCall{RequestID: "c"})
-	is.True(errors.Is(err, platform.ErrRejected))
+	_, err = client.Call(context.Background(), "http://"+closedPort(t), external.ServiceCall{RequestID: "c"})
+	is.True(errors.Is(err, external.ErrRejected))
 
 	engine.SetFaults(standin.EngineFaults{LoseAnswers: 1})
-	_, err = client.Call(context.Background(), url, platform.ServiceCall{RequestID: "c", Service: "s"})
-	is.True(errors.Is(err, platform.ErrUnavailable))
-	is.True(!errors.Is(err, platform.ErrRejected))
+	_, err = client.Call(context.Background(), url, external.ServiceCall{RequestID: "c", Service: "s"})
+	is.True(errors.Is(err, external.ErrUnavailable))
+	is.True(!errors.Is(err, external.ErrRejected))
 	is.Equal(len(engine.Observed().Ran), 1)
 }
 
@@ -183,7 +183,7 @@
 
 	log.SetFaults(standin.LogFaults{LoseAnswers: 1})
 	_, err = client.Append(context.Background(), []byte("two"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, external.ErrUnavailable))
 	is.Equal(int(log.Last()), 2)
 
 	entries, err := client.Read(context.Background(), 1, 10, time.Second)
@@ -191,10 +191,10 @@
 	is.Equal(len(entries), 2)
 	log.Trim(2)
 	_, err = client.Read(context.Background(), 1, 10, time.Second)
-	var trimmed *platform.TrimmedError
+	var trimmed *external.TrimmedError
 	is.True(errors.As(err, &trimmed))
 	is.Equal(int(trimmed.First), 2)
 
 	_, err = client.Append(context.Background(), make([]byte, 300<<10))
-	is.True(errors.Is(err, platform.ErrInvalid))
+	is.True(errors.Is(err, external.ErrInvalid))
 }
--- a/pkg/platform/httpadapter/client.go
+++ b/pkg/external/httpadapter/client.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"go.opentelemetry.io/otel/propagation"
 )
 
@@ -49,7 +49,7 @@
 		err = json.Unmarshal(answer, out)
 	}
 	if err != nil {
-		return errors.Wrapf(platform.ErrUnavailable, "%s %s: %v", method, target, err)
+		return errors.Wrapf(external.ErrUnavailable, "%s %s: %v", method, target, err)
 	}
 	return nil
 }
@@ -62,7 +62,7 @@
 	if in != nil {
 		encoded, err := json.Marshal(in)
 		if err != nil {
-			return nil, errors.Wrapf(platform.ErrRejected, "encode request: %v", err)
+			return nil, errors.Wrapf(external.ErrRejected, "encode request: %v", err)
 		}
 		body = encoded
 	}
@@ -70,7 +70,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.Wrapf(platform.ErrRejected, "%v", err)
+		return nil, errors.Wrapf(external.ErrRejected, "%v", err)
 	}
 	// No Idempotency-Key is ever sent on: net/http repeats a POST that carries
 	// one on its own when the connection breaks, and the request runs twice.
@@ -79,9 +79,9 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if !connected.Load() {
-			return nil, errors.Wrapf(platform.ErrRejected, "%v", err)
+			return nil, errors.Wrapf(external.ErrRejected, "%v", err)
 		}
-		return nil, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+		return nil, errors.Wrapf(external.ErrUnavailable, "%v", err)
 	}
 	if resp.StatusCode >= 200 && resp.StatusCode < 300 {
 		return resp, nil
@@ -102,9 +102,9 @@
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	status := &statusCode{resp.StatusCode, bytes.TrimSpace(body)}
 	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
-		return errors.Mark(status, platform.ErrRejected)
+		return errors.Mark(status, external.ErrRejected)
 	}
-	return errors.Mark(status, platform.ErrUnavailable)
+	return errors.Mark(status, external.ErrUnavailable)
 }
 
 func statusOf(err error) (*statusCode, bool) {
--- a/pkg/platform/httpadapter/engine.go
+++ b/pkg/external/httpadapter/engine.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -40,20 +40,20 @@
 	return &Engine{newClient(transport)}
 }
 
-// Status implements platform.Engine.
-func (e *Engine) Status(ctx context.Context, addr string) (platform.EngineStatus, error) {
+// Status implements external.Engine.
+func (e *Engine) Status(ctx context.Context, addr string) (external.EngineStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	var out platform.EngineStatus
+	var out external.EngineStatus
 	err := e.call(ctx, http.MethodGet, addr+"/v1/status", nil, &out)
 	return out, errors.Wrap(err, "engine status")
 }
 
-// Generate implements platform.Engine.
-func (e *Engine) Generate(ctx context.Context, addr string, r platform.GenerateRequest) (platform.TokenStream, error) {
+// Generate implements external.Engine.
+func (e *Engine) Generate(ctx context.Context, addr string, r external.GenerateRequest) (external.TokenStream, error) {
 	resp, err := e.send(ctx, http.MethodPost, addr+"/v1/generate", r)
 	if status, ok := statusOf(err); ok && status.code == http.StatusNotFound {
-		return nil, errors.Mark(err, platform.ErrNotLoaded)
+		return nil, errors.Mark(err, external.ErrNotLoaded)
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, "generate")
@@ -73,33 +73,33 @@
 	lines   *bufio.Scanner
 }
 
-// Next implements platform.TokenStream.
-func (s *tokenStream) Next() (platform.Token, error) {
+// Next implements external.TokenStream.
+func (s *tokenStream) Next() (external.Token, error) {
 	if !s.lines.Scan() {
-		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "stream ended before its end marker: %v", s.lines.Err())
+		return external.Token{}, errors.Wrapf(external.ErrBroken, "stream ended before its end marker: %v", s.lines.Err())
 	}
-	var t platform.Token
+	var t external.Token
 	if err := json.Unmarshal(s.lines.Bytes(), &t); err != nil {
-		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "%v", err)
+		return external.Token{}, errors.Wrapf(external.ErrBroken, "%v", err)
 	}
 	if t.RequestID != s.request {
-		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "answer to request %q", t.RequestID)
+		return external.Token{}, errors.Wrapf(external.ErrBroken, "answer to request %q", t.RequestID)
 	}
 	if t.Index != s.next {
-		return platform.Token{}, errors.Wrapf(platform.ErrBroken, "token %d instead of %d", t.Index, s.next)
+		return external.Token{}, errors.Wrapf(external.ErrBroken, "token %d instead of %d", t.Index, s.next)
 	}
 	s.next++
 	return t, nil
 }
 
-// Close implements platform.TokenStream.
+// Close implements external.TokenStream.
 func (s *tokenStream) Close() error { return s.body.Close() }
 
 type cancelRequest struct {
 	RequestID string `json:"request_id"`
 }
 
-// Cancel implements platform.Engine.
+// Cancel implements external.Engine.
 func (e *Engine) Cancel(ctx context.Context, addr, requestID string) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
@@ -107,24 +107,24 @@
 	return errors.Wrap(err, "cancel")
 }
 
-// Call implements platform.Engine.
-func (e *Engine) Call(ctx context.Context, addr string, c platform.ServiceCall) (platform.ServiceAnswer, error) {
-	var out platform.ServiceAnswer
+// Call implements external.Engine.
+func (e *Engine) Call(ctx context.Context, addr string, c external.ServiceCall) (external.ServiceAnswer, error) {
+	var out external.ServiceAnswer
 	if err := e.call(ctx, http.MethodPost, addr+"/v1/call", c, &out); err != nil {
-		return platform.ServiceAnswer{}, errors.Wrap(err, "call")
+		return external.ServiceAnswer{}, errors.Wrap(err, "call")
 	}
 	if out.RequestID != c.RequestID {
-		return platform.ServiceAnswer{}, errors.Wrapf(platform.ErrBroken, "answer to request %q", out.RequestID)
+		return external.ServiceAnswer{}, errors.Wrapf(external.ErrBroken, "answer to request %q", out.RequestID)
 	}
 	return out, nil
 }
 
 type cacheEventsAnswer struct {
-	Events []platform.CacheEvent `json:"events"`
+	Events []external.CacheEvent `json:"events"`
 }
 
-// CacheEvents implements platform.Engine.
-func (e *Engine) CacheEvents(ctx context.Context, addr string, from uint64) ([]platform.CacheEvent, error) {
+// CacheEvents implements external.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, addr string, from uint64) ([]external.CacheEvent, error) {
 	var out cacheEventsAnswer
 	query := url.Values{"from": {strconv.FormatUint(from, 10)}}
 	err := e.call(ctx, http.MethodGet, join(addr, "/v1/cache-events", query), nil, &out)
@@ -136,14 +136,14 @@
 	Data      []byte `json:"data"`
 }
 
-// ExportKV implements platform.Engine.
+// ExportKV implements external.Engine.
 func (e *Engine) ExportKV(ctx context.Context, addr, requestID string) ([]byte, error) {
 	var out kvCache
 	err := e.call(ctx, http.MethodPost, addr+"/v1/kv/export", kvCache{RequestID: requestID}, &out)
 	return out.Data, errors.Wrap(err, "export KV cache")
 }
 
-// ImportKV implements platform.Engine.
+// ImportKV implements external.Engine.
 func (e *Engine) ImportKV(ctx context.Context, addr, requestID string, data []byte) error {
 	err := e.call(ctx, http.MethodPost, addr+"/v1/kv/import", kvCache{requestID, data}, nil)
 	return errors.Wrap(err, "import KV cache")
@@ -154,7 +154,7 @@
 	Fence record.Offset `json:"fence"`
 }
 
-// SetRole implements platform.Engine.
+// SetRole implements external.Engine.
 func (e *Engine) SetRole(ctx context.Context, addr, role string, fence record.Offset) error {
 	err := e.call(ctx, http.MethodPost, addr+"/v1/orders/role", roleRequest{role, fence}, nil)
 	return errors.Wrap(err, "set role")
--- a/pkg/platform/httpadapter/log.go
+++ b/pkg/external/httpadapter/log.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -37,28 +37,28 @@
 	Offset record.Offset `json:"offset"`
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (l *Log) Append(ctx context.Context, data []byte) (record.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	var out appendAnswer
 	err := l.call(ctx, http.MethodPost, l.base+"/records", appendRequest{data}, &out)
 	if status, ok := statusOf(err); ok && status.code >= 400 && status.code < 500 && status.code != http.StatusTooManyRequests {
-		err = errors.Mark(err, platform.ErrInvalid)
+		err = errors.Mark(err, external.ErrInvalid)
 	}
 	return out.Offset, errors.Wrap(err, "append")
 }
 
 type readAnswer struct {
-	Entries []platform.Entry `json:"entries"`
+	Entries []external.Entry `json:"entries"`
 }
 
 type trimmedAnswer struct {
 	First record.Offset `json:"first"`
 }
 
-// Read implements platform.LogReader.
-func (l *Log) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]platform.Entry, error) {
+// Read implements external.LogReader.
+func (l *Log) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]external.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
 	query := url.Values{
@@ -71,11 +71,11 @@
 	if status, ok := statusOf(err); ok && status.code == http.StatusGone {
 		var trimmed trimmedAnswer
 		if json.Unmarshal(status.body, &trimmed) == nil {
-			return nil, &platform.TrimmedError{First: trimmed.First}
+			return nil, &external.TrimmedError{First: trimmed.First}
 		}
 	}
 	if err != nil {
-		return nil, errors.Wrapf(platform.ErrUnavailable, "read: %v", err)
+		return nil, errors.Wrapf(external.ErrUnavailable, "read: %v", err)
 	}
 	return out.Entries, nil
 }
@@ -90,11 +90,11 @@
 func NewHostList(base string) *HostList { return &HostList{newClient(http.DefaultTransport), base} }
 
 type listAnswer struct {
-	Hosts []platform.ListedHost `json:"hosts"`
+	Hosts []external.ListedHost `json:"hosts"`
 }
 
-// List implements platform.HostList.
-func (h *HostList) List(ctx context.Context) ([]platform.ListedHost, error) {
+// List implements external.HostList.
+func (h *HostList) List(ctx context.Context) ([]external.ListedHost, error) {
 	ctx, cancel := context.WithTimeout(ctx, readSlack)
 	defer cancel()
 	var out listAnswer
@@ -113,11 +113,11 @@
 	return &WeightStore{newClient(http.DefaultTransport), base}
 }
 
-// Limits implements platform.WeightStore.
-func (w *WeightStore) Limits(ctx context.Context) (platform.StoreLimits, error) {
+// Limits implements external.WeightStore.
+func (w *WeightStore) Limits(ctx context.Context) (external.StoreLimits, error) {
 	ctx, cancel := context.WithTimeout(ctx, readSlack)
 	defer cancel()
-	var out platform.StoreLimits
+	var out external.StoreLimits
 	err := w.call(ctx, http.MethodGet, w.base+"/v1/limits", nil, &out)
 	return out, errors.Wrap(err, "limits of the weight store")
 }
--- a/pkg/platform/httpadapter/order.go
+++ b/pkg/external/httpadapter/order.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 )
@@ -23,7 +23,7 @@
 
 var errOneConnection = errors.New("an order uses one connection only")
 
-// Order implements platform.Engine.
+// Order implements external.Engine.
 //
 // The order travels on a connection over which the endpoint has just shown
 // its incarnation. An owner that was paused, or whose packets were held up,
@@ -52,7 +52,7 @@
 	switch {
 	case err == nil:
 		return pool.OrderOK, nil
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, external.ErrRejected):
 		return pool.OrderRefused, err
 	default:
 		return pool.OrderUnknown, err
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
 )
@@ -33,14 +33,14 @@
 
 // Peers reads the log's tail from another host.
 type Peers interface {
-	platform.LogReader
+	external.LogReader
 	// Snapshot returns the chunks of another host's newest state.
 	Snapshot(ctx context.Context) ([]record.Snapshot, error)
 }
 
 // Journal follows one log into one state.
 type Journal struct {
-	log   platform.Log
+	log   external.Log
 	peers Peers
 	state *state.State
 
@@ -49,7 +49,7 @@
 	mu      sync.Mutex
 	waiters map[record.ID]chan state.Outcome
 	changed chan struct{}
-	recent  []platform.Entry
+	recent  []external.Entry
 	bytes   int
 	// reset is closed when the state jumped over records.
 	reset chan struct{}
@@ -62,7 +62,7 @@
 
 // New returns a journal. observe is called for each folded record, in order;
 // it must not block.
-func New(log platform.Log, peers Peers, st *state.State, observe func(state.Outcome)) *Journal {
+func New(log external.Log, peers Peers, st *state.State, observe func(state.Outcome)) *Journal {
 	j := &Journal{
 		log:     log,
 		peers:   peers,
@@ -110,7 +110,7 @@
 	for attempt := 0; ; attempt++ {
 		_, err := j.log.Append(ctx, data)
 		j.writable.Store(err == nil || ctx.Err() != nil && j.writable.Load())
-		if attempt == 0 && errors.Is(err, platform.ErrInvalid) {
+		if attempt == 0 && errors.Is(err, external.ErrInvalid) {
 			return state.Outcome{}, errors.Wrapf(ErrNotAppended, "%v", err)
 		}
 		var retry <-chan time.Time
@@ -164,12 +164,12 @@
 }
 
 // follow reads once and folds what it got.
-func (j *Journal) follow(ctx context.Context, from platform.LogReader, wait time.Duration) error {
+func (j *Journal) follow(ctx context.Context, from external.LogReader, wait time.Duration) error {
 	if !j.CaughtUp() {
 		wait = 0
 	}
 	entries, err := from.Read(ctx, j.state.Applied()+1, readLimit, wait)
-	var trimmed *platform.TrimmedError
+	var trimmed *external.TrimmedError
 	if errors.As(err, &trimmed) {
 		return j.restore(ctx, from, trimmed.First)
 	}
@@ -187,7 +187,7 @@
 	return nil
 }
 
-func (j *Journal) apply(e platform.Entry) error {
+func (j *Journal) apply(e external.Entry) error {
 	j.applyMu.Lock()
 	defer j.applyMu.Unlock()
 	out, ok, err := j.state.Apply(e.Offset, e.Data)
@@ -210,7 +210,7 @@
 }
 
 // remember keeps recent records for other hosts that cannot reach the log.
-func (j *Journal) remember(e platform.Entry) {
+func (j *Journal) remember(e external.Entry) {
 	j.recent = append(j.recent, e)
 	j.bytes += len(e.Data)
 	for len(j.recent) > recentLimit || j.bytes > recentBytes {
@@ -220,7 +220,7 @@
 }
 
 // Recent serves the tail to other hosts, as the log would.
-func (j *Journal) Recent(from record.Offset, limit int) ([]platform.Entry, error) {
+func (j *Journal) Recent(from record.Offset, limit int) ([]external.Entry, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	next := j.state.Applied() + 1
@@ -228,7 +228,7 @@
 		return nil, nil
 	}
 	if len(j.recent) == 0 || from < j.recent[0].Offset {
-		return nil, &platform.TrimmedError{First: next}
+		return nil, &external.TrimmedError{First: next}
 	}
 	tail := j.recent[from-j.recent[0].Offset:]
 	return tail[:min(limit, len(tail))], nil
--- a/pkg/journal/snapshot.go
+++ b/pkg/journal/snapshot.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
 )
@@ -34,7 +34,7 @@
 }
 
 // restore replaces a state whose next record was trimmed by a snapshot.
-func (j *Journal) restore(ctx context.Context, from platform.LogReader, first record.Offset) error {
+func (j *Journal) restore(ctx context.Context, from external.LogReader, first record.Offset) error {
 	chunks, err := j.findSnapshot(ctx, from, first)
 	if err != nil {
 		return err
@@ -45,7 +45,7 @@
 	}
 	j.applyMu.Lock()
 	defer j.applyMu.Unlock()
-	if restored.Applied()+1 < first && from == platform.LogReader(j.log) {
+	if restored.Applied()+1 < first && from == external.LogReader(j.log) {
 		return errors.Wrapf(ErrNoSnapshot, "newest is at %d, the log starts at %d", restored.Applied(), first)
 	}
 	if err := j.state.Replace(restored); err != nil {
@@ -63,7 +63,7 @@
 
 // findSnapshot returns the newest complete snapshot of a log, or the state of
 // another host.
-func (j *Journal) findSnapshot(ctx context.Context, from platform.LogReader, first record.Offset) ([]record.Snapshot, error) {
+func (j *Journal) findSnapshot(ctx context.Context, from external.LogReader, first record.Offset) ([]record.Snapshot, error) {
 	if peers, ok := from.(Peers); ok {
 		return peers.Snapshot(ctx)
 	}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 )
@@ -32,8 +32,8 @@
 }
 
 type member struct {
-	host      platform.ListedHost
-	status    platform.EngineStatus
+	host      external.ListedHost
+	status    external.EngineStatus
 	reachable bool
 	listed    bool
 	// lastSign is when the endpoint was last listed or reachable.
@@ -49,13 +49,13 @@
 
 // Listed takes in the platform's list. It returns the runs that it newly
 // shows as leaving, to be told to the other hosts.
-func (t *Tracker) Listed(now time.Time, list []platform.ListedHost) []Leave {
+func (t *Tracker) Listed(now time.Time, list []external.ListedHost) []Leave {
 	for _, m := range t.members {
 		m.listed = false
 	}
 	var news []Leave
 	for _, h := range list {
-		if h.Kind != platform.EndpointHost {
+		if h.Kind != external.EndpointHost {
 			t.entryListed[h.Name] = now
 			continue
 		}
@@ -89,7 +89,7 @@
 // Know adds endpoints that are known from elsewhere, so that they are probed.
 // A new owner's list may leave out an endpoint for a moment; without a probe
 // it would be taken for lost, with all its replicas.
-func (t *Tracker) Know(now time.Time, hosts []platform.ListedHost) {
+func (t *Tracker) Know(now time.Time, hosts []external.ListedHost) {
 	for _, h := range hosts {
 		if t.members[h.Name] == nil {
 			t.members[h.Name] = &member{host: h, lastSign: now}
@@ -109,7 +109,7 @@
 }
 
 // Probed takes in the answer of an endpoint's status call.
-func (t *Tracker) Probed(now time.Time, name string, status platform.EngineStatus, err error) {
+func (t *Tracker) Probed(now time.Time, name string, status external.EngineStatus, err error) {
 	m := t.members[name]
 	if m == nil {
 		return
@@ -148,8 +148,8 @@
 }
 
 // Targets returns the endpoints to probe with their addresses, in order.
-func (t *Tracker) Targets() []platform.ListedHost {
-	var hosts []platform.ListedHost
+func (t *Tracker) Targets() []external.ListedHost {
+	var hosts []external.ListedHost
 	for _, name := range slices.Sorted(maps.Keys(t.members)) {
 		hosts = append(hosts, t.members[name].host)
 	}
@@ -157,17 +157,17 @@
 }
 
 // Status returns the last known status of an endpoint.
-func (t *Tracker) Status(name string) (platform.EngineStatus, bool) {
+func (t *Tracker) Status(name string) (external.EngineStatus, bool) {
 	m := t.members[name]
 	if m == nil || !m.reachable {
-		return platform.EngineStatus{}, false
+		return external.EngineStatus{}, false
 	}
 	return m.status, true
 }
 
 // Service returns the endpoints of a plain service that may get new work.
-func (t *Tracker) Service(name string) []platform.ListedHost {
-	var hosts []platform.ListedHost
+func (t *Tracker) Service(name string) []external.ListedHost {
+	var hosts []external.ListedHost
 	for _, endpoint := range slices.Sorted(maps.Keys(t.members)) {
 		m := t.members[endpoint]
 		if m.host.Service == name && m.listed && !t.memberLeaving(m) {
--- a/pkg/peer/answer.go
+++ b/pkg/peer/answer.go
@@ -2,9 +2,14 @@
 
 import (
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 )
 
+// HandlerResponder answers requests by a handler.
+func HandlerResponder(h Handler) Responder {
+	return func(r Request) []Response { return Answer(h, r) }
+}
+
 // Answer lets a handler answer a request. An unknown kind gets an empty answer,
 // an error none.
 func Answer(h Handler, r Request) []Response {
@@ -24,7 +29,7 @@
 
 func answerTail(h Handler, r TailRequest) []Response {
 	entries, err := h.HandleTail(r)
-	var trimmed *platform.TrimmedError
+	var trimmed *external.TrimmedError
 	if errors.As(err, &trimmed) {
 		return []Response{{TrimmedFirst: trimmed.First}}
 	}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -3,8 +3,8 @@
 package peer
 
 import (
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/membership"
-	"github.com/tealvane/tealvane/pkg/platform"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 )
@@ -49,7 +49,7 @@
 // Response is one message of an answer; a snapshot takes several.
 type Response struct {
 	Version int              `cbor:"1,keyasint"`
-	Entries []platform.Entry `cbor:"2,keyasint,omitempty"`
+	Entries []external.Entry `cbor:"2,keyasint,omitempty"`
 	// TrimmedFirst is set when the records asked for are no longer kept.
 	TrimmedFirst record.Offset    `cbor:"3,keyasint,omitempty"`
 	Chunk        *record.Snapshot `cbor:"4,keyasint,omitempty"`
@@ -59,6 +59,6 @@
 type Handler interface {
 	HandleUsage(r UsageReport)
 	HandleLeave(l LeaveNotice)
-	HandleTail(r TailRequest) ([]platform.Entry, error)
+	HandleTail(r TailRequest) ([]external.Entry, error)
 	HandleSnapshot() ([]record.Snapshot, error)
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -25,7 +25,7 @@
 // Node sends and answers messages of one host.
 type Node struct {
 	tls       *tls.Config
-	handler   Handler
+	respond   Responder
 	transport *quic.Transport
 	listener  *quic.Listener
 
@@ -33,8 +33,11 @@
 	conns map[string]*quic.Conn
 }
 
+// Responder returns the messages that answer a request.
+type Responder func(Request) []Response
+
 // Listen opens a node on a UDP address.
-func Listen(addr string, conf *tls.Config, handler Handler) (*Node, error) {
+func Listen(addr string, conf *tls.Config, respond Responder) (*Node, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
@@ -45,7 +48,7 @@
 	}
 	n := &Node{
 		tls:       conf,
-		handler:   handler,
+		respond:   respond,
 		transport: &quic.Transport{Conn: socket},
 		conns:     map[string]*quic.Conn{},
 	}
@@ -102,7 +105,7 @@
 		stream.CancelWrite(0)
 		return
 	}
-	for _, response := range Answer(n.handler, r) {
+	for _, response := range n.respond(r) {
 		response.Version = protocolVersion
 		if writeFrame(stream, response) != nil {
 			stream.CancelWrite(0)
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -20,11 +20,11 @@
 func (f fixed) HandleUsage(r UsageReport) { f.usage <- r }
 func (fixed) HandleLeave(LeaveNotice)     {}
 
-func (fixed) HandleTail(r TailRequest) ([]platform.Entry, error) {
+func (fixed) HandleTail(r TailRequest) ([]external.Entry, error) {
 	if r.From < 10 {
-		return nil, &platform.TrimmedError{First: 10}
+		return nil, &external.TrimmedError{First: 10}
 	}
-	return []platform.Entry{{Offset: r.From, Data: []byte("x")}}, nil
+	return []external.Entry{{Offset: r.From, Data: []byte("x")}}, nil
 }
 
 func (fixed) HandleSnapshot() ([]record.Snapshot, error) {
@@ -46,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := Listen("127.0.0.1:0", conf, h)
+	n, err := Listen("127.0.0.1:0", conf, HandlerResponder(h))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +69,7 @@
 	is.NoErr(err)
 	is.Equal(entries[0].Offset, record.Offset(12))
 	_, err = reader.Read(context.Background(), 3, 5, 0)
-	var trimmed *platform.TrimmedError
+	var trimmed *external.TrimmedError
 	is.True(errors.As(err, &trimmed))
 	chunks, err := reader.Snapshot(context.Background())
 	is.NoErr(err)
--- a/pkg/peer/reader.go
+++ b/pkg/peer/reader.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/platform"
+	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -22,14 +22,14 @@
 }
 
 // ErrNoPeer means that no other host answered.
-var ErrNoPeer = errors.Wrap(platform.ErrUnavailable, "no peer answered")
+var ErrNoPeer = errors.Wrap(external.ErrUnavailable, "no peer answered")
 
 // tailPoll is the pause between two reads from peers that had nothing new.
 const tailPoll = 50 * time.Millisecond
 
-// Read implements platform.LogReader: it returns the longest tail that a host
+// Read implements external.LogReader: it returns the longest tail that a host
 // has, since any of them may be behind.
-func (r Reader) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]platform.Entry, error) {
+func (r Reader) Read(ctx context.Context, from record.Offset, limit int, wait time.Duration) ([]external.Entry, error) {
 	end := time.Now().Add(wait)
 	for {
 		entries, err := r.readOnce(ctx, from, limit)
@@ -44,8 +44,8 @@
 	}
 }
 
-func (r Reader) readOnce(ctx context.Context, from record.Offset, limit int) ([]platform.Entry, error) {
-	var best []platform.Entry
+func (r Reader) readOnce(ctx context.Context, from record.Offset, limit int) ([]external.Entry, error) {
+	var best []external.Entry
 	err := error(ErrNoPeer)
 	for _, addr := range r.Addrs() {
 		answer, sendErr := r.Peers.Send(ctx, addr, Request{Tail: &TailRequest{From: from, Limit: limit}})
@@ -54,7 +54,7 @@
 		}
 		if first := answer[0].TrimmedFirst; first != 0 {
 			if len(best) == 0 {
-				err = &platform.TrimmedError{First: first}
+				err = &external.TrimmedError{First: first}
 			}
 			continue
 		}
