--- /dev/null
+++ b/pkg/fleet/board.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// giverSilent is how long the notices of a silent giver of orders go before
+	// the endpoints' own entries. Orders that it gave last are carried out by then.
+	giverSilent = 3 * time.Second
+	// indexAge is how old an index may be while nothing changed; entries that
+	// vanish with time are noticed by then.
+	indexAge = 250 * time.Millisecond
+)
+
+// Board joins the list of endpoints with the notices of the giver of orders. It
+// is safe for concurrent use.
+type Board struct {
+	directory *Directory
+
+	mu      sync.Mutex
+	token   int64
+	heard   time.Time
+	notices map[EndpointID]map[string]residence
+	index   *index
+	built   time.Time
+}
+
+// residence is a model on an endpoint.
+type residence struct {
+	endpoint Endpoint
+	readyAt  time.Time
+	leaving  bool
+	adapters map[string]bool
+}
+
+type modelKey struct{ service, model string }
+
+type index struct {
+	byService map[string][]Endpoint
+	byModel   map[modelKey][]residence
+}
+
+// NewBoard returns a board on a directory.
+func NewBoard(d *Directory) *Board {
+	return &Board{directory: d, notices: map[EndpointID]map[string]residence{}}
+}
+
+// Changed makes the board look at the directory again.
+func (b *Board) Changed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.index = nil
+}
+
+// Notice takes in a notice and tells whether it is of the newest claim known.
+func (b *Board) Notice(now time.Time, n Notice) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n.Token < b.token {
+		return false
+	}
+	if n.Token > b.token || n.Full {
+		b.notices = map[EndpointID]map[string]residence{}
+	}
+	b.token = n.Token
+	b.heard = now
+	for _, p := range n.Endpoints {
+		b.notices[p.Endpoint] = residences(now, p)
+	}
+	b.index = nil
+	return true
+}
+
+func residences(now time.Time, p Placement) map[string]residence {
+	models := make(map[string]residence, len(p.Models))
+	for _, m := range p.Models {
+		r := residence{leaving: m.Leaving, adapters: map[string]bool{}}
+		if m.ReadyIn > 0 {
+			r.readyAt = now.Add(time.Duration(m.ReadyIn) * time.Millisecond)
+		}
+		for _, a := range m.Adapters {
+			r.adapters[a] = true
+		}
+		models[m.Model] = r
+	}
+	return models
+}
+
+// Token returns the newest claim that a notice has named.
+func (b *Board) Token() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.token
+}
+
+// Location is where a model, or an adapter of it, is held.
+type Location struct {
+	// Ready endpoints serve it.
+	Ready []Endpoint
+	// ComingAt is when the next endpoint will, zero if none is loading.
+	ComingAt time.Time
+	// Known tells whether the service has any endpoint that takes requests.
+	Known bool
+}
+
+// Locate finds the endpoints of a service; model is empty for plain services
+// and adapter for the model itself.
+func (b *Board) Locate(now time.Time, service, model, adapter string) Location {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.index == nil || now.Sub(b.built) > indexAge {
+		b.index = b.build(now)
+		b.built = now
+	}
+	all := b.index.byService[service]
+	if model == "" {
+		return Location{Ready: all, Known: len(all) > 0}
+	}
+	l := Location{Known: len(all) > 0}
+	for _, r := range b.index.byModel[modelKey{service, model}] {
+		switch {
+		case r.leaving || adapter != "" && !r.adapters[adapter]:
+		case r.readyAt.After(now):
+			if l.ComingAt.IsZero() || r.readyAt.Before(l.ComingAt) {
+				l.ComingAt = r.readyAt
+			}
+		default:
+			l.Ready = append(l.Ready, r.endpoint)
+		}
+	}
+	return l
+}
+
+func (b *Board) build(now time.Time) *index {
+	ix := &index{byService: map[string][]Endpoint{}, byModel: map[modelKey][]residence{}}
+	trusted := now.Sub(b.heard) < giverSilent
+	for _, v := range b.directory.Live(now) {
+		if v.Draining {
+			continue
+		}
+		ix.byService[v.Service] = append(ix.byService[v.Service], v.Endpoint)
+		models, known := b.notices[v.ID]
+		if !known || !trusted {
+			models = fromEntry(v.Endpoint)
+		}
+		for name, r := range models {
+			r.endpoint = v.Endpoint
+			key := modelKey{v.Service, name}
+			ix.byModel[key] = append(ix.byModel[key], r)
+		}
+	}
+	return ix
+}
+
+func fromEntry(e Endpoint) map[string]residence {
+	models := make(map[string]residence, len(e.Holds))
+	for _, h := range e.Holds {
+		r := residence{adapters: map[string]bool{}}
+		for _, a := range h.Adapters {
+			r.adapters[a] = true
+		}
+		models[h.Model] = r
+	}
+	return models
+}
+
+// Holders returns the endpoints that hold a model, in use or not, for tests and
+// status pages.
+func (b *Board) Holders(now time.Time, service, model string) []EndpointID {
+	var ids []EndpointID
+	for _, e := range b.Locate(now, service, model, "").Ready {
+		ids = append(ids, e.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/pkg/fleet/directory.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// lapseGrace is how long after the store's return an entry that vanished while
+// it was away may still come back; the platform promises about two seconds.
+const lapseGrace = 2 * time.Second
+
+// Directory is the list of endpoints as one host has learned it.
+// It is safe for concurrent use.
+type Directory struct {
+	mu      sync.Mutex
+	entries map[EndpointID]*entry
+	// read is the offset up to which the list has been followed.
+	read int64
+	// storeBack is when the store was last seen to return, storeAway whether it
+	// is away now.
+	storeBack time.Time
+	storeAway bool
+}
+
+type entry struct {
+	Endpoint
+	offset int64
+	// changed is when the entry was last taken in.
+	changed time.Time
+	// missing is when the entry vanished while the store was away, else zero.
+	missing time.Time
+	gone    bool
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory { return &Directory{entries: map[EndpointID]*entry{}} }
+
+// Offset is the offset from which the list has to be read on.
+func (d *Directory) Offset() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.read
+}
+
+// StoreState takes in whether the store answers this host.
+func (d *Directory) StoreState(now time.Time, answers bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.storeAway && answers {
+		d.storeBack = now
+	}
+	d.storeAway = !answers
+}
+
+// Apply takes in one entry of the list. An older one than is known has no effect.
+func (d *Directory) Apply(now time.Time, offset int64, e Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.read = max(d.read, offset+1)
+	d.apply(now, offset, e)
+}
+
+func (d *Directory) apply(now time.Time, offset int64, e Endpoint) {
+	old := d.entries[e.ID]
+	if old != nil && old.offset >= offset {
+		return
+	}
+	// An endpoint that has announced its leaving never takes requests again. A
+	// late copy of an older heartbeat would otherwise route requests to it.
+	if old != nil && old.Draining {
+		e.Draining = true
+	}
+	d.entries[e.ID] = &entry{Endpoint: e, offset: offset, changed: now}
+}
+
+// Remove takes in that an entry was deleted.
+func (d *Directory) Remove(now time.Time, offset int64, id EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.read = max(d.read, offset+1)
+	if e := d.entries[id]; e != nil && e.offset < offset {
+		e.offset = offset
+		d.vanish(now, e)
+	}
+}
+
+// vanish marks an endpoint whose entry is gone. While the store was away all
+// entries lapse, also those of endpoints that serve: they stay in use until
+// lapseGrace after its return. Taking them as gone at once would refuse every
+// request for that time.
+func (d *Directory) vanish(now time.Time, e *entry) {
+	if !d.storeBack.IsZero() && now.Sub(d.storeBack) < lapseGrace && !e.Draining {
+		if e.missing.IsZero() {
+			e.missing = now
+		}
+		return
+	}
+	e.gone = true
+}
+
+// Replace takes in a complete listing that was read up to offset next. An
+// older listing than what has been followed removes nothing.
+func (d *Directory) Replace(now time.Time, next int64, list map[int64]Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	present := make(map[EndpointID]bool, len(list))
+	for offset, e := range list {
+		present[e.ID] = true
+		d.apply(now, offset, e)
+	}
+	if next < d.read {
+		return
+	}
+	d.read = next
+	for id, e := range d.entries {
+		if !present[id] && e.offset < next {
+			d.vanish(now, e)
+		}
+	}
+}
+
+// View is an endpoint with the age of what is known of it.
+type View struct {
+	Endpoint
+	// Offset of the entry in the list; a greater one is newer.
+	Offset int64
+	// Changed is when this host took the entry in.
+	Changed time.Time
+}
+
+// Live returns the endpoints that may be used or are draining, by ID. Those
+// whose entry has vanished for good are dropped.
+func (d *Directory) Live(now time.Time) []View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]View, 0, len(d.entries))
+	for _, e := range d.entries {
+		if !e.missing.IsZero() && !d.storeAway && now.Sub(d.storeBack) >= lapseGrace {
+			e.gone = true
+		}
+		if e.gone {
+			continue
+		}
+		list = append(list, View{Endpoint: e.Endpoint, Offset: e.offset, Changed: e.changed})
+	}
+	slices.SortFunc(list, func(a, b View) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Forget marks an endpoint as gone by what this host has seen itself, such as
+// another incarnation at its address.
+func (d *Directory) Forget(id EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[id]; e != nil {
+		e.gone = true
+	}
+}
--- /dev/null
+++ b/pkg/fleet/endpoint.go
@@ -0,0 +1,58 @@
+package fleet
+
+import "time"
+
+// EndpointID names one incarnation of an endpoint.
+type EndpointID string
+
+// Endpoint is what an endpoint last said of itself in the platform's list.
+type Endpoint struct {
+	ID      EndpointID
+	Service string
+	// Addr is the address as IP number and port. It may be reused by another
+	// endpoint after this one has ended.
+	Addr string
+	Zone string
+	// Slots is the number of requests that run at once.
+	Slots int
+	// Draining endpoints take no new requests.
+	Draining bool
+	// Remaining is how long an endpoint that is taken away at short notice has
+	// left; zero where it has not said so.
+	Remaining time.Duration
+	Holds     []Held
+	// InMemory and OnDisk name the models of which the endpoint keeps a copy.
+	InMemory []string
+	OnDisk   []string
+	// Sequence counts the orders that the endpoint has accepted.
+	Sequence int64
+	// Busy endpoints carry out an order.
+	Busy bool
+}
+
+// Held is a model that an endpoint has loaded.
+type Held struct {
+	Model    string
+	Adapters []string
+}
+
+// Report is an endpoint's answer to a status call; it lags.
+type Report struct {
+	Holds []Held
+	// Loading lists adapters that are on their way, as MODEL/NAME.
+	Loading  []string
+	Busy     bool
+	Sequence int64
+	Running  int
+	Waiting  int
+	// KVUsed and KVTotal are in tokens.
+	KVUsed  int
+	KVTotal int
+}
+
+// Load is the number of requests at an endpoint as its answers state it.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
--- /dev/null
+++ b/pkg/fleet/notice.go
@@ -0,0 +1,56 @@
+package fleet
+
+import "time"
+
+// Notice tells the other hosts what the giver of orders believes of endpoints.
+type Notice struct {
+	// Holder names the giver; Token is the fencing token of its claim.
+	Holder string `cbor:"1,keyasint"`
+	Token  int64  `cbor:"2,keyasint"`
+	// Full notices name all endpoints, others only those that changed.
+	Full      bool        `cbor:"3,keyasint,omitempty"`
+	Endpoints []Placement `cbor:"4,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration that the giver knows.
+	ConfigVersion int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Placement is what one endpoint holds.
+type Placement struct {
+	Endpoint EndpointID       `cbor:"1,keyasint"`
+	Models   []ModelPlacement `cbor:"2,keyasint,omitempty"`
+}
+
+// ModelPlacement is a model on an endpoint.
+type ModelPlacement struct {
+	Model string `cbor:"1,keyasint"`
+	// ReadyIn is in how many milliseconds the model serves; 0 if it does.
+	ReadyIn int64 `cbor:"2,keyasint,omitempty"`
+	// Leaving models take no new requests.
+	Leaving  bool     `cbor:"3,keyasint,omitempty"`
+	Adapters []string `cbor:"4,keyasint,omitempty"`
+}
+
+// DemandReport tells the giver of orders what one host's requests need.
+type DemandReport struct {
+	Host        string       `cbor:"1,keyasint"`
+	Incarnation string       `cbor:"2,keyasint"`
+	Needs       []NeedReport `cbor:"3,keyasint,omitempty"`
+}
+
+// NeedReport is the demand for one model, or for one adapter of it.
+type NeedReport struct {
+	Service string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	Adapter string `cbor:"3,keyasint,omitempty"`
+	Waiting int    `cbor:"4,keyasint,omitempty"`
+	// AimIn is in how many milliseconds a waiting request should begin.
+	AimIn    int64 `cbor:"5,keyasint,omitempty"`
+	Inflight int   `cbor:"6,keyasint,omitempty"`
+	Arrived  int   `cbor:"7,keyasint,omitempty"`
+	Priority int   `cbor:"8,keyasint,omitempty"`
+}
+
+// Aim returns the time that AimIn meant when the report came.
+func (n NeedReport) Aim(now time.Time) time.Time {
+	return now.Add(time.Duration(n.AimIn) * time.Millisecond)
+}
--- /dev/null
+++ b/pkg/gateway/front.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/serve"
+)
+
+const (
+	// readinessTimeout bounds a health check's headers.
+	readinessTimeout = 2 * time.Second
+	// readinessLag is how long the balancer may still send new connections after
+	// a host has said that it is not ready: two checks, one a second.
+	readinessLag = 2300 * time.Millisecond
+	// shutdownMargin is kept of the time until the host is killed.
+	shutdownMargin = 700 * time.Millisecond
+	// minHeaderBytes is allowed to clients in any case.
+	minHeaderBytes = 8 << 10
+	// idleMargin is added to the time for which clients may reuse an idle
+	// connection, so that no request crosses the host's close.
+	idleMargin = time.Second
+	// configPoll is how often a starting host looks for its first configuration.
+	configPoll = 20 * time.Millisecond
+)
+
+// Route implements the door's view of the host.
+func (g *Gateway) Route(host, path string) (fleet.Route, string, error) {
+	c := g.config.Load()
+	if c == nil {
+		return fleet.Route{}, "", serve.ErrNoConfig
+	}
+	r, ok := c.Match(host, path)
+	if !ok {
+		g.metrics.count("unrouted", nil)
+		return fleet.Route{}, "", serve.ErrNoRoute
+	}
+	return r, r.Choose(rand.IntN), nil
+}
+
+// Limits implements the door's view of the host.
+func (g *Gateway) Limits() fleet.Limits {
+	if c := g.config.Load(); c != nil {
+		return c.Limits
+	}
+	return fleet.Limits{}
+}
+
+// Leaving implements the door's view of the host.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
+// Serve implements the door's view of the host.
+func (g *Gateway) Serve(ctx context.Context, r *serve.Request, sink serve.Sink) {
+	result := g.server.Serve(ctx, r, sink)
+	g.metrics.result(result)
+	g.logResult(result)
+}
+
+// logResult writes one line for a request, with what decided it.
+func (g *Gateway) logResult(r serve.Result) {
+	version := int64(0)
+	if c := g.config.Load(); c != nil {
+		version = c.Version
+	}
+	g.log.Info("request",
+		"id", r.Request.ID,
+		"route", r.Request.Route.Name,
+		"service", r.Request.Service,
+		"model", r.Request.Model,
+		"adapter", r.Request.Adapter,
+		"outcome", outcome(r),
+		"complete", r.Complete,
+		"endpoint", r.Endpoint,
+		"sent", r.Sent,
+		"runs", r.Runs,
+		"resumed", r.Resumed,
+		"wait_ms", r.Waited.Milliseconds(),
+		"first_byte_ms", r.FirstByte.Milliseconds(),
+		"total_ms", r.Total.Milliseconds(),
+		"budget_ms", r.Request.Deadline.Sub(r.Request.Arrived).Milliseconds(),
+		"note", r.Note,
+		"config", version,
+		"claim", g.board.Token(),
+	)
+}
+
+// frontServer serves the callers. Its error log would repeat what clients do.
+func (g *Gateway) frontServer() *http.Server { return &http.Server{Handler: g.handler} }
+
+// limitFront applies the operator's limits to the server.
+func (g *Gateway) limitFront(s *http.Server) {
+	l := g.Limits()
+	s.ReadHeaderTimeout = l.HeaderTimeout
+	s.IdleTimeout = l.IdleTimeout + idleMargin
+	s.MaxHeaderBytes = max(minHeaderBytes, l.MaxHeaderBytes)
+}
+
+// ready tells whether the balancer should send clients here.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.config.Load() != nil && g.feed.loaded(fleet.TopicEndpoints)
+}
+
+func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// awaitConfig waits for the first configuration and list of endpoints.
+func (g *Gateway) awaitConfig(ctx context.Context) bool {
+	for g.config.Load() == nil || !g.feed.loaded(fleet.TopicEndpoints) {
+		if !sleep(ctx, configPoll) {
+			return false
+		}
+	}
+	g.log.Info("ready", "config", g.config.Load().Version)
+	return true
+}
+
+// stop ends the host gracefully: it leaves the balancer's rotation first and
+// goes on to serve until the balancer has noticed, hands the claim on, and lets
+// requests in flight end.
+func (g *Gateway) stop(ctx context.Context, front *http.Server) {
+	start := g.Now()
+	g.log.Info("stopping")
+	g.leaving.Store(true)
+	g.releaseClaim(ctx)
+	sleep(ctx, readinessLag)
+	limit := g.settings.Timing.Shutdown - shutdownMargin - g.Now().Sub(start)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		g.log.Warn("requests were cut by the end of the shutdown", "error", err)
+		_ = front.Close() // The process ends now.
+	}
+	_ = g.callers.Close() // Shutdown has closed it unless it was never served.
+	_ = g.readiness.Close()
+	if g.metricsOn != nil {
+		_ = g.metricsOn.Close()
+	}
+	if err := g.mesh.node.Close(); err != nil {
+		g.log.Info("peer listener", "error", err)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,296 @@
+// Package gateway assembles one entry host on the platform: it follows the
+// platform's store, speaks with the other hosts, takes requests and, while it
+// holds the claim, gives orders to endpoints.
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/retry"
+	"github.com/tealvane/tealvane/pkg/serve"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// retryShare is the part of the retry budget that hosts use together. The
+	// rest covers windows that hosts cut differently.
+	retryShare = 0.7
+	// connectionShare is the part of an endpoint's connections that hosts open
+	// together. Endpoints accept fewer while their queue is long.
+	connectionShare = 0.8
+	// minConnections is the least number of connections of one host.
+	minConnections = 4
+)
+
+// Endpoints calls endpoints.
+type Endpoints interface {
+	serve.Backend
+	orders.Orderer
+	// Retain closes the connections to endpoints that are gone.
+	Retain(live map[fleet.EndpointID]bool)
+	// Opened is the number of connections made to the endpoints in use.
+	Opened() int
+}
+
+// Config is what a host needs from outside.
+type Config struct {
+	Settings Settings
+	Store    fleet.Store
+	Codec    fleet.Codec
+	// Endpoints makes the client of endpoints.
+	Endpoints func(now func() time.Time, limit func(fleet.Endpoint) int) Endpoints
+	// Door makes the handler of clients' requests.
+	Door   func(*Gateway) http.Handler
+	Logger *slog.Logger
+}
+
+// Gateway is one entry host.
+type Gateway struct {
+	settings  Settings
+	self      orders.Holder
+	store     fleet.Store
+	codec     fleet.Codec
+	log       *slog.Logger
+	metrics   *metrics
+	endpoints Endpoints
+
+	config    atomic.Pointer[fleet.Config]
+	feed      *feed
+	directory *fleet.Directory
+	board     *fleet.Board
+
+	health     *serve.Health
+	dispatcher *serve.Dispatcher
+	server     *serve.Server
+	budget     *retry.Budget
+
+	election *orders.Election
+	giver    *orders.Giver
+	mesh     *mesh
+	// reportNow asks for a demand report at once.
+	reportNow chan struct{}
+	// noticeNow asks the giver for a step at once.
+	noticeNow chan struct{}
+	leaving   atomic.Bool
+
+	callers   net.Listener
+	readiness net.Listener
+	metricsOn net.Listener
+	handler   http.Handler
+}
+
+// New opens the listeners of a host; Run serves them.
+func New(cfg Config) (*Gateway, error) {
+	s := cfg.Settings
+	g := &Gateway{
+		settings:  s,
+		store:     cfg.Store,
+		codec:     cfg.Codec,
+		metrics:   newMetrics(),
+		directory: fleet.NewDirectory(),
+		health:    serve.NewHealth(),
+		budget:    retry.NewBudget(s.retryLimits(), retryShare),
+		reportNow: make(chan struct{}, 1),
+		noticeNow: make(chan struct{}, 1),
+		feed:      newFeed(),
+	}
+	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
+	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
+	g.board = fleet.NewBoard(g.directory)
+	g.endpoints = cfg.Endpoints(g.Now, g.connectionLimit)
+	g.dispatcher = serve.NewDispatcher(s.Zone, locator{g.board}, g.health, g.Now, g.wantReport)
+	g.server = &serve.Server{Backend: g.endpoints, Dispatcher: g.dispatcher, Health: g.health, Budget: g.budget, Now: g.Now}
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.election = orders.NewElection(g.self, s.Timing.Lease, g.Now())
+	g.giver = &orders.Giver{
+		Election:  g.election,
+		Orderer:   g.endpoints,
+		Log:       g.log,
+		Now:       g.Now,
+		Config:    g.config.Load,
+		Endpoints: g.directory.Live,
+		MayOrder:  g.mayOrder,
+	}
+	g.handler = cfg.Door(g)
+	return g, nil
+}
+
+// listen opens all listeners. That for callers stays unserved until the first
+// configuration is known.
+func (g *Gateway) listen() error {
+	cert, fingerprint, err := peer.SelfSigned(g.Now())
+	if err != nil {
+		return errors.Wrap(err, "peer key")
+	}
+	g.mesh = newMesh(g.self.Host, fingerprint)
+	node, err := peer.Listen(g.settings.Listen.Peers, peerTLS(cert, g.mesh), g.answerPeer)
+	if err != nil {
+		return err
+	}
+	g.mesh.node = node
+	g.self.Addr = node.Addr()
+	if g.readiness, err = net.Listen("tcp", g.settings.Listen.Readiness); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "readiness"), node.Close())
+	}
+	if g.callers, err = net.Listen("tcp", g.settings.Listen.Callers); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "callers"), errors.CombineErrors(node.Close(), g.readiness.Close()))
+	}
+	if g.settings.Listen.Metrics == "" {
+		return nil
+	}
+	if g.metricsOn, err = net.Listen("tcp", g.settings.Listen.Metrics); err != nil {
+		// A host without metrics serves as well as one with them.
+		g.log.Warn("metrics are not served", "error", err)
+	}
+	return nil
+}
+
+func peerTLS(cert tls.Certificate, m *mesh) *tls.Config { return peer.PinnedTLS(cert, m.known) }
+
+// Now is the host's clock. Only differences of its times are used, which jumps
+// of the time of day do not change.
+func (g *Gateway) Now() time.Time { return time.Now() }
+
+// connectionLimit divides the connections of an endpoint among the hosts.
+func (g *Gateway) connectionLimit(e fleet.Endpoint) int {
+	limit := 0
+	if c := g.config.Load(); c != nil {
+		limit = c.Services[e.Service].ConnectionLimit
+	}
+	return max(minConnections, int(float64(limit)*connectionShare)/g.mesh.hosts())
+}
+
+// locator tells the dispatcher where models are.
+type locator struct{ board *fleet.Board }
+
+// Find implements serve.Placement.
+func (l locator) Find(now time.Time, n serve.Need) serve.Found {
+	return serve.Found(l.board.Locate(now, n.Service, n.Model, n.Adapter))
+}
+
+// mayOrder guards orders where endpoints do not check fencing tokens: then only
+// a host that has just read the store may give orders, for another may have
+// claimed since.
+func (g *Gateway) mayOrder() bool {
+	if g.leaving.Load() {
+		return false
+	}
+	if g.settings.Orders.EndpointsCheckTokens {
+		return true
+	}
+	const leaseParts = 2
+	return g.Now().Sub(g.feed.lastAnswer(fleet.TopicEndpoints)) < g.settings.Timing.Lease/leaseParts
+}
+
+// wantReport asks for a demand report at once.
+func (g *Gateway) wantReport() { signal(g.reportNow) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.log.Info("start", "zone", g.settings.Zone, "callers", g.callers.Addr().String(), "peers", g.self.Addr)
+	group, ctx := errgroup.WithContext(ctx)
+	// Loops end only after the last request, which needs them.
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	for _, loop := range g.loops() {
+		go loop(loops)
+	}
+	front := g.frontServer()
+	group.Go(func() error {
+		return serveUntilClosed(&http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: readinessTimeout}, g.readiness)
+	})
+	if g.metricsOn != nil {
+		group.Go(func() error {
+			return serveUntilClosed(&http.Server{Handler: g.metrics.handler, ReadHeaderTimeout: readinessTimeout}, g.metricsOn)
+		})
+	}
+	group.Go(func() error {
+		if !g.awaitConfig(ctx) {
+			return nil
+		}
+		g.limitFront(front)
+		return serveUntilClosed(front, g.callers)
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		g.stop(loops, front)
+		return nil
+	})
+	err := group.Wait()
+	g.log.Info("stop", "error", err)
+	return err
+}
+
+func serveUntilClosed(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// loops returns the background work of a host.
+func (g *Gateway) loops() []func(context.Context) {
+	return []func(context.Context){
+		g.followConfig,
+		g.followEndpoints,
+		g.followHosts,
+		g.followClaims,
+		g.announce,
+		g.mesh.serve,
+		g.reportDemand,
+		g.giveOrders,
+		g.elect,
+		g.maintain,
+	}
+}
+
+// every calls f with a period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sleep waits and tells whether the context is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jitter spreads a period by up to a quarter, so that hosts do not call together.
+func jitter(d time.Duration) time.Duration { return d - d/4 + rand.N(d/2) }
--- /dev/null
+++ b/pkg/gateway/giver.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/record"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// reportPeriod is the longest pause between two reports of demand, and
+	// reportPause the shortest: requests that come together make one report.
+	reportPeriod = 250 * time.Millisecond
+	reportPause  = 8 * time.Millisecond
+	// stepPeriod and stepPause are the same for the giver's decisions.
+	stepPeriod = 40 * time.Millisecond
+	stepPause  = 8 * time.Millisecond
+	// noticePeriod is the longest pause between two notices, fullNotice between
+	// two that name all endpoints: a notice may be lost.
+	noticePeriod = 300 * time.Millisecond
+	fullNotice   = 1500 * time.Millisecond
+	// electPeriod is how often a host looks whether it should claim.
+	electPeriod = 100 * time.Millisecond
+	// kickPeriod is how often waiting requests are looked at for what changes
+	// with time alone.
+	kickPeriod = 20 * time.Millisecond
+	// prunePeriod is how often state of endpoints that are gone is dropped.
+	prunePeriod = time.Second
+	// releaseTimeout bounds the hand-over of the claim by a stopping host.
+	releaseTimeout = 500 * time.Millisecond
+)
+
+// reportDemand tells the giver of orders what this host's requests need.
+func (g *Gateway) reportDemand(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-g.reportNow:
+		case <-time.After(reportPeriod):
+		case <-ctx.Done():
+			return
+		}
+		g.report(ctx)
+		sleep(ctx, reportPause)
+	}
+}
+
+func (g *Gateway) report(ctx context.Context) {
+	now := g.Now()
+	report := fleet.DemandReport{Host: g.self.Host, Incarnation: g.self.Incarnation}
+	for _, d := range g.dispatcher.Demand() {
+		n := fleet.NeedReport{
+			Service:  d.Service,
+			Model:    d.Model,
+			Adapter:  d.Adapter,
+			Waiting:  d.Waiting,
+			Inflight: d.Inflight,
+			Arrived:  d.Arrived,
+			Priority: d.Priority,
+		}
+		if d.Waiting > 0 {
+			n.AimIn = d.Aim.Sub(now).Milliseconds()
+		}
+		report.Needs = append(report.Needs, n)
+	}
+	if g.election.Held() != 0 {
+		g.giver.Report(now, report)
+		signal(g.noticeNow)
+		return
+	}
+	claim := g.election.Newest()
+	if claim.Token == 0 || claim.Holder.Released || claim.Holder.Addr == "" {
+		return
+	}
+	answer, err := g.mesh.send(ctx, claim.Holder.Addr, peer.Request{Demand: &report})
+	if err != nil {
+		g.metrics.count("reports_lost", nil)
+		return
+	}
+	now = g.Now()
+	if answer.Claim != nil && answer.Claim.Token > claim.Token {
+		g.election.Observe(now, *answer.Claim)
+	}
+	if answer.Giving {
+		g.election.Heard(now, claim.Token)
+	}
+}
+
+// giveOrders runs the giver while this host holds the claim.
+func (g *Gateway) giveOrders(ctx context.Context) {
+	var lastNotice, lastFull time.Time
+	for ctx.Err() == nil {
+		select {
+		case <-g.noticeNow:
+		case <-time.After(stepPeriod):
+		case <-ctx.Done():
+			return
+		}
+		now := g.Now()
+		full := now.Sub(lastFull) >= fullNotice
+		n := g.giver.Step(ctx, now, full)
+		if n == nil {
+			lastFull = time.Time{}
+			sleep(ctx, stepPeriod)
+			continue
+		}
+		if len(n.Endpoints) > 0 || now.Sub(lastNotice) >= noticePeriod {
+			lastNotice = now
+			if full {
+				lastFull = now
+			}
+			g.publish(ctx, *n)
+		}
+		sleep(ctx, stepPause)
+	}
+}
+
+// publish tells all hosts what the giver believes.
+func (g *Gateway) publish(ctx context.Context, n fleet.Notice) {
+	g.board.Notice(g.Now(), n)
+	g.dispatcher.Kick()
+	for _, addr := range g.mesh.addrs() {
+		go func() {
+			answer, err := g.mesh.send(ctx, addr, peer.Request{Notice: &n})
+			if err != nil {
+				g.metrics.count("notices_lost", nil)
+				return
+			}
+			if answer.Claim != nil && answer.Claim.Token > n.Token {
+				g.election.Observe(g.Now(), *answer.Claim)
+			}
+		}()
+	}
+}
+
+// elect claims when nobody gives orders.
+func (g *Gateway) elect(ctx context.Context) {
+	every(ctx, electPeriod, func() {
+		if g.election.Running(bootTime()) {
+			g.log.Warn("host was frozen; orders wait until the store confirms the claim")
+		}
+		if g.election.Confirming() {
+			g.confirmClaim(ctx)
+		}
+		if g.leaving.Load() || !g.election.ShouldClaim(g.Now()) {
+			return
+		}
+		g.claim(ctx)
+	})
+}
+
+// bootTime is the clock that goes on while the host is suspended.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Without that clock a suspension shows only in the steady one, which
+		// stands still meanwhile; the fencing tokens remain.
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
+
+func (g *Gateway) claim(ctx context.Context) {
+	offset, err := g.putClaim(ctx, g.self)
+	if err != nil {
+		if !errors.Is(err, fleet.ErrStoreConflict) {
+			g.log.Info("claim failed", "error", err.Error())
+		}
+		return
+	}
+	g.election.Won(g.Now(), token(offset))
+	g.log.Info("claim won", "token", token(offset))
+	signal(g.noticeNow)
+}
+
+// putClaim appends a claim at the end that this host has read: if another claim
+// came in between, it fails.
+func (g *Gateway) putClaim(ctx context.Context, h orders.Holder) (int64, error) {
+	value, err := record.Marshal(h)
+	if err != nil {
+		return 0, err
+	}
+	g.mesh.mu.Lock()
+	at := g.mesh.claimsNext
+	g.mesh.mu.Unlock()
+	return g.store.Put(ctx, fleet.TopicClaims, claimKey, value, at)
+}
+
+// claimKey is the only key of the claims topic; the newest claim stays.
+const claimKey = "giver"
+
+// confirmClaim reads the claims after a freeze.
+func (g *Gateway) confirmClaim(ctx context.Context) {
+	batch, err := g.store.Newest(ctx, fleet.TopicClaims)
+	if err != nil {
+		g.log.Info("claim is not confirmed yet", "error", err.Error())
+		return
+	}
+	for _, e := range batch.Entries {
+		g.takeClaim(e)
+	}
+	g.election.Caught()
+}
+
+// releaseClaim hands the claim on when the host stops.
+func (g *Gateway) releaseClaim(ctx context.Context) {
+	held := g.election.Held()
+	if held == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	released := g.self
+	released.Released = true
+	if _, err := g.putClaim(ctx, released); err != nil {
+		g.log.Info("claim is not handed on; it lapses", "token", held, "error", err.Error())
+	}
+	g.election.Lost(held)
+}
+
+// maintain does what has to be done from time to time.
+func (g *Gateway) maintain(ctx context.Context) {
+	last := g.Now()
+	every(ctx, kickPeriod, func() {
+		g.dispatcher.Kick()
+		now := g.Now()
+		if now.Sub(last) < prunePeriod {
+			return
+		}
+		last = now
+		live := map[fleet.EndpointID]bool{}
+		for _, v := range g.directory.Live(now) {
+			live[v.ID] = true
+		}
+		g.endpoints.Retain(live)
+		g.health.Prune(live)
+		g.metrics.gauge("endpoints", float64(len(live)))
+		g.metrics.gauge("endpoint_connections", float64(g.endpoints.Opened()))
+	})
+}
--- /dev/null
+++ b/pkg/gateway/mesh.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/peer"
+)
+
+const (
+	// peerTimeout bounds a message to another host; a round trip takes a few
+	// milliseconds, a first connection some tens.
+	peerTimeout = 600 * time.Millisecond
+	// stateFrom is the offset at which all entries of the list are asked for.
+	stateFrom = 0
+)
+
+// mesh knows the other hosts. It is safe for concurrent use.
+type mesh struct {
+	self string
+	own  peer.Fingerprint
+	node *peer.Node
+
+	mu         sync.Mutex
+	peers      map[string]hostEntry
+	pinned     map[peer.Fingerprint]bool
+	claimsNext int64
+	// asked is when a peer was last asked for the state.
+	asked time.Time
+}
+
+func newMesh(self string, own peer.Fingerprint) *mesh {
+	return &mesh{self: self, own: own, peers: map[string]hostEntry{}, pinned: map[peer.Fingerprint]bool{}}
+}
+
+func (m *mesh) serve(ctx context.Context) { m.node.Serve(ctx) }
+
+func (m *mesh) known(f peer.Fingerprint) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pinned[f]
+}
+
+// learn takes in where a host is reached. A host that has started again has a
+// new key, and connections to its former incarnation are of no use.
+func (m *mesh) learn(host string, e hostEntry) {
+	if host == m.self {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, ok := m.peers[host]; ok && old.Fingerprint != e.Fingerprint {
+		delete(m.pinned, old.Fingerprint)
+		m.node.Forget(old.Addr)
+	}
+	m.peers[host] = e
+	m.pinned[e.Fingerprint] = true
+}
+
+// hosts is the number of hosts known, this one included.
+func (m *mesh) hosts() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + 1
+}
+
+// addrs returns the addresses of all other hosts.
+func (m *mesh) addrs() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]string, 0, len(m.peers))
+	for _, e := range m.peers {
+		out = append(out, e.Addr)
+	}
+	return out
+}
+
+func (m *mesh) setClaimsNext(next int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.claimsNext = max(m.claimsNext, next)
+}
+
+// send sends a message and returns the first message of the answer.
+func (m *mesh) send(ctx context.Context, addr string, r peer.Request) (peer.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	answers, err := m.node.Send(ctx, addr, r)
+	if err != nil {
+		return peer.Response{}, err
+	}
+	return answers[0], nil
+}
+
+// answerPeer answers the messages of other hosts.
+func (g *Gateway) answerPeer(r peer.Request) []peer.Response {
+	now := g.Now()
+	answer := peer.Response{}
+	switch {
+	case r.Demand != nil:
+		g.giver.Report(now, *r.Demand)
+		signal(g.noticeNow)
+	case r.Notice != nil:
+		g.takeNotice(now, *r.Notice)
+	case r.State != nil:
+		answer.State = g.state(*r.State)
+	}
+	claim := g.election.Newest()
+	answer.Claim = &claim
+	answer.Giving = g.election.Held() != 0
+	return []peer.Response{answer}
+}
+
+// takeNotice takes in what the giver of orders says.
+func (g *Gateway) takeNotice(now time.Time, n fleet.Notice) {
+	if !g.board.Notice(now, n) {
+		return
+	}
+	g.election.Heard(now, n.Token)
+	g.dispatcher.Kick()
+	if c := g.config.Load(); c == nil || c.Version < n.ConfigVersion {
+		go g.askPeer(context.Background())
+	}
+}
+
+// state answers a host that cannot read the store.
+func (g *Gateway) state(r peer.StateRequest) *peer.StateAnswer {
+	g.feed.mu.Lock()
+	defer g.feed.mu.Unlock()
+	out := &peer.StateAnswer{EndpointsNext: g.directory.Offset()}
+	if c := g.config.Load(); c != nil && c.Version > r.ConfigVersion {
+		config := g.feed.config
+		out.Config = &config
+	}
+	for _, e := range g.feed.endpoints {
+		if e.Offset >= r.EndpointsFrom {
+			out.Endpoints = append(out.Endpoints, e)
+		}
+	}
+	return out
+}
+
+// askPause separates two questions to peers for what the store does not tell.
+const askPause = 250 * time.Millisecond
+
+// askPeer asks another host for what this one cannot read from the store.
+func (g *Gateway) askPeer(ctx context.Context) {
+	now := g.Now()
+	g.mesh.mu.Lock()
+	soon := now.Sub(g.mesh.asked) < askPause
+	if !soon {
+		g.mesh.asked = now
+	}
+	g.mesh.mu.Unlock()
+	addrs := g.mesh.addrs()
+	if soon || len(addrs) == 0 {
+		return
+	}
+	request := peer.StateRequest{EndpointsFrom: stateFrom}
+	if g.feed.loaded(fleet.TopicEndpoints) {
+		request.EndpointsFrom = g.directory.Offset()
+	}
+	if c := g.config.Load(); c != nil {
+		request.ConfigVersion = c.Version
+	}
+	addr := addrs[rand.IntN(len(addrs))]
+	answer, err := g.mesh.send(ctx, addr, peer.Request{State: &request})
+	if err != nil {
+		g.log.Info("peer did not answer", "peer", addr, "error", err.Error())
+		return
+	}
+	if answer.State == nil {
+		return
+	}
+	if answer.State.Config != nil {
+		g.takeConfig(*answer.State.Config)
+	}
+	if len(answer.State.Endpoints) > 0 {
+		g.takeEndpoints(fleet.Batch{Entries: answer.State.Endpoints, Next: answer.State.EndpointsNext})
+		g.feed.setLoaded(fleet.TopicEndpoints)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/metrics.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// metrics holds the counters and histograms of one host; docs/OPERATIONS.md
+// explains each.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+}
+
+// metricsPeriod is how often counters are passed to the reporter.
+const metricsPeriod = time.Second
+
+// latencyBuckets reach from a millisecond to about half a minute.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+func newMetrics() *metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
+	// The closer only stops the reporting; it runs as long as the process.
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "tealvane",
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, metricsPeriod)
+	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+}
+
+func (m *metrics) count(name string, tags map[string]string) {
+	m.scope.Tagged(tags).Counter(name).Inc(1)
+}
+
+func (m *metrics) gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
+
+// result counts the end of a request and its times.
+func (m *metrics) result(r serve.Result) {
+	tags := map[string]string{"route": r.Request.Route.Name, "outcome": outcome(r)}
+	m.count("requests", tags)
+	route := m.scope.Tagged(map[string]string{"route": r.Request.Route.Name})
+	route.Histogram("wait", latencyBuckets).RecordDuration(r.Waited)
+	if r.FirstByte > 0 {
+		route.Histogram("first_byte", latencyBuckets).RecordDuration(r.FirstByte)
+	}
+	if r.Sent > 1 {
+		m.scope.Tagged(tags).Counter("resent").Inc(int64(r.Sent - 1))
+	}
+}
+
+// outcome names how a request ended: a status, a cause, or both.
+func outcome(r serve.Result) string {
+	switch {
+	case r.Refusal != nil && r.Refusal.NotRun:
+		return "refused_" + string(r.Refusal.Cause)
+	case r.Refusal != nil:
+		return "failed_" + string(r.Refusal.Cause)
+	default:
+		return "status_" + strconv.Itoa(r.Status)
+	}
+}
--- /dev/null
+++ b/pkg/orders/claim.go
@@ -0,0 +1,202 @@
+// Package orders lets exactly one host at a time give orders to endpoints:
+// which model and which adapter to load or unload.
+//
+// A claim is a record in the platform's store, appended at the offset that its
+// author had read. The store orders claims, so of two that race one fails, and
+// the record's offset is a fencing token that only grows. Time decides only
+// when a host tries to claim, never who is right.
+package orders
+
+import (
+	"sync"
+	"time"
+)
+
+// Holder is one incarnation of a host.
+type Holder struct {
+	Host        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	// Addr is where other hosts reach it.
+	Addr string `cbor:"3,keyasint"`
+	// Released claims were given up by their holder before it stopped.
+	Released bool `cbor:"4,keyasint,omitempty"`
+}
+
+func (h Holder) same(o Holder) bool { return h.Host == o.Host && h.Incarnation == o.Incarnation }
+
+// Claim is a record of the claims topic.
+type Claim struct {
+	Holder Holder `cbor:"1,keyasint"`
+	// Token is the fencing token: the offset of the record, counted from 1.
+	Token int64 `cbor:"2,keyasint"`
+}
+
+const (
+	// challengeAfter is how long a holder may be silent before others claim. A
+	// holder sends a notice at least every noticePeriod; four may be lost.
+	challengeAfter = 1200 * time.Millisecond
+	// noticePeriod is the longest pause between notices of a holder.
+	noticePeriod = 300 * time.Millisecond
+	// claimPause separates two tries, so that hosts don't fill the store.
+	claimPause = 400 * time.Millisecond
+	// frozenAfter is the gap between two looks at the clock that counts
+	// suspended time after which a host was not running.
+	frozenAfter = 500 * time.Millisecond
+)
+
+// Election is one host's knowledge of the claims. It does no I/O and is safe
+// for concurrent use.
+type Election struct {
+	self Holder
+	// lease is the time within which two holders must not give orders in turn.
+	lease time.Duration
+
+	mu      sync.Mutex
+	newest  Claim
+	heard   time.Time
+	tried   time.Time
+	held    int64
+	startAt time.Time
+	// confirm is set after a freeze until the store has shown that the claim is
+	// still the newest.
+	confirm bool
+	lastRun time.Duration
+	known   bool
+}
+
+// NewElection returns the state of a host that knows no claim.
+func NewElection(self Holder, lease time.Duration, now time.Time) *Election {
+	return &Election{self: self, lease: lease, heard: now}
+}
+
+// Observe takes in a claim from the store, or from another host's notice.
+func (e *Election) Observe(now time.Time, c Claim) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.known = true
+	if c.Token < e.newest.Token {
+		return
+	}
+	if c.Token > e.newest.Token {
+		e.heard = now
+	}
+	e.newest = c
+	if e.held != 0 && c.Token > e.held {
+		e.held = 0
+	}
+	if e.held != 0 && c.Token == e.held {
+		e.confirm = false
+	}
+}
+
+// Caught notes that the claims in the store were read to their end.
+func (e *Election) Caught() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.known = true
+	if e.held != 0 && e.newest.Token == e.held {
+		e.confirm = false
+	}
+}
+
+// Heard notes a sign of life of the holder of a token.
+func (e *Election) Heard(now time.Time, token int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if token >= e.newest.Token {
+		e.heard = now
+	}
+}
+
+// ShouldClaim tells whether to try now: nobody holds the newest claim, or its
+// holder has been silent towards this host.
+func (e *Election) ShouldClaim(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.known || e.held != 0 || now.Sub(e.tried) < claimPause {
+		return false
+	}
+	vacant := e.newest.Token == 0 || e.newest.Holder.Released || e.newest.Holder.Host == e.self.Host
+	if !vacant && now.Sub(e.heard) < challengeAfter {
+		return false
+	}
+	e.tried = now
+	return true
+}
+
+// Won takes in that this host's claim was appended. The former holder may have
+// given orders until it was last heard; a holder within its lease after that
+// would take turns with it.
+func (e *Election) Won(now time.Time, token int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if token <= e.newest.Token {
+		return
+	}
+	e.startAt = now
+	former := e.newest.Holder
+	if e.newest.Token != 0 && !former.Released && former.Host != e.self.Host {
+		e.startAt = e.heard.Add(e.lease)
+	}
+	e.newest = Claim{Holder: e.self, Token: token}
+	e.held = token
+	e.confirm = false
+}
+
+// Token returns the token with which orders may be given now, 0 without one.
+func (e *Election) Token(now time.Time) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held == 0 || e.confirm || now.Before(e.startAt) {
+		return 0
+	}
+	return e.held
+}
+
+// Held returns the token of this host's claim, 0 without one. Orders need Token.
+func (e *Election) Held() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held
+}
+
+// Newest returns the newest claim known; its token is 0 if there is none.
+func (e *Election) Newest() Claim {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newest
+}
+
+// Lost gives the claim up for good: an endpoint has seen a newer token. Every
+// further order with this one would be refused.
+func (e *Election) Lost(token int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held == token {
+		e.held = 0
+		// Whoever holds the newer token is not known yet; it gets time to speak.
+		e.newest.Holder = Holder{}
+	}
+}
+
+// Running takes in the clock that counts suspended time. After a gap the host
+// was frozen, and another may have claimed meanwhile: no order is given until
+// the store confirms the claim. It tells whether that was so.
+func (e *Election) Running(boot time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	gap := boot - e.lastRun
+	frozen := e.lastRun != 0 && gap > frozenAfter
+	e.lastRun = boot
+	if frozen && e.held != 0 {
+		e.confirm = true
+	}
+	return frozen && e.held != 0
+}
+
+// Confirming tells whether the claim waits for the store's confirmation.
+func (e *Election) Confirming() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.confirm
+}
--- /dev/null
+++ b/pkg/orders/demand.go
@@ -0,0 +1,124 @@
+package orders
+
+import (
+	"math"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+const (
+	// reportLife is how long a host's last report counts. Hosts report at least
+	// every quarter of a second while they have requests.
+	reportLife = 1200 * time.Millisecond
+	// fastMemory and slowMemory are the time constants of the moving rates: the
+	// fast one follows demand that moves within seconds, the slow one ranks
+	// models that get a request every few seconds.
+	fastMemory = 2 * time.Second
+	slowMemory = 12 * time.Second
+)
+
+// need names a model of a service or, with an adapter, that adapter.
+type need struct{ service, model, adapter string }
+
+// rate is an arrival rate that fades.
+type rate struct {
+	fast, slow float64
+	at         time.Time
+	lastUsed   time.Time
+}
+
+func (r *rate) fade(now time.Time) {
+	dt := now.Sub(r.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	r.fast *= math.Exp(-dt / fastMemory.Seconds())
+	r.slow *= math.Exp(-dt / slowMemory.Seconds())
+	r.at = now
+}
+
+func (r *rate) add(now time.Time, n int) {
+	r.fade(now)
+	r.fast += float64(n) / fastMemory.Seconds()
+	r.slow += float64(n) / slowMemory.Seconds()
+	if n > 0 {
+		r.lastUsed = now
+	}
+}
+
+// demand sums what all hosts report.
+type demand struct {
+	hosts map[string]hostDemand
+	rates map[need]*rate
+}
+
+type hostDemand struct {
+	at    time.Time
+	needs []fleet.NeedReport
+}
+
+func newDemand() *demand {
+	return &demand{hosts: map[string]hostDemand{}, rates: map[need]*rate{}}
+}
+
+func (d *demand) take(now time.Time, r fleet.DemandReport) {
+	d.hosts[r.Host] = hostDemand{at: now, needs: r.Needs}
+	for _, n := range r.Needs {
+		key := need{n.Service, n.Model, n.Adapter}
+		x := d.rates[key]
+		if x == nil {
+			x = &rate{at: now}
+			d.rates[key] = x
+		}
+		x.add(now, n.Arrived)
+		if n.Inflight > 0 || n.Waiting > 0 {
+			x.lastUsed = now
+		}
+	}
+}
+
+// total is the demand of all hosts for one need.
+type total struct {
+	waiting, inflight int
+	aim               time.Time
+	fast, slow        float64
+	lastUsed          time.Time
+}
+
+// totals sums the reports that still count.
+func (d *demand) totals(now time.Time) map[need]*total {
+	out := make(map[need]*total, len(d.rates))
+	for key, x := range d.rates {
+		x.fade(now)
+		if x.slow < 1e-4 {
+			delete(d.rates, key)
+			continue
+		}
+		out[key] = &total{fast: x.fast, slow: x.slow, lastUsed: x.lastUsed}
+	}
+	for host, h := range d.hosts {
+		if now.Sub(h.at) > reportLife {
+			delete(d.hosts, host)
+			continue
+		}
+		for _, n := range h.needs {
+			t := out[need{n.Service, n.Model, n.Adapter}]
+			if t == nil {
+				continue
+			}
+			t.add(h.at, n)
+		}
+	}
+	return out
+}
+
+func (t *total) add(at time.Time, n fleet.NeedReport) {
+	if n.Waiting > 0 {
+		if aim := n.Aim(at); t.waiting == 0 || aim.Before(t.aim) {
+			t.aim = aim
+		}
+	}
+	t.waiting += n.Waiting
+	t.inflight += n.Inflight
+}
--- /dev/null
+++ b/pkg/orders/giver.go
@@ -0,0 +1,422 @@
+package orders
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/residency"
+)
+
+const (
+	// reportLag is how old an endpoint's report of itself may be.
+	reportLag = 250 * time.Millisecond
+	// orderTimeout is how long an order may take; a round trip takes a few
+	// milliseconds, and an order without an answer is asked after.
+	orderTimeout = 700 * time.Millisecond
+	// conflictPause is the pause before an order is sent again that met another
+	// order under way.
+	conflictPause = 30 * time.Millisecond
+	// conflictLimit is how long an order is tried; the runs of a model that is
+	// unloaded end by then.
+	conflictLimit = 4 * time.Second
+	// failurePause is how long an endpoint is left alone after a failed swap.
+	failurePause = 500 * time.Millisecond
+	// storeSlots is how many loads the weight store does at full speed. More at
+	// once take as long as one after the other.
+	storeSlots = 4
+	// loadMargin is added to the stated time of a load before requests are sent.
+	loadMargin = 15 * time.Millisecond
+	// adapterTime is how long an adapter takes from order to use.
+	adapterTime = 12 * time.Millisecond
+	// ratePerReplica is how many requests a second one replica is to serve.
+	ratePerReplica = 12
+)
+
+// Giver gives orders while this host holds the claim. It is safe for concurrent use.
+type Giver struct {
+	Election *Election
+	Orderer  Orderer
+	Log      *slog.Logger
+	Now      func() time.Time
+	// Config returns the configuration in force, nil before the first.
+	Config func() *fleet.Config
+	// Endpoints returns the live endpoints.
+	Endpoints func(now time.Time) []fleet.View
+	// MayOrder is asked before each order, for what this package does not know.
+	MayOrder func() bool
+
+	mu     sync.Mutex
+	token  int64
+	tracks map[fleet.EndpointID]*track
+	demand *demand
+	// loads holds the times at which loads from the weight store began.
+	loads []time.Time
+	work  sync.WaitGroup
+}
+
+// Report takes in a host's demand.
+func (g *Giver) Report(now time.Time, r fleet.DemandReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.demand == nil {
+		g.demand = newDemand()
+	}
+	g.demand.take(now, r)
+}
+
+// Step decides and starts orders. It returns what other hosts have to be told;
+// nothing while this host holds no claim.
+func (g *Giver) Step(ctx context.Context, now time.Time, full bool) *fleet.Notice {
+	held := g.Election.Held()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if held != g.token || g.tracks == nil {
+		// A new claim starts from what the endpoints say themselves.
+		g.token = held
+		g.tracks = map[fleet.EndpointID]*track{}
+	}
+	cfg := g.Config()
+	if held == 0 || cfg == nil {
+		return nil
+	}
+	if g.demand == nil {
+		g.demand = newDemand()
+	}
+	byService := g.follow(now, cfg)
+	if token := g.Election.Token(now); token != 0 && g.MayOrder() {
+		totals := g.demand.totals(now)
+		for _, name := range sortedKeys(byService) {
+			service := cfg.Services[name]
+			g.survey(ctx, now, byService[name])
+			g.swap(ctx, now, token, service, byService[name], totals)
+			g.adapters(ctx, now, token, service, byService[name], totals)
+		}
+	}
+	return g.notice(now, held, cfg.Version, full)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// follow keeps a track for each live endpoint that runs models.
+func (g *Giver) follow(now time.Time, cfg *fleet.Config) map[string][]*track {
+	live := map[fleet.EndpointID]bool{}
+	byService := map[string][]*track{}
+	for _, v := range g.Endpoints(now) {
+		if cfg.Services[v.Service].Engine == nil {
+			continue
+		}
+		live[v.ID] = true
+		t := g.tracks[v.ID]
+		if t == nil {
+			t = newTrack(v)
+			g.tracks[v.ID] = t
+		} else {
+			t.update(now, v)
+		}
+		if !v.Draining {
+			byService[v.Service] = append(byService[v.Service], t)
+		}
+	}
+	for id := range g.tracks {
+		if !live[id] {
+			delete(g.tracks, id)
+		}
+	}
+	return byService
+}
+
+func (g *Giver) notice(now time.Time, token, version int64, full bool) *fleet.Notice {
+	n := &fleet.Notice{Holder: g.Election.self.Host, Token: token, Full: full, ConfigVersion: version}
+	for _, t := range g.tracks {
+		if t.takeChanged() || full {
+			n.Endpoints = append(n.Endpoints, t.placement(now))
+		}
+	}
+	return n
+}
+
+// survey asks endpoints for their state of which nothing certain is known.
+func (g *Giver) survey(ctx context.Context, now time.Time, tracks []*track) {
+	for _, t := range tracks {
+		t.mu.Lock()
+		due := !t.known && !t.working && !now.Before(t.pause) && !now.Before(t.busyUntil)
+		if due {
+			t.working = true
+		}
+		e := t.endpoint
+		t.mu.Unlock()
+		if !due {
+			continue
+		}
+		g.work.Go(func() {
+			g.ask(ctx, t, e)
+			t.mu.Lock()
+			t.working = false
+			t.mu.Unlock()
+		})
+	}
+}
+
+func (g *Giver) ask(ctx context.Context, t *track, e fleet.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := g.Orderer.Report(ctx, e)
+	now := g.Now()
+	if err != nil {
+		g.Log.Info("endpoint gave no report", "endpoint", e.ID, "error", err)
+		t.mu.Lock()
+		t.pause = now.Add(failurePause)
+		t.mu.Unlock()
+		return
+	}
+	t.settle(now, r)
+}
+
+// swap starts the swaps that the decision asks for.
+func (g *Giver) swap(ctx context.Context, now time.Time, token int64, service fleet.Service, tracks []*track, totals map[need]*total) {
+	engine := service.Engine
+	snap := residency.Snapshot{
+		Now:    now,
+		Models: models(service, totals),
+		Limits: residency.Limits{
+			Slots:          engine.Slots,
+			StoreLoads:     g.storeLoads(now, engine),
+			RatePerReplica: ratePerReplica,
+		},
+	}
+	byID := map[fleet.EndpointID]*track{}
+	for _, t := range tracks {
+		e := t.snapshot(now, engine)
+		byID[e.ID] = t
+		snap.Endpoints = append(snap.Endpoints, e)
+	}
+	for _, s := range residency.Decide(snap) {
+		t := byID[s.Endpoint]
+		t.mu.Lock()
+		t.working = true
+		for _, v := range s.Evict {
+			t.models[v].leaving = true
+		}
+		t.changed = true
+		t.mu.Unlock()
+		if s.From == residency.InStore {
+			g.loads = append(g.loads, now)
+		}
+		g.work.Go(func() { g.carryOut(ctx, t, token, engine, s) })
+	}
+}
+
+// models returns the demand for each model of a service; requests for an
+// adapter need its model too.
+func models(service fleet.Service, totals map[need]*total) []residency.Model {
+	byName := map[string]*residency.Model{}
+	for key, x := range totals {
+		m, ok := service.Engine.Models[key.model]
+		if key.service != service.Name || !ok {
+			continue
+		}
+		r := byName[key.model]
+		if r == nil {
+			r = &residency.Model{Model: m}
+			byName[key.model] = r
+		}
+		if x.waiting > 0 && (r.Waiting == 0 || x.aim.Before(r.Aim)) {
+			r.Aim = x.aim
+		}
+		r.Waiting += x.waiting
+		r.Inflight += x.inflight
+		r.Rate += x.fast
+		r.Slow += x.slow
+	}
+	out := make([]residency.Model, 0, len(byName))
+	for _, name := range sortedKeys(byName) {
+		out = append(out, *byName[name])
+	}
+	return out
+}
+
+// storeLoads is how many loads from the weight store may start now.
+func (g *Giver) storeLoads(now time.Time, engine *fleet.Engine) int {
+	longest := time.Duration(0)
+	for _, m := range engine.Models {
+		longest = max(longest, m.StoreLoad)
+	}
+	g.loads = slices.DeleteFunc(g.loads, func(at time.Time) bool { return now.Sub(at) > longest })
+	return min(storeSlots, max(1, int(engine.LoadsPerSecond))) - len(g.loads)
+}
+
+// carryOut unloads what leaves and loads the new model.
+func (g *Giver) carryOut(ctx context.Context, t *track, token int64, engine *fleet.Engine, s residency.Swap) {
+	start := g.Now()
+	ok := true
+	for _, v := range s.Evict {
+		if ok = ok && g.order(ctx, t, token, Order{Model: v}); !ok {
+			break
+		}
+		t.mu.Lock()
+		delete(t.models, v)
+		t.mu.Unlock()
+	}
+	m := engine.Models[s.Load]
+	ok = ok && g.fits(t, engine, m) && g.order(ctx, t, token, Order{Load: true, Model: s.Load})
+	now := g.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.working = false
+	t.changed = true
+	if !ok {
+		t.known = false
+		t.pause = now.Add(failurePause)
+		for _, r := range t.models {
+			r.leaving = false
+		}
+		return
+	}
+	readyAt := now.Add(residency.LoadTime(m, s.From) + loadMargin)
+	t.models[s.Load] = &resident{readyAt: readyAt, since: readyAt, adapters: map[string]*adapter{}}
+	t.busyUntil = readyAt
+	t.copies[s.Load] = residency.InMemory
+	g.Log.Info("model is loading", "endpoint", t.endpoint.ID, "model", s.Load, "evicted", s.Evict, "from", s.From, "ordered_in_ms", now.Sub(start).Milliseconds(), "token", token)
+}
+
+// fits checks a load once more where it is ordered: an endpoint that is told to
+// hold more than its memory crashes with all its requests.
+func (g *Giver) fits(t *track, engine *fleet.Engine, m fleet.Model) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := m.WeightsMB
+	for name, r := range t.models {
+		held := engine.Models[name]
+		sum += held.WeightsMB + float64(len(r.adapters))*held.AdapterMB
+	}
+	return sum <= engine.WeightsMB
+}
+
+// order sends an order until the endpoint has accepted it. An order without an
+// answer is sent again with the same expected sequence: at most one of the two
+// can be accepted.
+func (g *Giver) order(ctx context.Context, t *track, token int64, o Order) bool {
+	t.orderMu.Lock()
+	defer t.orderMu.Unlock()
+	o.Holder = g.Election.self.Host
+	o.Token = token
+	deadline := g.Now().Add(conflictLimit)
+	conflicts := 0
+	for g.Now().Before(deadline) && ctx.Err() == nil {
+		if g.Election.Token(g.Now()) != token || !g.MayOrder() {
+			return false
+		}
+		t.mu.Lock()
+		o.Expected = t.sequence
+		e := t.endpoint
+		t.mu.Unlock()
+		result, err := g.send(ctx, e, o)
+		g.Log.Info("order", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", token, "result", outcome(result, err))
+		switch {
+		case err != nil:
+			if !g.accepted(ctx, t, e, o) {
+				continue
+			}
+			return true
+		case result == Accepted || result == Done:
+			t.mu.Lock()
+			if result == Accepted || o.Adapter != "" {
+				t.sequence++
+			}
+			t.mu.Unlock()
+			return true
+		case result == Fenced:
+			g.Log.Warn("claim lost: an endpoint has seen a newer token", "endpoint", e.ID, "token", token)
+			g.Election.Lost(token)
+			return false
+		case result == Gone || result == Invalid:
+			return false
+		}
+		conflicts++
+		if !g.conflict(ctx, t, e, conflicts) {
+			return false
+		}
+	}
+	return false
+}
+
+func outcome(r Result, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return r.String()
+}
+
+func (g *Giver) send(ctx context.Context, e fleet.Endpoint, o Order) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return g.Orderer.Order(ctx, e, o)
+}
+
+// accepted settles an order without an answer by the endpoint's report.
+func (g *Giver) accepted(ctx context.Context, t *track, e fleet.Endpoint, o Order) bool {
+	if !pause(ctx, reportLag) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := g.Orderer.Report(ctx, e)
+	if err != nil || r.Sequence <= o.Expected {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sequence = max(t.sequence, r.Sequence)
+	return true
+}
+
+// conflict waits for another order to end, or learns the endpoint's sequence.
+func (g *Giver) conflict(ctx context.Context, t *track, e fleet.Endpoint, n int) bool {
+	const askEvery = 8
+	if n%askEvery != 0 {
+		return pause(ctx, conflictPause)
+	}
+	ask, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := g.Orderer.Report(ask, e)
+	if err == nil && !r.Busy {
+		t.mu.Lock()
+		t.sequence = r.Sequence
+		t.mu.Unlock()
+	}
+	return pause(ctx, conflictPause)
+}
+
+// pause waits and tells whether the context is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Wait returns when no order is under way.
+func (g *Giver) Wait() { g.work.Wait() }
+
+// splitAdapter splits MODEL/NAME@VERSION.
+func splitAdapter(name string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(name, "/")
+	adapter, _, _ = strings.Cut(adapter, "@")
+	return model, adapter
+}
--- /dev/null
+++ b/pkg/orders/track.go
@@ -0,0 +1,213 @@
+package orders
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/residency"
+)
+
+// track is what the giver of orders believes of one endpoint. It is a shard of
+// the giver's state with a lock of its own.
+type track struct {
+	mu       sync.Mutex
+	endpoint fleet.Endpoint
+	offset   int64
+	// known is set once the endpoint itself has been asked under this claim.
+	known    bool
+	sequence int64
+	models   map[string]*resident
+	copies   map[string]residency.Tier
+	// working is set while a swap is carried out.
+	working bool
+	// busyUntil is when a load under way ends.
+	busyUntil time.Time
+	// pause is until when nothing is tried after a failure.
+	pause   time.Time
+	changed bool
+
+	// orderMu keeps orders to the endpoint in a row; their sequence has no gaps.
+	orderMu sync.Mutex
+}
+
+type resident struct {
+	mb       float64
+	readyAt  time.Time
+	since    time.Time
+	leaving  bool
+	adapters map[string]*adapter
+}
+
+type adapter struct {
+	readyAt time.Time
+	leaving bool
+	used    time.Time
+}
+
+func newTrack(v fleet.View) *track {
+	t := &track{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true}
+	t.adopt(time.Time{}, v.Holds)
+	t.offset = v.Offset
+	t.sequence = v.Sequence
+	t.noteCopies(v.Endpoint)
+	return t
+}
+
+// adopt takes over what the endpoint says it holds.
+func (t *track) adopt(now time.Time, holds []fleet.Held) {
+	old := t.models
+	t.models = make(map[string]*resident, len(holds))
+	for _, h := range holds {
+		r := old[h.Model]
+		if r == nil {
+			r = &resident{since: now, adapters: map[string]*adapter{}}
+		}
+		r.leaving = false
+		adapters := make(map[string]*adapter, len(h.Adapters))
+		for _, name := range h.Adapters {
+			a := r.adapters[name]
+			if a == nil {
+				a = &adapter{used: now}
+			}
+			a.leaving = false
+			adapters[name] = a
+		}
+		r.adapters = adapters
+		t.models[h.Model] = r
+		t.copies[h.Model] = max(t.copies[h.Model], residency.OnDisk)
+	}
+	t.changed = true
+}
+
+func (t *track) noteCopies(e fleet.Endpoint) {
+	for _, m := range e.OnDisk {
+		t.copies[m] = residency.OnDisk
+	}
+	for _, m := range e.InMemory {
+		t.copies[m] = residency.InMemory
+	}
+	// A copy in memory yields to others; the list says which are left.
+	for m, tier := range t.copies {
+		if tier == residency.InMemory && len(e.InMemory) > 0 && !slices.Contains(e.InMemory, m) {
+			t.copies[m] = residency.OnDisk
+		}
+	}
+}
+
+// update takes in a newer entry of the list. The entry lags behind orders that
+// this host has given, so that it settles only what no order has changed since.
+func (t *track) update(now time.Time, v fleet.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v.Offset <= t.offset {
+		return
+	}
+	t.offset = v.Offset
+	t.endpoint = v.Endpoint
+	t.noteCopies(v.Endpoint)
+	if t.working || v.Busy || v.Sequence != t.sequence || now.Before(t.busyUntil) {
+		if !t.working && v.Sequence > t.sequence {
+			// Orders of another holder, or late ones, have come in between.
+			t.known = false
+		}
+		return
+	}
+	if !sameModels(t.models, v.Holds) {
+		t.known = false
+	}
+}
+
+func sameModels(models map[string]*resident, holds []fleet.Held) bool {
+	if len(models) != len(holds) {
+		return false
+	}
+	for _, h := range holds {
+		if r := models[h.Model]; r == nil || r.leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// settle takes in the endpoint's own report, asked for while no order was out.
+func (t *track) settle(now time.Time, r fleet.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sequence = max(t.sequence, r.Sequence)
+	if r.Busy {
+		t.pause = now.Add(reportLag)
+		return
+	}
+	t.adopt(now, r.Holds)
+	for _, name := range r.Loading {
+		model, a := splitAdapter(name)
+		if m := t.models[model]; m != nil && m.adapters[a] == nil {
+			m.adapters[a] = &adapter{readyAt: now.Add(reportLag), used: now}
+		}
+	}
+	t.known = true
+}
+
+// snapshot returns the endpoint as decisions see it.
+func (t *track) snapshot(now time.Time, engine *fleet.Engine) residency.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := residency.Endpoint{
+		ID:         t.endpoint.ID,
+		Zone:       t.endpoint.Zone,
+		CapacityMB: engine.WeightsMB,
+		Copies:     make(map[string]residency.Tier, len(t.copies)),
+		Busy:       t.working || !t.known || now.Before(t.pause) || now.Before(t.busyUntil),
+	}
+	for name, tier := range t.copies {
+		e.Copies[name] = tier
+	}
+	for name, r := range t.models {
+		e.Residents = append(e.Residents, residency.Resident{
+			Model:    name,
+			MB:       engine.Models[name].WeightsMB,
+			Ready:    !now.Before(r.readyAt),
+			Since:    r.since,
+			Leaving:  r.leaving,
+			Adapters: len(r.adapters),
+		})
+	}
+	slices.SortFunc(e.Residents, func(a, b residency.Resident) int {
+		if a.Model < b.Model {
+			return -1
+		}
+		return 1
+	})
+	return e
+}
+
+// placement returns the endpoint as other hosts need it.
+func (t *track) placement(now time.Time) fleet.Placement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := fleet.Placement{Endpoint: t.endpoint.ID}
+	for name, r := range t.models {
+		m := fleet.ModelPlacement{Model: name, Leaving: r.leaving}
+		if wait := r.readyAt.Sub(now); wait > 0 {
+			m.ReadyIn = max(1, wait.Milliseconds())
+		}
+		for a, x := range r.adapters {
+			if !x.leaving && !now.Before(x.readyAt) {
+				m.Adapters = append(m.Adapters, a)
+			}
+		}
+		p.Models = append(p.Models, m)
+	}
+	return p
+}
+
+// takeChanged tells whether other hosts have to hear of the endpoint.
+func (t *track) takeChanged() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.changed
+	t.changed = false
+	return c
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -4,7 +4,9 @@
 
 import (
 	"github.com/tealvane/tealvane/pkg/external"
+	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/membership"
+	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 )
@@ -26,6 +28,28 @@
 	Tail     *TailRequest `cbor:"3,keyasint,omitempty"`
 	Snapshot bool         `cbor:"4,keyasint,omitempty"`
 	Leave    *LeaveNotice `cbor:"5,keyasint,omitempty"`
+	// Demand goes to the giver of orders, Notice comes from it.
+	Demand *fleet.DemandReport `cbor:"6,keyasint,omitempty"`
+	Notice *fleet.Notice       `cbor:"7,keyasint,omitempty"`
+	// State asks for what the other host has read from the platform's store.
+	State *StateRequest `cbor:"8,keyasint,omitempty"`
+}
+
+// StateRequest asks for entries of the store beyond those that the asking host
+// has: it cannot reach the store itself.
+type StateRequest struct {
+	// ConfigVersion is the version of the configuration that the asker has.
+	ConfigVersion int64 `cbor:"1,keyasint"`
+	// EndpointsFrom is the offset from which the asker misses entries.
+	EndpointsFrom int64 `cbor:"2,keyasint"`
+}
+
+// StateAnswer holds entries as they stand in the store.
+type StateAnswer struct {
+	Config    *fleet.Entry  `cbor:"1,keyasint,omitempty"`
+	Endpoints []fleet.Entry `cbor:"2,keyasint,omitempty"`
+	// EndpointsNext is the offset up to which the entries are complete.
+	EndpointsNext int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // UsageReport tells a pool's owner how a host uses its models.
@@ -53,6 +77,11 @@
 	// TrimmedFirst is set when the records asked for are no longer kept.
 	TrimmedFirst record.Offset    `cbor:"3,keyasint,omitempty"`
 	Chunk        *record.Snapshot `cbor:"4,keyasint,omitempty"`
+	// Claim is the newest claim to give orders that the answering host knows.
+	Claim *orders.Claim `cbor:"5,keyasint,omitempty"`
+	// Giving tells whether the answering host holds that claim.
+	Giving bool         `cbor:"6,keyasint,omitempty"`
+	State  *StateAnswer `cbor:"7,keyasint,omitempty"`
 }
 
 // Handler answers the requests of other hosts.
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// Forget drops the connection to an address at which another host now listens.
+func (n *Node) Forget(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, addr)
+}
+
 // Addr is the address that the node listens on.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
--- a/pkg/peer/tls.go
+++ b/pkg/peer/tls.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
@@ -100,3 +101,51 @@
 	roots.AppendCertsFromPEM(d.CA)
 	return TLSConfig(cert, roots), nil
 }
+
+// Fingerprint identifies a host's key made at start.
+type Fingerprint [sha256.Size]byte
+
+// SelfSigned makes a key and a certificate for one incarnation of a host. Other
+// hosts learn its fingerprint from the platform's store.
+func SelfSigned(now time.Time) (tls.Certificate, Fingerprint, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, Fingerprint{}, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject:      pkix.Name{CommonName: serverName},
+		DNSNames:     []string{serverName},
+		NotBefore:    now.Add(-devValidity),
+		NotAfter:     now.Add(devValidity),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return tls.Certificate{}, Fingerprint{}, err
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, sha256.Sum256(der), nil
+}
+
+// PinnedTLS returns the configuration of a host whose peers are known by the
+// fingerprints of their certificates. Both sides must present a known one. The
+// dates in a certificate are not looked at: a host's time of day may jump.
+func PinnedTLS(cert tls.Certificate, known func(Fingerprint) bool) *tls.Config {
+	verify := func(raw [][]byte, _ [][]*x509.Certificate) error {
+		if len(raw) == 0 || !known(sha256.Sum256(raw[0])) {
+			return errors.New("peer is not known by its certificate")
+		}
+		return nil
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		// The chain has no authority; verify checks the pinned certificate and
+		// the handshake that the peer has its key.
+		InsecureSkipVerify:     true,
+		ClientAuth:             tls.RequireAnyClientCert,
+		VerifyPeerCertificate:  verify,
+		ServerName:             serverName,
+		NextProtos:             []string{alpn},
+		MinVersion:             tls.VersionTLS13,
+		SessionTicketsDisabled: true,
+	}
+}
--- /dev/null
+++ b/pkg/residency/residency.go
@@ -0,0 +1,367 @@
+// Package residency decides which models an endpoint's memory holds, where more
+// models are asked for than fit. It is a pure function of a snapshot: the giver
+// of orders checks each decision again against what the endpoint says of itself.
+//
+// The load pattern: a few models take most requests and change during the day;
+// many models get a request every few seconds. The weight store does a load in
+// seconds and few at once, while an endpoint reloads a model that it has held
+// before from its own memory or disk in under a second. So each rare model has
+// home endpoints, where its copy lies, and is swapped in there for the requests
+// that wait.
+package residency
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// Tier is where an endpoint has a copy of a model's weights.
+type Tier int
+
+// The tiers, slowest first.
+const (
+	InStore Tier = iota
+	OnDisk
+	InMemory
+)
+
+// Resident is a model in an endpoint's memory.
+type Resident struct {
+	Model string
+	MB    float64
+	// Ready models serve; others are loading.
+	Ready bool
+	// Since is when the model became ready.
+	Since time.Time
+	// Leaving models are being unloaded.
+	Leaving bool
+	// Adapters is the number held or loading.
+	Adapters int
+}
+
+// Endpoint is one endpoint as far as decisions go.
+type Endpoint struct {
+	ID         fleet.EndpointID
+	Zone       string
+	CapacityMB float64
+	Residents  []Resident
+	// Copies names the models that reload fast here.
+	Copies map[string]Tier
+	// Busy endpoints carry out an order and take no other.
+	Busy bool
+}
+
+// usedMB is the memory that is taken or about to be.
+func (e *Endpoint) usedMB(models map[string]*Model) float64 {
+	sum := 0.0
+	for _, r := range e.Residents {
+		sum += r.MB
+		if m := models[r.Model]; m != nil {
+			sum += float64(r.Adapters) * m.AdapterMB
+		}
+	}
+	return sum
+}
+
+// Model is the demand for a model over all hosts.
+type Model struct {
+	fleet.Model
+	Waiting int
+	// Aim is when the first waiting request should begin.
+	Aim time.Time
+	// Rate is in requests a second, over a few seconds; Slow over more.
+	Rate     float64
+	Slow     float64
+	Inflight int
+}
+
+// Limits are the bounds of a decision.
+type Limits struct {
+	// Slots is the number of requests that an endpoint runs at once.
+	Slots int
+	// StoreLoads is how many loads from the weight store may start now.
+	StoreLoads int
+	// RatePerReplica is how many requests a second one replica is to serve.
+	RatePerReplica float64
+}
+
+// Snapshot is all that a decision depends on.
+type Snapshot struct {
+	Now       time.Time
+	Endpoints []Endpoint
+	Models    []Model
+	Limits    Limits
+}
+
+// Swap is a decision for one endpoint.
+type Swap struct {
+	Endpoint fleet.EndpointID
+	Evict    []string
+	Load     string
+	From     Tier
+}
+
+const (
+	// hotRate is the rate above which a model gets replicas ahead of waiting
+	// requests. Below it, one replica serves a few requests in each stay.
+	hotRate = 2.5
+	// spareRate is the rate above which a model gets one replica more than its
+	// rate needs, so that a burst or the loss of an endpoint finds a place.
+	spareRate = 6
+	// minStay is how long a loaded model stays: the requests that waited for it
+	// are on their way.
+	minStay = 350 * time.Millisecond
+	// drainCost is the time that running requests hold up an unload.
+	drainCost = 350 * time.Millisecond
+	// evictCost is the weight, in seconds, of the requests a second that the
+	// evicted model would have served.
+	evictCost = 1.0
+	// zoneCost spreads the replicas of a busy model over availability zones.
+	zoneCost = 0.15
+	// busyShare is the part of an endpoint's slots that one model may fill
+	// before it gets another replica.
+	busyShare = 0.6
+	// storeUrgency is how long requests may have waited past their aim before a
+	// second copy is fetched from the store although a home exists.
+	storeUrgency = time.Second
+)
+
+type decider struct {
+	snap     Snapshot
+	models   map[string]*Model
+	replicas map[string]int
+	// excess counts replicas beyond the wanted number.
+	wanted    map[string]int
+	loads     int
+	out       []Swap
+	touched   map[fleet.EndpointID]bool
+	zones     map[string]map[string]int
+	haveCopy  map[string]bool
+	endpoints []Endpoint
+}
+
+// Decide returns the swaps to start now, at most one an endpoint.
+func Decide(snap Snapshot) []Swap {
+	d := &decider{
+		snap:      snap,
+		models:    map[string]*Model{},
+		replicas:  map[string]int{},
+		wanted:    map[string]int{},
+		loads:     snap.Limits.StoreLoads,
+		touched:   map[fleet.EndpointID]bool{},
+		zones:     map[string]map[string]int{},
+		haveCopy:  map[string]bool{},
+		endpoints: snap.Endpoints,
+	}
+	for i := range snap.Models {
+		d.models[snap.Models[i].Name] = &snap.Models[i]
+	}
+	d.count()
+	for _, n := range d.needs() {
+		d.meet(n)
+	}
+	return d.out
+}
+
+func (d *decider) count() {
+	for _, e := range d.endpoints {
+		for _, r := range e.Residents {
+			if r.Leaving {
+				continue
+			}
+			d.replicas[r.Model]++
+			if d.zones[r.Model] == nil {
+				d.zones[r.Model] = map[string]int{}
+			}
+			d.zones[r.Model][e.Zone]++
+		}
+		for name := range e.Copies {
+			d.haveCopy[name] = true
+		}
+	}
+	for name, m := range d.models {
+		d.wanted[name] = wanted(m, d.snap.Limits)
+	}
+}
+
+// wanted is the number of replicas that the demand for a model justifies.
+func wanted(m *Model, l Limits) int {
+	n := 0
+	if m.Rate >= hotRate {
+		n = int(math.Ceil(m.Rate / l.RatePerReplica))
+		n = max(n, int(math.Ceil(float64(m.Inflight+m.Waiting)/(busyShare*float64(max(1, l.Slots))))))
+	}
+	if m.Rate >= spareRate {
+		n++
+	}
+	if m.Waiting > 0 {
+		n = max(n, 1)
+	}
+	return n
+}
+
+// need is a model that lacks replicas.
+type need struct {
+	model *Model
+	// due is when the lack begins to cost.
+	due  time.Time
+	cold bool
+}
+
+// needs returns what lacks replicas, the most urgent first.
+func (d *decider) needs() []need {
+	var list []need
+	for name, m := range d.models {
+		have := d.replicas[name]
+		if have >= d.wanted[name] {
+			continue
+		}
+		n := need{model: m, due: d.snap.Now, cold: have == 0 && m.Waiting > 0}
+		if n.cold {
+			n.due = m.Aim
+		} else if have > 0 {
+			// A replica serves already; the lack of others costs later.
+			n.due = d.snap.Now.Add(time.Duration(float64(time.Second) * float64(have) / float64(d.wanted[name])))
+		}
+		list = append(list, n)
+	}
+	slices.SortFunc(list, func(a, b need) int {
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.model.Name, b.model.Name))
+	})
+	return list
+}
+
+// option is a way to meet a need at one endpoint.
+type option struct {
+	swap Swap
+	cost float64
+}
+
+func (d *decider) meet(n need) {
+	best := option{cost: math.Inf(1)}
+	homeBusy := false
+	for i := range d.endpoints {
+		e := &d.endpoints[i]
+		tier := e.Copies[n.model.Name]
+		if e.Busy || d.touched[e.ID] {
+			homeBusy = homeBusy || tier > InStore
+			continue
+		}
+		if d.holds(e, n.model.Name) {
+			continue
+		}
+		if o, ok := d.option(n, e, tier); ok && o.cost < best.cost {
+			best = o
+		}
+	}
+	if math.IsInf(best.cost, 1) {
+		return
+	}
+	if best.swap.From == InStore {
+		// The store is slow and shared: a home that is busy now reloads sooner.
+		late := d.snap.Now.Sub(n.due) > storeUrgency
+		if d.loads <= 0 || (n.cold && homeBusy && !late) {
+			return
+		}
+		d.loads--
+	}
+	d.touched[best.swap.Endpoint] = true
+	d.replicas[n.model.Name]++
+	for _, v := range best.swap.Evict {
+		d.replicas[v]--
+	}
+	d.out = append(d.out, best.swap)
+}
+
+func (d *decider) holds(e *Endpoint, model string) bool {
+	return slices.ContainsFunc(e.Residents, func(r Resident) bool { return r.Model == model })
+}
+
+// option returns the cheapest way to load a model at an endpoint. Its cost is
+// in seconds: the load, the drain of what leaves, and what the models that
+// leave would have served.
+func (d *decider) option(n need, e *Endpoint, tier Tier) (option, bool) {
+	missing := n.model.WeightsMB - (e.CapacityMB - e.usedMB(d.models))
+	victims, loss, ok := d.victims(n, e, missing)
+	if !ok {
+		return option{}, false
+	}
+	cost := LoadTime(n.model.Model, tier).Seconds() + loss*evictCost
+	if !n.cold {
+		cost += zoneCost * float64(d.zones[n.model.Name][e.Zone])
+	}
+	return option{swap: Swap{Endpoint: e.ID, Evict: victims, Load: n.model.Name, From: tier}, cost: cost}, true
+}
+
+// LoadTime is the time of a load while few loads run.
+func LoadTime(m fleet.Model, t Tier) time.Duration {
+	switch t {
+	case InMemory:
+		return m.MemoryLoad
+	case OnDisk:
+		return m.DiskLoad
+	default:
+		return m.StoreLoad
+	}
+}
+
+type victim struct {
+	model string
+	mb    float64
+	loss  float64
+}
+
+// victims returns what has to leave to free missing MB, the least wanted first.
+func (d *decider) victims(n need, e *Endpoint, missing float64) ([]string, float64, bool) {
+	if missing <= 0 {
+		return nil, 0, true
+	}
+	var list []victim
+	for _, r := range e.Residents {
+		if v, ok := d.victim(n, r); ok {
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.model, b.model))
+	})
+	var out []string
+	loss := 0.0
+	for _, v := range list {
+		out = append(out, v.model)
+		loss += v.loss
+		if missing -= v.mb; missing <= 0 {
+			return out, loss, true
+		}
+	}
+	return nil, 0, false
+}
+
+// victim tells what it would cost to unload a resident, or that it must stay.
+func (d *decider) victim(n need, r Resident) (victim, bool) {
+	if !r.Ready || r.Leaving || d.snap.Now.Sub(r.Since) < minStay {
+		return victim{}, false
+	}
+	m := d.models[r.Model]
+	if m == nil {
+		return victim{model: r.Model, mb: r.MB}, true
+	}
+	mb := r.MB + float64(r.Adapters)*m.AdapterMB
+	replicas := d.replicas[r.Model]
+	if m.Waiting > 0 && replicas <= 1 {
+		return victim{}, false
+	}
+	// A replica that a busy model needs is not given up for a rare one.
+	if replicas <= d.wanted[r.Model] && d.wanted[r.Model] > 0 && m.Rate >= hotRate {
+		return victim{}, false
+	}
+	loss := m.Slow / float64(max(1, replicas))
+	if m.Inflight > 0 && replicas <= 1 {
+		loss += drainCost.Seconds()
+	}
+	return victim{model: r.Model, mb: mb, loss: loss}, true
+}
--- /dev/null
+++ b/pkg/serve/dispatch.go
@@ -0,0 +1,415 @@
+package serve
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/routing"
+)
+
+const (
+	// silentLimit is how long an endpoint with running requests may send nothing
+	// at all before it is taken for hung. Several requests share it, so that
+	// their first tokens and events come far more often.
+	silentLimit = 900 * time.Millisecond
+	// overcommit is the part of an endpoint's places by which requests may
+	// exceed them: a place that comes free is taken without a round trip.
+	overcommit = 0.25
+	// serviceWeight is the weight of one request in the moving service time.
+	serviceWeight = 0.1
+	// startService is the service time assumed before the first request.
+	startService = 200 * time.Millisecond
+)
+
+// Need names what an endpoint must hold for a request.
+type Need struct {
+	Service string
+	Model   string
+	Adapter string
+}
+
+// What names the model, or the adapter with its model.
+func (n Need) What() string {
+	if n.Adapter == "" {
+		return n.Model
+	}
+	return n.Model + "/" + n.Adapter
+}
+
+// Found is where a need is met.
+type Found struct {
+	// Ready endpoints hold what is needed and take requests.
+	Ready []fleet.Endpoint
+	// ComingAt is when the next endpoint will, zero if none is loading.
+	ComingAt time.Time
+	// Known tells whether the service has any endpoint.
+	Known bool
+}
+
+// Placement tells where models are held.
+type Placement interface {
+	Find(now time.Time, n Need) Found
+}
+
+// Demand is one need as this host sees it.
+type Demand struct {
+	Need
+	Waiting int
+	// Aim is the earliest time at which a waiting request should begin.
+	Aim time.Time
+	// Inflight requests run, Arrived ones came since the last report.
+	Inflight int
+	Arrived  int
+	// Priority is the most urgent rank that asked, 0 first.
+	Priority int
+}
+
+// Dispatcher holds waiting requests and gives them places at endpoints.
+// Its state is in shards by service, each under its own lock.
+type Dispatcher struct {
+	zone      string
+	placement Placement
+	health    *Health
+	now       func() time.Time
+	// wanted is called without a lock when a request waits for a model that no
+	// endpoint holds.
+	wanted func()
+
+	mu     sync.Mutex
+	shards map[string]*shard
+}
+
+// shard is the queue of one service.
+type shard struct {
+	mu      sync.Mutex
+	waiting []*waiter
+	use     map[Need]*use
+	service time.Duration
+}
+
+type use struct {
+	inflight int
+	arrived  int
+	priority int
+}
+
+type waiter struct {
+	need    Need
+	request *Request
+	exclude map[fleet.EndpointID]bool
+	// place receives an endpoint, or a refusal, exactly once.
+	place chan grant
+}
+
+type grant struct {
+	endpoint fleet.Endpoint
+	refusal  *Refusal
+}
+
+// NewDispatcher returns a dispatcher without any requests.
+func NewDispatcher(zone string, p Placement, h *Health, now func() time.Time, wanted func()) *Dispatcher {
+	return &Dispatcher{zone: zone, placement: p, health: h, now: now, wanted: wanted, shards: map[string]*shard{}}
+}
+
+func (d *Dispatcher) shard(service string) *shard {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.shards[service]
+	if s == nil {
+		s = &shard{use: map[Need]*use{}, service: startService}
+		d.shards[service] = s
+	}
+	return s
+}
+
+func (s *shard) useOf(n Need) *use {
+	u := s.use[n]
+	if u == nil {
+		u = &use{priority: math.MaxInt}
+		s.use[n] = u
+	}
+	return u
+}
+
+// Arrive counts a request for a need.
+func (d *Dispatcher) Arrive(n Need, priority int) {
+	s := d.shard(n.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.useOf(n)
+	u.arrived++
+	u.priority = min(u.priority, priority)
+}
+
+// Acquire waits for a place at an endpoint that is not excluded. The place must
+// be given back with Release.
+func (d *Dispatcher) Acquire(ctx context.Context, n Need, r *Request, exclude map[fleet.EndpointID]bool) (fleet.Endpoint, *Refusal) {
+	s := d.shard(n.Service)
+	w := &waiter{need: n, request: r, exclude: exclude, place: make(chan grant, 1)}
+	now := d.now()
+	s.mu.Lock()
+	if e, ok := d.pick(now, s, w); ok {
+		s.mu.Unlock()
+		return e, nil
+	}
+	situation, cold := d.situation(now, w)
+	until, retryAfter, hold := Hold(r, situation)
+	if !hold || !situation.Known {
+		s.mu.Unlock()
+		if cold {
+			d.wanted()
+		}
+		return fleet.Endpoint{}, refuse(situation, max(retryAfter, minRetryAfter))
+	}
+	s.push(w)
+	s.mu.Unlock()
+	if cold {
+		d.wanted()
+	}
+	return d.await(ctx, s, w, until)
+}
+
+func refuse(s Situation, retryAfter time.Duration) *Refusal {
+	cause := CauseNotLoaded
+	switch {
+	case !s.Known:
+		cause = CauseNoEndpoint
+	case s.Ready:
+		cause = CauseNoRoom
+	}
+	return &Refusal{Cause: cause, NotRun: true, RetryAfter: retryAfter}
+}
+
+func (d *Dispatcher) await(ctx context.Context, s *shard, w *waiter, until time.Time) (fleet.Endpoint, *Refusal) {
+	for {
+		timer := time.NewTimer(until.Sub(d.now()))
+		select {
+		case g := <-w.place:
+			timer.Stop()
+			return g.endpoint, g.refusal
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+		now := d.now()
+		s.mu.Lock()
+		situation, _ := d.situation(now, w)
+		next, retryAfter, hold := Hold(w.request, situation)
+		if hold && ctx.Err() == nil {
+			s.mu.Unlock()
+			until = next
+			continue
+		}
+		removed := s.remove(w)
+		s.mu.Unlock()
+		if !removed {
+			// A place was given at the same moment.
+			g := <-w.place
+			return g.endpoint, g.refusal
+		}
+		if ctx.Err() != nil {
+			return fleet.Endpoint{}, &Refusal{Cause: CauseClientGone, NotRun: true}
+		}
+		return fleet.Endpoint{}, refuse(situation, retryAfter)
+	}
+}
+
+// situation tells also whether a model is missing that should be loaded.
+func (d *Dispatcher) situation(now time.Time, w *waiter) (s Situation, cold bool) {
+	f := d.placement.Find(now, w.need)
+	s = Situation{Now: now, Ready: len(f.Ready) > 0, ComingAt: f.ComingAt, Known: f.Known}
+	return s, !s.Ready && w.need.Model != ""
+}
+
+// push keeps the queue in the order in which places are given.
+func (s *shard) push(w *waiter) {
+	at, _ := slices.BinarySearchFunc(s.waiting, w, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(a.request.Route.Priority, b.request.Route.Priority), a.request.Aim().Compare(b.request.Aim()), -1)
+	})
+	s.waiting = slices.Insert(s.waiting, at, w)
+}
+
+func (s *shard) remove(w *waiter) bool {
+	i := slices.Index(s.waiting, w)
+	if i < 0 {
+		return false
+	}
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	return true
+}
+
+// pick reserves a place. The shard is locked.
+func (d *Dispatcher) pick(now time.Time, s *shard, w *waiter) (fleet.Endpoint, bool) {
+	found := d.placement.Find(now, w.need)
+	what := w.need.What()
+	endpoints := make([]fleet.Endpoint, 0, len(found.Ready))
+	candidates := make([]routing.Candidate, 0, len(found.Ready))
+	for _, e := range found.Ready {
+		if w.exclude[e.ID] {
+			continue
+		}
+		c := d.health.Condition(now, e.ID, w.need.Service, what)
+		if c.Closed {
+			continue
+		}
+		endpoints = append(endpoints, e)
+		candidates = append(candidates, candidate(e, c, s.service))
+	}
+	i := routing.Pick(candidates, d.zone, s.service, rand.IntN)
+	if i < 0 {
+		return fleet.Endpoint{}, false
+	}
+	d.health.Begin(now, endpoints[i].ID)
+	s.useOf(w.need).inflight++
+	return endpoints[i], true
+}
+
+// candidate bounds this host's requests by what the endpoint's last stated load
+// leaves of its places. The statement fades with the service time.
+func candidate(e fleet.Endpoint, c Condition, service time.Duration) routing.Candidate {
+	others := c.Load.Running + c.Load.Waiting
+	fresh := math.Exp(-float64(c.LoadAge) / float64(service))
+	places := float64(e.Slots) * (1 + overcommit)
+	return routing.Candidate{
+		Replica: string(e.ID),
+		Zone:    e.Zone,
+		Own:     c.Own,
+		Others:  others,
+		Age:     c.LoadAge,
+		Limit:   max(1, int(places-float64(others)*fresh)),
+		Suspect: c.Suspect,
+	}
+}
+
+// Kick gives places to waiting requests after something has changed.
+func (d *Dispatcher) Kick() {
+	d.mu.Lock()
+	services := make([]string, 0, len(d.shards))
+	for name := range d.shards {
+		services = append(services, name)
+	}
+	d.mu.Unlock()
+	for _, name := range services {
+		d.kick(d.shard(name))
+	}
+}
+
+func (d *Dispatcher) kick(s *shard) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := d.now()
+	// A need that found no place is not tried again for later requests.
+	blocked := map[Need]bool{}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
+		if blocked[w.need] {
+			return false
+		}
+		e, ok := d.pick(now, s, w)
+		if !ok {
+			blocked[w.need] = len(w.exclude) == 0
+			return false
+		}
+		w.place <- grant{endpoint: e}
+		return true
+	})
+}
+
+// Release gives a place back. took is how long a successful run took, zero for
+// any other.
+func (d *Dispatcher) Release(n Need, e fleet.EndpointID, took time.Duration) {
+	d.health.End(e)
+	s := d.shard(n.Service)
+	s.mu.Lock()
+	s.useOf(n).inflight--
+	if took > 0 {
+		s.service += time.Duration(float64(took-s.service) * serviceWeight)
+	}
+	idle := len(s.waiting) == 0
+	s.mu.Unlock()
+	if !idle {
+		d.kick(s)
+	}
+}
+
+// Demand returns all needs with use and resets the counts of arrivals.
+func (d *Dispatcher) Demand() []Demand {
+	d.mu.Lock()
+	shards := make([]*shard, 0, len(d.shards))
+	for _, s := range d.shards {
+		shards = append(shards, s)
+	}
+	d.mu.Unlock()
+	var list []Demand
+	for _, s := range shards {
+		list = append(list, s.demand()...)
+	}
+	return list
+}
+
+func (s *shard) demand() []Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byNeed := map[Need]*Demand{}
+	for n, u := range s.use {
+		if n.Model == "" {
+			continue
+		}
+		if u.inflight == 0 && u.arrived == 0 {
+			delete(s.use, n)
+			continue
+		}
+		byNeed[n] = &Demand{Need: n, Inflight: u.inflight, Arrived: u.arrived, Priority: u.priority}
+		u.arrived = 0
+	}
+	for _, w := range s.waiting {
+		if w.need.Model == "" {
+			continue
+		}
+		x := byNeed[w.need]
+		if x == nil {
+			x = &Demand{Need: w.need, Priority: w.request.Route.Priority}
+			byNeed[w.need] = x
+		}
+		if aim := w.request.Aim(); x.Waiting == 0 || aim.Before(x.Aim) {
+			x.Aim = aim
+		}
+		x.Waiting++
+	}
+	list := make([]Demand, 0, len(byNeed))
+	for _, x := range byNeed {
+		list = append(list, *x)
+	}
+	return list
+}
+
+// Idle tells whether no request waits or runs.
+func (d *Dispatcher) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.shards {
+		s.mu.Lock()
+		busy := len(s.waiting) > 0
+		for _, u := range s.use {
+			busy = busy || u.inflight > 0
+		}
+		s.mu.Unlock()
+		if busy {
+			return false
+		}
+	}
+	return true
+}
+
+// ServiceTime is the usual time of a request of a service.
+func (d *Dispatcher) ServiceTime(service string) time.Duration {
+	s := d.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service
+}
--- /dev/null
+++ b/pkg/serve/forward.go
@@ -0,0 +1,197 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// errClientWrite marks that the client takes no more bytes.
+var errClientWrite = errors.New("client takes no more")
+
+// forward passes an answer on to the client.
+func (x *exchange) forward(a *Answer, w *watcher, id fleet.EndpointID) error {
+	body := &noted{in: a.Body, note: func() {
+		x.server.Health.Byte(x.server.Now(), id)
+		if w != nil {
+			w.progress()
+		}
+	}}
+	if x.request.Route.Kind == fleet.Stream && a.Status < 300 {
+		if x.request.Route.Resumable {
+			return x.forwardEvents(a, body)
+		}
+		return x.forwardRaw(a, body, nil)
+	}
+	head, err := io.ReadAll(io.LimitReader(body, bufferedBody))
+	if err != nil {
+		return errors.Wrap(err, "read body")
+	}
+	if len(head) < bufferedBody {
+		x.begin(a)
+		return x.write(head)
+	}
+	return x.forwardRaw(a, body, head)
+}
+
+// noted calls note for each read that brought bytes.
+type noted struct {
+	in   io.Reader
+	note func()
+}
+
+// Read implements io.Reader.
+func (n *noted) Read(p []byte) (int, error) {
+	k, err := n.in.Read(p)
+	if k > 0 {
+		n.note()
+	}
+	return k, err
+}
+
+func (x *exchange) begin(a *Answer) {
+	if x.begun {
+		x.result.Resumed++
+		return
+	}
+	x.begun = true
+	x.result.FirstByte = x.server.Now().Sub(x.request.Arrived)
+	x.sink.Begin(a)
+}
+
+func (x *exchange) write(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if err := x.sink.Write(p); err != nil {
+		return errors.Mark(err, errClientWrite)
+	}
+	return nil
+}
+
+// forwardRaw copies a body as its bytes come.
+func (x *exchange) forwardRaw(a *Answer, body io.Reader, head []byte) error {
+	buf := make([]byte, 8<<10)
+	if len(head) > 0 {
+		x.begin(a)
+		if err := x.write(head); err != nil {
+			return err
+		}
+	}
+	for {
+		n, err := body.Read(buf)
+		if n > 0 || err == io.EOF {
+			if !x.begun {
+				x.begin(a)
+			}
+			if werr := x.write(buf[:n]); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read body")
+		}
+	}
+}
+
+// forwardEvents passes on whole events only. A stream that breaks goes on with
+// the event after the last one delivered; a part of an event that went out
+// would be joined with the next run's and spoil both.
+func (x *exchange) forwardEvents(a *Answer, body io.Reader) error {
+	in := &events{in: body}
+	first := true
+	for {
+		whole, id, err := in.next()
+		if err == io.EOF {
+			if first {
+				x.begin(a)
+			}
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read stream")
+		}
+		if first {
+			x.begin(a)
+			first = false
+		}
+		if err := x.write(whole); err != nil {
+			return err
+		}
+		if id != "" {
+			x.lastEvent = id
+		}
+	}
+}
+
+// watcher gives a try up when its endpoint has fallen silent and the request
+// may run elsewhere.
+type watcher struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	last  time.Time
+	now   func() time.Time
+}
+
+func (x *exchange) watch(cancel context.CancelFunc, id fleet.EndpointID) *watcher {
+	s := x.server
+	w := &watcher{now: s.Now, last: s.Now()}
+	if !x.request.Route.Repeatable() || x.result.Runs+1 >= x.request.Route.Attempts {
+		return w
+	}
+	patience := x.patience()
+	check := func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.timer == nil {
+			return
+		}
+		quiet := s.Now().Sub(w.last)
+		if quiet >= patience || (quiet >= silentLimit && s.Health.Silent(s.Now(), id) >= silentLimit) {
+			s.Health.Suspect(s.Now(), id)
+			cancel()
+			return
+		}
+		w.timer.Reset(min(patience, silentLimit) / 3)
+	}
+	w.mu.Lock()
+	w.timer = time.AfterFunc(min(patience, silentLimit), check)
+	w.mu.Unlock()
+	return w
+}
+
+// patience is how long a repeatable request waits for the next byte.
+func (x *exchange) patience() time.Duration {
+	route := x.request.Route
+	if x.begun {
+		return max(gapPatience*route.MaxGap, silentLimit)
+	}
+	usual := x.server.Dispatcher.ServiceTime(x.request.Service)
+	if route.Kind == fleet.Stream {
+		usual = 0
+	}
+	return max(minPatience, time.Duration(patienceObjectives*float64(route.Objective)), patienceServices*usual)
+}
+
+// progress notes that the endpoint has sent something for this request.
+func (w *watcher) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = w.now()
+}
+
+func (w *watcher) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
+	}
+}
--- /dev/null
+++ b/pkg/serve/hold.go
@@ -0,0 +1,58 @@
+package serve
+
+import "time"
+
+const (
+	// holdShare is the part of a client's time after which a request that no
+	// endpoint can take is refused. A client is told in time to come back, and
+	// what it waited is not lost if a place comes free before.
+	holdShare = 0.55
+	// minRetryAfter and maxRetryAfter bound what a client is told. Clients obey
+	// up to a third of the time that they have left.
+	minRetryAfter = 150 * time.Millisecond
+	maxRetryAfter = 4 * time.Second
+	// retryAfterShare is the part of the remaining time that clients still obey.
+	retryAfterShare = 1.0 / 3
+	// minRun is the least time in which an answer can be made: the prompt and
+	// the first token of an idle endpoint.
+	minRun = 60 * time.Millisecond
+)
+
+// Situation is what the decision to hold a request depends on.
+type Situation struct {
+	Now time.Time
+	// Ready tells whether any endpoint holds what the request needs.
+	Ready bool
+	// ComingAt is when an endpoint will hold it, zero if none is loading.
+	ComingAt time.Time
+	// Known tells whether the service has any live endpoint at all.
+	Known bool
+}
+
+// Hold decides whether a request waits. It returns until when, or when the
+// client may come back if waiting is hopeless.
+func Hold(r *Request, s Situation) (until time.Time, retryAfter time.Duration, hold bool) {
+	budget := r.Deadline.Sub(r.Arrived)
+	until = r.Arrived.Add(time.Duration(float64(budget) * holdShare))
+	if latest := r.Deadline.Add(-minRun); latest.Before(until) {
+		until = latest
+	}
+	if !s.ComingAt.IsZero() && s.ComingAt.After(until) && s.ComingAt.Before(r.Deadline.Add(-minRun)) {
+		// The load will end in time: what the client waits is not in vain.
+		until = s.ComingAt.Add(minRun)
+	}
+	remaining := r.Deadline.Sub(s.Now)
+	if s.Now.Before(until) {
+		return until, 0, true
+	}
+	return until, RetryAfter(remaining, s), false
+}
+
+// RetryAfter returns when a client that has the given time left may come back.
+func RetryAfter(remaining time.Duration, s Situation) time.Duration {
+	after := minRetryAfter
+	if !s.ComingAt.IsZero() {
+		after = max(after, s.ComingAt.Sub(s.Now))
+	}
+	return min(after, maxRetryAfter, max(minRetryAfter, time.Duration(float64(remaining)*retryAfterShare)))
+}
--- /dev/null
+++ b/pkg/serve/request.go
@@ -0,0 +1,138 @@
+// Package serve carries one typed request from admission over the choice of an
+// endpoint to the end of its answer. It knows no wire format: a door decodes
+// into Request and encodes from Sink, a Backend speaks to endpoints.
+package serve
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// Request is one request of a client, sent once.
+type Request struct {
+	// ID is the client's ID of this attempt.
+	ID    string
+	Route fleet.Route
+	// Service was chosen among the targets of the route.
+	Service string
+	// Arrived is when the request was read.
+	Arrived time.Time
+	// Deadline is when the client or the route gives up.
+	Deadline time.Time
+	// ClientDeadline is when the client gives up; endpoints are told of it.
+	ClientDeadline time.Time
+	// Model is empty for plain services; Adapter is empty for the model itself.
+	Model   string
+	Adapter string
+	// PromptTokens and OutputTokens are the client's counts, 0 if unknown.
+	PromptTokens int
+	OutputTokens int
+	// Session names the last shared part of the prompt, empty without one.
+	Session string
+	// LastEvent is the ID of the last event that the client has, empty at the start.
+	LastEvent string
+	// Wire is what the door and the backend share; this package does not look at it.
+	Wire any
+}
+
+// Aim is when the answer has to begin to have its full worth.
+func (r *Request) Aim() time.Time { return r.Arrived.Add(r.Route.Objective) }
+
+// Verdict tells what an answer of an endpoint means for its request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Answered requests have run, with success or failure.
+	Answered Verdict = iota
+	// Full endpoints have not run the request and are short of places.
+	Full
+	// NotHeld endpoints have not run the request because they do not hold the
+	// model or adapter.
+	NotHeld
+	// Elsewhere means that another incarnation has the address; nothing ran.
+	Elsewhere
+)
+
+// Answer is an endpoint's answer; its body must be closed.
+type Answer struct {
+	Verdict Verdict
+	Status  int
+	// Load is the endpoint's load if the answer states it.
+	Load *fleet.Load
+	// Body ends with io.EOF after the whole body and with any other error before.
+	Body io.ReadCloser
+	// Head is what door and backend share of the answer.
+	Head any
+}
+
+// Failed tells whether the endpoint ran the request and could not answer it.
+func (a *Answer) Failed() bool { return a.Status >= 500 }
+
+var (
+	// ErrNoConfig means that the host knows no configuration yet.
+	ErrNoConfig = errors.New("no configuration is known yet")
+	// ErrNoRoute means that the configuration in force has no route for a request.
+	ErrNoRoute = errors.New("no route")
+)
+
+// ErrNotSent marks errors of a Backend after which nothing has been sent.
+var ErrNotSent = errors.New("request was not sent")
+
+// Send says how a request goes to an endpoint.
+type Send struct {
+	Endpoint fleet.Endpoint
+	// Remaining is the time that the client still waits.
+	Remaining time.Duration
+	// LastEvent is the ID of the last event that the client has.
+	LastEvent string
+}
+
+// Backend sends requests to endpoints.
+type Backend interface {
+	// Send returns the head of the answer. An error marked ErrNotSent means that
+	// nothing was sent; after any other the request may have run. Cancelling ctx
+	// makes the endpoint stop.
+	Send(ctx context.Context, r *Request, s Send) (*Answer, error)
+}
+
+// Cause is why a request was refused or failed.
+type Cause string
+
+// The causes.
+const (
+	CauseNoConfig   Cause = "no_config"
+	CauseNoEndpoint Cause = "no_endpoint"
+	CauseNoRoom     Cause = "no_room"
+	CauseNotLoaded  Cause = "not_loaded"
+	CauseDeadline   Cause = "deadline"
+	CauseClientGone Cause = "client_gone"
+	CauseBroken     Cause = "endpoint_failed"
+	CauseBudget     Cause = "retry_budget"
+	CauseStopping   Cause = "stopping"
+)
+
+// Refusal is a final answer of this host itself.
+type Refusal struct {
+	Cause Cause
+	// NotRun promises that the request has not run and never will.
+	NotRun bool
+	// RetryAfter is when the client may come back; zero states none.
+	RetryAfter time.Duration
+}
+
+// Sink takes the answer to a request.
+type Sink interface {
+	// Begin sends the head of an endpoint's answer.
+	Begin(a *Answer)
+	// Write sends bytes of the body at once.
+	Write(p []byte) error
+	// Abort ends the connection so that the answer does not look complete.
+	Abort()
+	// Refuse sends a final answer of this host. Nothing was begun before.
+	Refuse(r Refusal)
+}
--- /dev/null
+++ b/pkg/serve/server.go
@@ -0,0 +1,323 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/retry"
+)
+
+const (
+	// maxRejected bounds how many endpoints may reject a request before it is
+	// refused: each rejection counts against the retry budget of all clients.
+	maxRejected = 3
+	// minRepeat is the least time left for which a request is sent again.
+	minRepeat = 100 * time.Millisecond
+	// bufferedBody is the size up to which the body of a plain answer is read
+	// before its head is passed on. An answer that breaks off before can then be
+	// repeated or reported, instead of ending the client's connection.
+	bufferedBody = 64 << 10
+	// patienceObjectives is how many objectives a repeatable request waits for a
+	// first byte from an endpoint that answers others, and patienceServices how
+	// many usual service times: some endpoints hang on part of their requests.
+	patienceObjectives = 2.5
+	patienceServices   = 6
+	// minPatience keeps short objectives from repeating requests that only queue.
+	minPatience = 600 * time.Millisecond
+	// gapPatience is how many longest pauses of a stream pass before it is
+	// resumed elsewhere. Clients leave after eight.
+	gapPatience = 3
+)
+
+// Result is what happened to a request, for logs and metrics.
+type Result struct {
+	Request *Request
+	// Status is that of the endpoint's answer, 0 if this host answered itself.
+	Status   int
+	Refusal  *Refusal
+	Endpoint fleet.EndpointID
+	// Sent counts endpoints that got the request, Runs those that may have run it.
+	Sent int
+	Runs int
+	// Waited is the time until the request was first sent, FirstByte until the
+	// first byte of the answer went to the client.
+	Waited    time.Duration
+	FirstByte time.Duration
+	Total     time.Duration
+	// Resumed counts how often a stream went on at another endpoint.
+	Resumed int
+	// Complete tells whether the whole answer went out.
+	Complete bool
+	// Note is the last error of an endpoint.
+	Note string
+}
+
+// Server carries requests. It is safe for concurrent use.
+type Server struct {
+	Backend    Backend
+	Dispatcher *Dispatcher
+	Health     *Health
+	Budget     *retry.Budget
+	Now        func() time.Time
+}
+
+// Serve answers a request through the sink. ctx ends when the client has gone.
+func (s *Server) Serve(ctx context.Context, r *Request, sink Sink) Result {
+	now := s.Now()
+	s.Budget.Request(now, r.Service)
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	x := &exchange{
+		server:    s,
+		request:   r,
+		sink:      sink,
+		need:      Need{Service: r.Service, Model: r.Model, Adapter: r.Adapter},
+		excluded:  map[fleet.EndpointID]bool{},
+		lastEvent: r.LastEvent,
+		result:    Result{Request: r},
+	}
+	s.Dispatcher.Arrive(x.need, r.Route.Priority)
+	defer x.dropKept()
+	x.run(ctx)
+	x.result.Total = s.Now().Sub(r.Arrived)
+	return x.result
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	server   *Server
+	request  *Request
+	sink     Sink
+	need     Need
+	excluded map[fleet.EndpointID]bool
+	rejected int
+	// begun tells whether the head of an answer went to the client.
+	begun     bool
+	lastEvent string
+	// kept is a failed answer that is passed on if no other endpoint can do better.
+	kept   *Answer
+	result Result
+}
+
+// step is what a try has come to.
+type step int
+
+const (
+	// finished requests have their final answer.
+	finished step = iota
+	// notRun requests were not run by the endpoint.
+	notRun
+	// failed requests may have run, and their answer is not complete.
+	failed
+)
+
+func (x *exchange) run(ctx context.Context) {
+	for {
+		if x.result.Sent > 0 && !x.server.Budget.Take(x.server.Now(), x.request.Service) {
+			x.giveUp(ctx, Refusal{Cause: CauseBudget, RetryAfter: minRetryAfter})
+			return
+		}
+		e, refusal := x.acquire(ctx)
+		if refusal != nil {
+			x.giveUp(ctx, *refusal)
+			return
+		}
+		switch x.try(ctx, e) {
+		case finished:
+			return
+		case notRun:
+			x.rejected++
+			if x.rejected >= maxRejected {
+				x.giveUp(ctx, Refusal{Cause: CauseNoRoom, RetryAfter: minRetryAfter})
+				return
+			}
+		case failed:
+			x.excluded[e.ID] = true
+			if !x.mayRunAgain(ctx) {
+				x.giveUp(ctx, Refusal{Cause: CauseBroken})
+				return
+			}
+		}
+	}
+}
+
+func (x *exchange) acquire(ctx context.Context) (fleet.Endpoint, *Refusal) {
+	if x.kept == nil {
+		return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.excluded)
+	}
+	// A failed answer is at hand: it is passed on rather than kept waiting.
+	ctx, cancel := context.WithTimeout(ctx, minRepeat)
+	defer cancel()
+	return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.excluded)
+}
+
+// mayRunAgain keeps to what the route allows: a request that may run at most
+// once is never sent again after it may have run, also when its endpoint died.
+func (x *exchange) mayRunAgain(ctx context.Context) bool {
+	return x.request.Route.Repeatable() &&
+		x.result.Runs < x.request.Route.Attempts &&
+		ctx.Err() == nil &&
+		x.request.Deadline.Sub(x.server.Now()) > minRepeat
+}
+
+// giveUp sends the final answer of a request that no endpoint answered.
+func (x *exchange) giveUp(ctx context.Context, r Refusal) {
+	switch {
+	case x.begun:
+		x.sink.Abort()
+	case x.kept != nil:
+		x.pass(x.kept)
+		return
+	default:
+		r = x.final(ctx, r)
+		x.sink.Refuse(r)
+	}
+	x.result.Refusal = &r
+}
+
+// final settles what a refusal may promise: not run only where no endpoint can
+// have run the request. The cause tells a client that has gone from a deadline.
+func (x *exchange) final(ctx context.Context, r Refusal) Refusal {
+	r.NotRun = x.result.Runs == 0
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		r.Cause = CauseDeadline
+	case context.Canceled:
+		r.Cause = CauseClientGone
+	}
+	return r
+}
+
+// try sends the request to one endpoint.
+func (x *exchange) try(ctx context.Context, e fleet.Endpoint) step {
+	s := x.server
+	start := s.Now()
+	if x.result.Sent == 0 {
+		x.result.Waited = start.Sub(x.request.Arrived)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := x.watch(cancel, e.ID)
+	defer watch.stop()
+	x.result.Endpoint = e.ID
+	answer, err := s.Backend.Send(ctx, x.request, Send{
+		Endpoint:  e,
+		Remaining: x.request.ClientDeadline.Sub(start),
+		LastEvent: x.lastEvent,
+	})
+	if errors.Is(err, ErrNotSent) {
+		x.result.Note = err.Error()
+		s.Health.Suspect(s.Now(), e.ID)
+		s.Dispatcher.Release(x.need, e.ID, 0)
+		return notRun
+	}
+	x.result.Sent++
+	if err != nil {
+		x.result.Runs++
+		x.fail(e, err)
+		return failed
+	}
+	watch.progress()
+	if answer.Load != nil {
+		s.Health.Load(s.Now(), e.ID, *answer.Load)
+	}
+	if answer.Verdict != Answered {
+		x.reject(e, answer)
+		return notRun
+	}
+	x.result.Runs++
+	return x.take(ctx, e, answer, watch, start)
+}
+
+// reject notes why an endpoint did not run the request.
+func (x *exchange) reject(e fleet.Endpoint, a *Answer) {
+	s := x.server
+	now := s.Now()
+	_ = a.Body.Close() // Nothing of it is used.
+	switch a.Verdict {
+	case Full:
+		s.Health.Full(now, e.ID)
+		x.result.Note = "endpoint is full"
+	case NotHeld:
+		s.Health.NotHeld(now, e.ID, x.need.What())
+		x.result.Note = "endpoint does not hold " + x.need.What()
+	case Elsewhere:
+		s.Health.Suspect(now, e.ID)
+		x.excluded[e.ID] = true
+		x.result.Note = "another endpoint has the address"
+	}
+	s.Dispatcher.Release(x.need, e.ID, 0)
+}
+
+// fail notes a run without a complete answer.
+func (x *exchange) fail(e fleet.Endpoint, err error) {
+	s := x.server
+	x.result.Note = err.Error()
+	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		s.Health.Result(e.ID, x.request.Service, true)
+	}
+	s.Dispatcher.Release(x.need, e.ID, 0)
+}
+
+// take passes on an answer, or keeps a failed one for which another endpoint
+// may do better.
+func (x *exchange) take(ctx context.Context, e fleet.Endpoint, a *Answer, w *watcher, start time.Time) step {
+	s := x.server
+	s.Health.Result(e.ID, x.request.Service, a.Failed())
+	if a.Failed() && (x.begun || x.mayRunAgain(ctx)) {
+		s.Dispatcher.Release(x.need, e.ID, 0)
+		if x.begun {
+			_ = a.Body.Close() // The head of another answer went out already.
+			return failed
+		}
+		x.dropKept()
+		x.kept = a
+		return failed
+	}
+	x.dropKept()
+	err := x.forward(a, w, e.ID)
+	_ = a.Body.Close() // The body was read to its end or is given up.
+	if err == nil {
+		x.result.Complete = true
+		x.result.Status = a.Status
+		s.Dispatcher.Release(x.need, e.ID, s.Now().Sub(start))
+		return finished
+	}
+	x.fail(e, err)
+	if errors.Is(err, errClientWrite) {
+		x.result.Refusal = &Refusal{Cause: CauseClientGone}
+		x.sink.Abort()
+		return finished
+	}
+	return failed
+}
+
+// pass sends a failed answer that was kept.
+func (x *exchange) pass(a *Answer) {
+	x.result.Status = a.Status
+	if err := x.forward(a, nil, x.result.Endpoint); err != nil {
+		x.result.Note = err.Error()
+		x.abortOrFail()
+		return
+	}
+	x.result.Complete = true
+}
+
+func (x *exchange) abortOrFail() {
+	r := Refusal{Cause: CauseBroken}
+	x.result.Refusal = &r
+	if x.begun {
+		x.sink.Abort()
+		return
+	}
+	x.sink.Refuse(r)
+}
+
+func (x *exchange) dropKept() {
+	if x.kept != nil {
+		_ = x.kept.Body.Close() // Its request has ended.
+		x.kept = nil
+	}
+}
