Learn an endpoint's order sequence from its reports only

Cause: the list's entries carry a number of the same name that counts heartbeats; the giver took it for the number of accepted orders. Orders were refused until a report corrected the number, and the correction left what was believed of the endpoint's memory as it was: a load beyond its memory (LIMIT). Ruled out: orders of two holders at once (one token was in use at that time). Change: the list no longer gives a sequence; a report settles models and sequence together; a swap that meets an unknown sequence ends and asks anew.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -24,10 +24,6 @@
 	// InMemory and OnDisk name the models of which the endpoint keeps a copy.
 	InMemory []string
 	OnDisk   []string
-	// Sequence counts the orders that the endpoint has accepted.
-	Sequence int64
-	// Busy endpoints carry out an order.
-	Busy bool
 }
 
 // Held is a model that an endpoint has loaded.
@@ -40,8 +36,10 @@
 type Report struct {
 	Holds []Held
 	// Loading lists adapters that are on their way, as MODEL/NAME.
-	Loading  []string
-	Busy     bool
+	Loading []string
+	// Busy endpoints carry out an order.
+	Busy bool
+	// Sequence counts the orders that the endpoint had accepted.
 	Sequence int64
 	Running  int
 	Waiting  int
--- a/pkg/orders/giver.go
+++ b/pkg/orders/giver.go
@@ -15,6 +15,8 @@
 const (
 	// reportLag is how old an endpoint's report of itself may be.
 	reportLag = 250 * time.Millisecond
+	// listLag is how old an entry of the list may be, about two heartbeats.
+	listLag = 2500 * time.Millisecond
 	// orderTimeout is how long an order may take; a round trip takes a few
 	// milliseconds, and an order without an answer is asked after.
 	orderTimeout = 700 * time.Millisecond
@@ -321,6 +323,7 @@
 		t.mu.Lock()
 		o.Expected = t.sequence
 		e := t.endpoint
+		t.ordered = g.Now()
 		t.mu.Unlock()
 		result, err := g.send(ctx, e, o)
 		g.Log.Info("order", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", token, "result", outcome(result, err))
@@ -345,7 +348,7 @@
 			return false
 		}
 		conflicts++
-		if !g.conflict(ctx, t, e, conflicts) {
+		if !g.conflict(ctx, t, e, o, conflicts) {
 			return false
 		}
 	}
@@ -382,8 +385,10 @@
 	return true
 }
 
-// conflict waits for another order to end, or learns the endpoint's sequence.
-func (g *Giver) conflict(ctx context.Context, t *track, e fleet.Endpoint, n int) bool {
+// conflict waits for another order to end. It tells whether the order may be
+// sent again: not if the endpoint has accepted orders that are not known here,
+// for what was believed of its memory when the order was decided no longer holds.
+func (g *Giver) conflict(ctx context.Context, t *track, e fleet.Endpoint, o Order, n int) bool {
 	const askEvery = 8
 	if n%askEvery != 0 {
 		return pause(ctx, conflictPause)
@@ -391,10 +396,9 @@
 	ask, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	r, err := g.Orderer.Report(ask, e)
-	if err == nil && !r.Busy {
-		t.mu.Lock()
-		t.sequence = r.Sequence
-		t.mu.Unlock()
+	if err == nil && r.Sequence != o.Expected && n > askEvery {
+		// The report lags, so that the first one may still tell an older number.
+		return false
 	}
 	return pause(ctx, conflictPause)
 }
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -24,6 +24,8 @@
 	working bool
 	// busyUntil is when a load under way ends.
 	busyUntil time.Time
+	// ordered is when the last order was sent.
+	ordered time.Time
 	// pause is until when nothing is tried after a failure.
 	pause   time.Time
 	changed bool
@@ -50,7 +52,6 @@
 	t := &track{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true}
 	t.adopt(time.Time{}, v.Holds)
 	t.offset = v.Offset
-	t.sequence = v.Sequence
 	t.noteCopies(v.Endpoint)
 	return t
 }
@@ -107,14 +108,8 @@
 	t.offset = v.Offset
 	t.endpoint = v.Endpoint
 	t.noteCopies(v.Endpoint)
-	if t.working || v.Busy || v.Sequence != t.sequence || now.Before(t.busyUntil) {
-		if !t.working && v.Sequence > t.sequence {
-			// Orders of another holder, or late ones, have come in between.
-			t.known = false
-		}
-		return
-	}
-	if !sameModels(t.models, v.Holds) {
+	if t.known && !t.working && now.Sub(t.ordered) > listLag && !sameModels(t.models, v.Holds) {
+		// Orders of another holder, or late ones, have come in between.
 		t.known = false
 	}
 }
@@ -132,10 +127,13 @@
 }
 
 // settle takes in the endpoint's own report, asked for while no order was out.
+// The report may be older than the last order of a former holder. That is safe:
+// what it says holds for its sequence, and an order that expects this sequence
+// is refused if another came after it.
 func (t *track) settle(now time.Time, r fleet.Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sequence = max(t.sequence, r.Sequence)
+	t.sequence = r.Sequence
 	if r.Busy {
 		t.pause = now.Add(reportLag)
 		return
