Confirm slow loads, know near copies, order adapters only where nothing runs

Cause: requests went to models whose load had not ended (store loads take up to 2.5 s longer than stated; copies believed on disk had yielded) and were refused after three rejections; adapter orders met orders under way. Change: copies are those that the list names; a load is confirmed by a report; an endpoint with an order under way gets no adapter; a rejection closes an endpoint for the model, not for all. Ruled out: too few homes (each model has 3.6).

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -84,12 +84,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.models[model]
-	if r == nil || r.leaving || now.Before(r.readyAt) || !t.known {
+	if r == nil {
 		return 0, adapterNoRoom
 	}
 	if a := r.adapters[name]; a != nil && !a.leaving {
 		return 0, adapterThere
 	}
+	// An endpoint that carries out another order would refuse this one until that
+	// has ended.
+	if r.leaving || r.unsure || now.Before(r.readyAt) || !t.known || t.working || now.Before(t.busyUntil) {
+		return 0, adapterNoRoom
+	}
 	held, sum := t.adapterUse(engine)
 	if held < engine.AdapterSlots && sum+engine.Models[model].AdapterMB <= engine.WeightsMB {
 		return held, adapterFits
--- a/pkg/orders/giver.go
+++ b/pkg/orders/giver.go
@@ -33,6 +33,12 @@
 	storeSlots = 4
 	// loadMargin is added to the stated time of a load before requests are sent.
 	loadMargin = 15 * time.Millisecond
+	// confirmPause is the pause between two questions about a load.
+	confirmPause = 120 * time.Millisecond
+	// unsureReady is what is told of a load whose end is not known.
+	unsureReady = 300 * time.Millisecond
+	// unloadTime is how long an endpoint takes to unload an idle model.
+	unloadTime = 62 * time.Millisecond
 	// adapterTime is how long an adapter takes from order to use.
 	adapterTime = 12 * time.Millisecond
 	// ratePerReplica is how many requests a second one replica is to serve.
@@ -172,9 +178,7 @@
 }
 
 func (g *Giver) ask(ctx context.Context, t *track, e fleet.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	r, err := g.Orderer.Report(ctx, e)
+	r, err := g.report(ctx, e)
 	now := g.Now()
 	if err != nil {
 		g.Log.Info("endpoint gave no report", "endpoint", e.ID, "error", err)
@@ -264,7 +268,7 @@
 	start := g.Now()
 	ok := true
 	for _, v := range s.Evict {
-		if ok = ok && g.order(ctx, t, token, Order{Model: v}); !ok {
+		if ok = ok && g.order(ctx, t, token, Order{Model: v}) && pause(ctx, unloadTime); !ok {
 			break
 		}
 		t.mu.Lock()
@@ -287,10 +291,73 @@
 		return
 	}
 	readyAt := now.Add(residency.LoadTime(m, s.From) + loadMargin)
-	t.models[s.Load] = &resident{readyAt: readyAt, since: readyAt, adapters: map[string]*adapter{}}
+	r := &resident{readyAt: readyAt, since: readyAt, unsure: s.From == residency.InStore, adapters: map[string]*adapter{}}
+	t.models[s.Load] = r
 	t.busyUntil = readyAt
 	t.copies[s.Load] = residency.InMemory
-	g.Log.Info("model is loading", "endpoint", t.endpoint.ID, "model", s.Load, "evicted", s.Evict, "from", s.From, "ordered_in_ms", now.Sub(start).Milliseconds(), "token", token)
+	g.Log.Info("model is loading", "endpoint", t.endpoint.ID, "model", s.Load, "evicted", s.Evict, "from", s.From.String(), "ordered_in_ms", now.Sub(start).Milliseconds(), "token", token)
+	g.work.Go(func() { g.confirm(ctx, t, s.Load, r) })
+}
+
+// confirm asks the endpoint whether a load has ended. Loads from the weight
+// store take longer while others run, and a copy that was believed to be near
+// may be gone; requests sent too early would be rejected.
+func (g *Giver) confirm(ctx context.Context, t *track, model string, r *resident) {
+	for {
+		t.mu.Lock()
+		wait := r.readyAt.Sub(g.Now())
+		if !r.unsure {
+			wait += reportLag
+		}
+		t.mu.Unlock()
+		if !pause(ctx, max(wait, confirmPause)) {
+			return
+		}
+		t.mu.Lock()
+		current := t.models[model] == r && !r.leaving
+		e := t.endpoint
+		t.mu.Unlock()
+		if !current || g.Election.Held() == 0 {
+			return
+		}
+		report, err := g.report(ctx, e)
+		if err != nil {
+			return
+		}
+		if t.confirmed(g.Now(), model, r, report) {
+			return
+		}
+	}
+}
+
+func (g *Giver) report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return g.Orderer.Report(ctx, e)
+}
+
+// confirmed takes in a report on a load and tells whether the load has ended.
+func (t *track) confirmed(now time.Time, model string, r *resident, report fleet.Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed = true
+	if slices.ContainsFunc(report.Holds, func(h fleet.Held) bool { return h.Model == model }) {
+		if r.unsure {
+			r.unsure = false
+			r.readyAt = now
+			r.since = now
+			t.busyUntil = now
+		}
+		return true
+	}
+	if !report.Busy && now.Sub(r.readyAt) > 2*reportLag {
+		// The load has failed or was undone; the endpoint is asked anew.
+		t.known = false
+		return true
+	}
+	r.unsure = true
+	t.busyUntil = now.Add(confirmPause)
+	return false
 }
 
 // fits checks a load once more where it is ordered: an endpoint that is told to
@@ -373,9 +440,7 @@
 	if !pause(ctx, reportLag) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	r, err := g.Orderer.Report(ctx, e)
+	r, err := g.report(ctx, e)
 	if err != nil || r.Sequence <= o.Expected {
 		return false
 	}
@@ -393,9 +458,7 @@
 	if n%askEvery != 0 {
 		return pause(ctx, conflictPause)
 	}
-	ask, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	r, err := g.Orderer.Report(ask, e)
+	r, err := g.report(ctx, e)
 	if err == nil && r.Sequence != o.Expected && n > askEvery {
 		// The report lags, so that the first one may still tell an older number.
 		return false
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -35,10 +35,12 @@
 }
 
 type resident struct {
-	mb       float64
-	readyAt  time.Time
-	since    time.Time
-	leaving  bool
+	mb      float64
+	readyAt time.Time
+	since   time.Time
+	leaving bool
+	// unsure is set from a slow load until the endpoint has confirmed it.
+	unsure   bool
 	adapters map[string]*adapter
 }
 
@@ -52,7 +54,7 @@
 	t := &track{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true}
 	t.adopt(time.Time{}, v.Holds)
 	t.offset = v.Offset
-	t.noteCopies(v.Endpoint)
+	t.noteCopies(time.Time{}, v.Endpoint)
 	return t
 }
 
@@ -82,17 +84,24 @@
 	t.changed = true
 }
 
-func (t *track) noteCopies(e fleet.Endpoint) {
+// noteCopies takes over which models reload fast. The list lags, so that what
+// was loaded since it was written is kept. A copy that has yielded to others
+// must go: a load believed to be fast would take seconds.
+func (t *track) noteCopies(now time.Time, e fleet.Endpoint) {
+	if len(e.OnDisk)+len(e.InMemory) == 0 {
+		return
+	}
+	old := t.copies
+	t.copies = make(map[string]residency.Tier, len(old))
 	for _, m := range e.OnDisk {
 		t.copies[m] = residency.OnDisk
 	}
 	for _, m := range e.InMemory {
 		t.copies[m] = residency.InMemory
 	}
-	// A copy in memory yields to others; the list says which are left.
-	for m, tier := range t.copies {
-		if tier == residency.InMemory && len(e.InMemory) > 0 && !slices.Contains(e.InMemory, m) {
-			t.copies[m] = residency.OnDisk
+	for m, r := range t.models {
+		if now.Sub(r.since) < listLag {
+			t.copies[m] = max(t.copies[m], old[m])
 		}
 	}
 }
@@ -107,7 +116,7 @@
 	}
 	t.offset = v.Offset
 	t.endpoint = v.Endpoint
-	t.noteCopies(v.Endpoint)
+	t.noteCopies(now, v.Endpoint)
 	if t.known && !t.working && now.Sub(t.ordered) > listLag && !sameModels(t.models, v.Holds) {
 		// Orders of another holder, or late ones, have come in between.
 		t.known = false
@@ -166,7 +175,7 @@
 		e.Residents = append(e.Residents, residency.Resident{
 			Model:    name,
 			MB:       engine.Models[name].WeightsMB,
-			Ready:    !now.Before(r.readyAt),
+			Ready:    !now.Before(r.readyAt) && !r.unsure,
 			Since:    r.since,
 			Leaving:  r.leaving,
 			Adapters: len(r.adapters),
@@ -188,9 +197,12 @@
 	p := fleet.Placement{Endpoint: t.endpoint.ID}
 	for name, r := range t.models {
 		m := fleet.ModelPlacement{Model: name, Leaving: r.leaving}
-		if wait := r.readyAt.Sub(now); wait > 0 {
+		if wait := r.readyAt.Sub(now); wait > 0 || r.unsure {
 			m.ReadyIn = max(1, wait.Milliseconds())
 		}
+		if r.unsure {
+			m.ReadyIn = max(m.ReadyIn, unsureReady.Milliseconds())
+		}
 		for a, x := range r.adapters {
 			if !x.leaving && !now.Before(x.readyAt) {
 				m.Adapters = append(m.Adapters, a)
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -29,6 +29,9 @@
 	InMemory
 )
 
+// String implements fmt.Stringer.
+func (t Tier) String() string { return [...]string{"store", "disk", "memory"}[t] }
+
 // Resident is a model in an endpoint's memory.
 type Resident struct {
 	Model string
@@ -125,9 +128,9 @@
 	// busyShare is the part of an endpoint's slots that one model may fill
 	// before it gets another replica.
 	busyShare = 0.6
-	// storeUrgency is how long requests may have waited past their aim before a
-	// second copy is fetched from the store although a home exists.
-	storeUrgency = time.Second
+	// adapterCost keeps swaps away from endpoints that hold adapters: these load
+	// only while no order runs there, and are lost with their model.
+	adapterCost = 0.15
 )
 
 type decider struct {
@@ -263,8 +266,7 @@
 	}
 	if best.swap.From == InStore {
 		// The store is slow and shared: a home that is busy now reloads sooner.
-		late := d.snap.Now.Sub(n.due) > storeUrgency
-		if d.loads <= 0 || (n.cold && homeBusy && !late) {
+		if d.loads <= 0 || (n.cold && homeBusy) {
 			return
 		}
 		d.loads--
@@ -291,6 +293,11 @@
 		return option{}, false
 	}
 	cost := LoadTime(n.model.Model, tier).Seconds() + loss*evictCost
+	for _, r := range e.Residents {
+		if r.Adapters > 0 {
+			cost += adapterCost
+		}
+	}
 	if !n.cold {
 		cost += zoneCost * float64(d.zones[n.model.Name][e.Zone])
 	}
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -34,9 +34,9 @@
 
 type condition struct {
 	suspectUntil time.Time
-	fullUntil    time.Time
-	notHeld      map[string]time.Time
-	failures     float64
+	// closed is until when the endpoint is not asked for a model or adapter.
+	closed   map[string]time.Time
+	failures float64
 	// running counts requests in flight, lastByte is when any answer's byte came.
 	running  int
 	lastByte time.Time
@@ -52,7 +52,7 @@
 func (h *Health) of(id fleet.EndpointID) *condition {
 	c := h.endpoints[id]
 	if c == nil {
-		c = &condition{notHeld: map[string]time.Time{}}
+		c = &condition{closed: map[string]time.Time{}}
 		h.endpoints[id] = c
 	}
 	return c
@@ -65,18 +65,21 @@
 	h.of(id).suspectUntil = now.Add(suspectFor)
 }
 
-// Full notes a refusal for want of places.
-func (h *Health) Full(now time.Time, id fleet.EndpointID) {
+// Full notes a refusal of what is named. An endpoint refuses in the same way
+// for want of places and for a model that is being loaded or unloaded, so that
+// other models stay open.
+func (h *Health) Full(now time.Time, id fleet.EndpointID, what string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.of(id).fullUntil = now.Add(fullFor)
+	h.of(id).closed[what] = now.Add(fullFor)
 }
 
-// NotHeld notes that an endpoint does not hold a model or adapter.
-func (h *Health) NotHeld(now time.Time, id fleet.EndpointID, what string) {
+// NotHeld notes that an endpoint does not hold a model or adapter, for the n-th
+// time in one request.
+func (h *Health) NotHeld(now time.Time, id fleet.EndpointID, what string, n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.of(id).notHeld[what] = now.Add(notHeldFor)
+	h.of(id).closed[what] = now.Add(notHeldFor << n)
 }
 
 // Result notes whether a run succeeded.
@@ -160,7 +163,7 @@
 		Load:    c.load,
 		LoadAge: now.Sub(c.loadAt),
 		Suspect: now.Before(c.suspectUntil) || c.failures > h.services[service]+failureLimit || c.running > 0 && now.Sub(c.lastByte) > silentLimit,
-		Closed:  now.Before(c.fullUntil) || now.Before(c.notHeld[what]),
+		Closed:  now.Before(c.closed[what]),
 	}
 }
 
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -12,7 +12,7 @@
 const (
 	// maxRejected bounds how many endpoints may reject a request before it is
 	// refused: each rejection counts against the retry budget of all clients.
-	maxRejected = 3
+	maxRejected = 4
 	// minRepeat is the least time left for which a request is sent again.
 	minRepeat = 100 * time.Millisecond
 	// bufferedBody is the size up to which the body of a plain answer is read
@@ -238,10 +238,10 @@
 	_ = a.Body.Close() // Nothing of it is used.
 	switch a.Verdict {
 	case Full:
-		s.Health.Full(now, e.ID)
+		s.Health.Full(now, e.ID, x.need.What())
 		x.result.Note = "endpoint is full"
 	case NotHeld:
-		s.Health.NotHeld(now, e.ID, x.need.What())
+		s.Health.NotHeld(now, e.ID, x.need.What(), x.rejected)
 		x.result.Note = "endpoint does not hold " + x.need.What()
 	case Elsewhere:
 		s.Health.Suspect(now, e.ID)
