Load models for requests that can still be in time before those that are late

Cause: with more waiting models than can be swapped in, loading in the order of the aims made nearly all cold requests late. Change: a request that cannot begin in time any more is due when it would be given up, so that it goes behind those that can.

--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -43,14 +43,14 @@
 	Model   string `cbor:"2,keyasint"`
 	Adapter string `cbor:"3,keyasint,omitempty"`
 	Waiting int    `cbor:"4,keyasint,omitempty"`
-	// AimIn is in how many milliseconds a waiting request should begin.
-	AimIn    int64 `cbor:"5,keyasint,omitempty"`
+	// DueIn is in how many milliseconds the lack of the model begins to cost.
+	DueIn    int64 `cbor:"5,keyasint,omitempty"`
 	Inflight int   `cbor:"6,keyasint,omitempty"`
 	Arrived  int   `cbor:"7,keyasint,omitempty"`
 	Priority int   `cbor:"8,keyasint,omitempty"`
 }
 
-// Aim returns the time that AimIn meant when the report came.
-func (n NeedReport) Aim(now time.Time) time.Time {
-	return now.Add(time.Duration(n.AimIn) * time.Millisecond)
+// Due returns the time that DueIn meant when the report came.
+func (n NeedReport) Due(now time.Time) time.Time {
+	return now.Add(time.Duration(n.DueIn) * time.Millisecond)
 }
--- a/pkg/gateway/giver.go
+++ b/pkg/gateway/giver.go
@@ -63,7 +63,7 @@
 			Priority: d.Priority,
 		}
 		if d.Waiting > 0 {
-			n.AimIn = d.Aim.Sub(now).Milliseconds()
+			n.DueIn = d.Due.Sub(now).Milliseconds()
 		}
 		report.Needs = append(report.Needs, n)
 	}
--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -22,7 +22,7 @@
 		}
 	}
 	slices.SortFunc(wants, func(a, b want) int {
-		return cmp.Or(a.aim.Compare(b.aim), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter))
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter))
 	})
 	for _, t := range tracks {
 		t.touch(now, totals, service.Name)
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -81,7 +81,7 @@
 // total is the demand of all hosts for one need.
 type total struct {
 	waiting, inflight int
-	aim               time.Time
+	due               time.Time
 	fast, slow        float64
 	lastUsed          time.Time
 }
@@ -115,8 +115,8 @@
 
 func (t *total) add(at time.Time, n fleet.NeedReport) {
 	if n.Waiting > 0 {
-		if aim := n.Aim(at); t.waiting == 0 || aim.Before(t.aim) {
-			t.aim = aim
+		if due := n.Due(at); t.waiting == 0 || due.Before(t.due) {
+			t.due = due
 		}
 	}
 	t.waiting += n.Waiting
--- a/pkg/orders/giver.go
+++ b/pkg/orders/giver.go
@@ -238,8 +238,8 @@
 			r = &residency.Model{Model: m}
 			byName[key.model] = r
 		}
-		if x.waiting > 0 && (r.Waiting == 0 || x.aim.Before(r.Aim)) {
-			r.Aim = x.aim
+		if x.waiting > 0 && (r.Waiting == 0 || x.due.Before(r.Due)) {
+			r.Due = x.due
 		}
 		r.Waiting += x.waiting
 		r.Inflight += x.inflight
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -74,8 +74,8 @@
 type Model struct {
 	fleet.Model
 	Waiting int
-	// Aim is when the first waiting request should begin.
-	Aim time.Time
+	// Due is when the lack of the model begins to cost.
+	Due time.Time
 	// Rate is in requests a second, over a few seconds; Slow over more.
 	Rate     float64
 	Slow     float64
@@ -225,7 +225,7 @@
 		}
 		n := need{model: m, due: d.snap.Now, cold: have == 0 && m.Waiting > 0}
 		if n.cold {
-			n.due = m.Aim
+			n.due = m.Due
 		} else if have > 0 {
 			// A replica serves already; the lack of others costs later.
 			n.due = d.snap.Now.Add(time.Duration(float64(time.Second) * float64(have) / float64(d.wanted[name])))
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -61,8 +61,8 @@
 type Demand struct {
 	Need
 	Waiting int
-	// Aim is the earliest time at which a waiting request should begin.
-	Aim time.Time
+	// Due is the earliest time at which waiting begins to cost.
+	Due time.Time
 	// Inflight requests run, Arrived ones came since the last report.
 	Inflight int
 	Arrived  int
@@ -345,14 +345,15 @@
 		shards = append(shards, s)
 	}
 	d.mu.Unlock()
+	now := d.now()
 	var list []Demand
 	for _, s := range shards {
-		list = append(list, s.demand()...)
+		list = append(list, s.demand(now)...)
 	}
 	return list
 }
 
-func (s *shard) demand() []Demand {
+func (s *shard) demand(now time.Time) []Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	byNeed := map[Need]*Demand{}
@@ -376,8 +377,8 @@
 			x = &Demand{Need: w.need, Priority: w.request.Route.Priority}
 			byNeed[w.need] = x
 		}
-		if aim := w.request.Aim(); x.Waiting == 0 || aim.Before(x.Aim) {
-			x.Aim = aim
+		if due := Due(w.request, now); x.Waiting == 0 || due.Before(x.Due) {
+			x.Due = due
 		}
 		x.Waiting++
 	}
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -13,11 +13,34 @@
 	maxRetryAfter = 4 * time.Second
 	// retryAfterShare is the part of the remaining time that clients still obey.
 	retryAfterShare = 1.0 / 3
+	// wakeTime is about how long a model takes from a decision until it serves.
+	wakeTime = 800 * time.Millisecond
 	// minRun is the least time in which an answer can be made: the prompt and
 	// the first token of an idle endpoint.
 	minRun = 60 * time.Millisecond
 )
 
+// Due is when waiting begins to cost a request. One that can still begin in
+// time is due at its aim. One that cannot goes behind those: it is late already,
+// and loses more only when it has to be refused. With more waiting models than
+// can be loaded in time, most requests are then in time and some late; in the
+// order of arrival all would be late.
+func Due(r *Request, now time.Time) time.Time {
+	if aim := r.Aim(); aim.Sub(now) >= wakeTime {
+		return aim
+	}
+	return giveUp(r).Add(-wakeTime)
+}
+
+// giveUp is until when a request is held without a load under way.
+func giveUp(r *Request) time.Time {
+	until := r.Arrived.Add(time.Duration(float64(r.Deadline.Sub(r.Arrived)) * holdShare))
+	if latest := r.Deadline.Add(-minRun); latest.Before(until) {
+		return latest
+	}
+	return until
+}
+
 // Situation is what the decision to hold a request depends on.
 type Situation struct {
 	Now time.Time
@@ -32,11 +55,7 @@
 // Hold decides whether a request waits. It returns until when, or when the
 // client may come back if waiting is hopeless.
 func Hold(r *Request, s Situation) (until time.Time, retryAfter time.Duration, hold bool) {
-	budget := r.Deadline.Sub(r.Arrived)
-	until = r.Arrived.Add(time.Duration(float64(budget) * holdShare))
-	if latest := r.Deadline.Add(-minRun); latest.Before(until) {
-		until = latest
-	}
+	until = giveUp(r)
 	if !s.ComingAt.IsZero() && s.ComingAt.After(until) && s.ComingAt.Before(r.Deadline.Add(-minRun)) {
 		// The load will end in time: what the client waits is not in vain.
 		until = s.ComingAt.Add(minRun)
