Wait for a busy home rather than load a busy model from the weight store

Cause: for a model whose demand rises, homes that were swapping at that moment were passed over for loads from the store, which take six seconds and more; one replica served the rise meanwhile. Change: no store load while a home is busy; homes are free within a second.

--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -266,7 +266,7 @@
 	}
 	if best.swap.From == InStore {
 		// The store is slow and shared: a home that is busy now reloads sooner.
-		if d.loads <= 0 || (n.cold && homeBusy) {
+		if d.loads <= 0 || homeBusy {
 			return
 		}
 		d.loads--
