Pass the configuration's version between hosts; refuse waiting requests before a stop ends

Ruled out for 2: requests at an endpoint (those may be cut after five sixths of the grace). Change: every message between hosts tells the configuration's version, and who has an older one asks for it; a list older than 1.1 s is asked for as well; a stopping host refuses what still waits two seconds before it is killed.

--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -35,6 +35,10 @@
 	Host        string       `cbor:"1,keyasint"`
 	Incarnation string       `cbor:"2,keyasint"`
 	Needs       []NeedReport `cbor:"3,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration that the host knows.
+	ConfigVersion int64 `cbor:"4,keyasint,omitempty"`
+	// Addr is where the host answers messages.
+	Addr string `cbor:"5,keyasint,omitempty"`
 }
 
 // NeedReport is the demand for one model, or for one adapter of it.
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -18,6 +18,10 @@
 	readinessLag = 2300 * time.Millisecond
 	// shutdownMargin is kept of the time until the host is killed.
 	shutdownMargin = 700 * time.Millisecond
+	// waitMargin is how long before it is killed a stopping host refuses what
+	// still waits. A request that had reached no endpoint by then would be cut
+	// without an answer.
+	waitMargin = 2 * time.Second
 	// minHeaderBytes is allowed to clients in any case.
 	minHeaderBytes = 8 << 10
 	// idleMargin is added to the time for which clients may reuse an idle
@@ -61,10 +65,6 @@
 
 // logResult writes one line for a request, with what decided it.
 func (g *Gateway) logResult(r serve.Result) {
-	version := int64(0)
-	if c := g.config.Load(); c != nil {
-		version = c.Version
-	}
 	g.log.Info("request",
 		"id", r.Request.ID,
 		"route", r.Request.Route.Name,
@@ -82,7 +82,7 @@
 		"total_ms", r.Total.Milliseconds(),
 		"budget_ms", r.Request.Deadline.Sub(r.Request.Arrived).Milliseconds(),
 		"note", r.Note,
-		"config", version,
+		"config", g.configVersion(),
 		"claim", g.board.Token(),
 	)
 }
@@ -127,6 +127,7 @@
 	start := g.Now()
 	g.log.Info("stopping")
 	g.leaving.Store(true)
+	g.dispatcher.CloseAt(start.Add(g.settings.Timing.Shutdown - waitMargin))
 	g.releaseClaim(ctx)
 	sleep(ctx, readinessLag)
 	limit := g.settings.Timing.Shutdown - shutdownMargin - g.Now().Sub(start)
--- a/pkg/gateway/giver.go
+++ b/pkg/gateway/giver.go
@@ -51,7 +51,7 @@
 
 func (g *Gateway) report(ctx context.Context) {
 	now := g.Now()
-	report := fleet.DemandReport{Host: g.self.Host, Incarnation: g.self.Incarnation}
+	report := fleet.DemandReport{Host: g.self.Host, Incarnation: g.self.Incarnation, ConfigVersion: g.configVersion(), Addr: g.self.Addr}
 	for _, d := range g.dispatcher.Demand() {
 		n := fleet.NeedReport{
 			Service:  d.Service,
@@ -82,6 +82,7 @@
 		return
 	}
 	now = g.Now()
+	g.compareConfig(claim.Holder.Addr, answer.ConfigVersion)
 	if answer.Claim != nil && answer.Claim.Token > claim.Token {
 		g.election.Observe(now, *answer.Claim)
 	}
@@ -228,6 +229,9 @@
 	every(ctx, kickPeriod, func() {
 		g.dispatcher.Kick()
 		now := g.Now()
+		if g.feed.loaded(fleet.TopicEndpoints) && now.Sub(g.feed.lastAnswer(fleet.TopicEndpoints)) > listAge {
+			go g.askPeer(ctx)
+		}
 		if now.Sub(last) < prunePeriod {
 			return
 		}
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -14,6 +14,10 @@
 	// peerTimeout bounds a message to another host; a round trip takes a few
 	// milliseconds, a first connection some tens.
 	peerTimeout = 600 * time.Millisecond
+	// listAge is how old the list of endpoints may be before a peer is asked: an
+	// endpoint that leaves must get no requests soon after it has said so, and a
+	// read of the store may hang.
+	listAge = 1100 * time.Millisecond
 	// stateFrom is the offset at which all entries of the list are asked for.
 	stateFrom = 0
 )
@@ -98,10 +102,11 @@
 // answerPeer answers the messages of other hosts.
 func (g *Gateway) answerPeer(r peer.Request) []peer.Response {
 	now := g.Now()
-	answer := peer.Response{}
+	answer := peer.Response{ConfigVersion: g.configVersion()}
 	switch {
 	case r.Demand != nil:
 		g.giver.Report(now, *r.Demand)
+		g.compareConfig(r.Demand.Addr, r.Demand.ConfigVersion)
 		signal(g.noticeNow)
 	case r.Notice != nil:
 		g.takeNotice(now, *r.Notice)
@@ -114,6 +119,22 @@
 	return []peer.Response{answer}
 }
 
+func (g *Gateway) configVersion() int64 {
+	if c := g.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// compareConfig asks a host that knows a newer configuration for it. A host
+// whose read of the store hangs, or that the store turns away, would keep an old
+// one in force for seconds; every message between hosts tells the version.
+func (g *Gateway) compareConfig(addr string, version int64) {
+	if version > g.configVersion() && addr != "" {
+		go g.askPeerAt(context.Background(), addr)
+	}
+}
+
 // takeNotice takes in what the giver of orders says.
 func (g *Gateway) takeNotice(now time.Time, n fleet.Notice) {
 	if !g.board.Notice(now, n) {
@@ -121,8 +142,8 @@
 	}
 	g.election.Heard(now, n.Token)
 	g.dispatcher.Kick()
-	if c := g.config.Load(); c == nil || c.Version < n.ConfigVersion {
-		go g.askPeer(context.Background())
+	if holder := g.election.Newest(); holder.Token == n.Token {
+		g.compareConfig(holder.Holder.Addr, n.ConfigVersion)
 	}
 }
 
@@ -144,29 +165,23 @@
 }
 
 // askPause separates two questions to peers for what the store does not tell.
-const askPause = 250 * time.Millisecond
+const askPause = 150 * time.Millisecond
 
-// askPeer asks another host for what this one cannot read from the store.
+// askPeer asks some other host for what this one cannot read from the store.
 func (g *Gateway) askPeer(ctx context.Context) {
-	now := g.Now()
-	g.mesh.mu.Lock()
-	soon := now.Sub(g.mesh.asked) < askPause
-	if !soon {
-		g.mesh.asked = now
-	}
-	g.mesh.mu.Unlock()
-	addrs := g.mesh.addrs()
-	if soon || len(addrs) == 0 {
+	if addrs := g.mesh.addrs(); len(addrs) > 0 {
+		g.askPeerAt(ctx, addrs[rand.IntN(len(addrs))])
+	}
+}
+
+func (g *Gateway) askPeerAt(ctx context.Context, addr string) {
+	if !g.mesh.mayAsk(g.Now()) {
 		return
 	}
-	request := peer.StateRequest{EndpointsFrom: stateFrom}
+	request := peer.StateRequest{EndpointsFrom: stateFrom, ConfigVersion: g.configVersion()}
 	if g.feed.loaded(fleet.TopicEndpoints) {
 		request.EndpointsFrom = g.directory.Offset()
 	}
-	if c := g.config.Load(); c != nil {
-		request.ConfigVersion = c.Version
-	}
-	addr := addrs[rand.IntN(len(addrs))]
 	answer, err := g.mesh.send(ctx, addr, peer.Request{State: &request})
 	if err != nil {
 		g.log.Info("peer did not answer", "peer", addr, "error", err.Error())
@@ -183,3 +198,14 @@
 		g.feed.setLoaded(fleet.TopicEndpoints)
 	}
 }
+
+// mayAsk keeps questions to peers apart.
+func (m *mesh) mayAsk(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.asked) < askPause {
+		return false
+	}
+	m.asked = now
+	return true
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -82,6 +82,8 @@
 	// Giving tells whether the answering host holds that claim.
 	Giving bool         `cbor:"6,keyasint,omitempty"`
 	State  *StateAnswer `cbor:"7,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration in force there.
+	ConfigVersion int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Handler answers the requests of other hosts.
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -21,6 +22,8 @@
 	// overcommit is the part of an endpoint's places by which requests may
 	// exceed them: a place that comes free is taken without a round trip.
 	overcommit = 0.25
+	// recheck is how often a waiting request looks at what may have ended its wait.
+	recheck = 500 * time.Millisecond
 	// serviceWeight is the weight of one request in the moving service time.
 	serviceWeight = 0.1
 	// startService is the service time assumed before the first request.
@@ -83,8 +86,13 @@
 
 	mu     sync.Mutex
 	shards map[string]*shard
+	// closeAt is when everything that waits is refused, zero while the host stays.
+	closeAt atomic.Pointer[time.Time]
 }
 
+// CloseAt makes requests wait no longer than until then: the host stops.
+func (d *Dispatcher) CloseAt(at time.Time) { d.closeAt.Store(&at) }
+
 // shard is the queue of one service.
 type shard struct {
 	mu      sync.Mutex
@@ -159,7 +167,7 @@
 		return e, nil
 	}
 	situation, cold := d.situation(now, w)
-	until, retryAfter, hold := Hold(r, situation)
+	until, retryAfter, hold := d.hold(r, situation)
 	if !hold || !situation.Known {
 		s.mu.Unlock()
 		if cold {
@@ -175,6 +183,17 @@
 	return d.await(ctx, s, w, until)
 }
 
+// hold decides whether a request waits, also in view of the host's stop.
+func (d *Dispatcher) hold(r *Request, s Situation) (until time.Time, retryAfter time.Duration, hold bool) {
+	until, retryAfter, hold = Hold(r, s)
+	if at := d.closeAt.Load(); at != nil && until.After(*at) {
+		until = *at
+		hold = hold && s.Now.Before(until)
+		retryAfter = max(retryAfter, minRetryAfter)
+	}
+	return until, retryAfter, hold
+}
+
 func refuse(s Situation, retryAfter time.Duration) *Refusal {
 	cause := CauseNotLoaded
 	switch {
@@ -188,7 +207,7 @@
 
 func (d *Dispatcher) await(ctx context.Context, s *shard, w *waiter, until time.Time) (fleet.Endpoint, *Refusal) {
 	for {
-		timer := time.NewTimer(until.Sub(d.now()))
+		timer := time.NewTimer(min(until.Sub(d.now()), recheck))
 		select {
 		case g := <-w.place:
 			timer.Stop()
@@ -200,7 +219,7 @@
 		now := d.now()
 		s.mu.Lock()
 		situation, _ := d.situation(now, w)
-		next, retryAfter, hold := Hold(w.request, situation)
+		next, retryAfter, hold := d.hold(w.request, situation)
 		if hold && ctx.Err() == nil {
 			s.mu.Unlock()
 			until = next
