Overloaded models first; no second run of a slow request without another endpoint

Cause: two busy models had one endpoint between them for six seconds: the lack of replicas of a busy model was never due before a rare model's, so that its homes were always taken; and requests that were slow there were cancelled after 0.75 s with nowhere else to go, failed, and threw away what had been done. Change: a model whose rate exceeds its replicas by 15% goes first; a request is given up at a silent endpoint only where another could take it; one that failed may go to the same endpoint as a last choice.

--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -115,6 +115,10 @@
 	// spareRate is the rate above which a model gets one replica more than its
 	// rate needs, so that a burst or the loss of an endpoint finds a place.
 	spareRate = 6
+	// overloaded is the overload above which a busy model goes before rare ones.
+	overloaded = 1.15
+	// spareDue is when the lack of a replica that only bursts need begins to cost.
+	spareDue = time.Second
 	// minStay is how long a loaded model stays: the requests that waited for it
 	// are on their way.
 	minStay = 350 * time.Millisecond
@@ -213,6 +217,10 @@
 	// due is when the lack begins to cost.
 	due  time.Time
 	cold bool
+	// overload is how many times the rate exceeds what the replicas should
+	// serve, 0 while they can bear it. Such a model goes first: each second
+	// without another replica makes more requests late than a rare model has.
+	overload float64
 }
 
 // needs returns what lacks replicas, the most urgent first.
@@ -223,17 +231,20 @@
 		if have >= d.wanted[name] {
 			continue
 		}
-		n := need{model: m, due: d.snap.Now, cold: have == 0 && m.Waiting > 0}
+		n := need{model: m, due: d.snap.Now.Add(spareDue), cold: have == 0 && m.Waiting > 0}
+		if m.Rate >= hotRate {
+			n.overload = m.Rate / (d.snap.Limits.RatePerReplica * float64(max(1, have)))
+		}
+		if n.overload < overloaded {
+			n.overload = 0
+		}
 		if n.cold {
 			n.due = m.Due
-		} else if have > 0 {
-			// A replica serves already; the lack of others costs later.
-			n.due = d.snap.Now.Add(time.Duration(float64(time.Second) * float64(have) / float64(d.wanted[name])))
 		}
 		list = append(list, n)
 	}
 	slices.SortFunc(list, func(a, b need) int {
-		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.model.Name, b.model.Name))
+		return cmp.Or(-cmp.Compare(a.overload, b.overload), a.due.Compare(b.due), cmp.Compare(a.model.Name, b.model.Name))
 	})
 	return list
 }
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -110,11 +110,24 @@
 type waiter struct {
 	need    Need
 	request *Request
-	exclude map[fleet.EndpointID]bool
+	avoid   avoidance
 	// place receives an endpoint, or a refusal, exactly once.
 	place chan grant
 }
 
+// avoidance tells at which endpoints a request was tried.
+type avoidance map[fleet.EndpointID]avoid
+
+type avoid int
+
+const (
+	// lastChoice endpoints have failed the request; another is better, but one
+	// that alone holds the model may be asked again.
+	lastChoice avoid = iota + 1
+	// never marks that another endpoint has the address.
+	never
+)
+
 type grant struct {
 	endpoint fleet.Endpoint
 	refusal  *Refusal
@@ -155,11 +168,11 @@
 	u.priority = min(u.priority, priority)
 }
 
-// Acquire waits for a place at an endpoint that is not excluded. The place must
-// be given back with Release.
-func (d *Dispatcher) Acquire(ctx context.Context, n Need, r *Request, exclude map[fleet.EndpointID]bool) (fleet.Endpoint, *Refusal) {
+// Acquire waits for a place at an endpoint. The place must be given back with
+// Release.
+func (d *Dispatcher) Acquire(ctx context.Context, n Need, r *Request, avoid avoidance) (fleet.Endpoint, *Refusal) {
 	s := d.shard(n.Service)
-	w := &waiter{need: n, request: r, exclude: exclude, place: make(chan grant, 1)}
+	w := &waiter{need: n, request: r, avoid: avoid, place: make(chan grant, 1)}
 	now := d.now()
 	s.mu.Lock()
 	if e, ok := d.pick(now, s, w); ok {
@@ -270,13 +283,11 @@
 	endpoints := make([]fleet.Endpoint, 0, len(found.Ready))
 	candidates := make([]routing.Candidate, 0, len(found.Ready))
 	for _, e := range found.Ready {
-		if w.exclude[e.ID] {
-			continue
-		}
 		c := d.health.Condition(now, e.ID, w.need.Service, what)
-		if c.Closed {
+		if c.Closed || w.avoid[e.ID] == never {
 			continue
 		}
+		c.Suspect = c.Suspect || w.avoid[e.ID] == lastChoice
 		endpoints = append(endpoints, e)
 		candidates = append(candidates, candidate(e, c, s.service))
 	}
@@ -289,6 +300,18 @@
 	return endpoints[i], true
 }
 
+// HasOther tells whether an endpoint other than id could take a request now.
+func (d *Dispatcher) HasOther(n Need, id fleet.EndpointID) bool {
+	now := d.now()
+	for _, e := range d.placement.Find(now, n).Ready {
+		c := d.health.Condition(now, e.ID, n.Service, n.What())
+		if e.ID != id && !c.Closed && !c.Suspect && c.Own < candidate(e, c, startService).Limit {
+			return true
+		}
+	}
+	return false
+}
+
 // candidate bounds this host's requests by what the endpoint's last stated load
 // leaves of its places. The statement fades with the service time.
 func candidate(e fleet.Endpoint, c Condition, service time.Duration) routing.Candidate {
@@ -331,7 +354,7 @@
 		}
 		e, ok := d.pick(now, s, w)
 		if !ok {
-			blocked[w.need] = len(w.exclude) == 0
+			blocked[w.need] = len(w.avoid) == 0
 			return false
 		}
 		w.place <- grant{endpoint: e}
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -154,7 +154,10 @@
 			return
 		}
 		quiet := s.Now().Sub(w.last)
-		if quiet >= patience || (quiet >= silentLimit && s.Health.Silent(s.Now(), id) >= silentLimit) {
+		hung := quiet >= patience || (quiet >= silentLimit && s.Health.Silent(s.Now(), id) >= silentLimit)
+		// Without another endpoint a second run would only add to the load that
+		// makes this one slow, and throw away what it has done.
+		if hung && s.Dispatcher.HasOther(x.need, id) {
 			s.Health.Suspect(s.Now(), id)
 			cancel()
 			return
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -74,7 +74,7 @@
 		request:   r,
 		sink:      sink,
 		need:      Need{Service: r.Service, Model: r.Model, Adapter: r.Adapter},
-		excluded:  map[fleet.EndpointID]bool{},
+		avoid:     avoidance{},
 		lastEvent: r.LastEvent,
 		result:    Result{Request: r},
 	}
@@ -91,7 +91,7 @@
 	request  *Request
 	sink     Sink
 	need     Need
-	excluded map[fleet.EndpointID]bool
+	avoid    avoidance
 	rejected int
 	// begun tells whether the head of an answer went to the client.
 	begun     bool
@@ -134,7 +134,7 @@
 				return
 			}
 		case failed:
-			x.excluded[e.ID] = true
+			x.avoid[e.ID] = lastChoice
 			if !x.mayRunAgain(ctx) {
 				x.giveUp(ctx, Refusal{Cause: CauseBroken})
 				return
@@ -145,12 +145,12 @@
 
 func (x *exchange) acquire(ctx context.Context) (fleet.Endpoint, *Refusal) {
 	if x.kept == nil {
-		return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.excluded)
+		return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.avoid)
 	}
 	// A failed answer is at hand: it is passed on rather than kept waiting.
 	ctx, cancel := context.WithTimeout(ctx, minRepeat)
 	defer cancel()
-	return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.excluded)
+	return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.avoid)
 }
 
 // mayRunAgain keeps to what the route allows: a request that may run at most
@@ -245,7 +245,7 @@
 		x.result.Note = "endpoint does not hold " + x.need.What()
 	case Elsewhere:
 		s.Health.Suspect(now, e.ID)
-		x.excluded[e.ID] = true
+		x.avoid[e.ID] = never
 		x.result.Note = "another endpoint has the address"
 	}
 	s.Dispatcher.Release(x.need, e.ID, 0)
