Keep busy models on different endpoints; 15 requests a second a replica

Cause: two busy models on one endpoint shared its batch and left one place for rare models, which then could not load while another served. Change: a cost for stacking busy models; with it a replica bears more.

--- a/pkg/orders/giver.go
+++ b/pkg/orders/giver.go
@@ -42,7 +42,7 @@
 	// adapterTime is how long an adapter takes from order to use.
 	adapterTime = 12 * time.Millisecond
 	// ratePerReplica is how many requests a second one replica is to serve.
-	ratePerReplica = 12
+	ratePerReplica = 15
 )
 
 // Giver gives orders while this host holds the claim. It is safe for concurrent use.
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -129,6 +129,9 @@
 	evictCost = 1.0
 	// zoneCost spreads the replicas of a busy model over availability zones.
 	zoneCost = 0.15
+	// stackCost keeps busy models on different endpoints: two on one share its
+	// batch, and leave too little memory to load a rare model while another serves.
+	stackCost = 0.5
 	// busyShare is the part of an endpoint's slots that one model may fill
 	// before it gets another replica.
 	busyShare = 0.6
@@ -309,12 +312,24 @@
 			cost += adapterCost
 		}
 	}
-	if !n.cold {
+	if n.model.Rate >= hotRate {
 		cost += zoneCost * float64(d.zones[n.model.Name][e.Zone])
+		cost += stackCost * float64(d.hotAt(e))
 	}
 	return option{swap: Swap{Endpoint: e.ID, Evict: victims, Load: n.model.Name, From: tier}, cost: cost}, true
 }
 
+// hotAt counts the busy models at an endpoint.
+func (d *decider) hotAt(e *Endpoint) int {
+	n := 0
+	for _, r := range e.Residents {
+		if m := d.models[r.Model]; m != nil && !r.Leaving && m.Rate >= hotRate {
+			n++
+		}
+	}
+	return n
+}
+
 // LoadTime is the time of a load while few loads run.
 func LoadTime(m fleet.Model, t Tier) time.Duration {
 	switch t {
