Test the request path, the retry budget and placement; a stand-in of the platform

Tests on fakes in virtual time: at most once, true refusals, resumed streams, stopping hosts, hung and slow endpoints; properties for runs and promises, the shared retry budget and memory. internal/standin/site is the platform in one process: store, endpoints, faults on demand.

--- /dev/null
+++ b/internal/standin/site/config.go
@@ -0,0 +1,65 @@
+package site
+
+import "encoding/json"
+
+// Route is a route of the operator's configuration.
+type Route struct {
+	Name       string `json:"name"`
+	Host       string `json:"host"`
+	PathPrefix string `json:"path-prefix"`
+	// Kind is safe, unsafe or streaming.
+	Kind        string `json:"kind"`
+	TimeoutMS   int    `json:"timeout-ms"`
+	ObjectiveMS int    `json:"target-latency-ms"`
+	GapMS       int    `json:"target-gap-ms"`
+	Priority    int    `json:"priority"`
+	Service     string `json:"service"`
+	Attempts    int    `json:"attempts"`
+	Resumable   bool   `json:"resumable"`
+}
+
+// Engine describes a service whose endpoints run models.
+type Engine struct {
+	Slots        int     `json:"slots"`
+	WeightsMB    float64 `json:"weights-mb"`
+	AdapterSlots int     `json:"adapter-slots"`
+	LoadsPerS    float64 `json:"loads-per-s"`
+	Models       []Model `json:"models"`
+}
+
+// Service is a service of the operator's configuration.
+type Service struct {
+	Name            string  `json:"name"`
+	HealthCheckPath string  `json:"health-check-path"`
+	ConnectionLimit int     `json:"connection-limit"`
+	Engine          *Engine `json:"engine,omitempty"`
+}
+
+// Config is the operator's configuration.
+type Config struct {
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Limits bound what clients may send.
+type Limits struct {
+	MaxHeaderBytes  int `json:"max-header-bytes"`
+	MaxBodyBytes    int `json:"max-body-bytes"`
+	HeaderTimeoutMS int `json:"header-timeout-ms"`
+	IdleTimeoutMS   int `json:"idle-timeout-ms"`
+}
+
+// DefaultLimits are limits that no test meets.
+var DefaultLimits = Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000}
+
+// Publish writes a configuration as the operator does.
+func (s *Store) Publish(c Config) error {
+	value, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	s.Put("keyed.op", "config", value)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/site/store.go
@@ -0,0 +1,261 @@
+// Package site is a small stand-in for the users' platform in one process: its
+// store, model endpoints and plain services, speaking the published protocol.
+// It can fail on demand and remembers what truly happened, so that tests and a
+// fresh clone need nothing else.
+package site
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Fault is how the store treats the calls of one listener.
+type Fault int
+
+// The faults of the store.
+const (
+	// Works answers all calls.
+	Works Fault = iota
+	// Busy refuses all calls; nothing is done.
+	Busy
+	// Silent never answers; nothing is done.
+	Silent
+	// Lossy carries writes out and answers nothing.
+	Lossy
+)
+
+// record is one record of a keyed topic.
+type record struct {
+	key    string
+	value  []byte
+	offset int64
+}
+
+// topic is a keyed topic with one partition.
+type topic struct {
+	records []record
+	first   int64
+	end     int64
+	newest  map[string]record
+	grown   chan struct{}
+}
+
+// Store is the platform's store.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	calls  int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{topics: map[string]*topic{}} }
+
+// Door is a listener of the store with a fault of its own.
+type Door struct {
+	Addr   string
+	server *http.Server
+
+	mu    sync.Mutex
+	fault Fault
+}
+
+// Listen opens a listener on a free port of the loopback address.
+func (s *Store) Listen() (*Door, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Door{Addr: l.Addr().String()}
+	d.server = &http.Server{Handler: d.guard(s.handler()), ReadHeaderTimeout: time.Second}
+	go func() { _ = d.server.Serve(l) }() // It ends with Close.
+	return d, nil
+}
+
+// Set changes how calls are treated from now on.
+func (d *Door) Set(f Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = f
+}
+
+// Close ends the listener and its connections.
+func (d *Door) Close() { _ = d.server.Close() }
+
+func (d *Door) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.mu.Lock()
+		fault := d.fault
+		d.mu.Unlock()
+		switch fault {
+		case Busy:
+			http.Error(w, `{"error":"try later"}`, http.StatusTooManyRequests)
+			return
+		case Silent:
+			<-r.Context().Done()
+			return
+		case Lossy:
+			if r.Method == http.MethodPost {
+				next.ServeHTTP(discard{}, r)
+				<-r.Context().Done()
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// discard drops an answer.
+type discard struct{}
+
+// Header implements http.ResponseWriter.
+func (discard) Header() http.Header { return http.Header{} }
+
+// Write implements http.ResponseWriter.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (discard) WriteHeader(int) {}
+
+func (s *Store) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log-append", s.append)
+	mux.HandleFunc("GET /log-read", s.read)
+	mux.HandleFunc("GET /log-newest", s.newest)
+	return mux
+}
+
+// topic returns a topic by name; the store is locked.
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]record{}, grown: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// Put appends a record to a keyed topic and returns its offset. An empty value
+// drops the key.
+func (s *Store) Put(name, key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(name).put(key, value)
+}
+
+func (t *topic) put(key string, value []byte) int64 {
+	r := record{key: key, value: slices.Clone(value), offset: t.end}
+	t.records = append(t.records, r)
+	t.end++
+	if len(value) == 0 {
+		delete(t.newest, key)
+	} else {
+		t.newest[key] = r
+	}
+	close(t.grown)
+	t.grown = make(chan struct{})
+	return r.offset
+}
+
+// Compact drops the history of a topic; the newest records stay.
+func (s *Store) Compact(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = nil
+	t.first = t.end
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // The caller may have gone.
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	const header = 5
+	if err != nil || len(body) < header || len(body) < header+int(body[4]) {
+		answer(w, http.StatusBadRequest, map[string]string{"error": "one keyed record is expected"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(t.end, 10) {
+		answer(w, http.StatusPreconditionFailed, map[string]int64{"end": t.end})
+		return
+	}
+	n := int(body[4])
+	offset := t.put(string(body[header:header+n]), body[header+n:])
+	answer(w, http.StatusOK, map[string]int64{"offset": offset, "end": t.end})
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		answer(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		return
+	}
+	// A wait that is missing or no number is none.
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	if t.end <= from && ms > 0 {
+		grown := t.grown
+		s.mu.Unlock()
+		timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-grown:
+		case <-timer.C:
+		case <-r.Context().Done():
+			return
+		}
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	if from < t.first {
+		answer(w, http.StatusGone, map[string]int64{"first": t.first})
+		return
+	}
+	_, _ = w.Write(t.encode(from)) // The caller may have gone.
+}
+
+func (t *topic) encode(from int64) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(t.end))
+	out = binary.BigEndian.AppendUint64(out, uint64(t.first))
+	for _, r := range t.records {
+		if r.offset < from {
+			continue
+		}
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
+		out = append(out, byte(len(r.key)))
+		out = append(out, r.key...)
+		out = append(out, r.value...)
+	}
+	return out
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	items := []item{}
+	for _, x := range t.newest {
+		items = append(items, item{x.key, base64.StdEncoding.EncodeToString(x.value), x.offset})
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "more": false, "end": t.end})
+}
--- /dev/null
+++ b/pkg/serve/hold_test.go
@@ -0,0 +1,55 @@
+package serve_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/serve"
+)
+
+func held(objective, budget time.Duration) *serve.Request {
+	now := time.Unix(1000, 0)
+	return &serve.Request{Route: fleet.Route{Objective: objective}, Arrived: now, Deadline: now.Add(budget)}
+}
+
+func TestHold(t *testing.T) {
+	r := held(2500*time.Millisecond, 10*time.Second)
+	at := func(d time.Duration) time.Time { return r.Arrived.Add(d) }
+	for _, c := range []struct {
+		name string
+		s    serve.Situation
+		hold bool
+	}{
+		{"a new request waits", serve.Situation{Now: at(0)}, true},
+		{"one that has waited for half of its time still does", serve.Situation{Now: at(5 * time.Second)}, true},
+		{"one that has waited for longer is refused in time to come back", serve.Situation{Now: at(6 * time.Second)}, false},
+		{"unless the model is about to be there", serve.Situation{Now: at(6 * time.Second), ComingAt: at(7 * time.Second)}, true},
+		{"but not when it comes too late", serve.Situation{Now: at(6 * time.Second), ComingAt: at(11 * time.Second)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, retryAfter, hold := serve.Hold(r, c.s)
+			is.Equal(hold, c.hold)
+			if !hold {
+				remaining := r.Deadline.Sub(c.s.Now)
+				is.True(retryAfter > 0 && retryAfter <= remaining/3) // clients obey up to a third
+			}
+		})
+	}
+}
+
+// More models wait than can be loaded in time. Served in the order of arrival,
+// each is loaded just too late; so one that is late already goes behind one that
+// can be in time, unless it would have to be refused first.
+func TestLateRequestsYieldToThoseInTime(t *testing.T) {
+	is := is.New(t)
+	old := held(2500*time.Millisecond, 10*time.Second)
+	fresh := held(2500*time.Millisecond, 10*time.Second)
+	fresh.Arrived = old.Arrived.Add(2 * time.Second)
+	fresh.Deadline = fresh.Arrived.Add(10 * time.Second)
+	now := fresh.Arrived
+	is.True(serve.Due(fresh, now).Before(serve.Due(old, now)))
+	is.True(serve.Due(old, now).Before(old.Deadline))
+}
