--- /dev/null
+++ b/pkg/orders/giver_test.go
@@ -0,0 +1,329 @@
+package orders_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
+	"pgregory.net/rapid"
+)
+
+// loadTime is the time of a load from the endpoint's disk.
+const loadTime = 500 * time.Millisecond
+
+// engine is an endpoint as it truly is.
+type engine struct {
+	mu       sync.Mutex
+	capacity float64
+	weights  map[string]float64
+	holds    map[string]map[string]bool
+	loading  string
+	sequence int64
+	fence    int64
+	// lag delays reports: they tell the state of then.
+	past   []past
+	faults []string
+	// lose decides what is lost of the next order: nothing, the order or its
+	// answer, or that it is carried out late.
+	lose   func() loss
+	orders int
+}
+
+type past struct {
+	at     time.Time
+	report fleet.Report
+}
+
+type loss int
+
+const (
+	nothing loss = iota
+	lostOrder
+	lostAnswer
+	late
+)
+
+func newEngine(capacity float64, weights map[string]float64, holds ...string) *engine {
+	e := &engine{capacity: capacity, weights: weights, holds: map[string]map[string]bool{}, lose: func() loss { return nothing }}
+	for _, h := range holds {
+		e.holds[h] = map[string]bool{}
+	}
+	e.remember()
+	return e
+}
+
+// remember keeps the state for reports that lag; the engine is locked or new.
+func (e *engine) remember() {
+	r := fleet.Report{Busy: e.loading != "", Sequence: e.sequence}
+	sum := 0.0
+	for m, adapters := range e.holds {
+		h := fleet.Held{Model: m}
+		for a := range adapters {
+			h.Adapters = append(h.Adapters, a)
+		}
+		r.Holds = append(r.Holds, h)
+		sum += e.weights[m]
+	}
+	sum += e.weights[e.loading]
+	if sum > e.capacity {
+		e.faults = append(e.faults, fmt.Sprintf("%v MB of %v", sum, e.capacity))
+	}
+	e.past = append(e.past, past{time.Now(), r})
+}
+
+const reportLag = 200 * time.Millisecond
+
+// Report implements orders.Orderer.
+func (e *engine) Report(context.Context, fleet.Endpoint) (fleet.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.past[0].report
+	for _, p := range e.past {
+		if time.Since(p.at) >= reportLag {
+			r = p.report
+		}
+	}
+	return r, nil
+}
+
+// Order implements orders.Orderer.
+func (e *engine) Order(ctx context.Context, _ fleet.Endpoint, o orders.Order) (orders.Result, error) {
+	e.mu.Lock()
+	e.orders++
+	l := e.lose()
+	e.mu.Unlock()
+	switch l {
+	case lostOrder:
+		<-ctx.Done()
+		return 0, errors.Join(orders.ErrNoAnswer, ctx.Err())
+	case lostAnswer:
+		e.carryOut(o)
+		<-ctx.Done()
+		return 0, errors.Join(orders.ErrNoAnswer, ctx.Err())
+	case late:
+		time.AfterFunc(3*time.Second, func() { e.carryOut(o) })
+		<-ctx.Done()
+		return 0, errors.Join(orders.ErrNoAnswer, ctx.Err())
+	}
+	return e.carryOut(o), nil
+}
+
+func (e *engine) carryOut(o orders.Order) orders.Result {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Token < e.fence {
+		return orders.Fenced
+	}
+	e.fence = o.Token
+	if e.loading != "" || o.Expected != e.sequence {
+		return orders.Conflict
+	}
+	e.sequence++
+	switch {
+	case o.Adapter != "" && e.holds[o.Model] == nil:
+		return orders.Invalid
+	case o.Adapter != "" && o.Load:
+		e.holds[o.Model][o.Adapter] = true
+	case o.Adapter != "":
+		delete(e.holds[o.Model], o.Adapter)
+	case !o.Load:
+		delete(e.holds, o.Model)
+	default:
+		e.loading = o.Model
+		time.AfterFunc(loadTime, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.loading = ""
+			e.holds[o.Model] = map[string]bool{}
+			e.remember()
+		})
+	}
+	e.remember()
+	return orders.Accepted
+}
+
+func (e *engine) held() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []string
+	for m := range e.holds {
+		list = append(list, m)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (e *engine) adapters(model string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.holds[model])
+}
+
+var weights = map[string]float64{"x": 60, "y": 60, "cold": 60, "big": 110}
+
+func config() *fleet.Config {
+	models := map[string]fleet.Model{}
+	for name, mb := range weights {
+		models[name] = fleet.Model{Name: name, WeightsMB: mb, AdapterMB: 1, StoreLoad: 6 * time.Second, DiskLoad: loadTime, MemoryLoad: loadTime}
+	}
+	return &fleet.Config{Version: 1, Services: map[string]fleet.Service{"llm": {
+		Name:   "llm",
+		Engine: &fleet.Engine{Slots: 8, WeightsMB: 130, AdapterSlots: 2, LoadsPerSecond: 4, Models: models},
+	}}}
+}
+
+// newGiver returns a giver that holds the claim with a token over one endpoint.
+func newGiver(e *engine, token int64, listed ...string) *orders.Giver {
+	el := orders.NewElection(holder("a"), lease, time.Now())
+	el.Caught()
+	el.Won(time.Now(), token)
+	cfg := config()
+	endpoint := fleet.Endpoint{ID: "e", Service: "llm", OnDisk: []string{"cold", "x", "y", "big"}}
+	for _, m := range listed {
+		endpoint.Holds = append(endpoint.Holds, fleet.Held{Model: m})
+	}
+	return &orders.Giver{
+		Election:  el,
+		Orderer:   e,
+		Log:       slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Now:       time.Now,
+		Config:    func() *fleet.Config { return cfg },
+		Endpoints: func(time.Time) []fleet.View { return []fleet.View{{Endpoint: endpoint}} },
+		MayOrder:  func() bool { return true },
+	}
+}
+
+func waiting(model, adapter string) fleet.DemandReport {
+	return fleet.DemandReport{Host: "h", Needs: []fleet.NeedReport{{Service: "llm", Model: model, Adapter: adapter, Waiting: 1, Arrived: 1}}}
+}
+
+// steps runs the giver for a while with a request waiting.
+func steps(ctx context.Context, g *orders.Giver, d time.Duration, r fleet.DemandReport) {
+	const period = 20 * time.Millisecond
+	for range int(d / period) {
+		g.Report(time.Now(), r)
+		g.Step(ctx, time.Now(), false)
+		time.Sleep(period)
+	}
+}
+
+func run(t *testing.T, f func(ctx context.Context)) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f(ctx)
+		cancel()
+		// Late orders and loads end before the bubble does.
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestWaitingModelIsSwappedIn(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.New(t)
+		e := newEngine(130, weights, "x", "y")
+		g := newGiver(e, 1, "x", "y")
+		steps(ctx, g, 2*time.Second, waiting("cold", ""))
+		is.True(slices.Contains(e.held(), "cold"))
+		is.Equal(len(e.held()), 2)
+	})
+}
+
+// The list of endpoints is older than the endpoint: a former giver has loaded a
+// model since. A load decided by the list alone went beyond the endpoint's
+// memory, which crashed it with all its requests.
+func TestOldListDoesNotOvercommit(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.New(t)
+		e := newEngine(130, weights, "x", "y")
+		e.sequence = 40
+		e.remember()
+		g := newGiver(e, 1, "x")
+		steps(ctx, g, 3*time.Second, waiting("cold", ""))
+		is.Equal(len(e.faults), 0)
+		is.True(slices.Contains(e.held(), "cold"))
+	})
+}
+
+// A former giver's load is accepted while this giver decides. The refusal of the
+// expected sequence taught it the new number, and it sent the load again with
+// what it believed of the memory before: one model too many.
+func TestUnknownOrderEndsTheSwap(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.New(t)
+		e := newEngine(130, weights, "x")
+		g := newGiver(e, 2, "x")
+		steps(ctx, g, 400*time.Millisecond, fleet.DemandReport{Host: "h"})
+		e.carryOut(orders.Order{Load: true, Model: "y", Expected: 0, Token: 1})
+		steps(ctx, g, 4*time.Second, waiting("cold", ""))
+		is.Equal(len(e.faults), 0)
+		is.True(slices.Contains(e.held(), "cold"))
+	})
+}
+
+// Another host holds a newer claim. One refusal is enough: the endpoint counts
+// each further order with the old token.
+func TestFencedGiverStops(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.New(t)
+		e := newEngine(130, weights, "x", "y")
+		e.fence = 9
+		g := newGiver(e, 1, "x", "y")
+		steps(ctx, g, 2*time.Second, waiting("cold", ""))
+		is.Equal(e.orders, 1)
+	})
+}
+
+// Three adapters are asked for where an endpoint has places for two: the one
+// used longest ago makes way, and never do three lie there.
+func TestAdaptersKeepToTheirPlaces(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.New(t)
+		e := newEngine(130, weights, "x")
+		g := newGiver(e, 1, "x")
+		for i := range 3 {
+			steps(ctx, g, 800*time.Millisecond, waiting("x", fmt.Sprint("a", i)))
+		}
+		is.Equal(e.adapters("x"), 2)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		is.True(e.holds["x"]["a2"])
+	})
+}
+
+// Orders and their answers are lost or come seconds late, models of different
+// size wait in turn. Whatever happens, no endpoint is ever told to hold more
+// than its memory.
+func TestLostAndLateOrdersNeverOvercommit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		losses := rapid.SliceOfN(rapid.SampledFrom([]loss{nothing, nothing, nothing, lostOrder, lostAnswer, late}), 40, 40).Draw(rt, "losses")
+		wants := rapid.SliceOfN(rapid.SampledFrom([]string{"x", "y", "cold", "big"}), 6, 6).Draw(rt, "wants")
+		run(t, func(ctx context.Context) {
+			e := newEngine(130, weights, "x", "y")
+			n := 0
+			e.lose = func() loss {
+				n++
+				if n <= len(losses) {
+					return losses[n-1]
+				}
+				return nothing
+			}
+			g := newGiver(e, 1, "x", "y")
+			for _, w := range wants {
+				steps(ctx, g, 1500*time.Millisecond, waiting(w, ""))
+			}
+			if len(e.faults) > 0 {
+				rt.Fatalf("overcommitted: %v", e.faults)
+			}
+		})
+	})
+}
