--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,135 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/proptest"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, 300, 60) }
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func ids(views []fleet.View) []fleet.EndpointID {
+	out := []fleet.EndpointID{}
+	for _, v := range views {
+		out = append(out, v.ID)
+	}
+	return out
+}
+
+func endpoint(id string) fleet.Endpoint {
+	return fleet.Endpoint{ID: fleet.EndpointID(id), Service: "s", Addr: "127.0.0.1:1"}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	is := is.New(t)
+	c := &fleet.Config{Routes: []fleet.Route{
+		{Name: "short", Host: "h", PathPrefix: "/a/"},
+		{Name: "long", Host: "h", PathPrefix: "/a/b/"},
+		{Name: "other", Host: "g", PathPrefix: "/a/b/c/"},
+	}}
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/c/": "long", "/a": "", "/": ""} {
+		r, ok := c.Match("h", path)
+		is.Equal(r.Name, want)
+		is.Equal(ok, want != "")
+	}
+}
+
+// The store is away; the entries of all endpoints lapse meanwhile, and their
+// removal is read when it returns. Endpoints that live are back two seconds
+// later; until then every request would be refused.
+func TestEntriesThatLapsedWithTheStoreStay(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Apply(at(0), 0, endpoint("a"))
+	d.Apply(at(0), 1, endpoint("b"))
+	d.StoreState(at(1), false)
+	d.StoreState(at(10), true)
+	d.Remove(at(10.1), 2, "a")
+	d.Remove(at(10.1), 3, "b")
+	is.Equal(ids(d.Live(at(10.2))), []fleet.EndpointID{"a", "b"})
+	d.Apply(at(11), 4, endpoint("a"))
+	is.Equal(ids(d.Live(at(12.1))), []fleet.EndpointID{"a"}) // b did not come back
+}
+
+// An endpoint announces its leaving; a late copy of an older heartbeat, or a
+// lapse of its entry during an outage, must not bring it back.
+func TestLeavingEndpointsStayOut(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	leaving := endpoint("a")
+	leaving.Draining = true
+	d.Apply(at(0), 5, leaving)
+	d.Apply(at(1), 4, endpoint("a"))
+	d.Apply(at(1), 6, endpoint("a"))
+	is.True(d.Live(at(1))[0].Draining)
+}
+
+// A listing that a peer sends is older than what this host has followed. It must
+// not take away endpoints that came since.
+func TestOldListingRemovesNothing(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Apply(at(0), 7, endpoint("new"))
+	d.Replace(at(1), 3, map[int64]fleet.Endpoint{2: endpoint("old")})
+	is.Equal(ids(d.Live(at(1))), []fleet.EndpointID{"new", "old"})
+	d.Replace(at(2), 9, map[int64]fleet.Endpoint{8: endpoint("old")})
+	is.Equal(ids(d.Live(at(2))), []fleet.EndpointID{"old"})
+}
+
+// The order in which copies of entries arrive does not matter: the entry with
+// the greatest offset holds.
+func TestDirectoryIgnoresTheOrderOfCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "entries")
+		zone := make([]string, n)
+		order := make([]int64, n)
+		for i := range n {
+			zone[i] = rapid.StringMatching("[a-z]").Draw(t, "zone")
+			order[i] = int64(i)
+		}
+		d := fleet.NewDirectory()
+		for _, offset := range rapid.Permutation(order).Draw(t, "order") {
+			e := endpoint("a")
+			e.Zone = zone[offset]
+			d.Apply(at(0), offset, e)
+		}
+		if got := d.Live(at(0))[0].Zone; got != zone[n-1] {
+			t.Fatalf("zone %q, the newest entry says %q", got, zone[n-1])
+		}
+	})
+}
+
+func TestBoardFollowsTheNewestGiver(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	e := endpoint("a")
+	e.Holds = []fleet.Held{{Model: "listed"}}
+	d.Apply(at(0), 0, e)
+	b := fleet.NewBoard(d)
+	ready := func(now time.Time, model, adapter string) int {
+		return len(b.Locate(now, "s", model, adapter).Ready)
+	}
+	is.Equal(ready(at(0), "listed", ""), 1)
+	notice := func(token int64, m ...fleet.ModelPlacement) fleet.Notice {
+		return fleet.Notice{Token: token, Endpoints: []fleet.Placement{{Endpoint: "a", Models: m}}}
+	}
+	is.True(b.Notice(at(0), notice(2, fleet.ModelPlacement{Model: "told", ReadyIn: 500, Adapters: []string{"x"}})))
+	is.Equal(ready(at(0), "listed", ""), 0)
+	is.Equal(b.Locate(at(0), "s", "told", "").ComingAt, at(0.5))
+	is.Equal(ready(at(0.5), "told", "x"), 1)
+	is.Equal(ready(at(0.5), "told", "y"), 0)
+	// A giver that has lost its claim goes on to send notices for a moment.
+	is.True(!b.Notice(at(0.6), notice(1)))
+	is.Equal(ready(at(0.6), "told", ""), 1)
+	// A silent giver is believed for a while only.
+	is.Equal(ready(at(9), "told", ""), 0)
+	is.Equal(ready(at(9), "listed", ""), 1)
+}
--- /dev/null
+++ b/pkg/upstream/pool_test.go
@@ -0,0 +1,209 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/upstream"
+)
+
+// raw serves connections by hand; script gets each request's head and body.
+func raw(t *testing.T, script func(c net.Conn, n int, r *http.Request)) (addr string, conns *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				in := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						_ = c.Close()
+						return
+					}
+					script(c, n, r)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func reply(c net.Conn, id, body string, headers ...string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), strings.Join(headers, ""), body)
+}
+
+func ask(t *testing.T, p *upstream.Pool, id, body string) (string, error) {
+	t.Helper()
+	resp, err := p.Do(context.Background(), upstream.Request{
+		Method: http.MethodPost,
+		Target: "/a%2Fb?q=%20",
+		Host:   "h",
+		Header: http.Header{"X-Id": {id}},
+		Body:   []byte(body),
+		Own:    func(h http.Header, _ int) bool { return h.Get("X-Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	return string(data), errors.CombineErrors(err, resp.Body.Close())
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	is := is.New(t)
+	addr, conns := raw(t, func(c net.Conn, _ int, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		reply(c, r.Header.Get("X-Id"), r.RequestURI+string(body))
+	})
+	p := upstream.NewPool(addr, 4, time.Now)
+	for i := range 3 {
+		got, err := ask(t, p, fmt.Sprint(i), "body")
+		is.NoErr(err)
+		is.Equal(got, "/a%2Fb?q=%20body") // the target goes out to the byte
+	}
+	is.Equal(conns.Load(), int32(1))
+}
+
+// An endpoint answers a request twice. The second copy stands on the connection
+// where the next request's answer is due; its client would get another's answer.
+func TestStrayAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	addr, _ := raw(t, func(c net.Conn, n int, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if n == 1 {
+			reply(c, "first", "answer to another request")
+		}
+		reply(c, r.Header.Get("X-Id"), "mine")
+	})
+	p := upstream.NewPool(addr, 4, time.Now)
+	_, err := ask(t, p, "first", "")
+	is.NoErr(err)
+	got, err := ask(t, p, "second", "")
+	is.NoErr(err)
+	is.Equal(got, "mine")
+}
+
+// A kept connection breaks as a request goes out on it. Sent again on a new
+// connection, as net/http does for some, it could run twice.
+func TestRequestIsNeverRepeated(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int32
+	addr, conns := raw(t, func(c net.Conn, n int, r *http.Request) {
+		seen.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if n == 0 {
+			reply(c, r.Header.Get("X-Id"), "ok")
+			return
+		}
+		_ = c.Close()
+	})
+	p := upstream.NewPool(addr, 4, time.Now)
+	_, err := ask(t, p, "1", "")
+	is.NoErr(err)
+	_, err = ask(t, p, "2", "")
+	is.True(err != nil)
+	is.True(!errors.Is(err, upstream.ErrNotSent)) // it may have run
+	is.Equal(seen.Load(), int32(2))
+	is.Equal(conns.Load(), int32(1))
+}
+
+// An endpoint answers before it has read a long body and reads on later. A next
+// request on that connection would be taken for the rest of the body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	addr, conns := raw(t, func(c net.Conn, _ int, r *http.Request) {
+		if r.ContentLength < 1<<20 {
+			reply(c, r.Header.Get("X-Id"), "short")
+			return
+		}
+		reply(c, r.Header.Get("X-Id"), "early")
+		<-release
+	})
+	defer close(release)
+	p := upstream.NewPool(addr, 4, time.Now)
+	got, err := ask(t, p, "1", strings.Repeat("x", 8<<20))
+	is.NoErr(err)
+	is.Equal(got, "early")
+	got, err = ask(t, p, "2", "")
+	is.NoErr(err)
+	is.Equal(got, "short")
+	is.Equal(conns.Load(), int32(2))
+}
+
+// An answer with a length breaks off; one without ends with its connection.
+func TestBrokenBodyIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	addr, _ := raw(t, func(c net.Conn, _ int, r *http.Request) {
+		id := r.Header.Get("X-Id")
+		if id == "cut" {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: cut\r\nContent-Length: 100\r\n\r\npart")
+		} else {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: open\r\n\r\nwhole")
+		}
+		_ = c.(*net.TCPConn).CloseWrite()
+	})
+	p := upstream.NewPool(addr, 4, time.Now)
+	_, err := ask(t, p, "cut", "")
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	got, err := ask(t, p, "open", "")
+	is.NoErr(err)
+	is.Equal(got, "whole")
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	addr, _ := raw(t, func(c net.Conn, _ int, r *http.Request) {
+		close(started)
+		<-release
+		reply(c, r.Header.Get("X-Id"), "done")
+	})
+	p := upstream.NewPool(addr, 1, time.Now)
+	done := make(chan error)
+	go func() {
+		_, err := ask(t, p, "1", "")
+		done <- err
+	}()
+	<-started
+	_, err := ask(t, p, "2", "")
+	is.True(errors.Is(err, upstream.ErrFull))
+	is.True(errors.Is(err, upstream.ErrNotSent))
+	close(release)
+	is.NoErr(<-done)
+}
+
+func TestRefusedConnectionWasNotSent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = ask(t, upstream.NewPool(addr, 1, time.Now), "1", "")
+	is.True(errors.Is(err, upstream.ErrNotSent))
+}
