Serve what waited before a claim changed hands; be ready only once callers are served

Cause 1: a request's arrival is told once; a host that won the claim later heard only that it waits, and dropped needs without a rate: the request was never served. Found by the test of a whole host on the stand-ins. Cause 2: a host said that it was ready up to 20 ms before it took callers. Change: what waits counts without a rate; readiness follows serving. The log writer drops lines after its end in place of a panic. Tests: TestNewGiverServesWhatWaitedBefore failed before; whole hosts on the stand-ins (warm, cold, adapters; configuration from a peer; death of the giver; planned stop; leaving endpoints).

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"io"
-	"log/slog"
 	"strconv"
+	"sync"
 	"sync/atomic"
 )
 
@@ -17,6 +17,8 @@
 type BoundedWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	mu      sync.RWMutex
+	closed  bool
 	done    chan struct{}
 }
 
@@ -38,8 +40,14 @@
 	}
 }
 
-// Write implements io.Writer; p is one line.
+// Write implements io.Writer; p is one line. After Close it drops the line:
+// background work may still end while the process does.
 func (w *BoundedWriter) Write(p []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return len(p), nil
+	}
 	select {
 	case w.lines <- bytes.Clone(p):
 	default:
@@ -51,11 +59,11 @@
 // Dropped returns the number of lines dropped since the last report.
 func (w *BoundedWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes what is queued. Nothing may be written after it.
+// Close writes what is queued.
 func (w *BoundedWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
 	close(w.lines)
+	w.mu.Unlock()
 	<-w.done
 }
-
-// BoundedLogger returns a JSON logger that never blocks.
-func BoundedLogger(w *BoundedWriter) *slog.Logger { return Logger(w) }
--- /dev/null
+++ b/pkg/gateway/export_test.go
@@ -0,0 +1,20 @@
+package gateway
+
+// CallersAddr is where clients reach the host.
+func (g *Gateway) CallersAddr() string { return g.callers.Addr().String() }
+
+// ReadinessAddr is where the balancer asks.
+func (g *Gateway) ReadinessAddr() string { return g.readiness.Addr().String() }
+
+// Gives tells whether the host holds the claim.
+func (g *Gateway) Gives() bool { return g.election.Held() != 0 }
+
+// Peers is the number of other hosts known.
+func (g *Gateway) Peers() int { return g.mesh.hosts() - 1 }
+
+// Kill ends the host's part in the work of all hosts as a crash does.
+func (g *Gateway) Kill() {
+	_ = g.mesh.node.Close()
+	_ = g.callers.Close()
+	g.leaving.Store(true)
+}
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -100,7 +100,7 @@
 
 // ready tells whether the balancer should send clients here.
 func (g *Gateway) ready() bool {
-	return !g.leaving.Load() && g.config.Load() != nil && g.feed.loaded(fleet.TopicEndpoints)
+	return g.serving.Load() && !g.leaving.Load()
 }
 
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -83,7 +83,9 @@
 	reportNow chan struct{}
 	// noticeNow asks the giver for a step at once.
 	noticeNow chan struct{}
-	leaving   atomic.Bool
+	// serving is set once callers are served, leaving once the host stops.
+	serving atomic.Bool
+	leaving atomic.Bool
 
 	callers   net.Listener
 	readiness net.Listener
@@ -230,6 +232,7 @@
 			return nil
 		}
 		g.limitFront(front)
+		g.serving.Store(true)
 		return serveUntilClosed(front, g.callers)
 	})
 	group.Go(func() error {
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -103,11 +103,13 @@
 			continue
 		}
 		for _, n := range h.needs {
-			t := out[need{n.Service, n.Model, n.Adapter}]
-			if t == nil {
-				continue
+			key := need{n.Service, n.Model, n.Adapter}
+			if out[key] == nil {
+				// A request that waits counts also where its arrival was told to a
+				// former giver; it would never be served otherwise.
+				out[key] = &total{lastUsed: h.at}
 			}
-			t.add(h.at, n)
+			out[key].add(h.at, n)
 		}
 	}
 	return out
--- a/pkg/orders/giver_test.go
+++ b/pkg/orders/giver_test.go
@@ -238,6 +238,19 @@
 	})
 }
 
+// A request arrives just before the claim changes hands: its arrival was told to
+// the former giver, the new one hears only that it waits. It was never served.
+func TestNewGiverServesWhatWaitedBefore(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.New(t)
+		e := newEngine(130, weights, "x", "y")
+		r := waiting("cold", "")
+		r.Needs[0].Arrived = 0
+		steps(ctx, newGiver(e, 1, "x", "y"), 2*time.Second, r)
+		is.True(slices.Contains(e.held(), "cold"))
+	})
+}
+
 // The list of endpoints is older than the endpoint: a former giver has loaded a
 // model since. A load decided by the list alone went beyond the endpoint's
 // memory, which crashed it with all its requests.
