Let a stopping giver go on while the store is away; read the store less often

Cause 1: a giver of orders that was stopped while the store was down ended its orders at once, and nobody could claim: no cold model was loaded for up to nine seconds. Change: it goes on until its end and tries to hand the claim on. Cause 2: calls to the store were the second largest price; each host read the list of endpoints every 0.7 s and repeated failed calls every 0.25 s. Change: the giver's notices tell when the list has changed and how old its copy is; other hosts read every two seconds meanwhile; failed calls back off to 1.5 s. Ruled out: reading the list through the giver alone (a giver that is cut off would hide a leaving endpoint).

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -52,7 +52,6 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
-	calls  int
 }
 
 // NewStore returns an empty store.
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -17,6 +17,9 @@
 	entries map[EndpointID]*entry
 	// read is the offset up to which the list has been followed.
 	read int64
+	// material is the offset of the newest entry that changed which endpoints
+	// take requests; heartbeats do not.
+	material int64
 	// storeBack is when the store was last seen to return, storeAway whether it
 	// is away now.
 	storeBack time.Time
@@ -71,6 +74,9 @@
 	if old != nil && old.Draining {
 		e.Draining = true
 	}
+	if old == nil || old.gone || old.Draining != e.Draining {
+		d.material = max(d.material, offset)
+	}
 	d.entries[e.ID] = &entry{Endpoint: e, offset: offset, changed: now}
 }
 
@@ -81,10 +87,19 @@
 	d.read = max(d.read, offset+1)
 	if e := d.entries[id]; e != nil && e.offset < offset {
 		e.offset = offset
+		d.material = max(d.material, offset)
 		d.vanish(now, e)
 	}
 }
 
+// Material is the offset of the newest entry that changed which endpoints take
+// requests.
+func (d *Directory) Material() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.material
+}
+
 // vanish marks an endpoint whose entry is gone. While the store was away all
 // entries lapse, also those of endpoints that serve: they stay in use until
 // lapseGrace after its return. Taking them as gone at once would refuse every
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -133,3 +133,20 @@
 	is.Equal(ready(at(9), "told", ""), 0)
 	is.Equal(ready(at(9), "listed", ""), 1)
 }
+
+// The giver of orders tells other hosts when to read the list: for what changes
+// where requests go, and not for each heartbeat.
+func TestHeartbeatsAreNotMaterial(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Apply(at(0), 3, endpoint("a"))
+	is.Equal(d.Material(), int64(3))
+	d.Apply(at(1), 4, endpoint("a"))
+	is.Equal(d.Material(), int64(3))
+	leaving := endpoint("a")
+	leaving.Draining = true
+	d.Apply(at(2), 5, leaving)
+	is.Equal(d.Material(), int64(5))
+	d.Remove(at(3), 6, "a")
+	is.Equal(d.Material(), int64(6))
+}
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -12,6 +12,11 @@
 	Endpoints []Placement `cbor:"4,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration that the giver knows.
 	ConfigVersion int64 `cbor:"5,keyasint,omitempty"`
+	// ListChange is the offset of the newest entry of the list of endpoints that
+	// changed which of them take requests, ListAge how many milliseconds ago the
+	// giver read the list.
+	ListChange int64 `cbor:"6,keyasint,omitempty"`
+	ListAge    int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Placement is what one endpoint holds.
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -15,17 +15,29 @@
 const (
 	// longPoll is how long a read waits for records of topics that change
 	// seldom. Each call has a price; connections may fall silent, and a read
-	// without an answer is given up after this time.
-	longPoll = 6 * time.Second
+	// without an answer is given up after this time; other hosts tell of a newer
+	// configuration meanwhile.
+	longPoll = 15 * time.Second
 	// listPoll is the period of reads of the list of endpoints, which changes all
 	// the time. Half the time until a leaving endpoint must get no requests is
 	// spent at most.
 	listPoll = 700 * time.Millisecond
+	// calmListPoll is the period while the giver of orders reads the list and
+	// says in its notices when it has changed. Ten calls a second fewer over nine
+	// hosts than with listPoll alone.
+	calmListPoll = 2 * time.Second
+	// freshNotice and freshList are how old the giver's last notice and its list
+	// may be for that.
+	freshNotice = 700 * time.Millisecond
+	freshList   = 800 * time.Millisecond
 	// giverListPoll is the period while this host gives orders: what endpoints
 	// say of themselves corrects what it believes.
 	giverListPoll = 350 * time.Millisecond
-	// storeRetry is the pause after a call that failed.
-	storeRetry = 250 * time.Millisecond
+	// storeRetry is the pause after a call that failed; it doubles with each
+	// further one up to storeRetryMax. Calls that the store refuses have a price
+	// too, and other hosts tell meanwhile what changes.
+	storeRetry    = 250 * time.Millisecond
+	storeRetryMax = 1500 * time.Millisecond
 )
 
 // feed is what a host has read from the store, as it stands there, so that it
@@ -95,6 +107,8 @@
 	// wait returns how long a read waits, and pause how long to rest after one.
 	wait  time.Duration
 	pause func() time.Duration
+	// wake ends the pause early.
+	wake <-chan struct{}
 	// reset takes in the newest entries of all keys, apply those that follow.
 	reset func(fleet.Batch)
 	apply func(fleet.Batch)
@@ -105,6 +119,7 @@
 // follow runs a follower until ctx ends.
 func (g *Gateway) follow(ctx context.Context, f follower) {
 	next := int64(-1)
+	backoff := storeRetry
 	for ctx.Err() == nil {
 		var batch fleet.Batch
 		var err error
@@ -125,9 +140,11 @@
 			if f.failed != nil {
 				f.failed(ctx)
 			}
-			sleep(ctx, jitter(storeRetry))
+			sleep(ctx, jitter(backoff))
+			backoff = min(2*backoff, storeRetryMax)
 			continue
 		}
+		backoff = storeRetry
 		if fresh {
 			f.reset(batch)
 		} else {
@@ -135,11 +152,22 @@
 		}
 		next = batch.Next
 		if f.pause != nil {
-			sleep(ctx, jitter(f.pause()))
+			rest(ctx, jitter(f.pause()), f.wake)
 		}
 	}
 }
 
+// rest waits until the time is over or something wakes it.
+func rest(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+}
+
 // noteStore logs a lost or regained store once.
 func (g *Gateway) noteStore(t fleet.Topic, err error) {
 	now := g.Now()
@@ -196,19 +224,27 @@
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	g.follow(ctx, follower{
-		topic: fleet.TopicEndpoints,
-		pause: func() time.Duration {
-			if g.election.Held() != 0 {
-				return giverListPoll
-			}
-			return listPoll
-		},
+		topic:  fleet.TopicEndpoints,
+		pause:  g.listPause,
+		wake:   g.listNow,
 		reset:  g.resetEndpoints,
 		apply:  g.takeEndpoints,
 		failed: g.askPeer,
 	})
 }
 
+// listPause is the pause between two reads of the list of endpoints.
+func (g *Gateway) listPause() time.Duration {
+	if g.election.Held() != 0 {
+		return giverListPoll
+	}
+	at, age := g.mesh.listNotice()
+	if g.Now().Sub(at) < freshNotice && age < freshList {
+		return calmListPoll
+	}
+	return listPoll
+}
+
 func (g *Gateway) resetEndpoints(b fleet.Batch) {
 	list := make(map[int64]fleet.Endpoint, len(b.Entries))
 	raw := make(map[string]fleet.Entry, len(b.Entries))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -83,6 +83,8 @@
 	reportNow chan struct{}
 	// noticeNow asks the giver for a step at once.
 	noticeNow chan struct{}
+	// listNow asks for a read of the list of endpoints at once.
+	listNow chan struct{}
 	// serving is set once callers are served, leaving once the host stops.
 	serving atomic.Bool
 	leaving atomic.Bool
@@ -106,6 +108,7 @@
 		budget:    retry.NewBudget(s.retryLimits(), retryShare),
 		reportNow: make(chan struct{}, 1),
 		noticeNow: make(chan struct{}, 1),
+		listNow:   make(chan struct{}, 1),
 		feed:      newFeed(),
 	}
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
@@ -188,9 +191,6 @@
 // a host that has just read the store may give orders, for another may have
 // claimed since.
 func (g *Gateway) mayOrder() bool {
-	if g.leaving.Load() {
-		return false
-	}
 	if g.settings.Orders.EndpointsCheckTokens {
 		return true
 	}
--- a/pkg/gateway/giver.go
+++ b/pkg/gateway/giver.go
@@ -31,8 +31,8 @@
 	kickPeriod = 20 * time.Millisecond
 	// prunePeriod is how often state of endpoints that are gone is dropped.
 	prunePeriod = time.Second
-	// releaseTimeout bounds the hand-over of the claim by a stopping host.
-	releaseTimeout = 500 * time.Millisecond
+	// releaseRetry separates two tries of a stopping host to hand its claim on.
+	releaseRetry = 400 * time.Millisecond
 )
 
 // reportDemand tells the giver of orders what this host's requests need.
@@ -120,8 +120,15 @@
 	}
 }
 
+// listAge is how long ago the store answered a read of the list of endpoints.
+func (g *Gateway) listAge(now time.Time) time.Duration {
+	return now.Sub(g.feed.lastAnswer(fleet.TopicEndpoints))
+}
+
 // publish tells all hosts what the giver believes.
 func (g *Gateway) publish(ctx context.Context, n fleet.Notice) {
+	n.ListChange = g.directory.Material()
+	n.ListAge = g.listAge(g.Now()).Milliseconds()
 	g.board.Notice(g.Now(), n)
 	g.dispatcher.Kick()
 	for _, addr := range g.mesh.addrs() {
@@ -207,20 +214,25 @@
 	g.election.Caught()
 }
 
-// releaseClaim hands the claim on when the host stops.
-func (g *Gateway) releaseClaim(ctx context.Context) {
-	held := g.election.Held()
-	if held == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
+// releaseClaim hands the claim on when the host stops. While the store does not
+// answer nobody can claim; the host then goes on to give orders until its end,
+// or no cold model would be loaded until the store is back.
+func (g *Gateway) releaseClaim(ctx context.Context, end time.Time) {
 	released := g.self
 	released.Released = true
-	if _, err := g.putClaim(ctx, released); err != nil {
-		g.log.Info("claim is not handed on; it lapses", "token", held, "error", err.Error())
+	for ctx.Err() == nil && g.Now().Before(end) {
+		held := g.election.Held()
+		if held == 0 {
+			return
+		}
+		if _, err := g.putClaim(ctx, released); err == nil {
+			g.election.Lost(held)
+			g.log.Info("claim handed on", "token", held)
+			return
+		}
+		sleep(ctx, releaseRetry)
 	}
-	g.election.Lost(held)
+	g.log.Info("claim is not handed on; it lapses", "token", g.election.Held())
 }
 
 // maintain does what has to be done from time to time.
@@ -229,7 +241,7 @@
 	every(ctx, kickPeriod, func() {
 		g.dispatcher.Kick()
 		now := g.Now()
-		if g.feed.loaded(fleet.TopicEndpoints) && now.Sub(g.feed.lastAnswer(fleet.TopicEndpoints)) > listAge {
+		if g.feed.loaded(fleet.TopicEndpoints) && g.listAge(now) > g.listPause()+maxListAge-listPoll {
 			go g.askPeer(ctx)
 		}
 		if now.Sub(last) < prunePeriod {
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -14,10 +14,10 @@
 	// peerTimeout bounds a message to another host; a round trip takes a few
 	// milliseconds, a first connection some tens.
 	peerTimeout = 600 * time.Millisecond
-	// listAge is how old the list of endpoints may be before a peer is asked: an
+	// maxListAge is how old the list of endpoints may be before a peer is asked: an
 	// endpoint that leaves must get no requests soon after it has said so, and a
 	// read of the store may hang.
-	listAge = 1100 * time.Millisecond
+	maxListAge = 1100 * time.Millisecond
 	// stateFrom is the offset at which all entries of the list are asked for.
 	stateFrom = 0
 )
@@ -34,6 +34,24 @@
 	claimsNext int64
 	// asked is when a peer was last asked for the state.
 	asked time.Time
+	// noticed is when the giver's last notice came, listAge how old its list was.
+	noticed time.Time
+	listAge time.Duration
+}
+
+// noteList takes in how old the giver's list of endpoints is.
+func (m *mesh) noteList(now time.Time, age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noticed = now
+	m.listAge = age
+}
+
+// listNotice returns when the giver last told the age of its list, and that age.
+func (m *mesh) listNotice() (time.Time, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.noticed, m.listAge
 }
 
 func newMesh(self string, own peer.Fingerprint) *mesh {
@@ -141,6 +159,10 @@
 		return
 	}
 	g.election.Heard(now, n.Token)
+	g.mesh.noteList(now, time.Duration(n.ListAge)*time.Millisecond)
+	if n.ListChange >= g.directory.Offset() {
+		signal(g.listNow)
+	}
 	g.dispatcher.Kick()
 	if holder := g.election.Newest(); holder.Token == n.Token {
 		g.compareConfig(holder.Holder.Addr, n.ConfigVersion)
--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -22,8 +22,6 @@
 	Released bool `cbor:"4,keyasint,omitempty"`
 }
 
-func (h Holder) same(o Holder) bool { return h.Host == o.Host && h.Incarnation == o.Incarnation }
-
 // Claim is a record of the claims topic.
 type Claim struct {
 	Holder Holder `cbor:"1,keyasint"`
@@ -32,11 +30,9 @@
 }
 
 const (
-	// challengeAfter is how long a holder may be silent before others claim. A
-	// holder sends a notice at least every noticePeriod; four may be lost.
+	// challengeAfter is how long a holder may be silent before others claim. It
+	// sends a notice at least every 0.3 s; three may be lost.
 	challengeAfter = 1200 * time.Millisecond
-	// noticePeriod is the longest pause between notices of a holder.
-	noticePeriod = 300 * time.Millisecond
 	// claimPause separates two tries, so that hosts don't fill the store.
 	claimPause = 400 * time.Millisecond
 	// frozenAfter is the gap between two looks at the clock that counts
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -35,7 +35,6 @@
 }
 
 type resident struct {
-	mb      float64
 	readyAt time.Time
 	since   time.Time
 	leaving bool
