Find the own claim in the store; end reads that hang once the store is back

Change: reads do not wait while the list cannot be read, and end when it can again; hosts that did not answer are not asked for two seconds. Cause 2, seen in the same log: a host that read its own claim before the answer to its append came took itself for a host without one and claimed again every 0.4 s. Change: a claim of this incarnation in the store is this host's, unless it was given up. Tests: TestConfigurationAfterASilentStore fails without the first change, TestOwnClaimIsFoundInTheStore without the second.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -9,8 +9,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -64,6 +66,8 @@
 
 	mu    sync.Mutex
 	fault Fault
+	// silences counts how often the listener fell silent.
+	silences int
 }
 
 // Listen opens a listener on a free port of the loopback address.
@@ -83,6 +87,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fault = f
+	if f == Silent {
+		d.silences++
+	}
+}
+
+// state returns the fault and how often the listener fell silent.
+func (d *Door) state() (Fault, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fault, d.silences
 }
 
 // Close ends the listener and its connections.
@@ -90,9 +104,7 @@
 
 func (d *Door) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.mu.Lock()
-		fault := d.fault
-		d.mu.Unlock()
+		fault, before := d.state()
 		switch fault {
 		case Busy:
 			http.Error(w, `{"error":"try later"}`, http.StatusTooManyRequests)
@@ -107,7 +119,17 @@
 				return
 			}
 		}
-		next.ServeHTTP(w, r)
+		// Calls that are under way when the listener falls silent get no answer
+		// either, also when it is back.
+		answer := httptest.NewRecorder()
+		next.ServeHTTP(answer, r)
+		if _, after := d.state(); after != before {
+			<-r.Context().Done()
+			return
+		}
+		maps.Copy(w.Header(), answer.Header())
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes()) // The caller may have gone.
 	})
 }
 
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -18,3 +18,9 @@
 	_ = g.callers.Close()
 	g.leaving.Store(true)
 }
+
+// StoreAway tells whether the host has noticed that the store does not answer.
+func (g *Gateway) StoreAway() bool {
+	away, _ := g.feed.listAway()
+	return away
+}
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -47,6 +47,8 @@
 	config    fleet.Entry
 	endpoints map[string]fleet.Entry
 	topics    map[fleet.Topic]*topicState
+	// back is closed, and made anew, when the list of endpoints can be read again.
+	back chan struct{}
 }
 
 type topicState struct {
@@ -56,7 +58,7 @@
 }
 
 func newFeed() *feed {
-	return &feed{endpoints: map[string]fleet.Entry{}, topics: map[fleet.Topic]*topicState{}}
+	return &feed{endpoints: map[string]fleet.Entry{}, topics: map[fleet.Topic]*topicState{}, back: make(chan struct{})}
 }
 
 func (f *feed) topic(t fleet.Topic) *topicState {
@@ -76,6 +78,10 @@
 	away := err != nil
 	changed = s.away != away
 	s.away = away
+	if changed && !away && t == fleet.TopicEndpoints {
+		close(f.back)
+		f.back = make(chan struct{})
+	}
 	if !away {
 		s.answer = now
 		s.loaded = true
@@ -83,6 +89,14 @@
 	return changed
 }
 
+// listAway tells whether the list of endpoints cannot be read, and returns a
+// channel that is closed when it can be read again.
+func (f *feed) listAway() (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.topic(fleet.TopicEndpoints).away, f.back
+}
+
 func (f *feed) loaded(t fleet.Topic) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -116,6 +130,15 @@
 	failed func(context.Context)
 }
 
+// retryMax is the longest pause after failed calls. Reads of the list of
+// endpoints find out that the store is back; the other topics wait for them.
+func (f follower) retryMax() time.Duration {
+	if f.topic == fleet.TopicEndpoints {
+		return listPoll
+	}
+	return storeRetryMax
+}
+
 // follow runs a follower until ctx ends.
 func (g *Gateway) follow(ctx context.Context, f follower) {
 	next := int64(-1)
@@ -127,7 +150,7 @@
 		if fresh {
 			batch, err = g.store.Newest(ctx, f.topic)
 		} else {
-			batch, err = g.store.Read(ctx, f.topic, next, f.wait)
+			batch, err = g.readOn(ctx, f, next)
 		}
 		var compacted *fleet.CompactedError
 		if errors.As(err, &compacted) {
@@ -135,13 +158,16 @@
 			next = -1
 			continue
 		}
+		if errors.Is(err, errReadAgain) {
+			continue
+		}
 		g.noteStore(f.topic, err)
 		if err != nil {
 			if f.failed != nil {
 				f.failed(ctx)
 			}
-			sleep(ctx, jitter(backoff))
-			backoff = min(2*backoff, storeRetryMax)
+			g.restOrBack(ctx, f.topic, jitter(backoff))
+			backoff = min(2*backoff, f.retryMax())
 			continue
 		}
 		backoff = storeRetry
@@ -157,6 +183,47 @@
 	}
 }
 
+// readOn reads what follows. A read that began while the store was silent hangs
+// for its whole wait, long after the store is back; a host would not hear of a
+// new configuration meanwhile. So it does not wait while the store is away, and
+// ends when another read shows that the store is back.
+func (g *Gateway) readOn(ctx context.Context, f follower, next int64) (fleet.Batch, error) {
+	if f.wait == 0 {
+		return g.store.Read(ctx, f.topic, next, 0)
+	}
+	away, back := g.feed.listAway()
+	if away {
+		return g.store.Read(ctx, f.topic, next, 0)
+	}
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-back:
+			cancel()
+		case <-wait.Done():
+		}
+	}()
+	batch, err := g.store.Read(wait, f.topic, next, f.wait)
+	if err != nil && wait.Err() != nil && ctx.Err() == nil {
+		return fleet.Batch{}, errReadAgain
+	}
+	return batch, err
+}
+
+// errReadAgain means that a read was ended because the store is back.
+var errReadAgain = errors.New("read ended by the return of the store")
+
+// restOrBack waits after a failed call, until the store is back at the latest.
+func (g *Gateway) restOrBack(ctx context.Context, t fleet.Topic, d time.Duration) {
+	if t == fleet.TopicEndpoints {
+		sleep(ctx, d)
+		return
+	}
+	_, back := g.feed.listAway()
+	rest(ctx, d, back)
+}
+
 // rest waits until the time is over or something wakes it.
 func rest(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	t := time.NewTimer(d)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -244,6 +244,27 @@
 	is.True(time.Since(start) < 2*time.Second)
 }
 
+// The store answers nobody for a while, and a host's read of the configuration
+// begins then. The store returns and takes a new configuration; the host must
+// not wait for that read to end, and it knows no other host to ask.
+func TestConfigurationAfterASilentStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	d.endpoint(site.EndpointConfig{ID: "p1", Service: "plain", Zone: "zone-a", Slots: 4})
+	h := d.startHost("a")
+	h.door.Set(site.Silent)
+	d.until("the store is away", h.StoreAway)
+	h.door.Set(site.Works)
+	next := config(2)
+	next.Routes = append(next.Routes, site.Route{Name: "new", Host: "h.example", PathPrefix: "/new/", Kind: "safe", Service: "plain", TimeoutMS: 2000, Attempts: 1})
+	start := time.Now()
+	d.publish(next)
+	d.until("the new route is served", func() bool { return d.ask(h, "/new/", "").status == http.StatusOK })
+	is.True(time.Since(start) < 4*time.Second)
+}
+
 // The host that gives orders is killed with a cold model asked for. Another one
 // takes over, with a greater token, and loads the model.
 func TestOrdersGoOnAfterTheGiverDies(t *testing.T) {
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	peers      map[string]hostEntry
 	pinned     map[peer.Fingerprint]bool
 	claimsNext int64
+	// silent is until when a host that gave no answer is not asked.
+	silent map[string]time.Time
 	// asked is when a peer was last asked for the state.
 	asked time.Time
 	// noticed is when the giver's last notice came, listAge how old its list was.
@@ -55,7 +58,7 @@
 }
 
 func newMesh(self string, own peer.Fingerprint) *mesh {
-	return &mesh{self: self, own: own, peers: map[string]hostEntry{}, pinned: map[peer.Fingerprint]bool{}}
+	return &mesh{self: self, own: own, peers: map[string]hostEntry{}, pinned: map[peer.Fingerprint]bool{}, silent: map[string]time.Time{}}
 }
 
 func (m *mesh) serve(ctx context.Context) { m.node.Serve(ctx) }
@@ -191,11 +194,32 @@
 
 // askPeer asks some other host for what this one cannot read from the store.
 func (g *Gateway) askPeer(ctx context.Context) {
-	if addrs := g.mesh.addrs(); len(addrs) > 0 {
+	if addrs := g.mesh.answering(g.Now()); len(addrs) > 0 {
 		g.askPeerAt(ctx, addrs[rand.IntN(len(addrs))])
 	}
 }
 
+// silentFor is how long a host that gave no answer is not asked again.
+const silentFor = 2 * time.Second
+
+// answering returns the hosts that have not failed to answer lately, or all.
+func (m *mesh) answering(now time.Time) []string {
+	all := m.addrs()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := slices.DeleteFunc(slices.Clone(all), func(addr string) bool { return now.Before(m.silent[addr]) })
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
+func (m *mesh) noteSilent(now time.Time, addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent[addr] = now.Add(silentFor)
+}
+
 func (g *Gateway) askPeerAt(ctx context.Context, addr string) {
 	if !g.mesh.mayAsk(g.Now()) {
 		return
@@ -206,6 +230,7 @@
 	}
 	answer, err := g.mesh.send(ctx, addr, peer.Request{State: &request})
 	if err != nil {
+		g.mesh.noteSilent(g.Now(), addr)
 		g.log.Info("peer did not answer", "peer", addr, "error", err.Error())
 		return
 	}
--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -56,6 +56,8 @@
 	// confirm is set after a freeze until the store has shown that the claim is
 	// still the newest.
 	confirm bool
+	// lost is the greatest token that was given up.
+	lost    int64
 	lastRun time.Duration
 	known   bool
 }
@@ -73,6 +75,10 @@
 	if c.Token < e.newest.Token {
 		return
 	}
+	if e.own(c) {
+		// The answer to this host's append was lost, or comes after this read.
+		e.win(now, c.Token)
+	}
 	if c.Token > e.newest.Token {
 		e.heard = now
 	}
@@ -85,6 +91,11 @@
 	}
 }
 
+// own tells whether a claim is this incarnation's and still good.
+func (e *Election) own(c Claim) bool {
+	return c.Holder.Host == e.self.Host && c.Holder.Incarnation == e.self.Incarnation && !c.Holder.Released && c.Token > e.lost
+}
+
 // Caught notes that the claims in the store were read to their end.
 func (e *Election) Caught() {
 	e.mu.Lock()
@@ -120,13 +131,17 @@
 	return true
 }
 
-// Won takes in that this host's claim was appended. The former holder may have
-// given orders until it was last heard; a holder within its lease after that
-// would take turns with it.
+// Won takes in that this host's claim was appended.
 func (e *Election) Won(now time.Time, token int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if token <= e.newest.Token {
+	e.win(now, token)
+}
+
+// win takes the claim up. The former holder may have given orders until it was
+// last heard; a holder within its lease after that would take turns with it.
+func (e *Election) win(now time.Time, token int64) {
+	if token <= e.newest.Token || token <= e.lost {
 		return
 	}
 	e.startAt = now
@@ -168,6 +183,7 @@
 func (e *Election) Lost(token int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.lost = max(e.lost, token)
 	if e.held == token {
 		e.held = 0
 		// Whoever holds the newer token is not known yet; it gets time to speak.
--- a/pkg/orders/claim_test.go
+++ b/pkg/orders/claim_test.go
@@ -88,6 +88,20 @@
 	is.Equal(e.Token(at(time.Minute)), int64(0))
 }
 
+// A host's claim is in the store, but the answer to its append is lost, or comes
+// after it has read the claim. It took itself for a host without a claim and
+// claimed again every 0.4 s; nobody gave orders for seconds.
+func TestOwnClaimIsFoundInTheStore(t *testing.T) {
+	is := is.New(t)
+	e := election("a")
+	e.Caught()
+	is.True(e.ShouldClaim(at(0)))
+	e.Observe(at(100*time.Millisecond), orders.Claim{Holder: holder("a"), Token: 3})
+	e.Won(at(200*time.Millisecond), 3)
+	is.Equal(e.Token(at(200*time.Millisecond)), int64(3))
+	is.True(!e.ShouldClaim(at(time.Minute)))
+}
+
 // Hosts claim at any time, hear each other or not, and freeze. The store orders
 // the claims. No token is ever held by two hosts, and a host that knows of a
 // newer claim gives no orders.
