--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -81,20 +81,25 @@
 type devCommand struct {
 	output
 	callers, operators string
+	platform           bool
 }
 
 func (*devCommand) Name() string     { return "dev" }
 func (*devCommand) Synopsis() string { return "run one entry host with embedded stand-ins" }
-func (*devCommand) Usage() string    { return "dev [-listen ADDR] [-operators ADDR]\n" }
+func (*devCommand) Usage() string    { return "dev [-platform] [-listen ADDR] [-operators ADDR]\n" }
 
 // SetFlags implements subcommands.Command.
 func (c *devCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.callers, "listen", "127.0.0.1:7001", "address for callers")
 	f.StringVar(&c.operators, "operators", "127.0.0.1:7101", "address for operators")
+	f.BoolVar(&c.platform, "platform", false, "run the path on the users' platform, with stand-ins of it")
 }
 
 // Execute implements subcommands.Command.
 func (c *devCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.platform {
+		return c.onPlatform(ctx)
+	}
 	err := dev.Run(ctx, dev.Options{
 		Callers:   c.callers,
 		Operators: c.operators,
@@ -108,6 +113,19 @@
 	return subcommands.ExitSuccess
 }
 
+func (c *devCommand) onPlatform(ctx context.Context) subcommands.ExitStatus {
+	err := dev.RunPlatform(ctx, dev.Options{
+		Callers: c.callers,
+		Out:     c.out,
+		Log:     c.err,
+		Ready:   func(string) { fmt.Fprintln(c.out, "ready; Ctrl-C stops") },
+	})
+	if err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
 type certsCommand struct {
 	output
 	dir string
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -88,3 +88,35 @@
 	stop()
 	is.NoErr(<-done)
 }
+
+// The development mode on the platform serves a model that is not loaded, and
+// ends by itself when it is asked to.
+func TestDevelopmentModeOnThePlatform(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ready := make(chan string, 1)
+	done := make(chan error, 1)
+	go func() {
+		done <- dev.RunPlatform(ctx, dev.Options{
+			Callers: "127.0.0.1:0",
+			Out:     io.Discard,
+			Log:     io.Discard,
+			Ready:   func(addr string) { ready <- addr },
+		})
+	}()
+	req, err := http.NewRequest(http.MethodPost, "http://"+<-ready+"/summary/", strings.NewReader("{}"))
+	is.NoErr(err)
+	req.Host = "dev.example"
+	req.Header.Set("X-Request-Attempt-Id", "a")
+	req.Header.Set("X-Model-Name", "rare")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(strings.Contains(string(body), "token 12"))
+	stop()
+	is.NoErr(<-done)
+}
--- /dev/null
+++ b/internal/dev/platform.go
@@ -0,0 +1,117 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/tealvane/tealvane/internal/standin/site"
+	"github.com/tealvane/tealvane/internal/telemetry"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/gateway"
+	"github.com/tealvane/tealvane/platform"
+)
+
+// platformSettings are the settings of the development host on the platform.
+const platformSettings = `
+host: dev
+availability_zone: zone-1
+listen:
+  callers: %s
+  readiness: 127.0.0.1:0
+  peers: 127.0.0.1:0
+store:
+  address: %s
+timing:
+  lease: 3s
+  drain: 2s
+  shutdown: 4s
+retry:
+  ratio: 0.2
+  extra: 50
+  window: 10s
+orders:
+  endpoints_check_tokens: true
+`
+
+// The sizes of the development site: two of three models fit into the memory.
+const (
+	devSlots    = 8
+	devMemoryMB = 130
+	devModelMB  = 60
+	devEvents   = 12
+	devPace     = 40 * time.Millisecond
+)
+
+// RunPlatform serves one entry host on a stand-in of the users' platform until
+// ctx ends.
+func RunPlatform(ctx context.Context, o Options) error {
+	store := site.NewStore()
+	door, err := store.Listen()
+	if err != nil {
+		return err
+	}
+	defer door.Close()
+	endpoints, err := startSite(store)
+	if err != nil {
+		return err
+	}
+	for _, e := range endpoints {
+		defer e.Close()
+	}
+	s, err := gateway.ParseSettings("dev", fmt.Appendf(nil, platformSettings, o.Callers, door.Addr))
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(gateway.Config{
+		Settings: s,
+		Store:    platform.NewStore(door.Addr),
+		Codec:    platform.Codec{},
+		Endpoints: func(now func() time.Time, limit func(fleet.Endpoint) int) gateway.Endpoints {
+			return platform.NewEndpoints(now, limit)
+		},
+		Door:   func(g *gateway.Gateway) http.Handler { return &platform.Door{Host: g} },
+		Logger: telemetry.Logger(o.Log),
+	})
+	if err != nil {
+		return err
+	}
+	result := make(chan error, 1)
+	go func() { result <- g.Run(ctx) }()
+	if err := until(ctx, g.Ready); err != nil {
+		return <-result
+	}
+	fmt.Fprintf(o.Out, "callers: http://%s\nHost: dev.example, path /summary/, X-Model-Name: warm, rare or idle\n", g.Addr())
+	if o.Ready != nil {
+		o.Ready(g.Addr())
+	}
+	return <-result
+}
+
+// startSite enters an engine with three models and a configuration.
+func startSite(store *site.Store) ([]*site.Endpoint, error) {
+	var models []site.Model
+	for _, name := range []string{"warm", "rare", "idle"} {
+		models = append(models, site.Model{Name: name, WeightsMB: devModelMB, LoadS: 6, DiskS: 0.8, WarmS: 0.6, Adapters: 2, AdapterMB: 1})
+	}
+	err := store.Publish(site.Config{
+		Version: 1,
+		Routes: []site.Route{{
+			Name: "summary", Host: "dev.example", PathPrefix: "/summary/", Kind: "streaming", Service: "llm",
+			TimeoutMS: 10000, ObjectiveMS: 500, GapMS: 400, Attempts: 2, Resumable: true,
+		}},
+		Services: []site.Service{{Name: "llm", ConnectionLimit: 100, Engine: &site.Engine{
+			Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, LoadsPerS: 4, Models: models,
+		}}},
+		Limits: site.DefaultLimits,
+	})
+	if err != nil {
+		return nil, err
+	}
+	e, err := site.StartEndpoint(store, site.EndpointConfig{
+		ID: "e1", Service: "llm", Zone: "zone-1", Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, Models: models,
+		Holds: []string{"warm", "idle"}, OnDisk: []string{"rare"}, Events: devEvents, Pace: devPace,
+	})
+	return []*site.Endpoint{e}, err
+}
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -1,8 +1,5 @@
 package gateway
 
-// CallersAddr is where clients reach the host.
-func (g *Gateway) CallersAddr() string { return g.callers.Addr().String() }
-
 // ReadinessAddr is where the balancer asks.
 func (g *Gateway) ReadinessAddr() string { return g.readiness.Addr().String() }
 
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -98,13 +98,16 @@
 	s.MaxHeaderBytes = max(minHeaderBytes, l.MaxHeaderBytes)
 }
 
-// ready tells whether the balancer should send clients here.
-func (g *Gateway) ready() bool {
+// Addr is where clients reach the host.
+func (g *Gateway) Addr() string { return g.callers.Addr().String() }
+
+// Ready tells whether the balancer should send clients here.
+func (g *Gateway) Ready() bool {
 	return g.serving.Load() && !g.leaving.Load()
 }
 
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !g.ready() {
+	if !g.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -179,7 +179,7 @@
 	ids.n++
 	id := fmt.Sprint("attempt-", ids.n)
 	ids.Unlock()
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.CallersAddr()+path, strings.NewReader("body of "+id))
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.Addr()+path, strings.NewReader("body of "+id))
 	if err != nil {
 		d.t.Fatal(err)
 	}
