--- /dev/null
+++ b/pkg/fleet/bench_test.go
@@ -0,0 +1,43 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// BenchmarkLocate measures the choice of endpoints for one request, and
+// BenchmarkIndex the work after a change of the list.
+func BenchmarkLocate(b *testing.B) {
+	for _, n := range []int{18, 1000, 12000} {
+		board, _ := crowd(n)
+		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
+			for b.Loop() {
+				board.Locate(at(0), "s", "m7", "")
+			}
+		})
+	}
+}
+
+func BenchmarkIndex(b *testing.B) {
+	for _, n := range []int{18, 1000, 12000} {
+		board, _ := crowd(n)
+		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
+			for b.Loop() {
+				board.Changed()
+				board.Locate(at(0), "s", "m7", "")
+			}
+		})
+	}
+}
+
+func crowd(n int) (*fleet.Board, *fleet.Directory) {
+	d := fleet.NewDirectory()
+	for i := range n {
+		e := endpoint(fmt.Sprint("e", i))
+		e.Holds = []fleet.Held{{Model: fmt.Sprint("m", i%310)}, {Model: fmt.Sprint("m", (i+1)%310)}}
+		d.Apply(at(0), int64(i), e)
+	}
+	return fleet.NewBoard(d), d
+}
