--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -56,8 +56,6 @@
 	// confirm is set after a freeze until the store has shown that the claim is
 	// still the newest.
 	confirm bool
-	// lost is the greatest token that was given up.
-	lost int64
 	// dead is the token of a claim whose holder has started anew since.
 	dead    int64
 	lastRun time.Duration
@@ -95,7 +93,7 @@
 
 // own tells whether a claim is this incarnation's and still good.
 func (e *Election) own(c Claim) bool {
-	return c.Holder.Host == e.self.Host && c.Holder.Incarnation == e.self.Incarnation && !c.Holder.Released && c.Token > e.lost
+	return c.Holder.Host == e.self.Host && c.Holder.Incarnation == e.self.Incarnation && !c.Holder.Released
 }
 
 // Caught notes that the claims in the store were read to their end.
@@ -176,7 +174,8 @@
 // win takes the claim up. The former holder may have given orders until it was
 // last heard; a holder within its lease after that would take turns with it.
 func (e *Election) win(now time.Time, token int64) {
-	if token <= e.newest.Token || token <= e.lost {
+	// A token that was given up is the newest one known, or older.
+	if token <= e.newest.Token {
 		return
 	}
 	e.startAt = now
@@ -217,7 +216,6 @@
 func (e *Election) Lost(token int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lost = max(e.lost, token)
 	if e.held == token {
 		e.held = 0
 		// Whoever holds the newer token is not known yet; it gets time to speak.
