Let a host that is not known yet read the configuration from others

A host that has read the configuration and is then turned away before its own entry is written is unknown to all others; they refused its connections, and it kept the old configuration. Change: a node answers unknown hosts too, but only what the store would tell; a host is ready only once its entry is written.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -32,6 +32,8 @@
 	Silent
 	// Lossy carries writes out and answers nothing.
 	Lossy
+	// ReadOnly refuses writes; nothing is done.
+	ReadOnly
 )
 
 // record is one record of a keyed topic.
@@ -105,6 +107,9 @@
 func (d *Door) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fault, before := d.state()
+		if fault == ReadOnly && r.Method == http.MethodPost {
+			fault = Busy
+		}
 		switch fault {
 		case Busy:
 			http.Error(w, `{"error":"try later"}`, http.StatusTooManyRequests)
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -101,9 +101,10 @@
 // Addr is where clients reach the host.
 func (g *Gateway) Addr() string { return g.callers.Addr().String() }
 
-// Ready tells whether the balancer should send clients here.
+// Ready tells whether the balancer should send clients here. A host whose entry
+// is not in the store is not told of anything by other hosts.
 func (g *Gateway) Ready() bool {
-	return g.serving.Load() && !g.leaving.Load()
+	return g.serving.Load() && g.announced.Load() && !g.leaving.Load()
 }
 
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -144,7 +143,7 @@
 		return errors.Wrap(err, "peer key")
 	}
 	g.mesh = newMesh(g.self.Host, fingerprint)
-	node, err := peer.Listen(g.settings.Listen.Peers, peerTLS(cert, g.mesh), g.answerPeer)
+	node, err := peer.ListenPinned(g.settings.Listen.Peers, cert, g.mesh.known, g.answerPeer)
 	if err != nil {
 		return err
 	}
@@ -166,8 +165,6 @@
 	return nil
 }
 
-func peerTLS(cert tls.Certificate, m *mesh) *tls.Config { return peer.PinnedTLS(cert, m.known) }
-
 // Now is the host's clock. Only differences of its times are used, which jumps
 // of the time of day do not change.
 func (g *Gateway) Now() time.Time { return time.Now() }
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -124,6 +124,14 @@
 func (g *Gateway) answerPeer(r peer.Request) []peer.Response {
 	now := g.Now()
 	answer := peer.Response{ConfigVersion: g.configVersion()}
+	if !r.Known {
+		// A host that the store turned away before its entry was written. It may
+		// read what the store would tell it, and say nothing.
+		if r.State != nil {
+			answer.State = g.state(*r.State)
+		}
+		return []peer.Response{answer}
+	}
 	switch {
 	case r.Demand != nil:
 		g.giver.Report(now, *r.Demand)
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -33,6 +33,8 @@
 	Notice *fleet.Notice       `cbor:"7,keyasint,omitempty"`
 	// State asks for what the other host has read from the platform's store.
 	State *StateRequest `cbor:"8,keyasint,omitempty"`
+	// Known is set by the receiving node: the sender is a known host.
+	Known bool `cbor:"-"`
 }
 
 // StateRequest asks for entries of the store beyond those that the asking host
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/tls"
 	"io"
 	"net"
@@ -24,8 +25,10 @@
 
 // Node sends and answers messages of one host.
 type Node struct {
-	tls       *tls.Config
-	respond   Responder
+	tls     *tls.Config
+	respond Responder
+	// known tells known hosts by their certificates; nil knows all.
+	known     func(Fingerprint) bool
 	transport *quic.Transport
 	listener  *quic.Listener
 
@@ -38,6 +41,16 @@
 
 // Listen opens a node on a UDP address.
 func Listen(addr string, conf *tls.Config, respond Responder) (*Node, error) {
+	return open(addr, conf, conf, nil, respond)
+}
+
+// ListenPinned opens a node whose peers are known by their certificates.
+func ListenPinned(addr string, cert tls.Certificate, known func(Fingerprint) bool, respond Responder) (*Node, error) {
+	dial, accept := PinnedTLS(cert, known)
+	return open(addr, dial, accept, known, respond)
+}
+
+func open(addr string, dial, accept *tls.Config, known func(Fingerprint) bool, respond Responder) (*Node, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
@@ -47,12 +60,13 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	n := &Node{
-		tls:       conf,
+		tls:       dial,
+		known:     known,
 		respond:   respond,
 		transport: &quic.Transport{Conn: socket},
 		conns:     map[string]*quic.Conn{},
 	}
-	n.listener, err = n.transport.Listen(conf, quicConfig())
+	n.listener, err = n.transport.Listen(accept, quicConfig())
 	if err != nil {
 		return nil, errors.CombineErrors(err, socket.Close())
 	}
@@ -100,11 +114,20 @@
 		if err != nil {
 			return
 		}
-		go n.serveStream(stream)
+		go n.serveStream(conn, stream)
+	}
+}
+
+// knows tells whether the other end of a connection is a known host.
+func (n *Node) knows(conn *quic.Conn) bool {
+	if n.known == nil {
+		return true
 	}
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	return len(certs) > 0 && n.known(sha256.Sum256(certs[0].Raw))
 }
 
-func (n *Node) serveStream(stream *quic.Stream) {
+func (n *Node) serveStream(conn *quic.Conn, stream *quic.Stream) {
 	defer stream.Close()
 	_ = stream.SetDeadline(time.Now().Add(answerTimeout))
 	var r Request
@@ -112,6 +135,7 @@
 		stream.CancelWrite(0)
 		return
 	}
+	r.Known = n.knows(conn)
 	for _, response := range n.respond(r) {
 		response.Version = protocolVersion
 		if writeFrame(stream, response) != nil {
--- a/pkg/peer/tls.go
+++ b/pkg/peer/tls.go
@@ -126,26 +126,34 @@
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, sha256.Sum256(der), nil
 }
 
-// PinnedTLS returns the configuration of a host whose peers are known by the
-// fingerprints of their certificates. Both sides must present a known one. The
-// dates in a certificate are not looked at: a host's time of day may jump.
-func PinnedTLS(cert tls.Certificate, known func(Fingerprint) bool) *tls.Config {
-	verify := func(raw [][]byte, _ [][]*x509.Certificate) error {
-		if len(raw) == 0 || !known(sha256.Sum256(raw[0])) {
-			return errors.New("peer is not known by its certificate")
-		}
-		return nil
-	}
-	return &tls.Config{
+// PinnedTLS returns the configurations to dial and to listen with of a host whose
+// peers are known by the fingerprints of their certificates. The dialling side
+// talks to known hosts only. The listening side takes any certificate and tells
+// by Request.Known whether it is a known host's: one whose entry could not be
+// written yet must still learn what it cannot read from the store. The dates in a
+// certificate are not looked at: a host's time of day may jump.
+func PinnedTLS(cert tls.Certificate, known func(Fingerprint) bool) (dial, listen *tls.Config) {
+	dial = &tls.Config{
 		Certificates: []tls.Certificate{cert},
-		// The chain has no authority; verify checks the pinned certificate and
-		// the handshake that the peer has its key.
-		InsecureSkipVerify:     true,
+		// The chain has no authority; the pinned certificate is checked here and
+		// the handshake proves that the peer has its key.
+		InsecureSkipVerify: true,
+		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
+			if len(raw) == 0 || !known(sha256.Sum256(raw[0])) {
+				return errors.New("peer is not known by its certificate")
+			}
+			return nil
+		},
+		ServerName: serverName,
+		NextProtos: []string{alpn},
+		MinVersion: tls.VersionTLS13,
+	}
+	listen = &tls.Config{
+		Certificates:           []tls.Certificate{cert},
 		ClientAuth:             tls.RequireAnyClientCert,
-		VerifyPeerCertificate:  verify,
-		ServerName:             serverName,
 		NextProtos:             []string{alpn},
 		MinVersion:             tls.VersionTLS13,
 		SessionTicketsDisabled: true,
 	}
+	return dial, listen
 }
