--- a/pkg/orders/giver_test.go
+++ b/pkg/orders/giver_test.go
@@ -260,12 +260,12 @@
 		e := newEngine(130, weights, "x", "y")
 		g := newGiver(e, 1, "x", "y")
 		r := fleet.DemandReport{Host: "h", Needs: []fleet.NeedReport{
-			{Service: "llm", Model: "cold", Waiting: 1, Arrived: 1},
+			{Service: "llm", Model: "cold", Waiting: 1},
 			{Service: "llm", Model: "x", Inflight: 4, Arrived: 1}, // 50 a second
-			{Service: "llm", Model: "y", Inflight: 1},
+			{Service: "llm", Model: "y", Inflight: 4, Arrived: 1},
 		}}
 		steps(ctx, g, 3*time.Second, r)
-		is.Equal(e.held(), []string{"cold", "x"})
+		is.Equal(e.held(), []string{"x", "y"})
 	})
 }
 
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,13 @@
 	}
 }
 
+// running is a model whose requests are known only by what runs.
+func running(name string, inflight int) residency.Model {
+	m := model(name, 0, 0, 0)
+	m.Inflight = inflight
+	return m
+}
+
 func ready(name string) residency.Resident {
 	return residency.Resident{Model: name, MB: 60, Ready: true, Since: now.Add(-time.Minute)}
 }
@@ -97,6 +105,12 @@
 			[]residency.Model{model("cold", 1, -time.Second, 0.2), model("hot", 0, 0, 40), model("x", 0, 0, 0.1), model("y", 0, 0, 0.1), model("z", 0, 0, 0.1)},
 			want{"home": "hot"},
 		},
+		{
+			"a replica that serves requests is not taken where an idle model lies, though another replica exists",
+			[]residency.Endpoint{endpoint("home", "a", []string{"hot", "x"}, "cold"), endpoint("other", "a", []string{"hot"})},
+			[]residency.Model{model("cold", 1, 0, 0), running("hot", 8), model("x", 0, 0, 0.2)},
+			want{"home": "cold"},
+		},
 		{
 			"of two rare models the one that is due first is loaded",
 			[]residency.Endpoint{endpoint("home", "a", []string{"x", "y"}, "early", "late")},
@@ -113,6 +127,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			got := want{}
+			for _, s := range residency.Decide(residency.Snapshot{Now: now, Endpoints: c.endpoints, Models: c.models, Limits: limits}) {
+				is.True(!slices.Contains(s.Evict, "hot"))
+			}
 			for _, s := range residency.Decide(residency.Snapshot{Now: now, Endpoints: c.endpoints, Models: c.models, Limits: limits}) {
 				got[string(s.Endpoint)] = s.Load
 			}
