Let notices name the giver of orders

Ruled out: a giver that was away (it won its claim at 11.7 s and gave orders). Change: notices carry the giver's address and incarnation and count as its claim; a host whose own claim met another reads the newest one at once. Test: TestNoticeNamesTheGiver.

--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -17,6 +17,10 @@
 	// giver read the list.
 	ListChange int64 `cbor:"6,keyasint,omitempty"`
 	ListAge    int64 `cbor:"7,keyasint,omitempty"`
+	// Incarnation and Addr are the giver's own. A host whose read of the claims
+	// hangs learns from them whom to tell its demand.
+	Incarnation string `cbor:"8,keyasint,omitempty"`
+	Addr        string `cbor:"9,keyasint,omitempty"`
 }
 
 // Placement is what one endpoint holds.
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "github.com/tealvane/tealvane/pkg/fleet"
+
 // ReadinessAddr is where the balancer asks.
 func (g *Gateway) ReadinessAddr() string { return g.readiness.Addr().String() }
 
@@ -21,3 +23,9 @@
 	away, _ := g.feed.listAway()
 	return away
 }
+
+// HearNotice takes in a notice as if it came from another host.
+func (g *Gateway) HearNotice(n fleet.Notice) { g.takeNotice(g.Now(), n) }
+
+// GiverAddr is where this host tells its demand.
+func (g *Gateway) GiverAddr() string { return g.election.Newest().Holder.Addr }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -315,6 +315,22 @@
 	is.Equal(len(e.Faults()), 0)
 }
 
+// The claim changes hands while a host's read of the claims hangs. The host went
+// on to believe in the former giver, which had released its claim, and told
+// nobody its demand: cold models were refused there for ten seconds, although
+// the new giver's notices came in.
+func TestNoticeNamesTheGiver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	h := d.startHost("a")
+	d.until("the host gives orders", h.Gives)
+	h.HearNotice(fleet.Notice{Holder: "b", Incarnation: "b-1", Addr: "127.0.0.1:9", Token: 99})
+	is.Equal(h.GiverAddr(), "127.0.0.1:9")
+	is.True(!h.Gives())
+}
+
 // A planned stop under streams: every stream that has begun ends whole, and a
 // client that comes while the balancer has not noticed is still served.
 func TestPlannedStopCutsNothing(t *testing.T) {
--- a/pkg/gateway/giver.go
+++ b/pkg/gateway/giver.go
@@ -131,6 +131,8 @@
 
 // publish tells all hosts what the giver believes.
 func (g *Gateway) publish(ctx context.Context, n fleet.Notice) {
+	n.Incarnation = g.self.Incarnation
+	n.Addr = g.self.Addr
 	n.ListChange = g.directory.Material()
 	n.ListAge = g.listAge(g.Now()).Milliseconds()
 	g.board.Notice(g.Now(), n)
@@ -214,8 +216,10 @@
 func (g *Gateway) claim(ctx context.Context) {
 	offset, err := g.putClaim(ctx, g.self)
 	if err != nil {
-		if !errors.Is(err, fleet.ErrStoreConflict) {
-			g.log.Info("claim failed", "error", err.Error())
+		g.log.Info("claim failed", "error", err.Error())
+		if errors.Is(err, fleet.ErrStoreConflict) {
+			// Another claim came first, and the read that should have told hangs.
+			g.confirmClaim(ctx)
 		}
 		return
 	}
@@ -240,7 +244,8 @@
 // claimKey is the only key of the claims topic; the newest claim stays.
 const claimKey = "giver"
 
-// confirmClaim reads the claims after a freeze.
+// confirmClaim reads the newest claim now: after a freeze, or when this host's
+// own has met another.
 func (g *Gateway) confirmClaim(ctx context.Context) {
 	batch, err := g.store.Newest(ctx, fleet.TopicClaims)
 	if err != nil {
@@ -250,6 +255,7 @@
 	for _, e := range batch.Entries {
 		g.takeClaim(e)
 	}
+	g.mesh.setClaimsNext(batch.Next)
 	g.election.Caught()
 }
 
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
 )
 
@@ -170,15 +171,17 @@
 	if !g.board.Notice(now, n) {
 		return
 	}
+	g.election.Observe(now, orders.Claim{
+		Holder: orders.Holder{Host: n.Holder, Incarnation: n.Incarnation, Addr: n.Addr},
+		Token:  n.Token,
+	})
 	g.election.Heard(now, n.Token)
 	g.mesh.noteList(now, time.Duration(n.ListAge)*time.Millisecond)
 	if n.ListChange >= g.directory.Offset() {
 		signal(g.listNow)
 	}
 	g.dispatcher.Kick()
-	if holder := g.election.Newest(); holder.Token == n.Token {
-		g.compareConfig(holder.Holder.Addr, n.ConfigVersion)
-	}
+	g.compareConfig(n.Addr, n.ConfigVersion)
 }
 
 // state answers a host that cannot read the store.
