Load from the weight store where few models are at home

Change: each copy at an endpoint makes a load from the store there dearer, so that new endpoints take them. Test: the new case of TestDecide fails without the cost.

--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -130,6 +130,10 @@
 	// evictCost is the weight, in seconds, of the requests a second that the
 	// evicted model would have served.
 	evictCost = 1.0
+	// blockCost, for each copy at an endpoint, keeps loads from the store away from
+	// it: while such a load runs, for six seconds and more, none of the models at
+	// home there can be loaded. New endpoints have no copies.
+	blockCost = 0.2
 	// zoneCost spreads the replicas of a busy model over availability zones.
 	zoneCost = 0.15
 	// stackCost keeps busy models on different endpoints: two on one share its
@@ -313,6 +317,9 @@
 		return option{}, false
 	}
 	cost := LoadTime(n.model.Model, tier).Seconds() + loss*evictCost
+	if tier == InStore {
+		cost += blockCost * float64(len(e.Copies))
+	}
 	for _, r := range e.Residents {
 		if r.Adapters > 0 {
 			cost += adapterCost
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -111,6 +111,12 @@
 			[]residency.Model{model("cold", 1, 0, 0), running("hot", 8), model("x", 0, 0, 0.2)},
 			want{"home": "cold"},
 		},
+		{
+			"a load from the store goes where no other model is at home",
+			[]residency.Endpoint{endpoint("home", "a", []string{"x"}, "v", "w", "x", "y", "z"), endpoint("new", "a", []string{"z"})},
+			[]residency.Model{model("cold", 1, 0, 0), model("x", 0, 0, 0.1), model("z", 0, 0, 0.1)},
+			want{"new": "cold"},
+		},
 		{
 			"of two rare models the one that is due first is loaded",
 			[]residency.Endpoint{endpoint("home", "a", []string{"x", "y"}, "early", "late")},
