Tidy the new path: smaller files, nothing unused, one assembly and one metrics scope

The giver's file is split into decisions, swaps and sending, the dispatcher's demand has its own. Fields that nothing read are gone. The drain bound of the settings now limits how seldom the list is read.

--- a/cmd/tealvane-gateway/main.go
+++ b/cmd/tealvane-gateway/main.go
@@ -5,16 +5,13 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/tealvane/tealvane/internal/telemetry"
-	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/gateway"
 	"github.com/tealvane/tealvane/platform"
 )
@@ -62,17 +59,7 @@
 	defer stop()
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
-	logger := telemetry.Logger(out)
-	g, err := gateway.New(gateway.Config{
-		Settings: settings,
-		Store:    platform.NewStore(settings.Store.Address),
-		Codec:    platform.Codec{},
-		Endpoints: func(now func() time.Time, limit func(fleet.Endpoint) int) gateway.Endpoints {
-			return platform.NewEndpoints(now, limit)
-		},
-		Door:   func(g *gateway.Gateway) http.Handler { return &platform.Door{Host: g} },
-		Logger: logger,
-	})
+	g, err := platform.NewGateway(settings, telemetry.Logger(out))
 	if err != nil {
 		return err
 	}
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/tealvane/tealvane/internal/standin/site"
 	"github.com/tealvane/tealvane/internal/telemetry"
-	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/gateway"
 	"github.com/tealvane/tealvane/platform"
 )
@@ -64,16 +62,7 @@
 	if err != nil {
 		return err
 	}
-	g, err := gateway.New(gateway.Config{
-		Settings: s,
-		Store:    platform.NewStore(door.Addr),
-		Codec:    platform.Codec{},
-		Endpoints: func(now func() time.Time, limit func(fleet.Endpoint) int) gateway.Endpoints {
-			return platform.NewEndpoints(now, limit)
-		},
-		Door:   func(g *gateway.Gateway) http.Handler { return &platform.Door{Host: g} },
-		Logger: telemetry.Logger(o.Log),
-	})
+	g, err := platform.NewGateway(s, telemetry.Logger(o.Log))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,28 @@
+package telemetry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportPeriod is how often counters are passed to the reporter.
+const reportPeriod = time.Second
+
+// Metrics returns the root scope of a process and the handler that serves it as
+// Prometheus text. It reports for as long as the process lives.
+func Metrics() (tally.Scope, http.Handler) {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
+	// The closer would only end the reporting.
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "tealvane",
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return scope, reporter.HTTPHandler()
+}
--- a/pkg/fleet/board.go
+++ b/pkg/fleet/board.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -166,14 +165,3 @@
 	}
 	return models
 }
-
-// Holders returns the endpoints that hold a model, in use or not, for tests and
-// status pages.
-func (b *Board) Holders(now time.Time, service, model string) []EndpointID {
-	var ids []EndpointID
-	for _, e := range b.Locate(now, service, model, "").Ready {
-		ids = append(ids, e.ID)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -1,7 +1,5 @@
 package fleet
 
-import "time"
-
 // EndpointID names one incarnation of an endpoint.
 type EndpointID string
 
@@ -17,10 +15,7 @@
 	Slots int
 	// Draining endpoints take no new requests.
 	Draining bool
-	// Remaining is how long an endpoint that is taken away at short notice has
-	// left; zero where it has not said so.
-	Remaining time.Duration
-	Holds     []Held
+	Holds    []Held
 	// InMemory and OnDisk name the models of which the endpoint keeps a copy.
 	InMemory []string
 	OnDisk   []string
@@ -41,11 +36,6 @@
 	Busy bool
 	// Sequence counts the orders that the endpoint had accepted.
 	Sequence int64
-	Running  int
-	Waiting  int
-	// KVUsed and KVTotal are in tokens.
-	KVUsed  int
-	KVTotal int
 }
 
 // Load is the number of requests at an endpoint as its answers state it.
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -32,6 +32,11 @@
 	TopicClaims
 )
 
+// String implements fmt.Stringer, for logs.
+func (t Topic) String() string {
+	return [...]string{"config", "endpoints", "hosts", "claims"}[t]
+}
+
 // Entry is a record of a keyed topic. An entry without a value removes the key.
 type Entry struct {
 	Key    string
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -18,10 +18,12 @@
 	// without an answer is given up after this time; other hosts tell of a newer
 	// configuration meanwhile.
 	longPoll = 15 * time.Second
-	// listPoll is the period of reads of the list of endpoints, which changes all
-	// the time. Half the time until a leaving endpoint must get no requests is
-	// spent at most.
+	// listPoll is the longest period of reads of the list of endpoints, which
+	// changes all the time.
 	listPoll = 700 * time.Millisecond
+	// listReads is how often the list is read at least in the time in which a
+	// leaving endpoint must have been noticed.
+	listReads = 3
 	// calmListPoll is the period while the giver of orders reads the list and
 	// says in its notices when it has changed. Ten calls a second fewer over nine
 	// hosts than with listPoll alone.
@@ -307,9 +309,9 @@
 	}
 	at, age := g.mesh.listNotice()
 	if g.Now().Sub(at) < freshNotice && age < freshList {
-		return calmListPoll
+		return min(calmListPoll, g.settings.Timing.Drain)
 	}
-	return listPoll
+	return min(listPoll, g.settings.Timing.Drain/listReads)
 }
 
 func (g *Gateway) resetEndpoints(b fleet.Batch) {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -81,16 +81,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	g, err := gateway.New(gateway.Config{
-		Settings: s,
-		Store:    platform.NewStore(door.Addr),
-		Codec:    platform.Codec{},
-		Endpoints: func(now func() time.Time, limit func(fleet.Endpoint) int) gateway.Endpoints {
-			return platform.NewEndpoints(now, limit)
-		},
-		Door:   func(g *gateway.Gateway) http.Handler { return &platform.Door{Host: g} },
-		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-	})
+	g, err := platform.NewGateway(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -5,10 +5,9 @@
 	"strconv"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
+	"github.com/tealvane/tealvane/internal/telemetry"
 	"github.com/tealvane/tealvane/pkg/serve"
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
 
 // metrics holds the counters and histograms of one host; docs/OPERATIONS.md
@@ -18,23 +17,12 @@
 	handler http.Handler
 }
 
-// metricsPeriod is how often counters are passed to the reporter.
-const metricsPeriod = time.Second
-
 // latencyBuckets reach from a millisecond to about half a minute.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 
 func newMetrics() *metrics {
-	registry := prometheus.NewRegistry()
-	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
-	// The closer only stops the reporting; it runs as long as the process.
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "tealvane",
-		CachedReporter:         reporter,
-		Separator:              promreporter.DefaultSeparator,
-		OmitCardinalityMetrics: true,
-	}, metricsPeriod)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+	scope, handler := telemetry.Metrics()
+	return &metrics{scope: scope, handler: handler}
 }
 
 func (m *metrics) count(name string, tags map[string]string) {
--- /dev/null
+++ b/pkg/orders/swap.go
@@ -0,0 +1,120 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/residency"
+)
+
+// carryOut unloads what leaves and loads the new model.
+func (g *Giver) carryOut(ctx context.Context, t *track, token int64, engine *fleet.Engine, s residency.Swap) {
+	start := g.Now()
+	ok := true
+	for _, v := range s.Evict {
+		if ok = ok && g.order(ctx, t, token, Order{Model: v}) && pause(ctx, unloadTime); !ok {
+			break
+		}
+		t.mu.Lock()
+		delete(t.models, v)
+		t.mu.Unlock()
+	}
+	m := engine.Models[s.Load]
+	ok = ok && g.fits(t, engine, m) && g.order(ctx, t, token, Order{Load: true, Model: s.Load})
+	now := g.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.working = false
+	t.changed = true
+	if !ok {
+		t.known = false
+		t.pause = now.Add(failurePause)
+		for _, r := range t.models {
+			r.leaving = false
+		}
+		return
+	}
+	readyAt := now.Add(residency.LoadTime(m, s.From) + loadMargin)
+	r := &resident{readyAt: readyAt, since: readyAt, unsure: s.From == residency.InStore, adapters: map[string]*adapter{}}
+	t.models[s.Load] = r
+	t.busyUntil = readyAt
+	t.copies[s.Load] = residency.InMemory
+	g.Log.Info("model is loading", "endpoint", t.endpoint.ID, "model", s.Load, "evicted", s.Evict, "from", s.From.String(), "ordered_in_ms", now.Sub(start).Milliseconds(), "token", token)
+	g.work.Go(func() { g.confirm(ctx, t, s.Load, r) })
+}
+
+// confirm asks the endpoint whether a load has ended. Loads from the weight
+// store take longer while others run, and a copy that was believed to be near
+// may be gone; requests sent too early would be rejected.
+func (g *Giver) confirm(ctx context.Context, t *track, model string, r *resident) {
+	for {
+		t.mu.Lock()
+		wait := r.readyAt.Sub(g.Now())
+		if !r.unsure {
+			wait += reportLag
+		}
+		t.mu.Unlock()
+		if !pause(ctx, max(wait, confirmPause)) {
+			return
+		}
+		t.mu.Lock()
+		current := t.models[model] == r && !r.leaving
+		e := t.endpoint
+		t.mu.Unlock()
+		if !current || g.Election.Held() == 0 {
+			return
+		}
+		report, err := g.report(ctx, e)
+		if err != nil {
+			return
+		}
+		if t.confirmed(g.Now(), model, r, report) {
+			return
+		}
+	}
+}
+
+func (g *Giver) report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return g.Orderer.Report(ctx, e)
+}
+
+// confirmed takes in a report on a load and tells whether the load has ended.
+func (t *track) confirmed(now time.Time, model string, r *resident, report fleet.Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed = true
+	if slices.ContainsFunc(report.Holds, func(h fleet.Held) bool { return h.Model == model }) {
+		if r.unsure {
+			r.unsure = false
+			r.readyAt = now
+			r.since = now
+			t.busyUntil = now
+		}
+		return true
+	}
+	if !report.Busy && now.Sub(r.readyAt) > 2*reportLag {
+		// The load has failed or was undone; the endpoint is asked anew.
+		t.known = false
+		return true
+	}
+	r.unsure = true
+	t.busyUntil = now.Add(confirmPause)
+	return false
+}
+
+// fits checks a load once more where it is ordered: an endpoint that is told to
+// hold more than its memory crashes with all its requests.
+func (g *Giver) fits(t *track, engine *fleet.Engine, m fleet.Model) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := m.WeightsMB
+	for name, r := range t.models {
+		held := engine.Models[name]
+		sum += held.WeightsMB + float64(len(r.adapters))*held.AdapterMB
+	}
+	return sum <= engine.WeightsMB
+}
--- /dev/null
+++ b/pkg/serve/demand.go
@@ -0,0 +1,68 @@
+package serve
+
+import "time"
+
+// Demand is one need as this host sees it.
+type Demand struct {
+	Need
+	Waiting int
+	// Due is the earliest time at which waiting begins to cost.
+	Due time.Time
+	// Inflight requests run, Arrived ones came since the last report.
+	Inflight int
+	Arrived  int
+	// Priority is the most urgent rank that asked, 0 first.
+	Priority int
+}
+
+// Demand returns all needs with use and resets the counts of arrivals.
+func (d *Dispatcher) Demand() []Demand {
+	d.mu.Lock()
+	shards := make([]*shard, 0, len(d.shards))
+	for _, s := range d.shards {
+		shards = append(shards, s)
+	}
+	d.mu.Unlock()
+	now := d.now()
+	var list []Demand
+	for _, s := range shards {
+		list = append(list, s.demand(now)...)
+	}
+	return list
+}
+
+func (s *shard) demand(now time.Time) []Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byNeed := map[Need]*Demand{}
+	for n, u := range s.use {
+		if n.Model == "" {
+			continue
+		}
+		if u.inflight == 0 && u.arrived == 0 {
+			delete(s.use, n)
+			continue
+		}
+		byNeed[n] = &Demand{Need: n, Inflight: u.inflight, Arrived: u.arrived, Priority: u.priority}
+		u.arrived = 0
+	}
+	for _, w := range s.waiting {
+		if w.need.Model == "" {
+			continue
+		}
+		x := byNeed[w.need]
+		if x == nil {
+			x = &Demand{Need: w.need, Priority: w.request.Route.Priority}
+			byNeed[w.need] = x
+		}
+		if due := Due(w.request, now); x.Waiting == 0 || due.Before(x.Due) {
+			x.Due = due
+		}
+		x.Waiting++
+	}
+	list := make([]Demand, 0, len(byNeed))
+	for _, x := range byNeed {
+		list = append(list, *x)
+	}
+	return list
+}
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -60,19 +60,6 @@
 	Find(now time.Time, n Need) Found
 }
 
-// Demand is one need as this host sees it.
-type Demand struct {
-	Need
-	Waiting int
-	// Due is the earliest time at which waiting begins to cost.
-	Due time.Time
-	// Inflight requests run, Arrived ones came since the last report.
-	Inflight int
-	Arrived  int
-	// Priority is the most urgent rank that asked, 0 first.
-	Priority int
-}
-
 // Dispatcher holds waiting requests and gives them places at endpoints.
 // Its state is in shards by service, each under its own lock.
 type Dispatcher struct {
@@ -379,76 +366,6 @@
 	}
 }
 
-// Demand returns all needs with use and resets the counts of arrivals.
-func (d *Dispatcher) Demand() []Demand {
-	d.mu.Lock()
-	shards := make([]*shard, 0, len(d.shards))
-	for _, s := range d.shards {
-		shards = append(shards, s)
-	}
-	d.mu.Unlock()
-	now := d.now()
-	var list []Demand
-	for _, s := range shards {
-		list = append(list, s.demand(now)...)
-	}
-	return list
-}
-
-func (s *shard) demand(now time.Time) []Demand {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	byNeed := map[Need]*Demand{}
-	for n, u := range s.use {
-		if n.Model == "" {
-			continue
-		}
-		if u.inflight == 0 && u.arrived == 0 {
-			delete(s.use, n)
-			continue
-		}
-		byNeed[n] = &Demand{Need: n, Inflight: u.inflight, Arrived: u.arrived, Priority: u.priority}
-		u.arrived = 0
-	}
-	for _, w := range s.waiting {
-		if w.need.Model == "" {
-			continue
-		}
-		x := byNeed[w.need]
-		if x == nil {
-			x = &Demand{Need: w.need, Priority: w.request.Route.Priority}
-			byNeed[w.need] = x
-		}
-		if due := Due(w.request, now); x.Waiting == 0 || due.Before(x.Due) {
-			x.Due = due
-		}
-		x.Waiting++
-	}
-	list := make([]Demand, 0, len(byNeed))
-	for _, x := range byNeed {
-		list = append(list, *x)
-	}
-	return list
-}
-
-// Idle tells whether no request waits or runs.
-func (d *Dispatcher) Idle() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, s := range d.shards {
-		s.mu.Lock()
-		busy := len(s.waiting) > 0
-		for _, u := range s.use {
-			busy = busy || u.inflight > 0
-		}
-		s.mu.Unlock()
-		if busy {
-			return false
-		}
-	}
-	return true
-}
-
 // ServiceTime is the usual time of a request of a service.
 func (d *Dispatcher) ServiceTime(service string) time.Duration {
 	s := d.shard(service)
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -28,11 +28,6 @@
 	// Model is empty for plain services; Adapter is empty for the model itself.
 	Model   string
 	Adapter string
-	// PromptTokens and OutputTokens are the client's counts, 0 if unknown.
-	PromptTokens int
-	OutputTokens int
-	// Session names the last shared part of the prompt, empty without one.
-	Session string
 	// LastEvent is the ID of the last event that the client has, empty at the start.
 	LastEvent string
 	// Wire is what the door and the backend share; this package does not look at it.
