--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -71,7 +71,7 @@
 	if err := until(ctx, g.Ready); err != nil {
 		return <-result
 	}
-	fmt.Fprintf(o.Out, "callers: http://%s\nHost: dev.example, path /summary/, X-Model-Name: warm, rare or idle\n", g.Addr())
+	fmt.Fprintf(o.Out, "callers: http://%s\n%s", g.Addr(), site.Hint)
 	if o.Ready != nil {
 		o.Ready(g.Addr())
 	}
--- a/internal/standin/site/config.go
+++ b/internal/standin/site/config.go
@@ -2,6 +2,9 @@
 
 import "encoding/json"
 
+// Hint tells how to ask a development host on the stand-in.
+const Hint = "Host: dev.example, path /summary/, X-Request-Attempt-Id: any, X-Model-Name: warm, rare or idle\n"
+
 // Route is a route of the operator's configuration.
 type Route struct {
 	Name       string `json:"name"`
--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -75,53 +75,53 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sends = append(w.sends, s)
-	todo := script{status: 200, broken: -1}
+	act := script{status: 200, broken: -1}
 	if list := w.scripts[s.Endpoint.ID]; len(list) > 0 {
-		todo = list[0]
+		act = list[0]
 		w.scripts[s.Endpoint.ID] = list[1:]
 	}
-	if todo.status == 0 {
-		todo.status = 200
+	if act.status == 0 {
+		act.status = 200
 	}
-	if !todo.notSent && todo.verdict == serve.Answered {
+	if !act.notSent && act.verdict == serve.Answered {
 		w.runs[r.ID] = append(w.runs[r.ID], s.Endpoint.ID)
 	}
-	return todo
+	return act
 }
 
 // Send implements serve.Backend.
 func (w *world) Send(ctx context.Context, r *serve.Request, s serve.Send) (*serve.Answer, error) {
-	todo := w.next(r, s)
-	if todo.notSent {
+	act := w.next(r, s)
+	if act.notSent {
 		return nil, fmt.Errorf("%w: refused", serve.ErrNotSent)
 	}
-	if todo.hang {
-		todo.took = time.Hour
+	if act.hang {
+		act.took = time.Hour
 	}
 	select {
-	case <-time.After(todo.took):
+	case <-time.After(act.took):
 	case <-ctx.Done():
 		w.mu.Lock()
 		w.cancelled++
 		w.mu.Unlock()
 		return nil, ctx.Err()
 	}
-	if todo.lost {
+	if act.lost {
 		return nil, errReset
 	}
-	return &serve.Answer{Verdict: todo.verdict, Status: todo.status, Body: io.NopCloser(body(r, s, todo))}, nil
+	return &serve.Answer{Verdict: act.verdict, Status: act.status, Body: io.NopCloser(body(r, s, act))}, nil
 }
 
 // body is an event stream from the event after the last one on, or plain text.
-func body(r *serve.Request, s serve.Send, todo script) io.Reader {
+func body(r *serve.Request, s serve.Send, act script) io.Reader {
 	if r.Route.Kind != fleet.Stream {
 		return strings.NewReader(fmt.Sprintf("%s from %s", r.ID, s.Endpoint.ID))
 	}
 	last := 0
 	_, _ = fmt.Sscan(s.LastEvent, &last) // An empty ID starts at the first event.
 	var out bytes.Buffer
-	for n := last + 1; n <= todo.events; n++ {
-		if todo.broken >= 0 && n > todo.broken {
+	for n := last + 1; n <= act.events; n++ {
+		if act.broken >= 0 && n > act.broken {
 			fmt.Fprintf(&out, "id: %d\nda", n)
 			return io.MultiReader(&out, failing{})
 		}
