Refuse at once what has to come from the weight store too late

Change: the giver tells which models have no copy anywhere and when each can serve at best; a request that ends before is refused at once, and its model stays wanted while its client may come back. Endpoints that failed a request are chosen only when no other has room; two random choices could both fall on them.

--- a/pkg/fleet/board.go
+++ b/pkg/fleet/board.go
@@ -23,8 +23,10 @@
 	token   int64
 	heard   time.Time
 	notices map[EndpointID]map[string]residence
-	index   *index
-	built   time.Time
+	// far is when a model without a copy can serve at best, by the last notice.
+	far   map[modelKey]time.Time
+	index *index
+	built time.Time
 }
 
 // residence is a model on an endpoint.
@@ -69,6 +71,10 @@
 	for _, p := range n.Endpoints {
 		b.notices[p.Endpoint] = residences(now, p)
 	}
+	b.far = make(map[modelKey]time.Time, len(n.Far))
+	for _, f := range n.Far {
+		b.far[modelKey{f.Service, f.Model}] = now.Add(time.Duration(f.ReadyIn) * time.Millisecond)
+	}
 	b.index = nil
 	return true
 }
@@ -101,6 +107,9 @@
 	Ready []Endpoint
 	// ComingAt is when the next endpoint will, zero if none is loading.
 	ComingAt time.Time
+	// FarUntil is when a model that has no copy at any endpoint can serve at
+	// best; zero if it has one or that is not known.
+	FarUntil time.Time
 	// Known tells whether the service has any endpoint that takes requests.
 	Known bool
 }
@@ -119,6 +128,9 @@
 		return Location{Ready: all, Known: len(all) > 0}
 	}
 	l := Location{Known: len(all) > 0}
+	if now.Sub(b.heard) < giverSilent {
+		l.FarUntil = b.far[modelKey{service, model}]
+	}
 	for _, r := range b.index.byModel[modelKey{service, model}] {
 		switch {
 		case r.leaving || adapter != "" && !r.adapters[adapter]:
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -21,6 +21,16 @@
 	// hangs learns from them whom to tell its demand.
 	Incarnation string `cbor:"8,keyasint,omitempty"`
 	Addr        string `cbor:"9,keyasint,omitempty"`
+	// Far names all models that are asked for and have no copy at any endpoint.
+	Far []FarModel `cbor:"10,keyasint,omitempty"`
+}
+
+// FarModel is a model that has to come from the weight store.
+type FarModel struct {
+	Service string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	// ReadyIn is in how many milliseconds it can serve at best.
+	ReadyIn int64 `cbor:"3,keyasint"`
 }
 
 // Placement is what one endpoint holds.
--- a/pkg/orders/giver.go
+++ b/pkg/orders/giver.go
@@ -62,6 +62,8 @@
 	token  int64
 	tracks map[fleet.EndpointID]*track
 	demand *demand
+	// far names the models without a copy that are asked for.
+	far []fleet.FarModel
 	// loads holds the times at which loads from the weight store began.
 	loads []time.Time
 	work  sync.WaitGroup
@@ -96,6 +98,7 @@
 	byService := g.follow(now, cfg)
 	if token := g.Election.Token(now); token != 0 && g.MayOrder() {
 		totals := g.demand.totals(now)
+		g.far = nil
 		for _, name := range sortedKeys(byService) {
 			service := cfg.Services[name]
 			g.survey(ctx, now, byService[name])
@@ -147,7 +150,7 @@
 }
 
 func (g *Giver) notice(now time.Time, token, version int64, full bool) *fleet.Notice {
-	n := &fleet.Notice{Holder: g.Election.self.Host, Token: token, Full: full, ConfigVersion: version}
+	n := &fleet.Notice{Far: g.far, Holder: g.Election.self.Host, Token: token, Full: full, ConfigVersion: version}
 	for _, t := range g.tracks {
 		if t.takeChanged() || full {
 			n.Endpoints = append(n.Endpoints, t.placement(now))
@@ -209,6 +212,9 @@
 		byID[e.ID] = t
 		snap.Endpoints = append(snap.Endpoints, e)
 	}
+	for _, f := range residency.Far(snap, len(g.loads), storeSlots) {
+		g.far = append(g.far, fleet.FarModel{Service: service.Name, Model: f.Model, ReadyIn: f.ReadyIn.Milliseconds()})
+	}
 	for _, s := range residency.Decide(snap) {
 		t := byID[s.Endpoint]
 		t.mu.Lock()
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -163,6 +163,14 @@
 
 // Decide returns the swaps to start now, at most one an endpoint.
 func Decide(snap Snapshot) []Swap {
+	d := newDecider(snap)
+	for _, n := range d.needs() {
+		d.meet(n)
+	}
+	return d.out
+}
+
+func newDecider(snap Snapshot) *decider {
 	d := &decider{
 		snap:      snap,
 		models:    map[string]*Model{},
@@ -178,10 +186,7 @@
 		d.models[snap.Models[i].Name] = &snap.Models[i]
 	}
 	d.count()
-	for _, n := range d.needs() {
-		d.meet(n)
-	}
-	return d.out
+	return d
 }
 
 func (d *decider) count() {
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -161,6 +161,25 @@
 	is.Equal(swaps[0].Endpoint, fleet.EndpointID("b"))
 }
 
+// All endpoints were replaced by empty ones. Requests were held for half of their
+// time for models that six loads from the store went before, and refused then.
+func TestFarModelsAreTold(t *testing.T) {
+	is := is.New(t)
+	snap := residency.Snapshot{
+		Now:       now,
+		Endpoints: []residency.Endpoint{endpoint("e", "z", []string{"held"}, "near")},
+		Limits:    limits,
+	}
+	for i, name := range []string{"held", "near", "a", "b", "c"} {
+		snap.Models = append(snap.Models, model(name, 1, time.Duration(i)*time.Second, 0))
+	}
+	is.Equal(residency.Far(snap, 3, 4), []residency.FarModel{
+		{Model: "a", ReadyIn: 6 * time.Second},
+		{Model: "b", ReadyIn: 12 * time.Second},
+		{Model: "c", ReadyIn: 12 * time.Second},
+	})
+}
+
 // An endpoint that is ordered to hold more than its memory crashes with all its
 // requests. Whatever the demand, no decision asks for it, no endpoint gets two
 // swaps at once, and what leaves is ready and not the only replica that waits.
--- a/pkg/serve/demand.go
+++ b/pkg/serve/demand.go
@@ -39,11 +39,17 @@
 		if n.Model == "" {
 			continue
 		}
-		if u.inflight == 0 && u.arrived == 0 {
+		wanted := now.Before(u.wantedUntil)
+		if u.inflight == 0 && u.arrived == 0 && !wanted {
 			delete(s.use, n)
 			continue
 		}
 		byNeed[n] = &Demand{Need: n, Inflight: u.inflight, Arrived: u.arrived, Priority: u.priority}
+		if wanted && u.inflight == 0 {
+			// It is due when its client comes back, after all that wait.
+			byNeed[n].Waiting = 1
+			byNeed[n].Due = u.wantedUntil
+		}
 		u.arrived = 0
 	}
 	for _, w := range s.waiting {
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -22,6 +22,9 @@
 	// overcommit is the part of an endpoint's places by which requests may
 	// exceed them: a place that comes free is taken without a round trip.
 	overcommit = 0.25
+	// wantedFor is how long a refused request counts as demand: the longest time
+	// after which clients are told to come back.
+	wantedFor = maxRetryAfter
 	// recheck is how often a waiting request looks at what may have ended its wait.
 	recheck = 500 * time.Millisecond
 	// serviceWeight is the weight of one request in the moving service time.
@@ -51,6 +54,9 @@
 	Ready []fleet.Endpoint
 	// ComingAt is when the next endpoint will, zero if none is loading.
 	ComingAt time.Time
+	// FarUntil is when a model that has no copy at any endpoint can serve at
+	// best; zero if it has one or that is not known.
+	FarUntil time.Time
 	// Known tells whether the service has any endpoint.
 	Known bool
 }
@@ -92,6 +98,9 @@
 	inflight int
 	arrived  int
 	priority int
+	// wantedUntil is until when a refused request counts as demand: its client
+	// was told to come back, and the model has to be loaded by then.
+	wantedUntil time.Time
 }
 
 type waiter struct {
@@ -169,6 +178,7 @@
 	situation, cold := d.situation(now, w)
 	until, retryAfter, hold := d.hold(r, situation)
 	if !hold || !situation.Known {
+		s.wantLater(now, n, situation)
 		s.mu.Unlock()
 		if cold {
 			d.wanted()
@@ -226,6 +236,7 @@
 			continue
 		}
 		removed := s.remove(w)
+		s.wantLater(now, w.need, situation)
 		s.mu.Unlock()
 		if !removed {
 			// A place was given at the same moment.
@@ -242,10 +253,19 @@
 // situation tells also whether a model is missing that should be loaded.
 func (d *Dispatcher) situation(now time.Time, w *waiter) (s Situation, cold bool) {
 	f := d.placement.Find(now, w.need)
-	s = Situation{Now: now, Ready: len(f.Ready) > 0, ComingAt: f.ComingAt, Known: f.Known}
+	s = Situation{Now: now, Ready: len(f.Ready) > 0, ComingAt: f.ComingAt, FarUntil: f.FarUntil, Known: f.Known}
 	return s, !s.Ready && w.need.Model != ""
 }
 
+// wantLater keeps a need alive whose request was refused because its model has
+// to come from the weight store. Otherwise a model that takes longer to load than clients wait
+// would be refused for ever and never loaded.
+func (s *shard) wantLater(now time.Time, n Need, why Situation) {
+	if !why.Ready && !why.FarUntil.IsZero() {
+		s.useOf(n).wantedUntil = now.Add(wantedFor)
+	}
+}
+
 // push keeps the queue in the order in which places are given.
 func (s *shard) push(w *waiter) {
 	at, _ := slices.BinarySearchFunc(s.waiting, w, func(a, b *waiter) int {
@@ -263,28 +283,51 @@
 	return true
 }
 
-// pick reserves a place. The shard is locked.
+// pick reserves a place. The shard is locked. Endpoints that failed lately, or
+// failed this request, are asked only when no other has room: of two random
+// choices both may fall on such a one.
 func (d *Dispatcher) pick(now time.Time, s *shard, w *waiter) (fleet.Endpoint, bool) {
-	found := d.placement.Find(now, w.need)
-	what := w.need.What()
-	endpoints := make([]fleet.Endpoint, 0, len(found.Ready))
-	candidates := make([]routing.Candidate, 0, len(found.Ready))
-	for _, e := range found.Ready {
-		c := d.health.Condition(now, e.ID, w.need.Service, what)
+	var sound, suspect []option
+	for _, e := range d.placement.Find(now, w.need).Ready {
+		c := d.health.Condition(now, e.ID, w.need.Service, w.need.What())
 		if c.Closed || w.avoid[e.ID] == never {
 			continue
 		}
-		c.Suspect = c.Suspect || w.avoid[e.ID] == lastChoice
-		endpoints = append(endpoints, e)
-		candidates = append(candidates, candidate(e, c, s.service))
+		o := option{e, candidate(e, c, s.service)}
+		if c.Suspect || w.avoid[e.ID] == lastChoice {
+			suspect = append(suspect, o)
+		} else {
+			sound = append(sound, o)
+		}
 	}
-	i := routing.Pick(candidates, d.zone, s.service, rand.IntN)
-	if i < 0 {
+	e, ok := d.choose(sound, s.service)
+	if !ok {
+		e, ok = d.choose(suspect, s.service)
+	}
+	if !ok {
 		return fleet.Endpoint{}, false
 	}
-	d.health.Begin(now, endpoints[i].ID)
+	d.health.Begin(now, e.ID)
 	s.useOf(w.need).inflight++
-	return endpoints[i], true
+	return e, true
+}
+
+// option is an endpoint that may take a request.
+type option struct {
+	endpoint  fleet.Endpoint
+	candidate routing.Candidate
+}
+
+func (d *Dispatcher) choose(options []option, service time.Duration) (fleet.Endpoint, bool) {
+	candidates := make([]routing.Candidate, len(options))
+	for i, o := range options {
+		candidates[i] = o.candidate
+	}
+	i := routing.Pick(candidates, d.zone, service, rand.IntN)
+	if i < 0 {
+		return fleet.Endpoint{}, false
+	}
+	return options[i].endpoint, true
 }
 
 // HasOther tells whether an endpoint other than id could take a request now.
@@ -312,7 +355,6 @@
 		Others:  others,
 		Age:     c.LoadAge,
 		Limit:   max(1, int(places-float64(others)*fresh)),
-		Suspect: c.Suspect,
 	}
 }
 
--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -44,6 +44,7 @@
 	cancelled int
 	ready     []fleet.Endpoint
 	comingAt  time.Time
+	farUntil  time.Time
 }
 
 func newWorld(ids ...string) *world {
@@ -61,7 +62,7 @@
 func (w *world) Find(time.Time, serve.Need) serve.Found {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return serve.Found{Ready: slices.Clone(w.ready), ComingAt: w.comingAt, Known: true}
+	return serve.Found{Ready: slices.Clone(w.ready), ComingAt: w.comingAt, FarUntil: w.farUntil, Known: true}
 }
 
 func (w *world) setReady(ids ...string) {
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -48,6 +48,8 @@
 	Ready bool
 	// ComingAt is when an endpoint will hold it, zero if none is loading.
 	ComingAt time.Time
+	// FarUntil is when a model without a copy at any endpoint can serve at best.
+	FarUntil time.Time
 	// Known tells whether the service has any live endpoint at all.
 	Known bool
 }
@@ -55,6 +57,12 @@
 // Hold decides whether a request waits. It returns until when, or when the
 // client may come back if waiting is hopeless.
 func Hold(r *Request, s Situation) (until time.Time, retryAfter time.Duration, hold bool) {
+	if !s.Ready && s.ComingAt.IsZero() && s.FarUntil.After(r.Deadline.Add(-minRun)) {
+		// The model has to come from the weight store and cannot be there in time.
+		// A client that is told so at once can come back or go elsewhere.
+		s.ComingAt = s.FarUntil
+		return s.Now, RetryAfter(r.Deadline.Sub(s.Now), s), false
+	}
 	until = giveUp(r)
 	if !s.ComingAt.IsZero() && s.ComingAt.After(until) && s.ComingAt.Before(r.Deadline.Add(-minRun)) {
 		// The load will end in time: what the client waits is not in vain.
--- a/pkg/serve/hold_test.go
+++ b/pkg/serve/hold_test.go
@@ -26,6 +26,8 @@
 		{"one that has waited for half of its time still does", serve.Situation{Now: at(5 * time.Second)}, true},
 		{"one that has waited for longer is refused in time to come back", serve.Situation{Now: at(6 * time.Second)}, false},
 		{"unless the model is about to be there", serve.Situation{Now: at(6 * time.Second), ComingAt: at(7 * time.Second)}, true},
+		{"a model that cannot come from the weight store in time is refused at once", serve.Situation{Now: at(0), FarUntil: at(12 * time.Second)}, false},
+		{"one that can is waited for", serve.Situation{Now: at(0), FarUntil: at(7 * time.Second)}, true},
 		{"but not when it comes too late", serve.Situation{Now: at(6 * time.Second), ComingAt: at(11 * time.Second)}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/serve/serve_test.go
+++ b/pkg/serve/serve_test.go
@@ -158,6 +158,27 @@
 	})
 }
 
+// A model takes longer to load than its clients wait. Refused at once, it still
+// has to count as wanted, or it would never be loaded.
+func TestRefusedModelStaysWanted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.farUntil = time.Now().Add(time.Minute)
+		s := newServer(w)
+		var out sink
+		r := s.Serve(context.Background(), request("r", fleet.Once, false), &out)
+		is.True(out.promises())
+		is.Equal(r.Total, time.Duration(0))
+		s.Dispatcher.Demand()
+		again := s.Dispatcher.Demand()
+		is.Equal(len(again), 1)
+		is.Equal(again[0].Waiting, 1)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(s.Dispatcher.Demand()), 0)
+	})
+}
+
 // A request waits for a model that is not loaded; it is granted the moment the
 // model is there.
 func TestWaitingRequestIsGrantedWhenTheModelIsThere(t *testing.T) {
