--- a/pkg/fleet/board.go
+++ b/pkg/fleet/board.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	// giverSilent is how long the notices of a silent giver of orders go before
+	// controllerSilent is how long the notices of a silent controller go before
 	// the endpoints' own entries. Orders that it gave last are carried out by then.
-	giverSilent = 3 * time.Second
+	controllerSilent = 3 * time.Second
 	// indexAge is how old an index may be while nothing changed; entries that
 	// vanish with time are noticed by then.
 	indexAge = 250 * time.Millisecond
 )
 
-// Board joins the list of endpoints with the notices of the giver of orders. It
+// Board joins the list of endpoints with the notices of the controller. It
 // is safe for concurrent use.
 type Board struct {
 	directory *Directory
@@ -128,7 +128,7 @@
 		return Location{Ready: all, Known: len(all) > 0}
 	}
 	l := Location{Known: len(all) > 0}
-	if now.Sub(b.heard) < giverSilent {
+	if now.Sub(b.heard) < controllerSilent {
 		l.FarUntil = b.far[modelKey{service, model}]
 	}
 	for _, r := range b.index.byModel[modelKey{service, model}] {
@@ -147,7 +147,7 @@
 
 func (b *Board) build(now time.Time) *index {
 	ix := &index{byService: map[string][]Endpoint{}, byModel: map[modelKey][]residence{}}
-	trusted := now.Sub(b.heard) < giverSilent
+	trusted := now.Sub(b.heard) < controllerSilent
 	for _, v := range b.directory.Live(now) {
 		if v.Draining {
 			continue
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -107,7 +107,7 @@
 	})
 }
 
-func TestBoardFollowsTheNewestGiver(t *testing.T) {
+func TestBoardFollowsTheNewestController(t *testing.T) {
 	is := is.New(t)
 	d := fleet.NewDirectory()
 	e := endpoint("a")
@@ -126,15 +126,15 @@
 	is.Equal(b.Locate(at(0), "s", "told", "").ComingAt, at(0.5))
 	is.Equal(ready(at(0.5), "told", "x"), 1)
 	is.Equal(ready(at(0.5), "told", "y"), 0)
-	// A giver that has lost its claim goes on to send notices for a moment.
+	// A controller that has lost its claim goes on to send notices for a moment.
 	is.True(!b.Notice(at(0.6), notice(1)))
 	is.Equal(ready(at(0.6), "told", ""), 1)
-	// A silent giver is believed for a while only.
+	// A silent controller is believed for a while only.
 	is.Equal(ready(at(9), "told", ""), 0)
 	is.Equal(ready(at(9), "listed", ""), 1)
 }
 
-// The giver of orders tells other hosts when to read the list: for what changes
+// The controller tells other hosts when to read the list: for what changes
 // where requests go, and not for each heartbeat.
 func TestHeartbeatsAreNotMaterial(t *testing.T) {
 	is := is.New(t)
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -2,22 +2,22 @@
 
 import "time"
 
-// Notice tells the other hosts what the giver of orders believes of endpoints.
+// Notice tells the other hosts what the controller believes of endpoints.
 type Notice struct {
-	// Holder names the giver; Token is the fencing token of its claim.
+	// Holder names the controller; Token is the fencing token of its claim.
 	Holder string `cbor:"1,keyasint"`
 	Token  int64  `cbor:"2,keyasint"`
 	// Full notices name all endpoints, others only those that changed.
 	Full      bool        `cbor:"3,keyasint,omitempty"`
 	Endpoints []Placement `cbor:"4,keyasint,omitempty"`
-	// ConfigVersion is the version of the configuration that the giver knows.
+	// ConfigVersion is the version of the configuration that the controller knows.
 	ConfigVersion int64 `cbor:"5,keyasint,omitempty"`
 	// ListChange is the offset of the newest entry of the list of endpoints that
 	// changed which of them take requests, ListAge how many milliseconds ago the
-	// giver read the list.
+	// controller read the list.
 	ListChange int64 `cbor:"6,keyasint,omitempty"`
 	ListAge    int64 `cbor:"7,keyasint,omitempty"`
-	// Incarnation and Addr are the giver's own. A host whose read of the claims
+	// Incarnation and Addr are the controller's own. A host whose read of the claims
 	// hangs learns from them whom to tell its demand.
 	Incarnation string `cbor:"8,keyasint,omitempty"`
 	Addr        string `cbor:"9,keyasint,omitempty"`
@@ -49,7 +49,7 @@
 	Adapters []string `cbor:"4,keyasint,omitempty"`
 }
 
-// DemandReport tells the giver of orders what one host's requests need.
+// DemandReport tells the controller what one host's requests need.
 type DemandReport struct {
 	Host        string       `cbor:"1,keyasint"`
 	Incarnation string       `cbor:"2,keyasint"`
--- a/pkg/gateway/giver.go
+++ b/pkg/gateway/control.go
@@ -17,7 +17,7 @@
 	// reportPause the shortest: requests that come together make one report.
 	reportPeriod = 250 * time.Millisecond
 	reportPause  = 8 * time.Millisecond
-	// stepPeriod and stepPause are the same for the giver's decisions.
+	// stepPeriod and stepPause are the same for the controller's decisions.
 	stepPeriod = 40 * time.Millisecond
 	stepPause  = 8 * time.Millisecond
 	// noticePeriod is the longest pause between two notices, fullNotice between
@@ -39,7 +39,7 @@
 	releaseRetry = 400 * time.Millisecond
 )
 
-// reportDemand tells the giver of orders what this host's requests need.
+// reportDemand tells the controller what this host's requests need.
 func (g *Gateway) reportDemand(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -72,7 +72,7 @@
 		report.Needs = append(report.Needs, n)
 	}
 	if g.election.Held() != 0 {
-		g.giver.Report(now, report)
+		g.controller.Report(now, report)
 		signal(g.noticeNow)
 		return
 	}
@@ -90,13 +90,13 @@
 	if answer.Claim != nil && answer.Claim.Token > claim.Token {
 		g.election.Observe(now, *answer.Claim)
 	}
-	if answer.Giving {
+	if answer.Controlling {
 		g.election.Heard(now, claim.Token)
 	}
 }
 
-// giveOrders runs the giver while this host holds the claim.
-func (g *Gateway) giveOrders(ctx context.Context) {
+// control runs the controller while this host holds the claim.
+func (g *Gateway) control(ctx context.Context) {
 	var lastNotice, lastFull time.Time
 	for ctx.Err() == nil {
 		select {
@@ -107,7 +107,7 @@
 		}
 		now := g.Now()
 		full := now.Sub(lastFull) >= fullNotice
-		n := g.giver.Step(ctx, now, full)
+		n := g.controller.Step(ctx, now, full)
 		if n == nil {
 			lastFull = time.Time{}
 			sleep(ctx, stepPeriod)
@@ -129,7 +129,7 @@
 	return now.Sub(g.feed.lastAnswer(fleet.TopicEndpoints))
 }
 
-// publish tells all hosts what the giver believes.
+// publish tells all hosts what the controller believes.
 func (g *Gateway) publish(ctx context.Context, n fleet.Notice) {
 	n.Incarnation = g.self.Incarnation
 	n.Addr = g.self.Addr
@@ -190,7 +190,7 @@
 			if err == nil && answer.Claim != nil && answer.Claim.Token > holder.Token {
 				g.election.Observe(g.Now(), *answer.Claim)
 			}
-			heard <- err == nil && (answer.Giving || answer.HolderHeard < heardLately.Milliseconds())
+			heard <- err == nil && (answer.Controlling || answer.HolderHeard < heardLately.Milliseconds())
 		}()
 	}
 	for range asked {
@@ -242,7 +242,7 @@
 }
 
 // claimKey is the only key of the claims topic; the newest claim stays.
-const claimKey = "giver"
+const claimKey = "controller"
 
 // confirmClaim reads the newest claim now: after a freeze, or when this host's
 // own has met another.
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -5,8 +5,8 @@
 // ReadinessAddr is where the balancer asks.
 func (g *Gateway) ReadinessAddr() string { return g.readiness.Addr().String() }
 
-// Gives tells whether the host holds the claim.
-func (g *Gateway) Gives() bool { return g.election.Held() != 0 }
+// Controls tells whether the host holds the claim.
+func (g *Gateway) Controls() bool { return g.election.Held() != 0 }
 
 // Peers is the number of other hosts known.
 func (g *Gateway) Peers() int { return g.mesh.hosts() - 1 }
@@ -27,5 +27,5 @@
 // HearNotice takes in a notice as if it came from another host.
 func (g *Gateway) HearNotice(n fleet.Notice) { g.takeNotice(g.Now(), n) }
 
-// GiverAddr is where this host tells its demand.
-func (g *Gateway) GiverAddr() string { return g.election.Newest().Holder.Addr }
+// ControllerAddr is where this host tells its demand.
+func (g *Gateway) ControllerAddr() string { return g.election.Newest().Holder.Addr }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -24,17 +24,17 @@
 	// listReads is how often the list is read at least in the time in which a
 	// leaving endpoint must have been noticed.
 	listReads = 3
-	// calmListPoll is the period while the giver of orders reads the list and
+	// calmListPoll is the period while the controller reads the list and
 	// says in its notices when it has changed. Ten calls a second fewer over nine
 	// hosts than with listPoll alone.
 	calmListPoll = 2 * time.Second
-	// freshNotice and freshList are how old the giver's last notice and its list
+	// freshNotice and freshList are how old the controller's last notice and its list
 	// may be for that.
 	freshNotice = 700 * time.Millisecond
 	freshList   = 800 * time.Millisecond
-	// giverListPoll is the period while this host gives orders: what endpoints
+	// controllerListPoll is the period while this host gives orders: what endpoints
 	// say of themselves corrects what it believes.
-	giverListPoll = 350 * time.Millisecond
+	controllerListPoll = 350 * time.Millisecond
 	// storeRetry is the pause after a call that failed; it doubles with each
 	// further one up to storeRetryMax. Calls that the store refuses have a price
 	// too, and other hosts tell meanwhile what changes.
@@ -305,7 +305,7 @@
 // listPause is the pause between two reads of the list of endpoints.
 func (g *Gateway) listPause() time.Duration {
 	if g.election.Held() != 0 {
-		return giverListPoll
+		return controllerListPoll
 	}
 	at, age := g.mesh.listNotice()
 	if g.Now().Sub(at) < freshNotice && age < freshList {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,12 +75,12 @@
 	server     *serve.Server
 	budget     *retry.Budget
 
-	election *orders.Election
-	giver    *orders.Giver
-	mesh     *mesh
+	election   *orders.Election
+	controller *orders.Controller
+	mesh       *mesh
 	// reportNow asks for a demand report at once.
 	reportNow chan struct{}
-	// noticeNow asks the giver for a step at once.
+	// noticeNow asks the controller for a step at once.
 	noticeNow chan struct{}
 	// listNow asks for a read of the list of endpoints at once.
 	listNow chan struct{}
@@ -122,7 +122,7 @@
 		return nil, err
 	}
 	g.election = orders.NewElection(g.self, g.takeoverLease(), g.Now())
-	g.giver = &orders.Giver{
+	g.controller = &orders.Controller{
 		Election:  g.election,
 		Orderer:   g.endpoints,
 		Log:       g.log,
@@ -272,7 +272,7 @@
 		g.announce,
 		g.mesh.serve,
 		g.reportDemand,
-		g.giveOrders,
+		g.control,
 		g.elect,
 		g.maintain,
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -288,38 +288,38 @@
 
 // The host that gives orders is killed with a cold model asked for. Another one
 // takes over, with a greater token, and loads the model.
-func TestOrdersGoOnAfterTheGiverDies(t *testing.T) {
+func TestOrdersGoOnAfterTheControllerDies(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	d := newDeployment(t)
 	d.publish(config(1))
 	e := d.engine("e1")
 	a := d.startHost("a")
-	d.until("the first host gives orders", a.Gives)
+	d.until("the first host gives orders", a.Controls)
 	b := d.startHost("b")
 	d.until("the hosts know each other", func() bool { return a.Peers() == 1 && b.Peers() == 1 })
 	a.Kill()
 	got := d.ask(b, "/chat/", "cold")
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(got.body, threeEvents)
-	is.True(b.Gives())
+	is.True(b.Controls())
 	is.Equal(len(e.Faults()), 0)
 }
 
 // The claim changes hands while a host's read of the claims hangs. The host went
-// on to believe in the former giver, which had released its claim, and told
+// on to believe in the former controller, which had released its claim, and told
 // nobody its demand: cold models were refused there for ten seconds, although
-// the new giver's notices came in.
-func TestNoticeNamesTheGiver(t *testing.T) {
+// the new controller's notices came in.
+func TestNoticeNamesTheController(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	d := newDeployment(t)
 	d.publish(config(1))
 	h := d.startHost("a")
-	d.until("the host gives orders", h.Gives)
+	d.until("the host gives orders", h.Controls)
 	h.HearNotice(fleet.Notice{Holder: "b", Incarnation: "b-1", Addr: "127.0.0.1:9", Token: 99})
-	is.Equal(h.GiverAddr(), "127.0.0.1:9")
-	is.True(!h.Gives())
+	is.Equal(h.ControllerAddr(), "127.0.0.1:9")
+	is.True(!h.Controls())
 }
 
 // A planned stop under streams: every stream that has begun ends whole, and a
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -38,12 +38,12 @@
 	silent map[string]time.Time
 	// asked is when a peer was last asked for the state.
 	asked time.Time
-	// noticed is when the giver's last notice came, listAge how old its list was.
+	// noticed is when the controller's last notice came, listAge how old its list was.
 	noticed time.Time
 	listAge time.Duration
 }
 
-// noteList takes in how old the giver's list of endpoints is.
+// noteList takes in how old the controller's list of endpoints is.
 func (m *mesh) noteList(now time.Time, age time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -51,7 +51,7 @@
 	m.listAge = age
 }
 
-// listNotice returns when the giver last told the age of its list, and that age.
+// listNotice returns when the controller last told the age of its list, and that age.
 func (m *mesh) listNotice() (time.Time, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -135,7 +135,7 @@
 	}
 	switch {
 	case r.Demand != nil:
-		g.giver.Report(now, *r.Demand)
+		g.controller.Report(now, *r.Demand)
 		g.compareConfig(r.Demand.Addr, r.Demand.ConfigVersion)
 		signal(g.noticeNow)
 	case r.Notice != nil:
@@ -145,7 +145,7 @@
 	}
 	claim := g.election.Newest()
 	answer.Claim = &claim
-	answer.Giving = g.election.Held() != 0
+	answer.Controlling = g.election.Held() != 0
 	answer.HolderHeard = g.election.HeardAgo(now).Milliseconds()
 	return []peer.Response{answer}
 }
@@ -166,7 +166,7 @@
 	}
 }
 
-// takeNotice takes in what the giver of orders says.
+// takeNotice takes in what the controller says.
 func (g *Gateway) takeNotice(now time.Time, n fleet.Notice) {
 	if !g.board.Notice(now, n) {
 		return
--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -10,7 +10,7 @@
 )
 
 // adapters starts the loads of adapters for which requests wait.
-func (g *Giver) adapters(ctx context.Context, now time.Time, token int64, service fleet.Service, tracks []*track, totals map[need]*total) {
+func (g *Controller) adapters(ctx context.Context, now time.Time, token int64, service fleet.Service, tracks []*track, totals map[need]*total) {
 	type want struct {
 		need
 		*total
@@ -52,7 +52,7 @@
 
 // placeAdapter loads an adapter beside its model, where fewest are held, unless
 // an endpoint holds it or is loading it.
-func (g *Giver) placeAdapter(ctx context.Context, now time.Time, token int64, engine *fleet.Engine, tracks []*track, model, name string) {
+func (g *Controller) placeAdapter(ctx context.Context, now time.Time, token int64, engine *fleet.Engine, tracks []*track, model, name string) {
 	var best *track
 	bestHeld := 0
 	for _, t := range tracks {
@@ -153,7 +153,7 @@
 	return victim
 }
 
-func (g *Giver) loadAdapter(ctx context.Context, t *track, token int64, model, name string, victim *adapterRef) {
+func (g *Controller) loadAdapter(ctx context.Context, t *track, token int64, model, name string, victim *adapterRef) {
 	ok := true
 	if victim != nil {
 		ok = g.order(ctx, t, token, Order{Model: victim.model, Adapter: victim.name})
--- a/pkg/orders/giver.go
+++ b/pkg/orders/controller.go
@@ -45,8 +45,8 @@
 	ratePerReplica = 15
 )
 
-// Giver gives orders while this host holds the claim. It is safe for concurrent use.
-type Giver struct {
+// Controller gives orders while this host holds the claim. It is safe for concurrent use.
+type Controller struct {
 	Election *Election
 	Orderer  Orderer
 	Log      *slog.Logger
@@ -70,7 +70,7 @@
 }
 
 // Report takes in a host's demand.
-func (g *Giver) Report(now time.Time, r fleet.DemandReport) {
+func (g *Controller) Report(now time.Time, r fleet.DemandReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.demand == nil {
@@ -81,7 +81,7 @@
 
 // Step decides and starts orders. It returns what other hosts have to be told;
 // nothing while this host holds no claim.
-func (g *Giver) Step(ctx context.Context, now time.Time, full bool) *fleet.Notice {
+func (g *Controller) Step(ctx context.Context, now time.Time, full bool) *fleet.Notice {
 	held := g.Election.Held()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -122,7 +122,7 @@
 }
 
 // follow keeps a track for each live endpoint that runs models.
-func (g *Giver) follow(now time.Time, cfg *fleet.Config) map[string][]*track {
+func (g *Controller) follow(now time.Time, cfg *fleet.Config) map[string][]*track {
 	live := map[fleet.EndpointID]bool{}
 	byService := map[string][]*track{}
 	for _, v := range g.Endpoints(now) {
@@ -149,7 +149,7 @@
 	return byService
 }
 
-func (g *Giver) notice(now time.Time, token, version int64, full bool) *fleet.Notice {
+func (g *Controller) notice(now time.Time, token, version int64, full bool) *fleet.Notice {
 	n := &fleet.Notice{Far: g.far, Holder: g.Election.self.Host, Token: token, Full: full, ConfigVersion: version}
 	for _, t := range g.tracks {
 		if t.takeChanged() || full {
@@ -160,7 +160,7 @@
 }
 
 // survey asks endpoints for their state of which nothing certain is known.
-func (g *Giver) survey(ctx context.Context, now time.Time, tracks []*track) {
+func (g *Controller) survey(ctx context.Context, now time.Time, tracks []*track) {
 	for _, t := range tracks {
 		t.mu.Lock()
 		due := !t.known && !t.working && !now.Before(t.pause) && !now.Before(t.busyUntil)
@@ -181,7 +181,7 @@
 	}
 }
 
-func (g *Giver) ask(ctx context.Context, t *track, e fleet.Endpoint) {
+func (g *Controller) ask(ctx context.Context, t *track, e fleet.Endpoint) {
 	r, err := g.report(ctx, e)
 	now := g.Now()
 	if err != nil {
@@ -195,7 +195,7 @@
 }
 
 // swap starts the swaps that the decision asks for.
-func (g *Giver) swap(ctx context.Context, now time.Time, token int64, service fleet.Service, tracks []*track, totals map[need]*total) {
+func (g *Controller) swap(ctx context.Context, now time.Time, token int64, service fleet.Service, tracks []*track, totals map[need]*total) {
 	engine := service.Engine
 	snap := residency.Snapshot{
 		Now:    now,
@@ -261,7 +261,7 @@
 }
 
 // storeLoads is how many loads from the weight store may start now.
-func (g *Giver) storeLoads(now time.Time, engine *fleet.Engine) int {
+func (g *Controller) storeLoads(now time.Time, engine *fleet.Engine) int {
 	longest := time.Duration(0)
 	for _, m := range engine.Models {
 		longest = max(longest, m.StoreLoad)
@@ -271,7 +271,7 @@
 }
 
 // Wait returns when no order is under way.
-func (g *Giver) Wait() { g.work.Wait() }
+func (g *Controller) Wait() { g.work.Wait() }
 
 // splitAdapter splits MODEL/NAME@VERSION.
 func splitAdapter(name string) (model, adapter string) {
--- a/pkg/orders/giver_test.go
+++ b/pkg/orders/controller_test.go
@@ -182,8 +182,8 @@
 	}}}
 }
 
-// newGiver returns a giver that holds the claim with a token over one endpoint.
-func newGiver(e *engine, token int64, listed ...string) *orders.Giver {
+// newController returns a controller that holds the claim with a token over one endpoint.
+func newController(e *engine, token int64, listed ...string) *orders.Controller {
 	el := orders.NewElection(holder("a"), lease, time.Now())
 	el.Caught()
 	el.Won(time.Now(), token)
@@ -192,7 +192,7 @@
 	for _, m := range listed {
 		endpoint.Holds = append(endpoint.Holds, fleet.Held{Model: m})
 	}
-	return &orders.Giver{
+	return &orders.Controller{
 		Election:  el,
 		Orderer:   e,
 		Log:       slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -207,8 +207,8 @@
 	return fleet.DemandReport{Host: "h", Needs: []fleet.NeedReport{{Service: "llm", Model: model, Adapter: adapter, Waiting: 1, Arrived: 1}}}
 }
 
-// steps runs the giver for a while with a request waiting.
-func steps(ctx context.Context, g *orders.Giver, d time.Duration, r fleet.DemandReport) {
+// steps runs the controller for a while with a request waiting.
+func steps(ctx context.Context, g *orders.Controller, d time.Duration, r fleet.DemandReport) {
 	const period = 20 * time.Millisecond
 	for range int(d / period) {
 		g.Report(time.Now(), r)
@@ -231,7 +231,7 @@
 	run(t, func(ctx context.Context) {
 		is := is.New(t)
 		e := newEngine(130, weights, "x", "y")
-		g := newGiver(e, 1, "x", "y")
+		g := newController(e, 1, "x", "y")
 		steps(ctx, g, 2*time.Second, waiting("cold", ""))
 		is.True(slices.Contains(e.held(), "cold"))
 		is.Equal(len(e.held()), 2)
@@ -239,26 +239,26 @@
 }
 
 // A request arrives just before the claim changes hands: its arrival was told to
-// the former giver, the new one hears only that it waits. It was never served.
-func TestNewGiverServesWhatWaitedBefore(t *testing.T) {
+// the former controller, the new one hears only that it waits. It was never served.
+func TestNewControllerServesWhatWaitedBefore(t *testing.T) {
 	run(t, func(ctx context.Context) {
 		is := is.New(t)
 		e := newEngine(130, weights, "x", "y")
 		r := waiting("cold", "")
 		r.Needs[0].Arrived = 0
-		steps(ctx, newGiver(e, 1, "x", "y"), 2*time.Second, r)
+		steps(ctx, newController(e, 1, "x", "y"), 2*time.Second, r)
 		is.True(slices.Contains(e.held(), "cold"))
 	})
 }
 
-// All hosts were killed; the new giver has heard of no request yet. It took busy
+// All hosts were killed; the new controller has heard of no request yet. It took busy
 // models for idle ones, evicted them for the first rare model that was asked for,
 // and had to load them from the store again under full load.
-func TestNewGiverKeepsBusyModels(t *testing.T) {
+func TestNewControllerKeepsBusyModels(t *testing.T) {
 	run(t, func(ctx context.Context) {
 		is := is.New(t)
 		e := newEngine(130, weights, "x", "y")
-		g := newGiver(e, 1, "x", "y")
+		g := newController(e, 1, "x", "y")
 		r := fleet.DemandReport{Host: "h", Needs: []fleet.NeedReport{
 			{Service: "llm", Model: "cold", Waiting: 1},
 			{Service: "llm", Model: "x", Inflight: 4, Arrived: 1}, // 50 a second
@@ -269,7 +269,7 @@
 	})
 }
 
-// The list of endpoints is older than the endpoint: a former giver has loaded a
+// The list of endpoints is older than the endpoint: a former controller has loaded a
 // model since. A load decided by the list alone went beyond the endpoint's
 // memory, which crashed it with all its requests.
 func TestOldListDoesNotOvercommit(t *testing.T) {
@@ -278,21 +278,21 @@
 		e := newEngine(130, weights, "x", "y")
 		e.sequence = 40
 		e.remember()
-		g := newGiver(e, 1, "x")
+		g := newController(e, 1, "x")
 		steps(ctx, g, 3*time.Second, waiting("cold", ""))
 		is.Equal(len(e.faults), 0)
 		is.True(slices.Contains(e.held(), "cold"))
 	})
 }
 
-// A former giver's load is accepted while this giver decides. The refusal of the
+// A former controller's load is accepted while this controller decides. The refusal of the
 // expected sequence taught it the new number, and it sent the load again with
 // what it believed of the memory before: one model too many.
 func TestUnknownOrderEndsTheSwap(t *testing.T) {
 	run(t, func(ctx context.Context) {
 		is := is.New(t)
 		e := newEngine(130, weights, "x")
-		g := newGiver(e, 2, "x")
+		g := newController(e, 2, "x")
 		steps(ctx, g, 400*time.Millisecond, fleet.DemandReport{Host: "h"})
 		e.carryOut(orders.Order{Load: true, Model: "y", Expected: 0, Token: 1})
 		steps(ctx, g, 4*time.Second, waiting("cold", ""))
@@ -303,12 +303,12 @@
 
 // Another host holds a newer claim. One refusal is enough: the endpoint counts
 // each further order with the old token.
-func TestFencedGiverStops(t *testing.T) {
+func TestFencedControllerStops(t *testing.T) {
 	run(t, func(ctx context.Context) {
 		is := is.New(t)
 		e := newEngine(130, weights, "x", "y")
 		e.fence = 9
-		g := newGiver(e, 1, "x", "y")
+		g := newController(e, 1, "x", "y")
 		steps(ctx, g, 2*time.Second, waiting("cold", ""))
 		is.Equal(e.orders, 1)
 	})
@@ -320,7 +320,7 @@
 	run(t, func(ctx context.Context) {
 		is := is.New(t)
 		e := newEngine(130, weights, "x")
-		g := newGiver(e, 1, "x")
+		g := newController(e, 1, "x")
 		for i := range 3 {
 			steps(ctx, g, 800*time.Millisecond, waiting("x", fmt.Sprint("a", i)))
 		}
@@ -348,7 +348,7 @@
 				}
 				return nothing
 			}
-			g := newGiver(e, 1, "x", "y")
+			g := newController(e, 1, "x", "y")
 			for _, w := range wants {
 				steps(ctx, g, 1500*time.Millisecond, waiting(w, ""))
 			}
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -11,7 +11,7 @@
 	// reportLife is how long a host's last report counts. Hosts report at least
 	// every quarter of a second while they have requests.
 	reportLife = 1200 * time.Millisecond
-	// learnTime is how long a new giver listens before its first swap.
+	// learnTime is how long a new controller listens before its first swap.
 	learnTime = 400 * time.Millisecond
 	// fastMemory and slowMemory are the time constants of the moving rates: the
 	// fast one follows demand that moves within seconds, the slow one ranks
@@ -51,7 +51,7 @@
 
 // demand sums what all hosts report.
 type demand struct {
-	// since is when this giver began to listen.
+	// since is when this controller began to listen.
 	since time.Time
 	hosts map[string]hostDemand
 	rates map[need]*rate
@@ -119,7 +119,7 @@
 			key := need{n.Service, n.Model, n.Adapter}
 			if out[key] == nil {
 				// A request that waits counts also where its arrival was told to a
-				// former giver; it would never be served otherwise.
+				// former controller; it would never be served otherwise.
 				out[key] = &total{lastUsed: h.at}
 			}
 			out[key].add(h.at, n)
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -10,7 +10,7 @@
 // order sends an order until the endpoint has accepted it. An order without an
 // answer is sent again with the same expected sequence: at most one of the two
 // can be accepted.
-func (g *Giver) order(ctx context.Context, t *track, token int64, o Order) bool {
+func (g *Controller) order(ctx context.Context, t *track, token int64, o Order) bool {
 	t.orderMu.Lock()
 	defer t.orderMu.Unlock()
 	o.Holder = g.Election.self.Host
@@ -63,14 +63,14 @@
 	return r.String()
 }
 
-func (g *Giver) send(ctx context.Context, e fleet.Endpoint, o Order) (Result, error) {
+func (g *Controller) send(ctx context.Context, e fleet.Endpoint, o Order) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return g.Orderer.Order(ctx, e, o)
 }
 
 // accepted settles an order without an answer by the endpoint's report.
-func (g *Giver) accepted(ctx context.Context, t *track, e fleet.Endpoint, o Order) bool {
+func (g *Controller) accepted(ctx context.Context, t *track, e fleet.Endpoint, o Order) bool {
 	if !pause(ctx, reportLag) {
 		return false
 	}
@@ -87,7 +87,7 @@
 // conflict waits for another order to end. It tells whether the order may be
 // sent again: not if the endpoint has accepted orders that are not known here,
 // for what was believed of its memory when the order was decided no longer holds.
-func (g *Giver) conflict(ctx context.Context, t *track, e fleet.Endpoint, o Order, n int) bool {
+func (g *Controller) conflict(ctx context.Context, t *track, e fleet.Endpoint, o Order, n int) bool {
 	const askEvery = 8
 	if n%askEvery != 0 {
 		return pause(ctx, conflictPause)
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -10,7 +10,7 @@
 )
 
 // carryOut unloads what leaves and loads the new model.
-func (g *Giver) carryOut(ctx context.Context, t *track, token int64, engine *fleet.Engine, s residency.Swap) {
+func (g *Controller) carryOut(ctx context.Context, t *track, token int64, engine *fleet.Engine, s residency.Swap) {
 	start := g.Now()
 	ok := true
 	for _, v := range s.Evict {
@@ -48,7 +48,7 @@
 // confirm asks the endpoint whether a load has ended. Loads from the weight
 // store take longer while others run, and a copy that was believed to be near
 // may be gone; requests sent too early would be rejected.
-func (g *Giver) confirm(ctx context.Context, t *track, model string, r *resident) {
+func (g *Controller) confirm(ctx context.Context, t *track, model string, r *resident) {
 	for {
 		t.mu.Lock()
 		wait := r.readyAt.Sub(g.Now())
@@ -76,7 +76,7 @@
 	}
 }
 
-func (g *Giver) report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error) {
+func (g *Controller) report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return g.Orderer.Report(ctx, e)
@@ -108,7 +108,7 @@
 
 // fits checks a load once more where it is ordered: an endpoint that is told to
 // hold more than its memory crashes with all its requests.
-func (g *Giver) fits(t *track, engine *fleet.Engine, m fleet.Model) bool {
+func (g *Controller) fits(t *track, engine *fleet.Engine, m fleet.Model) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sum := m.WeightsMB
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -9,8 +9,8 @@
 	"github.com/tealvane/tealvane/pkg/residency"
 )
 
-// track is what the giver of orders believes of one endpoint. It is a shard of
-// the giver's state with a lock of its own.
+// track is what the controller believes of one endpoint. It is a shard of
+// the controller's state with a lock of its own.
 type track struct {
 	mu       sync.Mutex
 	endpoint fleet.Endpoint
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -28,7 +28,7 @@
 	Tail     *TailRequest `cbor:"3,keyasint,omitempty"`
 	Snapshot bool         `cbor:"4,keyasint,omitempty"`
 	Leave    *LeaveNotice `cbor:"5,keyasint,omitempty"`
-	// Demand goes to the giver of orders, Notice comes from it.
+	// Demand goes to the controller, Notice comes from it.
 	Demand *fleet.DemandReport `cbor:"6,keyasint,omitempty"`
 	Notice *fleet.Notice       `cbor:"7,keyasint,omitempty"`
 	// State asks for what the other host has read from the platform's store.
@@ -81,9 +81,9 @@
 	Chunk        *record.Snapshot `cbor:"4,keyasint,omitempty"`
 	// Claim is the newest claim to give orders that the answering host knows.
 	Claim *orders.Claim `cbor:"5,keyasint,omitempty"`
-	// Giving tells whether the answering host holds that claim.
-	Giving bool         `cbor:"6,keyasint,omitempty"`
-	State  *StateAnswer `cbor:"7,keyasint,omitempty"`
+	// Controlling tells whether the answering host holds that claim.
+	Controlling bool         `cbor:"6,keyasint,omitempty"`
+	State       *StateAnswer `cbor:"7,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration in force there.
 	ConfigVersion int64 `cbor:"8,keyasint,omitempty"`
 	// HolderHeard is how many milliseconds ago the answering host has heard the
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -1,5 +1,5 @@
 // Package residency decides which models an endpoint's memory holds, where more
-// models are asked for than fit. It is a pure function of a snapshot: the giver
+// models are asked for than fit. It is a pure function of a snapshot: the controller
 // of orders checks each decision again against what the endpoint says of itself.
 //
 // The load pattern: a few models take most requests and change during the day;
