Pass on line ends after the last event of a stream

Cause: bytes after the last event that are only line ends were dropped at the end of a complete stream, so that the client got less than the endpoint sent. Change: they are passed on.

--- a/pkg/serve/events.go
+++ b/pkg/serve/events.go
@@ -38,10 +38,16 @@
 		if err == nil || lastEventEnd(e.pending) > 0 {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.pending)) > 0 {
+		if !errors.Is(err, io.EOF) || len(e.pending) == 0 {
+			return nil, "", err
+		}
+		if len(bytes.TrimSpace(e.pending)) > 0 {
 			return nil, "", errPartialEvent
 		}
-		return nil, "", err
+		// Line ends after the last event are part of the body: without them the
+		// client would get less than the endpoint sent.
+		whole, e.pending = e.pending, nil
+		return whole, "", nil
 	}
 }
 
