Ask again when a load from the weight store is not confirmed

Cause, found by reading: an endpoint that gave no report when such a load should have ended was not asked again. The model stayed unsure: it held its memory, got no requests and could not be evicted until the controller changed. Change: a missing report is logged and the endpoint surveyed anew; what it says it holds is sure. Test: TestUnconfirmedLoadIsAskedForAgain fails before.

--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -35,7 +35,9 @@
 	faults []string
 	// lose decides what is lost of the next order: nothing, the order or its
 	// answer, or that it is carried out late.
-	lose   func() loss
+	lose func() loss
+	// silent endpoints answer no report.
+	silent bool
 	orders int
 }
 
@@ -87,6 +89,9 @@
 func (e *engine) Report(context.Context, fleet.Endpoint) (fleet.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.silent {
+		return fleet.Report{}, errors.New("no answer")
+	}
 	r := e.past[0].report
 	for _, p := range e.past {
 		if time.Since(p.at) >= reportLag {
@@ -269,6 +274,35 @@
 	})
 }
 
+// A model comes from the weight store, and the endpoint gives no report when the
+// load should have ended. The model stayed unsure for ever: it held its memory
+// and no request was sent to it.
+func TestUnconfirmedLoadIsAskedForAgain(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.New(t)
+		e := newEngine(130, weights, "x")
+		g := newController(e, 1, "x")
+		g.Endpoints = func(time.Time) []fleet.View {
+			return []fleet.View{{Endpoint: fleet.Endpoint{ID: "e", Service: "llm", OnDisk: []string{"x"}, Holds: []fleet.Held{{Model: "x"}}}}}
+		}
+		steps(ctx, g, 3*time.Second, waiting("cold", ""))
+		e.mu.Lock()
+		e.silent = true
+		e.mu.Unlock()
+		steps(ctx, g, 5*time.Second, waiting("cold", ""))
+		e.mu.Lock()
+		e.silent = false
+		e.mu.Unlock()
+		steps(ctx, g, 3*time.Second, waiting("cold", ""))
+		n := g.Step(ctx, time.Now(), true)
+		ready := false
+		for _, m := range n.Endpoints[0].Models {
+			ready = ready || m.Model == "cold" && m.ReadyIn == 0
+		}
+		is.True(ready)
+	})
+}
+
 // The list of endpoints is older than the endpoint: a former controller has loaded a
 // model since. A load decided by the list alone went beyond the endpoint's
 // memory, which crashed it with all its requests.
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -68,6 +68,12 @@
 		}
 		report, err := g.report(ctx, e)
 		if err != nil {
+			// The survey asks the endpoint anew; a model left unsure would hold its
+			// memory and serve nobody.
+			g.Log.Info("load is not confirmed", "endpoint", e.ID, "model", model, "error", err.Error())
+			t.mu.Lock()
+			t.known = false
+			t.mu.Unlock()
 			return
 		}
 		if t.confirmed(g.Now(), model, r, report) {
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -67,6 +67,7 @@
 			r = &resident{since: now, adapters: map[string]*adapter{}}
 		}
 		r.leaving = false
+		r.unsure = false
 		adapters := make(map[string]*adapter, len(h.Adapters))
 		for _, name := range h.Adapters {
 			a := r.adapters[name]
