Make the test of an unknown host fail without its guard

The test passed when unknown hosts got no answer: a read that was under way when the store began to refuse brought the configuration. Such reads now get no answer, and the test was seen to fail without the guard.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -256,6 +256,8 @@
 	b := d.startWith("b", site.ReadOnly)
 	d.until("the host serves and knows the other", func() bool { return b.Peers() == 1 && d.ask(b, "/screen/", "").status == http.StatusOK })
 	is.True(!b.Ready())
+	// Reads that are under way get no answer either.
+	b.door.Set(site.Silent)
 	b.door.Set(site.Busy)
 	next := config(2)
 	next.Routes = append(next.Routes, site.Route{Name: "new", Host: "h.example", PathPrefix: "/new/", Kind: "safe", Service: "plain", TimeoutMS: 2000, Attempts: 1})
