Put the queue behind an interface; a span for each hop on the platform's path

Cause: the two doors have paths of their own. What differs is how work waits (shares by customer, or rank and aim); attempts, promises and streams are the same and stood twice. serve.Server was tied to one queue.

Change: serve.Queue is what Server needs of a queue; Dispatcher implements it. A backend may refuse a request for good (idempotency keys). A request may bound its start only. The wait and each send have a span, the request too, and a client's trace goes on; settings name a collector, without one nothing is recorded.

Found on the way: a client that left in the middle of its stream counted as a failure of the endpoint, which after a few of them was asked only as a last choice. Test: TestEndpointIsNotBlamedForClientsThatLeave, seen to fail without the change.

--- a/cmd/tealvane-gateway/main.go
+++ b/cmd/tealvane-gateway/main.go
@@ -59,7 +59,12 @@
 	defer stop()
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
-	g, err := platform.NewGateway(settings, telemetry.Logger(out))
+	provider, flush, err := telemetry.Traces(ctx, settings.OTLP, settings.Host)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	g, err := platform.NewGateway(settings, telemetry.Logger(out), provider)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -9,6 +9,7 @@
 	"github.com/tealvane/tealvane/internal/telemetry"
 	"github.com/tealvane/tealvane/pkg/gateway"
 	"github.com/tealvane/tealvane/platform"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
 // platformSettings are the settings of the development host on the platform.
@@ -62,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	g, err := platform.NewGateway(s, telemetry.Logger(o.Log))
+	g, err := platform.NewGateway(s, telemetry.Logger(o.Log), noop.NewTracerProvider())
 	if err != nil {
 		return err
 	}
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -8,6 +8,8 @@
 
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 )
 
 const (
@@ -58,7 +60,13 @@
 
 // Serve implements the door's view of the host.
 func (g *Gateway) Serve(ctx context.Context, r *serve.Request, sink serve.Sink) {
+	ctx, span := g.server.Tracer.Start(ctx, "request", trace.WithAttributes(
+		attribute.String("id", r.ID),
+		attribute.String("route", r.Route.Name),
+	))
+	defer span.End()
 	result := g.server.Serve(ctx, r, sink)
+	span.SetAttributes(attribute.String("outcome", outcome(result)))
 	g.metrics.result(result)
 	g.logResult(result)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -54,6 +55,7 @@
 	// Door makes the handler of clients' requests.
 	Door   func(*Gateway) http.Handler
 	Logger *slog.Logger
+	Tracer trace.TracerProvider
 }
 
 // Gateway is one entry host.
@@ -118,7 +120,14 @@
 	g.board = fleet.NewBoard(g.directory)
 	g.endpoints = cfg.Endpoints(g.Now, g.connectionLimit)
 	g.dispatcher = serve.NewDispatcher(s.Zone, locator{g.board}, g.health, g.Now, g.wantReport)
-	g.server = &serve.Server{Backend: g.endpoints, Dispatcher: g.dispatcher, Health: g.health, Budget: g.budget, Now: g.Now}
+	g.server = &serve.Server{
+		Backend: g.endpoints,
+		Queue:   g.dispatcher,
+		Health:  g.health,
+		Budget:  g.budget,
+		Now:     g.Now,
+		Tracer:  cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
+	}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -16,6 +16,8 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/gateway"
 	"github.com/tealvane/tealvane/platform"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
 const settingsText = `
@@ -49,11 +51,14 @@
 
 // deployment is a platform with entry hosts.
 type deployment struct {
-	t     *testing.T
-	store *site.Store
+	t      *testing.T
+	store  *site.Store
+	tracer trace.TracerProvider
 }
 
-func newDeployment(t *testing.T) *deployment { return &deployment{t: t, store: site.NewStore()} }
+func newDeployment(t *testing.T) *deployment {
+	return &deployment{t: t, store: site.NewStore(), tracer: noop.NewTracerProvider()}
+}
 
 func (d *deployment) startHost(name string) *host {
 	d.t.Helper()
@@ -81,7 +86,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	g, err := platform.NewGateway(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	g, err := platform.NewGateway(s, slog.New(slog.NewTextHandler(io.Discard, nil)), d.tracer)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -29,6 +29,8 @@
 	Store struct {
 		Address string `yaml:"address"`
 	} `yaml:"store"`
+	// OTLP is the base URL of a trace collector; empty exports no traces.
+	OTLP   string `yaml:"otlp"`
 	Limits struct {
 		Cores    int   `yaml:"cores"`
 		MemoryMB int64 `yaml:"memory_mb"`
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -66,7 +66,7 @@
 	Find(now time.Time, n Need) Found
 }
 
-// Dispatcher holds waiting requests and gives them places at endpoints.
+// Dispatcher is the queue of requests that are ranked by their routes and aims.
 // Its state is in shards by service, each under its own lock.
 type Dispatcher struct {
 	zone      string
@@ -106,24 +106,11 @@
 type waiter struct {
 	need    Need
 	request *Request
-	avoid   avoidance
+	avoid   Avoidance
 	// place receives an endpoint, or a refusal, exactly once.
 	place chan grant
 }
 
-// avoidance tells at which endpoints a request was tried.
-type avoidance map[fleet.EndpointID]avoid
-
-type avoid int
-
-const (
-	// lastChoice endpoints have failed the request; another is better, but one
-	// that alone holds the model may be asked again.
-	lastChoice avoid = iota + 1
-	// never marks that another endpoint has the address.
-	never
-)
-
 type grant struct {
 	endpoint fleet.Endpoint
 	refusal  *Refusal
@@ -154,21 +141,20 @@
 	return u
 }
 
-// Arrive counts a request for a need.
-func (d *Dispatcher) Arrive(n Need, priority int) {
-	s := d.shard(n.Service)
+// Arrive implements Queue.
+func (d *Dispatcher) Arrive(r *Request) {
+	s := d.shard(r.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := s.useOf(n)
+	u := s.useOf(r.Need())
 	u.arrived++
-	u.priority = min(u.priority, priority)
+	u.priority = min(u.priority, r.Route.Priority)
 }
 
-// Acquire waits for a place at an endpoint. The place must be given back with
-// Release.
-func (d *Dispatcher) Acquire(ctx context.Context, n Need, r *Request, avoid avoidance) (fleet.Endpoint, *Refusal) {
-	s := d.shard(n.Service)
-	w := &waiter{need: n, request: r, avoid: avoid, place: make(chan grant, 1)}
+// Acquire implements Queue.
+func (d *Dispatcher) Acquire(ctx context.Context, r *Request, t Tried) (fleet.Endpoint, *Refusal) {
+	s := d.shard(r.Service)
+	w := &waiter{need: r.Need(), request: r, avoid: t.At, place: make(chan grant, 1)}
 	now := d.now()
 	s.mu.Lock()
 	if e, ok := d.pick(now, s, w); ok {
@@ -178,7 +164,7 @@
 	situation, cold := d.situation(now, w)
 	until, retryAfter, hold := d.hold(r, situation)
 	if !hold || !situation.Known {
-		s.wantLater(now, n, situation)
+		s.wantLater(now, w.need, situation)
 		s.mu.Unlock()
 		if cold {
 			d.wanted()
@@ -290,11 +276,11 @@
 	var sound, suspect []option
 	for _, e := range d.placement.Find(now, w.need).Ready {
 		c := d.health.Condition(now, e.ID, w.need.Service, w.need.What())
-		if c.Closed || w.avoid[e.ID] == never {
+		if c.Closed || w.avoid[e.ID] == Never {
 			continue
 		}
 		o := option{e, candidate(e, c, s.service)}
-		if c.Suspect || w.avoid[e.ID] == lastChoice {
+		if c.Suspect || w.avoid[e.ID] == LastChoice {
 			suspect = append(suspect, o)
 		} else {
 			sound = append(sound, o)
@@ -330,8 +316,9 @@
 	return options[i].endpoint, true
 }
 
-// HasOther tells whether an endpoint other than id could take a request now.
-func (d *Dispatcher) HasOther(n Need, id fleet.EndpointID) bool {
+// HasOther implements Queue.
+func (d *Dispatcher) HasOther(r *Request, id fleet.EndpointID) bool {
+	n := r.Need()
 	now := d.now()
 	for _, e := range d.placement.Find(now, n).Ready {
 		c := d.health.Condition(now, e.ID, n.Service, n.What())
@@ -391,15 +378,14 @@
 	})
 }
 
-// Release gives a place back. took is how long a successful run took, zero for
-// any other.
-func (d *Dispatcher) Release(n Need, e fleet.EndpointID, took time.Duration) {
+// Release implements Queue.
+func (d *Dispatcher) Release(r *Request, e fleet.EndpointID, u Use) {
 	d.health.End(e)
-	s := d.shard(n.Service)
+	s := d.shard(r.Service)
 	s.mu.Lock()
-	s.useOf(n).inflight--
-	if took > 0 {
-		s.service += time.Duration(float64(took-s.service) * serviceWeight)
+	s.useOf(r.Need()).inflight--
+	if u.Took > 0 {
+		s.service += time.Duration(float64(u.Took-s.service) * serviceWeight)
 	}
 	idle := len(s.waiting) == 0
 	s.mu.Unlock()
@@ -408,7 +394,7 @@
 	}
 }
 
-// ServiceTime is the usual time of a request of a service.
+// ServiceTime implements Queue.
 func (d *Dispatcher) ServiceTime(service string) time.Duration {
 	s := d.shard(service)
 	s.mu.Lock()
--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -14,6 +14,7 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
 // errReset is how a broken connection shows.
@@ -144,10 +145,18 @@
 	body    bytes.Buffer
 	refusal *serve.Refusal
 	aborted bool
+	// gone makes the client take nothing.
+	gone bool
 }
 
-func (s *sink) Begin(a *serve.Answer)  { s.status = a.Status; s.begun++ }
-func (s *sink) Write(p []byte) error   { s.body.Write(p); return nil }
+func (s *sink) Begin(a *serve.Answer) { s.status = a.Status; s.begun++ }
+func (s *sink) Write(p []byte) error {
+	if s.gone {
+		return errReset
+	}
+	s.body.Write(p)
+	return nil
+}
 func (s *sink) Abort()                 { s.aborted = true }
 func (s *sink) Refuse(r serve.Refusal) { s.refusal = &r }
 func (s *sink) promises() bool         { return s.refusal != nil && s.refusal.NotRun }
@@ -157,14 +166,18 @@
 	health := serve.NewHealth()
 	budget := retry.NewBudget(retry.Limits{Ratio: 1, Extra: 100, Window: 10 * time.Second}, 1)
 	return &serve.Server{
-		Backend:    w,
-		Dispatcher: serve.NewDispatcher("z", w, health, time.Now, func() {}),
-		Health:     health,
-		Budget:     budget,
-		Now:        time.Now,
+		Backend: w,
+		Queue:   serve.NewDispatcher("z", w, health, time.Now, func() {}),
+		Health:  health,
+		Budget:  budget,
+		Now:     time.Now,
+		Tracer:  noop.NewTracerProvider().Tracer(""),
 	}
 }
 
+// dispatcher returns the queue of a server that newServer made.
+func dispatcher(s *serve.Server) *serve.Dispatcher { return s.Queue.(*serve.Dispatcher) }
+
 // request returns a request of a kind with five seconds to live.
 func request(id string, kind fleet.Kind, resumable bool) *serve.Request {
 	now := time.Now()
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -143,7 +143,9 @@
 func (x *exchange) watch(cancel context.CancelFunc, id fleet.EndpointID) *watcher {
 	s := x.server
 	w := &watcher{now: s.Now, last: s.Now()}
-	if !x.request.Route.Repeatable() || x.result.Runs+1 >= x.request.Route.Attempts {
+	route := x.request.Route
+	if !route.Repeatable() || x.result.Runs+1 >= route.Attempts || route.Objective == 0 {
+		// Without an objective nothing tells a slow answer from a hung endpoint.
 		return w
 	}
 	patience := x.patience()
@@ -157,7 +159,7 @@
 		hung := quiet >= patience || (quiet >= silentLimit && s.Health.Silent(s.Now(), id) >= silentLimit)
 		// Without another endpoint a second run would only add to the load that
 		// makes this one slow, and throw away what it has done.
-		if hung && s.Dispatcher.HasOther(x.need, id) {
+		if hung && s.Queue.HasOther(x.request, id) {
 			s.Health.Suspect(s.Now(), id)
 			cancel()
 			return
@@ -176,7 +178,7 @@
 	if x.begun {
 		return max(gapPatience*route.MaxGap, silentLimit)
 	}
-	usual := x.server.Dispatcher.ServiceTime(x.request.Service)
+	usual := x.server.Queue.ServiceTime(x.request.Service)
 	if route.Kind == fleet.Stream {
 		usual = 0
 	}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -28,12 +28,20 @@
 	// Model is empty for plain services; Adapter is empty for the model itself.
 	Model   string
 	Adapter string
+	// StartOnly marks that Deadline bounds the wait for the first part of the
+	// answer only; what has begun in time may end later.
+	StartOnly bool
 	// LastEvent is the ID of the last event that the client has, empty at the start.
 	LastEvent string
 	// Wire is what the door and the backend share; this package does not look at it.
 	Wire any
 }
 
+// Need is what an endpoint must hold for the request.
+func (r *Request) Need() Need {
+	return Need{Service: r.Service, Model: r.Model, Adapter: r.Adapter}
+}
+
 // Aim is when the answer has to begin to be in time.
 func (r *Request) Aim() time.Time { return r.Arrived.Add(r.Route.Objective) }
 
@@ -90,8 +98,8 @@
 // Backend sends requests to endpoints.
 type Backend interface {
 	// Send returns the head of the answer. An error marked ErrNotSent means that
-	// nothing was sent; after any other the request may have run. Cancelling ctx
-	// makes the endpoint stop.
+	// nothing was sent, a *Refusal that nothing may be sent at all; after any other
+	// the request may have run. Cancelling ctx makes the endpoint stop.
 	Send(ctx context.Context, r *Request, s Send) (*Answer, error)
 }
 
@@ -118,8 +126,13 @@
 	NotRun bool
 	// RetryAfter is when the client may come back; zero states none.
 	RetryAfter time.Duration
+	// Detail is what the door says beyond the cause, nil for nothing.
+	Detail error
 }
 
+// Error implements error.
+func (r *Refusal) Error() string { return string(r.Cause) }
+
 // Sink takes the answer to a request.
 type Sink interface {
 	// Begin sends the head of an endpoint's answer.
--- a/pkg/serve/serve_test.go
+++ b/pkg/serve/serve_test.go
@@ -170,12 +170,12 @@
 		r := s.Serve(context.Background(), request("r", fleet.Once, false), &out)
 		is.True(out.promises())
 		is.Equal(r.Total, time.Duration(0))
-		s.Dispatcher.Demand()
-		again := s.Dispatcher.Demand()
+		dispatcher(s).Demand()
+		again := dispatcher(s).Demand()
 		is.Equal(len(again), 1)
 		is.Equal(again[0].Waiting, 1)
 		time.Sleep(10 * time.Second)
-		is.Equal(len(s.Dispatcher.Demand()), 0)
+		is.Equal(len(dispatcher(s).Demand()), 0)
 	})
 }
 
@@ -190,7 +190,7 @@
 		go func() {
 			time.Sleep(time.Second)
 			w.setReady("a")
-			s.Dispatcher.Kick()
+			dispatcher(s).Kick()
 		}()
 		r := s.Serve(context.Background(), request("r", fleet.Once, false), &out)
 		is.Equal(out.status, 200)
@@ -209,7 +209,7 @@
 		start := time.Now()
 		go func() {
 			time.Sleep(100 * time.Millisecond)
-			s.Dispatcher.CloseAt(start.Add(time.Second))
+			dispatcher(s).CloseAt(start.Add(time.Second))
 		}()
 		var out sink
 		s.Serve(context.Background(), request("r", fleet.Once, false), &out)
@@ -219,6 +219,26 @@
 	})
 }
 
+// Many clients leave in the middle of their streams, and each time the endpoint
+// was taken for failing: after a few it was asked only as a last choice, and its
+// neighbours got all the load. The write to the client had failed, not the run.
+func TestEndpointIsNotBlamedForClientsThatLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a")
+		s := newServer(w)
+		for range 20 {
+			w.does("a", script{events: 3, broken: -1})
+			s.Serve(context.Background(), request("r", fleet.Stream, true), &sink{gone: true})
+		}
+		w.setReady("b")
+		for range 20 {
+			s.Serve(context.Background(), request("r", fleet.Stream, true), &sink{})
+		}
+		is.True(!s.Health.Condition(time.Now(), "a", "s", "m").Suspect)
+	})
+}
+
 // A client that leaves must not have its request started afterwards, and its
 // endpoint must stop.
 func TestClientThatLeaves(t *testing.T) {
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -7,6 +7,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/retry"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 )
 
 const (
@@ -56,29 +58,33 @@
 
 // Server carries requests. It is safe for concurrent use.
 type Server struct {
-	Backend    Backend
-	Dispatcher *Dispatcher
-	Health     *Health
-	Budget     *retry.Budget
-	Now        func() time.Time
+	Backend Backend
+	Queue   Queue
+	Health  *Health
+	Budget  *retry.Budget
+	Now     func() time.Time
+	// Tracer makes a span for each wait and each send.
+	Tracer trace.Tracer
 }
 
 // Serve answers a request through the sink. ctx ends when the client has gone.
 func (s *Server) Serve(ctx context.Context, r *Request, sink Sink) Result {
 	now := s.Now()
 	s.Budget.Request(now, r.Service)
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
+	if !r.StartOnly {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+	}
 	x := &exchange{
 		server:    s,
 		request:   r,
 		sink:      sink,
-		need:      Need{Service: r.Service, Model: r.Model, Adapter: r.Adapter},
-		avoid:     avoidance{},
+		avoid:     Avoidance{},
 		lastEvent: r.LastEvent,
 		result:    Result{Request: r},
 	}
-	s.Dispatcher.Arrive(x.need, r.Route.Priority)
+	s.Queue.Arrive(r)
 	defer x.dropKept()
 	x.run(ctx)
 	x.result.Total = s.Now().Sub(r.Arrived)
@@ -90,8 +96,7 @@
 	server   *Server
 	request  *Request
 	sink     Sink
-	need     Need
-	avoid    avoidance
+	avoid    Avoidance
 	rejected int
 	// begun tells whether the head of an answer went to the client.
 	begun     bool
@@ -116,7 +121,7 @@
 func (x *exchange) run(ctx context.Context) {
 	for {
 		if x.result.Sent > 0 && !x.server.Budget.Take(x.server.Now(), x.request.Service) {
-			x.giveUp(ctx, Refusal{Cause: CauseBudget, RetryAfter: minRetryAfter})
+			x.giveUp(ctx, Refusal{Cause: CauseBudget, NotRun: true, RetryAfter: minRetryAfter})
 			return
 		}
 		e, refusal := x.acquire(ctx)
@@ -130,11 +135,11 @@
 		case notRun:
 			x.rejected++
 			if x.rejected >= maxRejected {
-				x.giveUp(ctx, Refusal{Cause: CauseNoRoom, RetryAfter: minRetryAfter})
+				x.giveUp(ctx, Refusal{Cause: CauseNoRoom, NotRun: true, RetryAfter: minRetryAfter})
 				return
 			}
 		case failed:
-			x.avoid[e.ID] = lastChoice
+			x.avoid[e.ID] = LastChoice
 			if !x.mayRunAgain(ctx) {
 				x.giveUp(ctx, Refusal{Cause: CauseBroken})
 				return
@@ -144,13 +149,15 @@
 }
 
 func (x *exchange) acquire(ctx context.Context) (fleet.Endpoint, *Refusal) {
-	if x.kept == nil {
-		return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.avoid)
+	ctx, span := x.server.Tracer.Start(ctx, "queue", trace.WithAttributes(attribute.String("model", x.request.Model)))
+	defer span.End()
+	if x.kept != nil {
+		// A failed answer is at hand: it is passed on rather than kept waiting.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, minRepeat)
+		defer cancel()
 	}
-	// A failed answer is at hand: it is passed on rather than kept waiting.
-	ctx, cancel := context.WithTimeout(ctx, minRepeat)
-	defer cancel()
-	return x.server.Dispatcher.Acquire(ctx, x.need, x.request, x.avoid)
+	return x.server.Queue.Acquire(ctx, x.request, Tried{At: x.avoid, Begun: x.begun})
 }
 
 // mayRunAgain keeps to what the route allows: a request that may run at most
@@ -159,7 +166,7 @@
 	return x.request.Route.Repeatable() &&
 		x.result.Runs < x.request.Route.Attempts &&
 		ctx.Err() == nil &&
-		x.request.Deadline.Sub(x.server.Now()) > minRepeat
+		(x.begun && x.request.StartOnly || x.request.Deadline.Sub(x.server.Now()) > minRepeat)
 }
 
 // giveUp sends the final answer of a request that no endpoint answered.
@@ -178,9 +185,10 @@
 }
 
 // final settles what a refusal may promise: not run only where no endpoint can
-// have run the request. The cause tells a client that has gone from a deadline.
+// have run the request, now or for another attempt of its client. The cause tells
+// a client that has gone from a deadline.
 func (x *exchange) final(ctx context.Context, r Refusal) Refusal {
-	r.NotRun = x.result.Runs == 0
+	r.NotRun = r.NotRun && x.result.Runs == 0
 	switch ctx.Err() {
 	case context.DeadlineExceeded:
 		r.Cause = CauseDeadline
@@ -197,6 +205,8 @@
 	if x.result.Sent == 0 {
 		x.result.Waited = start.Sub(x.request.Arrived)
 	}
+	ctx, span := s.Tracer.Start(ctx, "endpoint", trace.WithAttributes(attribute.String("endpoint", string(e.ID))))
+	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := x.watch(cancel, e.ID)
@@ -207,14 +217,22 @@
 		Remaining: x.request.ClientDeadline.Sub(start),
 		LastEvent: x.lastEvent,
 	})
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		s.Queue.Release(x.request, e.ID, Use{})
+		x.giveUp(ctx, *refusal)
+		return finished
+	}
 	if errors.Is(err, ErrNotSent) {
+		span.RecordError(err)
 		x.result.Note = err.Error()
 		s.Health.Suspect(s.Now(), e.ID)
-		s.Dispatcher.Release(x.need, e.ID, 0)
+		s.Queue.Release(x.request, e.ID, Use{Failed: true})
 		return notRun
 	}
 	x.result.Sent++
 	if err != nil {
+		span.RecordError(err)
 		x.result.Runs++
 		x.fail(e, err)
 		return failed
@@ -235,30 +253,33 @@
 func (x *exchange) reject(e fleet.Endpoint, a *Answer) {
 	s := x.server
 	now := s.Now()
+	what := x.request.Need().What()
 	_ = a.Body.Close() // Nothing of it is used.
 	switch a.Verdict {
 	case Full:
-		s.Health.Full(now, e.ID, x.need.What())
+		s.Health.Full(now, e.ID, what)
 		x.result.Note = "endpoint is full"
 	case NotHeld:
-		s.Health.NotHeld(now, e.ID, x.need.What(), x.rejected)
-		x.result.Note = "endpoint does not hold " + x.need.What()
+		s.Health.NotHeld(now, e.ID, what, x.rejected)
+		x.result.Note = "endpoint does not hold " + what
 	case Elsewhere:
 		s.Health.Suspect(now, e.ID)
-		x.avoid[e.ID] = never
+		x.avoid[e.ID] = Never
 		x.result.Note = "another endpoint has the address"
 	}
-	s.Dispatcher.Release(x.need, e.ID, 0)
+	s.Queue.Release(x.request, e.ID, Use{Failed: true})
 }
 
 // fail notes a run without a complete answer.
 func (x *exchange) fail(e fleet.Endpoint, err error) {
 	s := x.server
 	x.result.Note = err.Error()
-	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+	// A client that has gone, or its deadline, is no fault of the endpoint.
+	failed := !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, errClientWrite)
+	if failed {
 		s.Health.Result(e.ID, x.request.Service, true)
 	}
-	s.Dispatcher.Release(x.need, e.ID, 0)
+	s.Queue.Release(x.request, e.ID, Use{Failed: failed})
 }
 
 // take passes on an answer, or keeps a failed one for which another endpoint
@@ -267,7 +288,7 @@
 	s := x.server
 	s.Health.Result(e.ID, x.request.Service, a.Failed())
 	if a.Failed() && (x.begun || x.mayRunAgain(ctx)) {
-		s.Dispatcher.Release(x.need, e.ID, 0)
+		s.Queue.Release(x.request, e.ID, Use{Failed: true})
 		if x.begun {
 			_ = a.Body.Close() // The head of another answer went out already.
 			return failed
@@ -282,7 +303,7 @@
 	if err == nil {
 		x.result.Complete = true
 		x.result.Status = a.Status
-		s.Dispatcher.Release(x.need, e.ID, s.Now().Sub(start))
+		s.Queue.Release(x.request, e.ID, Use{Took: s.Now().Sub(start)})
 		return finished
 	}
 	x.fail(e, err)
