--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -12,17 +13,16 @@
 // reportPeriod is how often counters are passed to the reporter.
 const reportPeriod = time.Second
 
-// Metrics returns the root scope of a process and the handler that serves it as
-// Prometheus text. It reports for as long as the process lives.
-func Metrics() (tally.Scope, http.Handler) {
+// Metrics returns the root scope of a process, the handler that serves it as
+// Prometheus text, and what ends the reporting.
+func Metrics() (tally.Scope, http.Handler, io.Closer) {
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
-	// The closer would only end the reporting.
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "tealvane",
 		CachedReporter:         reporter,
 		Separator:              promreporter.DefaultSeparator,
 		OmitCardinalityMetrics: true,
 	}, reportPeriod)
-	return scope, reporter.HTTPHandler()
+	return scope, reporter.HTTPHandler(), closer
 }
--- /dev/null
+++ b/pkg/completion/refusal.go
@@ -0,0 +1,94 @@
+package completion
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/api/callers"
+	"github.com/tealvane/tealvane/pkg/serve"
+)
+
+// causeKey is the cause of refusals that concern the idempotency key.
+const causeKey serve.Cause = "idempotency_key"
+
+// MinRetryAfter is the least that the Retry-After header can say.
+const MinRetryAfter = time.Second
+
+// Refusal is the typed answer to a request that is not served. Its code says
+// what is known of the request's execution.
+type Refusal struct {
+	Status     int
+	Code       callers.ErrorDetailCode
+	Reason     string
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Code, r.Message) }
+
+// NotRun tells whether the refusal promises that the request did not run.
+func (r *Refusal) NotRun() bool { return r.Code == callers.ErrorDetailCodeNotRun }
+
+// NotRun returns a refusal of a request that certainly did not run.
+func NotRun(reason string, retryAfter time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Code:       callers.ErrorDetailCodeNotRun,
+		Reason:     reason,
+		Message:    fmt.Sprintf(format, args...),
+		RetryAfter: max(retryAfter, MinRetryAfter),
+	}
+}
+
+// OutcomeUnknown returns a refusal of a request that may have run.
+func OutcomeUnknown(format string, args ...any) *Refusal {
+	return &Refusal{
+		Status:  http.StatusBadGateway,
+		Code:    callers.ErrorDetailCodeOutcomeUnknown,
+		Message: fmt.Sprintf(format, args...),
+	}
+}
+
+// Invalid returns a refusal of a request that would be refused again.
+func Invalid(format string, args ...any) *Refusal {
+	return &Refusal{
+		Status:  http.StatusBadRequest,
+		Code:    callers.ErrorDetailCodeInvalid,
+		Message: fmt.Sprintf(format, args...),
+	}
+}
+
+// brokenStream tells a caller who has seen a part of the answer that the rest
+// will not come.
+func brokenStream() *Refusal {
+	return &Refusal{
+		Status:  http.StatusBadGateway,
+		Code:    callers.ErrorDetailCodeBrokenStream,
+		Message: "the answer cannot be completed: the endpoint broke it off",
+	}
+}
+
+// refusalOf returns what a caller is told of a refusal of the serving path.
+func refusalOf(r serve.Refusal) *Refusal {
+	var detail *Refusal
+	known := errors.As(r.Detail, &detail)
+	switch {
+	case known && r.NotRun == detail.NotRun():
+		return detail
+	case known:
+		unknown := OutcomeUnknown("an endpoint failed while it ran the request, and then: %s", detail.Message)
+		unknown.RetryAfter = r.RetryAfter
+		return unknown
+	case !r.NotRun && r.Cause == serve.CauseClientGone:
+		return OutcomeUnknown("the caller has gone")
+	case !r.NotRun:
+		return OutcomeUnknown("the endpoint did not answer: %v", r.Detail)
+	case r.Cause == serve.CauseNoRoom:
+		return NotRun("endpoints_failed", r.RetryAfter, "%d endpoints did not take the request", maxAttempts)
+	default:
+		return NotRun(string(r.Cause), r.RetryAfter, "the request was not sent: %s", r.Cause)
+	}
+}
--- a/pkg/entryhost/call_test.go
+++ b/pkg/entryhost/call_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/tealvane/tealvane/pkg/completion"
 	"pgregory.net/rapid"
 )
 
@@ -45,7 +46,7 @@
 	end      time.Time
 	deadline time.Time
 	text     string
-	refusal  *Refusal
+	refusal  *completion.Refusal
 	answers  int
 	// wait is the caller's longest wait, by default that of the contract.
 	wait time.Duration
@@ -77,43 +78,43 @@
 	customer := cmp.Or(c.customer, "c")
 	entry, ok := h.state.Contracts.Get(customer)
 	if !ok {
-		c.refusal = notRun("no contract", 0, "")
+		c.refusal = completion.NotRun("no contract", 0, "")
 		return
 	}
 	m, _ := entry.Contract.Model(c.model)
-	key, refusal := keyFor(customer, m, c.key)
+	key, refusal := completion.KeyFor(customer, m, c.key)
 	if refusal != nil {
 		c.refusal = refusal
 		return
 	}
 	if m.Loadable() {
-		c.generate(h, call{
-			customer:  customer,
-			model:     m,
-			requestID: c.id,
-			key:       key,
-			digest:    digest(c.model, c.prompt()),
-			deadline:  c.deadline,
-			prompt:    c.prompt(),
+		c.generate(h, completion.Call{
+			Customer:  customer,
+			Model:     m,
+			RequestID: c.id,
+			Key:       key,
+			Digest:    completion.Digest(c.model, c.prompt()),
+			Deadline:  c.deadline,
+			Prompt:    c.prompt(),
 		})
 		return
 	}
-	body, refusal := h.callService(context.Background(), serviceCall{
-		customer:  customer,
-		service:   m,
-		requestID: c.id,
-		key:       key,
-		digest:    digest(c.model, c.prompt()),
-		deadline:  c.deadline,
-		body:      []byte(`"` + c.prompt() + `"`),
+	body, refusal := h.runner.CallService(context.Background(), completion.Call{
+		Customer:  customer,
+		Model:     m,
+		RequestID: c.id,
+		Key:       key,
+		Digest:    completion.Digest(c.model, c.prompt()),
+		Deadline:  c.deadline,
+		Body:      []byte(`"` + c.prompt() + `"`),
 	})
 	c.text, c.refusal = string(body), refusal
 }
 
-func (c *testCall) generate(h *fakeHost, in call) {
-	a, refusal := h.start(context.Background(), in)
+func (c *testCall) generate(h *fakeHost, in completion.Call) {
+	a, refusal := h.runner.Start(context.Background(), in)
 	if refusal == nil {
-		c.text, _, _, refusal = a.collect()
+		c.text, _, _, refusal = a.Collect()
 	}
 	c.refusal = refusal
 }
--- a/pkg/entryhost/deferred.go
+++ b/pkg/entryhost/deferred.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/pkg/lease"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/state"
@@ -19,8 +20,6 @@
 	deferredRetry = 5 * time.Second
 	// maxDeferred bounds the deferred requests that one host runs at once.
 	maxDeferred = 16
-	// maxDeferredBytes bounds a deferred request and its answer, which are records.
-	maxDeferredBytes = 128 << 10
 )
 
 // deferredRunner runs the deferred requests that fall to this host.
@@ -34,21 +33,6 @@
 	return &deferredRunner{host: h, busy: map[string]bool{}}
 }
 
-// deferredBody is the recorded form of a deferred request.
-type deferredBody struct {
-	Prompt    string  `json:"prompt"`
-	MaxTokens int     `json:"max_tokens,omitempty"`
-	Temp      float64 `json:"temperature,omitempty"`
-}
-
-// deferredAnswer is the recorded form of its answer.
-type deferredAnswer struct {
-	Text   string `json:"text"`
-	Tokens int    `json:"tokens"`
-	Reason string `json:"reason"`
-	Error  string `json:"error,omitempty"`
-}
-
 func (d *deferredRunner) run(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -100,49 +84,49 @@
 		return
 	}
 	body, err := json.Marshal(answer)
-	if err != nil || len(body) > maxDeferredBytes {
+	if err != nil || len(body) > completion.MaxDeferredBytes {
 		body, status = []byte(`{"error":"the answer is too large to keep"}`), http.StatusInsufficientStorage
 	}
 	_ = d.host.appendSoon(ctx, record.Record{Finish: &record.DeferFinish{ID: r.ID, Status: status, Body: body}})
 }
 
 // answer runs the request. A refusal that invites a repeat is tried again.
-func (d *deferredRunner) answer(ctx context.Context, r state.DeferredRequest) (answer deferredAnswer, status int, retry bool) {
+func (d *deferredRunner) answer(ctx context.Context, r state.DeferredRequest) (answer completion.DeferredAnswer, status int, retry bool) {
 	entry, ok := d.host.state.Contracts.Get(r.Customer)
 	if !ok {
-		return deferredAnswer{Error: "the customer has no contract any more"}, http.StatusForbidden, false
+		return completion.DeferredAnswer{Error: "the customer has no contract any more"}, http.StatusForbidden, false
 	}
 	m, ok := entry.Contract.Model(r.Model)
 	if !ok {
-		return deferredAnswer{Error: "the contract does not hold the model any more"}, http.StatusForbidden, false
+		return completion.DeferredAnswer{Error: "the contract does not hold the model any more"}, http.StatusForbidden, false
 	}
-	var body deferredBody
+	var body completion.DeferredBody
 	if err := json.Unmarshal(r.Body, &body); err != nil {
-		return deferredAnswer{Error: err.Error()}, http.StatusBadRequest, false
+		return completion.DeferredAnswer{Error: err.Error()}, http.StatusBadRequest, false
 	}
-	c := call{
-		customer:  r.Customer,
-		model:     m,
-		rank:      entry.Contract.Class(m).RefuseRank,
-		requestID: newRequestID(),
-		deadline:  d.host.now().Add(deferredWait),
-		prompt:    body.Prompt,
-		maxTokens: body.MaxTokens,
-		temp:      body.Temp,
+	c := completion.Call{
+		Customer:    r.Customer,
+		Model:       m,
+		Rank:        entry.Contract.Class(m).RefuseRank,
+		RequestID:   completion.NewRequestID(),
+		Deadline:    d.host.now().Add(deferredWait),
+		Prompt:      body.Prompt,
+		MaxTokens:   body.MaxTokens,
+		Temperature: body.Temperature,
 	}
 	if m.NonIdempotent {
-		c.key = &record.Key{Customer: r.Customer, Value: r.ID}
-		c.digest = digest(r.Model, string(r.Body))
+		c.Key = &record.Key{Customer: r.Customer, Value: r.ID}
+		c.Digest = completion.Digest(r.Model, string(r.Body))
 	}
-	a, refusal := d.host.start(ctx, c)
+	a, refusal := d.host.runner.Start(ctx, c)
 	if refusal == nil {
-		answer.Text, answer.Tokens, answer.Reason, refusal = a.collect()
+		answer.Text, answer.Tokens, answer.Reason, refusal = a.Collect()
 	}
 	if refusal == nil {
 		return answer, http.StatusOK, false
 	}
 	if refusal.RetryAfter > 0 || !m.NonIdempotent {
-		return deferredAnswer{}, 0, true
+		return completion.DeferredAnswer{}, 0, true
 	}
-	return deferredAnswer{Error: refusal.Message}, refusal.Status, false
+	return completion.DeferredAnswer{Error: refusal.Message}, refusal.Status, false
 }
--- a/pkg/entryhost/drain.go
+++ b/pkg/entryhost/drain.go
@@ -53,7 +53,7 @@
 func (h *Host) waitBackground(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
-		h.background.Wait()
+		h.runner.Wait()
 		close(done)
 	}()
 	select {
--- a/pkg/entryhost/fake_test.go
+++ b/pkg/entryhost/fake_test.go
@@ -130,7 +130,7 @@
 	}
 	f.running.Wait()
 	for _, h := range hosts {
-		h.background.Wait()
+		h.runner.Wait()
 		_ = h.metrics.closer.Close()
 	}
 	// Messages that nobody waits for are still on their way. Time stands still
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -15,7 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
-	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/pkg/dispatch"
 	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/journal"
@@ -23,7 +23,9 @@
 	"github.com/tealvane/tealvane/pkg/membership"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/serve"
 	"github.com/tealvane/tealvane/pkg/settings"
+	"github.com/tealvane/tealvane/pkg/shares"
 	"github.com/tealvane/tealvane/pkg/state"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -73,8 +75,9 @@
 	watchMu sync.Mutex
 	watch   *lease.Watcher
 
-	queuesMu sync.RWMutex
-	queues   map[queueKey]*modelQueue
+	health *serve.Health
+	queues *shares.Queues
+	runner *completion.Runner
 
 	ownersMu sync.Mutex
 	owners   map[string]*owner
@@ -83,13 +86,6 @@
 	joined    atomic.Bool
 	stopping  atomic.Bool
 	deferred  *deferredRunner
-	// background holds requests that go on after their caller has gone.
-	background sync.WaitGroup
-}
-
-type queueKey struct {
-	kind        contract.Kind
-	pool, model string
 }
 
 // New opens the listeners of a host; Run serves them.
@@ -113,7 +109,7 @@
 
 // newHost returns a host without any connection to others.
 func newHost(cfg Config) *Host {
-	return &Host{
+	h := &Host{
 		settings: cfg.Settings,
 		self: record.HostRef{
 			Host:        cfg.Settings.Host,
@@ -129,10 +125,31 @@
 		state:     state.New(),
 		members:   membership.NewTracker(),
 		watch:     lease.NewWatcher(cfg.Settings.Timing.SessionTTL),
-		queues:    map[queueKey]*modelQueue{},
+		health:    serve.NewHealth(),
 		owners:    map[string]*owner{},
 		reportNow: make(chan struct{}, 1),
 	}
+	h.queues = shares.NewQueues(shares.Config{
+		Zone:     h.settings.Zone,
+		Replicas: replicas{h},
+		Health:   h.health,
+		Now:      h.now,
+		Terms:    terms,
+		Wanted:   h.reportSoon,
+		Refused:  h.metrics.refusal,
+	})
+	h.runner = completion.NewRunner(completion.Config{
+		Engine: h.engine,
+		Queue:  h.queues,
+		Health: h.health,
+		Keys:   keys{h},
+		Meter:  h.metrics,
+		Logger: h.logger,
+		Tracer: h.tracer,
+		Now:    h.now,
+		Cold:   h.cold,
+	})
+	return h
 }
 
 // connect joins the host with the log and the other hosts. addr is where
@@ -168,7 +185,7 @@
 // and the pools are handed over. Requests that take longer than the drain
 // timeout are cut.
 func (h *Host) Run(ctx context.Context) error {
-	callers, err := h.callersServer()
+	callers, err := h.door().Server(h.provider)
 	if err != nil {
 		return err
 	}
@@ -187,8 +204,8 @@
 			return nil
 		})
 	}
-	group.Go(func() error { return serve(callers, h.callers) })
-	group.Go(func() error { return serve(operators, h.operators) })
+	group.Go(func() error { return serveHTTP(callers, h.callers) })
+	group.Go(func() error { return serveHTTP(operators, h.operators) })
 	h.logger.Info("serving", "callers", h.CallersAddr(), "operators", h.OperatorsAddr(), "peers", h.node.Addr())
 	<-ctx.Done()
 	h.drain(work, callers)
@@ -197,7 +214,7 @@
 	return errors.CombineErrors(group.Wait(), closeErr)
 }
 
-func serve(s *http.Server, l net.Listener) error {
+func serveHTTP(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -210,116 +227,3 @@
 func (h *Host) Ready() bool {
 	return h.journal.CaughtUp() && !h.stopping.Load()
 }
-
-// queue returns the shard of a model.
-func (h *Host) queue(m contract.Model) *modelQueue {
-	key := queueKey{m.Kind, m.Pool, m.Name}
-	h.queuesMu.RLock()
-	q := h.queues[key]
-	h.queuesMu.RUnlock()
-	if q != nil {
-		return q
-	}
-	h.queuesMu.Lock()
-	defer h.queuesMu.Unlock()
-	if q = h.queues[key]; q == nil {
-		q = newModelQueue(h, m)
-		h.queues[key] = q
-	}
-	return q
-}
-
-// knownQueue returns the shard of a loadable model that was used before, or nil.
-func (h *Host) knownQueue(poolName, model string) *modelQueue {
-	h.queuesMu.RLock()
-	defer h.queuesMu.RUnlock()
-	if q := h.queues[queueKey{contract.Base, poolName, model}]; q != nil {
-		return q
-	}
-	return h.queues[queueKey{contract.Adapter, poolName, model}]
-}
-
-func (h *Host) allQueues() []*modelQueue {
-	h.queuesMu.RLock()
-	defer h.queuesMu.RUnlock()
-	all := make([]*modelQueue, 0, len(h.queues))
-	for _, q := range h.queues {
-		all = append(all, q)
-	}
-	return all
-}
-
-// targets returns the replicas of a model, or the endpoints of a service, that
-// may get new work. An endpoint that is leaving gets none, whatever the fold
-// says of its replicas.
-func (h *Host) targets(kind contract.Kind, poolName, model string) []state.Target {
-	if kind == contract.Service {
-		return h.serviceTargets(model)
-	}
-	targets := h.state.Pools.Targets(poolName, model)
-	if len(targets) == 0 {
-		return nil
-	}
-	h.membersMu.Lock()
-	defer h.membersMu.Unlock()
-	open := targets[:0]
-	for _, t := range targets {
-		if !h.members.Leaving(t.Endpoint) {
-			open = append(open, t)
-		}
-	}
-	return open
-}
-
-func (h *Host) serviceTargets(service string) []state.Target {
-	h.membersMu.Lock()
-	defer h.membersMu.Unlock()
-	var targets []state.Target
-	for _, e := range h.members.Service(service) {
-		targets = append(targets, state.Target{
-			Replica:  record.ReplicaID(e.Name),
-			Endpoint: e.Name,
-			Addr:     e.Addr,
-			Zone:     e.Zone,
-		})
-	}
-	return targets
-}
-
-func (h *Host) loading(poolName, model string) bool {
-	return h.state.Pools.Loading(poolName, model)
-}
-
-// canLoad tells whether somebody could decide a load now.
-func (h *Host) canLoad(poolName string) bool {
-	if !h.journal.Readable() || !h.journal.Writable() {
-		return false
-	}
-	owner, epoch := h.state.Pools.Owner(poolName)
-	if epoch == 0 {
-		return false
-	}
-	h.watchMu.Lock()
-	defer h.watchMu.Unlock()
-	return h.watch.Live(h.now(), owner)
-}
-
-// runPump re-examines all queues on each change of the state and regularly.
-func (h *Host) runPump(ctx context.Context) {
-	ticker := time.NewTicker(h.settings.Timing.Tick)
-	defer ticker.Stop()
-	for {
-		changed := h.journal.Changed()
-		now := h.now()
-		for _, q := range h.allQueues() {
-			q.grant(now)
-			q.reconsider(now)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-ticker.C:
-		}
-	}
-}
--- a/pkg/entryhost/http_test.go
+++ b/pkg/entryhost/http_test.go
@@ -11,13 +11,14 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/openai"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 )
 
 // overHTTP sends a request through the callers' whole handler.
 func overHTTP(h *fakeHost, path, token, body string, header map[string]string) *httptest.ResponseRecorder {
-	server, err := h.callersServer()
+	server, err := h.door().Server(h.provider)
 	if err != nil {
 		panic(err)
 	}
@@ -89,7 +90,7 @@
 			`{"model":"m1","stream":true,"messages":[{"role":"user","content":"x"}]}`,
 			map[string]string{"Traceparent": "00-" + traceID + "-b7ad6b7169203331-01"})
 		is.Equal(w.Code, 200)
-		is.True(strings.HasSuffix(w.Body.String(), streamEnd))
+		is.True(strings.HasSuffix(w.Body.String(), openai.StreamEnd))
 		names := map[string]bool{}
 		for _, s := range spans.GetSpans() {
 			if s.SpanContext.TraceID().String() == traceID {
--- a/pkg/entryhost/loops.go
+++ b/pkg/entryhost/loops.go
@@ -9,7 +9,6 @@
 	"github.com/tealvane/tealvane/pkg/lease"
 	"github.com/tealvane/tealvane/pkg/membership"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -115,6 +114,7 @@
 		h.tellLeaving(ctx, news)
 	}
 	h.reportGone(ctx)
+	h.pruneHealth()
 }
 
 // tellLeaving passes on what this host's list shows; other hosts' lists may lag.
@@ -175,22 +175,15 @@
 	h.members.Probed(now, t.Name, status, err)
 	h.membersMu.Unlock()
 	for _, r := range status.Replicas {
-		if q := h.knownQueue(t.Pool, r.Model); q != nil {
-			q.noteLoad(now, string(r.ID), r.Running)
-		}
+		h.queues.NoteLoad(now, t.Pool, r.Model, string(r.ID), r.Running)
 	}
 }
 
 // usedEndpoints are those with replicas that this host sends requests to now.
 func (h *Host) usedEndpoints() map[string]bool {
 	used := map[string]bool{}
-	for _, q := range h.allQueues() {
-		if !q.active() {
-			continue
-		}
-		for _, t := range h.targets(q.kind, q.pool, q.model) {
-			used[t.Endpoint] = true
-		}
+	for _, t := range h.queues.Active() {
+		used[t.Endpoint] = true
 	}
 	return used
 }
@@ -249,14 +242,7 @@
 }
 
 func (h *Host) reportUsage(ctx context.Context) {
-	now := h.now()
-	byPool := map[string][]pool.Usage{}
-	for _, q := range h.allQueues() {
-		if list := q.usage(now); len(list) > 0 {
-			byPool[q.pool] = append(byPool[q.pool], list...)
-		}
-	}
-	for name, list := range byPool {
+	for name, list := range h.queues.Usage(h.now()) {
 		h.sendUsage(ctx, peer.UsageReport{Host: h.self.Host, Pool: name, Models: list})
 	}
 }
--- a/pkg/entryhost/metrics.go
+++ b/pkg/entryhost/metrics.go
@@ -5,10 +5,9 @@
 	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
+	"github.com/tealvane/tealvane/internal/telemetry"
 	"github.com/tealvane/tealvane/pkg/state"
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
 
 // metrics holds the counters and histograms of one host; docs/operations
@@ -20,15 +19,8 @@
 }
 
 func newMetrics() *metrics {
-	registry := prometheus.NewRegistry()
-	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "tealvane",
-		CachedReporter:         reporter,
-		Separator:              promreporter.DefaultSeparator,
-		OmitCardinalityMetrics: true,
-	}, time.Second)
-	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	scope, handler, closer := telemetry.Metrics()
+	return &metrics{scope: scope, closer: closer, handler: handler}
 }
 
 func (m *metrics) count(name string, tags map[string]string) {
@@ -55,7 +47,8 @@
 	m.count("refusals", map[string]string{"model": model, "reason": reason})
 }
 
-func (m *metrics) answered(model string, cold bool, firstToken time.Duration) {
+// Answered implements completion.Meter.
+func (m *metrics) Answered(model string, cold bool, firstToken time.Duration) {
 	start := "warm"
 	if cold {
 		start = "cold"
@@ -63,7 +56,8 @@
 	m.latency("first_token", map[string]string{"model": model, "start": start}, firstToken)
 }
 
-func (m *metrics) retried(model, kind string) {
+// Retried implements completion.Meter.
+func (m *metrics) Retried(model, kind string) {
 	m.count("retries", map[string]string{"model": model, "kind": kind})
 }
 
--- a/pkg/entryhost/operators.go
+++ b/pkg/entryhost/operators.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &http.Server{Handler: bounded(server), ReadHeaderTimeout: readHeaderTimeout}, nil
+	return &http.Server{Handler: http.MaxBytesHandler(server, maxRequestBytes), ReadHeaderTimeout: readHeaderTimeout}, nil
 }
 
 // statusError is an error with its HTTP status.
--- /dev/null
+++ b/pkg/entryhost/replicas.go
@@ -0,0 +1,117 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/completion"
+	"github.com/tealvane/tealvane/pkg/contract"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/shares"
+	"github.com/tealvane/tealvane/pkg/state"
+)
+
+// replicas tells the queues what the fold and the list of hosts say of replicas.
+type replicas struct{ host *Host }
+
+// Targets implements shares.Replicas. An endpoint that is leaving gets none, whatever the fold
+// says of its replicas.
+func (r replicas) Targets(kind contract.Kind, poolName, model string) []state.Target {
+	h := r.host
+	if kind == contract.Service {
+		return h.serviceTargets(model)
+	}
+	targets := h.state.Pools.Targets(poolName, model)
+	if len(targets) == 0 {
+		return nil
+	}
+	h.membersMu.Lock()
+	defer h.membersMu.Unlock()
+	open := targets[:0]
+	for _, t := range targets {
+		if !h.members.Leaving(t.Endpoint) {
+			open = append(open, t)
+		}
+	}
+	return open
+}
+
+func (h *Host) serviceTargets(service string) []state.Target {
+	h.membersMu.Lock()
+	defer h.membersMu.Unlock()
+	var targets []state.Target
+	for _, e := range h.members.Service(service) {
+		targets = append(targets, state.Target{
+			Replica:  record.ReplicaID(e.Name),
+			Endpoint: e.Name,
+			Addr:     e.Addr,
+			Zone:     e.Zone,
+		})
+	}
+	return targets
+}
+
+// Loading implements shares.Replicas.
+func (r replicas) Loading(poolName, model string) bool {
+	return r.host.state.Pools.Loading(poolName, model)
+}
+
+// CanLoad implements shares.Replicas.
+func (r replicas) CanLoad(poolName string) bool {
+	h := r.host
+	if !h.journal.Readable() || !h.journal.Writable() {
+		return false
+	}
+	owner, epoch := h.state.Pools.Owner(poolName)
+	if epoch == 0 {
+		return false
+	}
+	h.watchMu.Lock()
+	defer h.watchMu.Unlock()
+	return h.watch.Live(h.now(), owner)
+}
+
+// terms returns what the contract says of a request.
+func terms(r *serve.Request) shares.Terms {
+	c := completion.Of(r)
+	return shares.Terms{Customer: c.Customer, Model: c.Model, Rank: c.Rank}
+}
+
+// cold tells whether no replica of a model is loaded.
+func (h *Host) cold(m contract.Model) bool {
+	return len(replicas{h}.Targets(m.Kind, m.Pool, m.Name)) == 0
+}
+
+// pruneHealth drops what is known of replicas that are gone.
+func (h *Host) pruneHealth() {
+	live := map[fleet.EndpointID]bool{}
+	for _, name := range h.state.Pools.Names() {
+		for id := range h.state.Pools.Get(name).Replicas {
+			live[fleet.EndpointID(id)] = true
+		}
+	}
+	h.membersMu.Lock()
+	for _, e := range h.members.Targets() {
+		live[fleet.EndpointID(e.Name)] = true
+	}
+	h.membersMu.Unlock()
+	h.health.Prune(live)
+}
+
+// runPump re-examines all queues on each change of the state and regularly.
+func (h *Host) runPump(ctx context.Context) {
+	ticker := time.NewTicker(h.settings.Timing.Tick)
+	defer ticker.Stop()
+	for {
+		changed := h.journal.Changed()
+		h.queues.Step(h.now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
--- a/pkg/entryhost/status.go
+++ b/pkg/entryhost/status.go
@@ -39,8 +39,8 @@
 	for _, name := range h.state.Pools.Names() {
 		out.Pools = append(out.Pools, poolStatus(h.state.Pools.Get(name)))
 	}
-	for _, q := range h.allQueues() {
-		for _, u := range q.usage(now) {
+	for _, list := range h.queues.Usage(now) {
+		for _, u := range list {
 			out.Queues = append(out.Queues, operators.QueueStatus{
 				Customer: u.Customer,
 				Model:    u.Model,
--- a/pkg/entryhost/stream_test.go
+++ b/pkg/entryhost/stream_test.go
@@ -9,22 +9,24 @@
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/completion"
+	"github.com/tealvane/tealvane/pkg/openai"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
 // stream returns all that a caller of a streamed completion reads.
-func stream(h *fakeHost, model, id string) (string, *Refusal) {
+func stream(h *fakeHost, model, id string) (string, *completion.Refusal) {
 	entry, _ := h.state.Contracts.Get("c")
 	m, _ := entry.Contract.Model(model)
-	in := call{customer: "c", model: m, requestID: id, deadline: time.Now().Add(maxWait), prompt: id}
+	in := completion.Call{Customer: "c", Model: m, RequestID: id, Deadline: time.Now().Add(maxWait), Prompt: id}
 	if m.NonIdempotent {
-		in.key = &record.Key{Customer: "c", Value: uuid.Must(uuid.NewV7()).String()}
+		in.Key = &record.Key{Customer: "c", Value: uuid.Must(uuid.NewV7()).String()}
 	}
-	a, refusal := h.start(context.Background(), in)
+	a, refusal := h.runner.Start(context.Background(), in)
 	if refusal != nil {
 		return "", refusal
 	}
-	events, refusal := callersAPI{h.Host}.events(a, textChunk)
+	events, refusal := h.door().Text(a)
 	if refusal != nil {
 		return "", refusal
 	}
@@ -44,7 +46,7 @@
 		whole, refusal := stream(hosts[0], "m1", "q1")
 		is.Equal(refusal, nil)
 		is.Equal(strings.Count(whole, "q1 "), fakeTokens)
-		is.True(strings.HasSuffix(whole, streamEnd))
+		is.True(strings.HasSuffix(whole, openai.StreamEnd))
 
 		broken, refusal := stream(hosts[0], "once", "q2")
 		is.Equal(refusal, nil)
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -66,33 +66,14 @@
 	))
 	defer span.End()
 	result := g.server.Serve(ctx, r, sink)
-	span.SetAttributes(attribute.String("outcome", outcome(result)))
+	span.SetAttributes(attribute.String("outcome", result.Outcome()))
 	g.metrics.result(result)
 	g.logResult(result)
 }
 
 // logResult writes one line for a request, with what decided it.
 func (g *Gateway) logResult(r serve.Result) {
-	g.log.Info("request",
-		"id", r.Request.ID,
-		"route", r.Request.Route.Name,
-		"service", r.Request.Service,
-		"model", r.Request.Model,
-		"adapter", r.Request.Adapter,
-		"outcome", outcome(r),
-		"complete", r.Complete,
-		"endpoint", r.Endpoint,
-		"sent", r.Sent,
-		"runs", r.Runs,
-		"resumed", r.Resumed,
-		"wait_ms", r.Waited.Milliseconds(),
-		"first_byte_ms", r.FirstByte.Milliseconds(),
-		"total_ms", r.Total.Milliseconds(),
-		"budget_ms", r.Request.Deadline.Sub(r.Request.Arrived).Milliseconds(),
-		"note", r.Note,
-		"config", g.configVersion(),
-		"claim", g.board.Token(),
-	)
+	g.log.Info("request", append(r.LogAttrs(), "config", g.configVersion(), "claim", g.board.Token())...)
 }
 
 // frontServer serves the callers. Its error log would repeat what clients do.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/tealvane/tealvane/internal/telemetry"
@@ -21,7 +20,8 @@
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 
 func newMetrics() *metrics {
-	scope, handler := telemetry.Metrics()
+	// The closer would end the reporting; it goes on for as long as the process.
+	scope, handler, _ := telemetry.Metrics()
 	return &metrics{scope: scope, handler: handler}
 }
 
@@ -33,7 +33,7 @@
 
 // result counts the end of a request and its times.
 func (m *metrics) result(r serve.Result) {
-	tags := map[string]string{"route": r.Request.Route.Name, "outcome": outcome(r)}
+	tags := map[string]string{"route": r.Request.Route.Name, "outcome": r.Outcome()}
 	m.count("requests", tags)
 	route := m.scope.Tagged(map[string]string{"route": r.Request.Route.Name})
 	route.Histogram("wait", latencyBuckets).RecordDuration(r.Waited)
@@ -44,15 +44,3 @@
 		m.scope.Tagged(tags).Counter("resent").Inc(int64(r.Sent - 1))
 	}
 }
-
-// outcome names how a request ended: a status, a cause, or both.
-func outcome(r serve.Result) string {
-	switch {
-	case r.Refusal != nil && r.Refusal.NotRun:
-		return "refused_" + string(r.Refusal.Cause)
-	case r.Refusal != nil:
-		return "failed_" + string(r.Refusal.Cause)
-	default:
-		return "status_" + strconv.Itoa(r.Status)
-	}
-}
--- /dev/null
+++ b/pkg/openai/completions.go
@@ -0,0 +1,146 @@
+package openai
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/tealvane/tealvane/internal/api/callers"
+	"github.com/tealvane/tealvane/pkg/completion"
+)
+
+// generation is what chat and plain completions have in common.
+type generation struct {
+	model       string
+	prompt      string
+	maxTokens   callers.OptInt
+	temperature callers.OptFloat64
+	key         callers.OptString
+	deadlineMs  callers.OptInt64
+}
+
+// begin starts the answer to a completion.
+func (d Door) begin(ctx context.Context, in generation) (*completion.Answer, *completion.Refusal) {
+	entry, m, refusal := modelFor(ctx, in.model, false)
+	if refusal != nil {
+		return nil, refusal
+	}
+	key, refusal := completion.KeyFor(entry.Contract.Customer, m, in.key.Or(""))
+	if refusal != nil {
+		return nil, refusal
+	}
+	if key != nil {
+		// The request goes on when its caller has gone, so that a repeat finds
+		// the answer.
+		ctx = context.WithoutCancel(ctx)
+	}
+	return d.Runner.Start(ctx, completion.Call{
+		Customer:    entry.Contract.Customer,
+		Model:       m,
+		Rank:        entry.Contract.Class(m).RefuseRank,
+		RequestID:   completion.NewRequestID(),
+		Key:         key,
+		Digest:      completion.Digest(in.model, in.prompt),
+		Deadline:    d.deadlineFor(entry, m, in.deadlineMs),
+		Prompt:      in.prompt,
+		MaxTokens:   in.maxTokens.Or(0),
+		Temperature: in.temperature.Or(0),
+	})
+}
+
+// CreateChatCompletion implements callers.Handler.
+func (d Door) CreateChatCompletion(ctx context.Context, req *callers.ChatRequest, params callers.CreateChatCompletionParams) (callers.CreateChatCompletionRes, error) {
+	ans, refusal := d.begin(ctx, generation{
+		model:       req.Model,
+		prompt:      chatPrompt(req.Messages),
+		maxTokens:   req.MaxTokens,
+		temperature: req.Temperature,
+		key:         params.IdempotencyKey,
+		deadlineMs:  params.XDeadlineMs,
+	})
+	if refusal != nil {
+		return nil, refusal
+	}
+	if req.Stream.Or(false) {
+		events, refusal := d.events(ans, chatChunk)
+		if refusal != nil {
+			return nil, refusal
+		}
+		return &callers.CreateChatCompletionOKTextEventStream{Data: events}, nil
+	}
+	text, tokens, reason, refusal := ans.Collect()
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &callers.ChatCompletion{
+		ID:      ans.Call.RequestID,
+		Object:  "chat.completion",
+		Created: d.Host.Now().Unix(),
+		Model:   req.Model,
+		Choices: []callers.ChatChoice{{
+			Message:      callers.ChatMessage{Role: "assistant", Content: text},
+			FinishReason: reason,
+		}},
+		Usage: callers.TokenUsage{CompletionTokens: tokens},
+	}, nil
+}
+
+// chatPrompt joins the messages; engines apply their own chat template.
+func chatPrompt(messages []callers.ChatMessage) string {
+	parts := make([]string, len(messages))
+	for i, m := range messages {
+		parts[i] = m.Role + ": " + m.Content
+	}
+	return strings.Join(parts, "\n")
+}
+
+// CreateCompletion implements callers.Handler.
+func (d Door) CreateCompletion(ctx context.Context, req *callers.CompletionRequest, params callers.CreateCompletionParams) (callers.CreateCompletionRes, error) {
+	ans, refusal := d.begin(ctx, generation{
+		model:       req.Model,
+		prompt:      req.Prompt,
+		maxTokens:   req.MaxTokens,
+		temperature: req.Temperature,
+		key:         params.IdempotencyKey,
+		deadlineMs:  params.XDeadlineMs,
+	})
+	if refusal != nil {
+		return nil, refusal
+	}
+	if req.Stream.Or(false) {
+		events, refusal := d.Text(ans)
+		if refusal != nil {
+			return nil, refusal
+		}
+		return &callers.CreateCompletionOKTextEventStream{Data: events}, nil
+	}
+	text, tokens, reason, refusal := ans.Collect()
+	if refusal != nil {
+		return nil, refusal
+	}
+	out := newCompletion(ans.Call.RequestID, req.Model, d.Host.Now(), text, tokens, reason)
+	return &out, nil
+}
+
+func newCompletion(id, model string, now time.Time, text string, tokens int, reason string) callers.Completion {
+	return callers.Completion{
+		ID:      id,
+		Object:  "text_completion",
+		Created: now.Unix(),
+		Model:   model,
+		Choices: []callers.CompletionChoice{{Text: text, FinishReason: reason}},
+		Usage:   callers.TokenUsage{CompletionTokens: tokens},
+	}
+}
+
+// ListModels implements callers.Handler.
+func (d Door) ListModels(ctx context.Context) (*callers.ModelList, error) {
+	c := callerContract(ctx).Contract
+	out := &callers.ModelList{Object: "list", Data: []callers.ModelEntry{}}
+	for _, m := range c.Models {
+		if m.Loadable() {
+			out.Data = append(out.Data, callers.ModelEntry{ID: m.Name, Object: "model", OwnedBy: c.Customer})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/pkg/openai/deferred.go
@@ -0,0 +1,69 @@
+package openai
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/api/callers"
+	"github.com/tealvane/tealvane/pkg/completion"
+	"github.com/tealvane/tealvane/pkg/record"
+)
+
+// CreateDeferred implements callers.Handler. The request is accepted when its
+// record is in the log; any host may run it then.
+func (d Door) CreateDeferred(ctx context.Context, req *callers.CompletionRequest) (*callers.Deferred, error) {
+	entry, m, refusal := modelFor(ctx, req.Model, false)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if !m.Deferrable {
+		return nil, completion.Invalid("the contract does not allow %q to be deferred", m.Name)
+	}
+	body, err := json.Marshal(completion.DeferredBody{Prompt: req.Prompt, MaxTokens: req.MaxTokens.Or(0), Temperature: req.Temperature.Or(0)})
+	if err != nil {
+		return nil, completion.Invalid("%v", err)
+	}
+	if len(body) > completion.MaxDeferredBytes {
+		return nil, completion.Invalid("a deferred request may have %d bytes", completion.MaxDeferredBytes)
+	}
+	id := completion.NewRequestID()
+	err = d.Host.Defer(ctx, record.Deferred{
+		ID:       id,
+		Customer: entry.Contract.Customer,
+		Model:    m.Name,
+		Body:     body,
+	})
+	if err != nil {
+		// It may still be accepted and run, but nobody knows its ID.
+		refusal := completion.OutcomeUnknown("the request could not be recorded: %v", err)
+		refusal.RetryAfter = completion.LogRetryAfter
+		return nil, refusal
+	}
+	return &callers.Deferred{ID: id, Status: callers.DeferredStatusAccepted}, nil
+}
+
+// GetDeferred implements callers.Handler.
+func (d Door) GetDeferred(ctx context.Context, params callers.GetDeferredParams) (*callers.Deferred, error) {
+	r, ok := d.Host.Deferred(params.ID)
+	if !ok || r.Customer != callerContract(ctx).Contract.Customer {
+		return nil, notFound("no deferred request %q", params.ID)
+	}
+	out := &callers.Deferred{ID: r.ID, Status: callers.DeferredStatusAccepted}
+	if r.Answer == nil {
+		return out, nil
+	}
+	var kept completion.DeferredAnswer
+	if err := json.Unmarshal(r.Answer.Body, &kept); err != nil {
+		return nil, errors.Wrap(err, "recorded answer")
+	}
+	if r.Answer.Status != http.StatusOK {
+		out.Status = callers.DeferredStatusFailed
+		out.Error.SetTo(callers.ErrorDetail{Code: callers.ErrorDetailCodeOutcomeUnknown, Message: kept.Error})
+		return out, nil
+	}
+	out.Status = callers.DeferredStatusDone
+	out.Answer.SetTo(newCompletion(r.ID, r.Model, d.Host.Now(), kept.Text, kept.Tokens, kept.Reason))
+	return out, nil
+}
--- a/pkg/entryhost/events.go
+++ b/pkg/openai/events.go
@@ -1,15 +1,16 @@
-package entryhost
+package openai
 
 import (
 	"encoding/json"
 	"io"
 
 	"github.com/tealvane/tealvane/internal/api/callers"
+	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/pkg/external"
 )
 
-// streamEnd is the last event of a whole answer, and of no other.
-const streamEnd = "data: [DONE]\n\n"
+// StreamEnd is the last event of a whole answer, and of no other.
+const StreamEnd = "data: [DONE]\n\n"
 
 // chunk is one event of a stream, in the form that OpenAI clients expect.
 type chunk struct {
@@ -50,24 +51,28 @@
 	Error *callers.ErrorDetail `json:"error"`
 }
 
+// Text returns the event stream of a plain completion.
+func (d Door) Text(ans *completion.Answer) (io.ReadCloser, *completion.Refusal) {
+	return d.events(ans, textChunk)
+}
+
 // events turns an answer into an event stream. It returns once the first
 // token has come, so that a failure before it is a plain refusal. A stream
 // that breaks later ends with an error event and without the end marker.
-func (a callersAPI) events(ans *answer, form func(external.Token) (string, chunkChoice)) (io.ReadCloser, *Refusal) {
+func (d Door) events(ans *completion.Answer, form func(external.Token) (string, chunkChoice)) (io.ReadCloser, *completion.Refusal) {
 	first, refusal := ans.Next()
 	if refusal != nil {
 		ans.Close()
 		return nil, refusal
 	}
 	reader, writer := io.Pipe()
-	w := &eventWriter{host: a.host, answer: ans, form: form, out: writer}
-	a.host.background.Go(func() { w.run(first) })
+	w := &eventWriter{answer: ans, form: form, out: writer}
+	d.Runner.Go(func() { w.run(first) })
 	return reader, nil
 }
 
 type eventWriter struct {
-	host   *Host
-	answer *answer
+	answer *completion.Answer
 	form   func(external.Token) (string, chunkChoice)
 	out    *io.PipeWriter
 	// gone is set when the caller no longer reads.
@@ -80,10 +85,10 @@
 	for {
 		w.token(token)
 		if token.Done {
-			w.write(streamEnd)
+			w.write(StreamEnd)
 			return
 		}
-		if w.gone && w.answer.call.key == nil {
+		if w.gone && w.answer.Call.Key == nil {
 			return
 		}
 		next, refusal := w.answer.Next()
@@ -101,15 +106,15 @@
 		choice.FinishReason = &t.Reason
 	}
 	w.event(chunk{
-		ID:      w.answer.call.requestID,
+		ID:      w.answer.Call.RequestID,
 		Object:  object,
-		Created: w.answer.started.Unix(),
-		Model:   w.answer.call.model.Name,
+		Created: w.answer.Started.Unix(),
+		Model:   w.answer.Call.Model.Name,
 		Choices: []chunkChoice{choice},
 	})
 }
 
-func (w *eventWriter) fail(r *Refusal) {
+func (w *eventWriter) fail(r *completion.Refusal) {
 	w.event(errorEvent{&callers.ErrorDetail{Code: r.Code, Message: r.Message}})
 }
 
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -141,7 +141,7 @@
 		case failed:
 			x.avoid[e.ID] = LastChoice
 			if !x.mayRunAgain(ctx) {
-				x.giveUp(ctx, Refusal{Cause: CauseBroken})
+				x.giveUp(ctx, Refusal{Cause: CauseBroken, Detail: errors.New(x.result.Note)})
 				return
 			}
 		}
--- a/pkg/entryhost/queue.go
+++ b/pkg/shares/queue.go
@@ -1,8 +1,7 @@
-package entryhost
+package shares
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,20 +10,22 @@
 	"github.com/tealvane/tealvane/pkg/contract"
 	"github.com/tealvane/tealvane/pkg/pool"
 	"github.com/tealvane/tealvane/pkg/routing"
+	"github.com/tealvane/tealvane/pkg/serve"
 	"github.com/tealvane/tealvane/pkg/state"
 )
 
 const (
-	// suspectFor is how long a replica that failed is used only as a last choice.
-	suspectFor = 2 * time.Second
 	// averageWeight is the part that a new observation has in a moving average, as a divisor.
 	averageWeight = 8
+	// usageMemory is how long an ended use is still reported; it covers a few
+	// lost reports and the take-over of the pool.
+	usageMemory = 10 * time.Second
 )
 
-// modelQueue is the shard of one model of one pool: its waiting and running
+// queue is the shard of one model of one pool: its waiting and running
 // requests on this host, under its own lock.
-type modelQueue struct {
-	host  *Host
+type queue struct {
+	all   *Queues
 	pool  string
 	model string
 	kind  contract.Kind
@@ -32,7 +33,6 @@
 	mu       sync.Mutex
 	waiting  admission.Queue
 	inflight map[string]int
-	suspect  map[string]time.Time
 	// others are the requests of other hosts, by the engines' reports.
 	others   map[string]loadReport
 	use      map[string]*customerUse
@@ -57,22 +57,27 @@
 	wantedUntil time.Time
 }
 
-// slot is a place at a replica. It must be released once.
-type slot struct {
-	queue    *modelQueue
-	customer string
-	target   state.Target
-	since    time.Time
-}
-
 // loadReport is the number of other hosts' requests at a replica.
 type loadReport struct {
 	running int
 	at      time.Time
 }
 
+func newQueue(all *Queues, m contract.Model) *queue {
+	return &queue{
+		all:      all,
+		pool:     m.Pool,
+		model:    m.Name,
+		kind:     m.Kind,
+		inflight: map[string]int{},
+		others:   map[string]loadReport{},
+		use:      map[string]*customerUse{},
+		limits:   m,
+	}
+}
+
 // noteLoad takes in the report of an engine on one replica.
-func (q *modelQueue) noteLoad(now time.Time, replica string, running int) {
+func (q *queue) noteLoad(now time.Time, replica string, running int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.others[replica] = loadReport{running: max(0, running-q.inflight[replica]), at: now}
@@ -83,58 +88,45 @@
 	}
 }
 
-func newModelQueue(h *Host, m contract.Model) *modelQueue {
-	return &modelQueue{
-		host:     h,
-		pool:     m.Pool,
-		model:    m.Name,
-		kind:     m.Kind,
-		inflight: map[string]int{},
-		suspect:  map[string]time.Time{},
-		others:   map[string]loadReport{},
-		use:      map[string]*customerUse{},
-		limits:   m,
-	}
-}
-
 // acquire waits for a place at a replica until the deadline. A request that
-// cannot be served in time is refused at once, with when to come back.
-func (q *modelQueue) acquire(ctx context.Context, customer string, m contract.Model, rank int, deadline time.Time) (*slot, *Refusal) {
-	now := q.host.now()
+// cannot be served in time is refused at once, with when to come back. Neither a
+// target nor a refusal means that the replica was retired meanwhile.
+func (q *queue) acquire(ctx context.Context, t Terms, deadline time.Time) (*state.Target, *serve.Refusal) {
+	now := q.all.cfg.Now()
 	q.mu.Lock()
-	q.limits = m
+	q.limits = t.Model
 	if q.waiting.Len() == 0 {
-		if s := q.takeSlot(now, customer); s != nil {
+		if target := q.take(now, t.Customer); target != nil {
 			q.mu.Unlock()
-			return s, nil
+			return target, nil
 		}
 	}
-	reason, retryAfter := admission.Admit(q.situation(now, customer, q.waiting.Ahead(customer, deadline)), deadline.Sub(now), rank)
+	reason, retryAfter := admission.Admit(q.situation(now, t.Customer, q.waiting.Ahead(t.Customer, deadline)), deadline.Sub(now), t.Rank)
 	if reason != admission.ReasonNone {
-		q.wantLater(now, customer, reason, retryAfter)
+		q.wantLater(now, t.Customer, reason, retryAfter)
 		q.mu.Unlock()
-		q.host.reportSoon()
+		q.all.cfg.Wanted()
 		return nil, q.refuse(reason, retryAfter)
 	}
-	w := admission.NewWaiter(customer, deadline)
-	q.startLevel(customer)
+	w := admission.NewWaiter(t.Customer, deadline)
+	q.startLevel(t.Customer)
 	q.waiting.Push(w)
-	q.useOf(customer).waiting++
+	q.useOf(t.Customer).waiting++
 	q.mu.Unlock()
-	q.host.reportSoon()
+	q.all.cfg.Wanted()
 	return q.await(ctx, w)
 }
 
-func (q *modelQueue) await(ctx context.Context, w *admission.Waiter) (*slot, *Refusal) {
-	timer := time.NewTimer(w.Deadline.Sub(q.host.now()))
+func (q *queue) await(ctx context.Context, w *admission.Waiter) (*state.Target, *serve.Refusal) {
+	timer := time.NewTimer(w.Deadline.Sub(q.all.cfg.Now()))
 	defer timer.Stop()
-	refusal := notRun(string(admission.ReasonDeadline), minRetryAfter, "the deadline has passed")
+	refusal := refuse(string(admission.ReasonDeadline), 0)
 	select {
 	case answer := <-w.Answer:
 		return q.finish(w, answer)
 	case <-timer.C:
 	case <-ctx.Done():
-		refusal = notRun("cancelled", minRetryAfter, "the caller has gone")
+		refusal = refuse("cancelled", 0)
 	}
 	q.mu.Lock()
 	removed := q.waiting.Remove(w)
@@ -149,13 +141,13 @@
 	return q.finish(w, <-w.Answer)
 }
 
-func (q *modelQueue) finish(w *admission.Waiter, a admission.Answer) (*slot, *Refusal) {
+func (q *queue) finish(w *admission.Waiter, a admission.Answer) (*state.Target, *serve.Refusal) {
 	if a.Reason != admission.ReasonNone {
 		return nil, q.refuse(a.Reason, a.RetryAfter)
 	}
-	for _, t := range q.host.targets(q.kind, q.pool, q.model) {
+	for _, t := range q.targets() {
 		if string(t.Replica) == a.Replica {
-			return &slot{queue: q, customer: w.Customer, target: t, since: q.host.now()}, nil
+			return &t, nil
 		}
 	}
 	// The replica was retired between grant and use.
@@ -163,19 +155,27 @@
 	return nil, nil
 }
 
-func (q *modelQueue) refuse(reason admission.Reason, retryAfter time.Duration) *Refusal {
-	q.host.metrics.refusal(q.model, string(reason))
-	return notRun(string(reason), retryAfter, "model %s cannot answer in time", q.model)
+func (q *queue) targets() []state.Target {
+	return q.all.cfg.Replicas.Targets(q.kind, q.pool, q.model)
+}
+
+func (q *queue) refuse(reason admission.Reason, retryAfter time.Duration) *serve.Refusal {
+	q.all.cfg.Refused(q.model, string(reason))
+	return refuse(string(reason), retryAfter)
+}
+
+func refuse(reason string, retryAfter time.Duration) *serve.Refusal {
+	return &serve.Refusal{Cause: serve.Cause(reason), NotRun: true, RetryAfter: retryAfter}
 }
 
 // active tells whether requests wait or run.
-func (q *modelQueue) active() bool {
+func (q *queue) active() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.waiting.Len() > 0 || len(q.inflight) > 0
 }
 
-func (q *modelQueue) useOf(customer string) *customerUse {
+func (q *queue) useOf(customer string) *customerUse {
 	u := q.use[customer]
 	if u == nil {
 		u = &customerUse{}
@@ -184,36 +184,56 @@
 	return u
 }
 
-// takeSlot reserves a place at a replica with room, or returns nil.
-func (q *modelQueue) takeSlot(now time.Time, customer string) *slot {
-	targets := q.host.targets(q.kind, q.pool, q.model)
-	candidates := make([]routing.Candidate, len(targets))
-	for i, t := range targets {
+// take reserves a place at a replica with room, or returns nil.
+func (q *queue) take(now time.Time, customer string) *state.Target {
+	targets, candidates := q.candidates(now)
+	i := routing.Pick(candidates, q.all.cfg.Zone, q.service, rand.IntN)
+	if i < 0 {
+		return nil
+	}
+	q.inflight[string(targets[i].Replica)]++
+	u := q.useOf(customer)
+	u.inflight++
+	u.turns++
+	return &targets[i]
+}
+
+// candidates returns the replicas that may be asked now, and how routing sees them.
+func (q *queue) candidates(now time.Time) ([]state.Target, []routing.Candidate) {
+	need := q.need()
+	var targets []state.Target
+	var candidates []routing.Candidate
+	for _, t := range q.targets() {
 		id := string(t.Replica)
-		candidates[i] = routing.Candidate{
+		c := q.all.cfg.Health.Condition(now, endpointID(t), need.Service, need.What())
+		if c.Closed {
+			continue
+		}
+		targets = append(targets, t)
+		candidates = append(candidates, routing.Candidate{
 			Replica: id,
 			Zone:    t.Zone,
 			Own:     q.inflight[id],
 			Limit:   q.limits.Concurrency,
-			Suspect: now.Before(q.suspect[id]),
+			Suspect: c.Suspect,
 			Others:  q.others[id].running,
 			Age:     now.Sub(q.others[id].at),
-		}
+		})
 	}
-	i := routing.Pick(candidates, q.host.settings.Zone, q.service, rand.IntN)
-	if i < 0 {
-		return nil
+	return targets, candidates
+}
+
+// need is what the requests of the queue need of an endpoint.
+func (q *queue) need() serve.Need {
+	if q.kind == contract.Service {
+		return serve.Need{Service: q.model}
 	}
-	q.inflight[string(targets[i].Replica)]++
-	u := q.useOf(customer)
-	u.inflight++
-	u.turns++
-	return &slot{queue: q, customer: customer, target: targets[i], since: now}
+	return serve.Need{Service: q.pool, Model: q.model}
 }
 
 // startLevel lifts the turns of a customer that was idle to those of the others
 // in use; otherwise it could take all places for as long as it was away.
-func (q *modelQueue) startLevel(customer string) {
+func (q *queue) startLevel(customer string) {
 	u := q.useOf(customer)
 	if u.waiting > 0 || u.inflight > 0 {
 		return
@@ -227,10 +247,8 @@
 	u.turns = max(u.turns, least)
 }
 
-func (q *modelQueue) running(customer string) int { return q.useOf(customer).inflight }
-
 // grant gives free places to waiting requests, by customer's share and deadline.
-func (q *modelQueue) grant(now time.Time) {
+func (q *queue) grant(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for {
@@ -238,23 +256,22 @@
 		if w == nil {
 			return
 		}
-		s := q.takeSlot(now, w.Customer)
-		if s == nil {
+		target := q.take(now, w.Customer)
+		if target == nil {
 			return
 		}
 		q.waiting.Remove(w)
 		q.useOf(w.Customer).waiting--
-		w.Answer <- admission.Answer{Replica: string(s.target.Replica)}
+		w.Answer <- admission.Answer{Replica: string(target.Replica)}
 	}
 }
 
 // reconsider refuses those waiting requests that have become hopeless. It
 // looks at all of them, so it runs regularly and not with each request.
-func (q *modelQueue) reconsider(now time.Time) {
+func (q *queue) reconsider(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.watchLoad(now)
-	maps.DeleteFunc(q.suspect, func(_ string, until time.Time) bool { return now.After(until) })
 	for customer, list := range q.waiting.InOrder() {
 		for rank, w := range list {
 			reason, retryAfter := admission.Keep(q.situation(now, customer, rank), w.Deadline.Sub(now))
@@ -266,27 +283,31 @@
 }
 
 // giveUp answers a waiting request that cannot be served in time.
-func (q *modelQueue) giveUp(now time.Time, w *admission.Waiter, reason admission.Reason, retryAfter time.Duration) {
+func (q *queue) giveUp(now time.Time, w *admission.Waiter, reason admission.Reason, retryAfter time.Duration) {
 	q.waiting.Remove(w)
 	q.useOf(w.Customer).waiting--
 	q.wantLater(now, w.Customer, reason, retryAfter)
 	w.Answer <- admission.Answer{Reason: reason, RetryAfter: retryAfter}
 }
 
-func (q *modelQueue) wantLater(now time.Time, customer string, reason admission.Reason, retryAfter time.Duration) {
+func (q *queue) wantLater(now time.Time, customer string, reason admission.Reason, retryAfter time.Duration) {
 	if reason == admission.ReasonLoad {
-		q.useOf(customer).wantedUntil = now.Add(max(retryAfter, minRetryAfter))
+		q.useOf(customer).wantedUntil = now.Add(max(retryAfter, minWanted))
 	}
 }
 
+// minWanted is the least time for which a refused call counts as demand: the
+// least that its caller can be told to wait.
+const minWanted = time.Second
+
 // watchLoad measures how long loads take, as this host sees them.
-func (q *modelQueue) watchLoad(now time.Time) {
-	loading := q.host.loading(q.pool, q.model)
+func (q *queue) watchLoad(now time.Time) {
+	loading := q.all.cfg.Replicas.Loading(q.pool, q.model)
 	switch {
 	case loading && q.loadSeen.IsZero():
 		q.loadSeen = now
 	case !loading && !q.loadSeen.IsZero():
-		if len(q.host.targets(q.kind, q.pool, q.model)) > 0 {
+		if len(q.targets()) > 0 {
 			q.loadTime = average(q.loadTime, now.Sub(q.loadSeen))
 		}
 		q.loadSeen = time.Time{}
@@ -302,13 +323,13 @@
 
 // situation is what an estimate for a customer's request with that many of its
 // own ahead depends on.
-func (q *modelQueue) situation(now time.Time, customer string, ahead int) admission.Situation {
+func (q *queue) situation(now time.Time, customer string, ahead int) admission.Situation {
 	s := admission.Situation{
-		Slots:    q.share(customer, len(q.host.targets(q.kind, q.pool, q.model))*q.limits.Concurrency),
-		Ahead:    ahead + q.running(customer),
+		Slots:    q.share(customer, len(q.targets())*q.limits.Concurrency),
+		Ahead:    ahead + q.useOf(customer).inflight,
 		Service:  q.service,
 		LoadTime: q.loadTime,
-		CanLoad:  q.kind != contract.Service && q.host.canLoad(q.pool),
+		CanLoad:  q.kind != contract.Service && q.all.cfg.Replicas.CanLoad(q.pool),
 	}
 	if s.LoadTime == 0 {
 		s.LoadTime = q.limits.LoadEstimate
@@ -322,7 +343,7 @@
 
 // share is the part of the places that a customer gets while others use the
 // model too.
-func (q *modelQueue) share(customer string, slots int) int {
+func (q *queue) share(customer string, slots int) int {
 	users := 1
 	for other, u := range q.use {
 		if other != customer && (u.inflight > 0 || q.waiting.Waits(other)) {
@@ -332,22 +353,18 @@
 	return (slots + users - 1) / users
 }
 
-// release gives the place back. A failed replica is avoided for a while.
-func (s *slot) release(failed bool) {
-	q := s.queue
-	now := q.host.now()
-	q.mu.Lock()
-	if failed {
-		q.suspect[string(s.target.Replica)] = now.Add(suspectFor)
-	} else {
-		q.service = average(q.service, now.Sub(s.since))
+// release gives a place back. took is how long a successful run took, or zero.
+func (q *queue) release(customer, replica string, took time.Duration) {
+	if took > 0 {
+		q.mu.Lock()
+		q.service = average(q.service, took)
+		q.mu.Unlock()
 	}
-	q.mu.Unlock()
-	q.giveBack(s.customer, string(s.target.Replica))
-	q.grant(now)
+	q.giveBack(customer, replica)
+	q.grant(q.all.cfg.Now())
 }
 
-func (q *modelQueue) giveBack(customer, replica string) {
+func (q *queue) giveBack(customer, replica string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.inflight[replica]--
@@ -356,15 +373,15 @@
 	}
 	u := q.useOf(customer)
 	u.inflight--
-	u.lastEnd = q.host.now()
+	u.lastEnd = q.all.cfg.Now()
 }
 
 // usage reports the use by each customer since the model was last used.
-func (q *modelQueue) usage(now time.Time) []pool.Usage {
+func (q *queue) usage(now time.Time) []pool.Usage {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var list []pool.Usage
-	cold := len(q.host.targets(q.kind, q.pool, q.model)) == 0
+	cold := len(q.targets()) == 0
 	for customer, u := range q.use {
 		waiting, remaining := u.waiting, q.waiting.Earliest().Sub(now)
 		if waiting == 0 && cold && now.Before(u.wantedUntil) {
@@ -385,7 +402,3 @@
 	}
 	return list
 }
-
-// usageMemory is how long an ended use is still reported; it covers a few
-// lost reports and the take-over of the pool.
-const usageMemory = 10 * time.Second
