--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,6 +45,7 @@
 	commander.Register(&callCommand{output: o}, "")
 	commander.Register(&devCommand{output: o}, "")
 	commander.Register(&certsCommand{output: o}, "")
+	commander.Register(&experimentCommand{output: o}, "")
 	commander.Register(&versionCommand{output: o}, "")
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
