A host that has only read a claim is no witness of its holder

Each new host read the claim and answered the others that it had heard the holder just now; they put their own claim off by 1.2 s each time. No order was given from 18.7 to 22.8 s.

Ruled out: the store (claims were read), lost messages.

Change: only a sign of life of the holder itself counts as one, and it keeps its age from host to host. Tests: TestFreshHostIsNoWitness, TestHearsayKeepsItsAge.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -179,7 +179,11 @@
 	defer cancel()
 	holder := g.election.Newest()
 	addrs := g.mesh.answering(g.Now())
-	heard := make(chan bool, len(addrs))
+	type sign struct {
+		at time.Time
+		ok bool
+	}
+	heard := make(chan sign, len(addrs))
 	asked := 0
 	for _, addr := range addrs {
 		if addr == holder.Holder.Addr {
@@ -191,12 +195,13 @@
 			if err == nil && answer.Claim != nil && answer.Claim.Token > holder.Token {
 				g.election.Observe(g.Now(), *answer.Claim)
 			}
-			heard <- err == nil && (answer.Controlling || answer.HolderHeard < heardLately.Milliseconds())
+			ago := time.Duration(answer.HolderHeard) * time.Millisecond
+			heard <- sign{g.Now().Add(-ago), err == nil && ago < heardLately}
 		}()
 	}
 	for range asked {
-		if <-heard {
-			g.election.Heard(g.Now(), holder.Token)
+		if s := <-heard; s.ok {
+			g.election.Heard(s.at, holder.Token)
 			return true
 		}
 	}
--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -38,6 +38,8 @@
 	// frozenAfter is the gap between two looks at the clock that counts
 	// suspended time after which a host was not running.
 	frozenAfter = 500 * time.Millisecond
+	// neverHeard is longer than any silence that counts.
+	neverHeard = time.Hour
 )
 
 // Election is one host's knowledge of the claims. It does no I/O and is safe
@@ -47,9 +49,12 @@
 	// lease is the time within which two holders must not give orders in turn.
 	lease time.Duration
 
-	mu      sync.Mutex
-	newest  Claim
+	mu     sync.Mutex
+	newest Claim
+	// heard is since when the holder of the newest claim has been silent: its last
+	// sign of life, or when its claim was first read. alive is the former only.
 	heard   time.Time
+	alive   time.Time
 	tried   time.Time
 	held    int64
 	startAt time.Time
@@ -81,6 +86,7 @@
 	}
 	if c.Token > e.newest.Token {
 		e.heard = now
+		e.alive = time.Time{}
 	}
 	e.newest = c
 	if e.held != 0 && c.Token > e.held {
@@ -106,12 +112,20 @@
 	}
 }
 
-// Heard notes a sign of life of the holder of a token.
-func (e *Election) Heard(now time.Time, token int64) {
+// Heard notes a sign of life of the holder of a token, given at a time: now, or
+// earlier if another host has heard it. Hosts that passed on what they had from
+// others as if it were of now would keep a dead holder alive among themselves.
+func (e *Election) Heard(at time.Time, token int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if token >= e.newest.Token {
-		e.heard = now
+	if token < e.newest.Token {
+		return
+	}
+	if at.After(e.heard) {
+		e.heard = at
+	}
+	if at.After(e.alive) {
+		e.alive = at
 	}
 }
 
@@ -143,14 +157,21 @@
 	return e.vacant()
 }
 
-// HeardAgo is how long the holder of the newest claim has been silent here.
+// HeardAgo is how long ago the holder of the newest claim has given a sign of
+// life, as far as this host can witness. A host that has only read the claim is no
+// witness: hosts that were restarted one after the other put off the successor of
+// a dead holder by seconds.
 func (e *Election) HeardAgo(now time.Time) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.held != 0 {
+	switch {
+	case e.held != 0:
 		return 0
+	case e.alive.IsZero():
+		return neverHeard
+	default:
+		return now.Sub(e.alive)
 	}
-	return now.Sub(e.heard)
 }
 
 // Restarted takes in that a host has started a new incarnation. If its former
--- a/pkg/orders/claim_test.go
+++ b/pkg/orders/claim_test.go
@@ -173,3 +173,36 @@
 		}
 	})
 }
+
+// The holder freezes while hosts are restarted one after the other. Each new one
+// read the old claim and said that it had heard the holder just now, so that
+// nobody claimed for four seconds, and no model was loaded.
+func TestFreshHostIsNoWitness(t *testing.T) {
+	is := is.New(t)
+	fresh := election("c")
+	fresh.Observe(at(2*time.Second), orders.Claim{Holder: holder("a"), Token: 5})
+	is.True(fresh.HeardAgo(at(2*time.Second)) > lease)
+	is.True(!fresh.ShouldClaim(at(2100 * time.Millisecond))) // it may still hear the holder
+	fresh.Heard(at(2200*time.Millisecond), 5)
+	is.Equal(fresh.HeardAgo(at(2300*time.Millisecond)), 100*time.Millisecond)
+	fresh.Observe(at(2400*time.Millisecond), orders.Claim{Holder: holder("b"), Token: 6})
+	is.True(fresh.HeardAgo(at(2400*time.Millisecond)) > lease) // not a sign of the new holder
+}
+
+// Two hosts ask each other about a dead holder in turn. What one has from the
+// other must not get younger on the way, or neither ever claims.
+func TestHearsayKeepsItsAge(t *testing.T) {
+	is := is.New(t)
+	a, b := election("a"), election("b")
+	for _, e := range []*orders.Election{a, b} {
+		e.Observe(at(0), orders.Claim{Holder: holder("dead"), Token: 5})
+	}
+	a.Heard(at(500*time.Millisecond), 5)
+	for i := range 20 {
+		now := at(500*time.Millisecond + time.Duration(i)*100*time.Millisecond)
+		b.Heard(now.Add(-a.HeardAgo(now)), 5)
+		a.Heard(now.Add(-b.HeardAgo(now)), 5)
+	}
+	is.True(a.ShouldClaim(at(1800 * time.Millisecond)))
+	is.True(b.ShouldClaim(at(1800 * time.Millisecond)))
+}
