Endpoints that nobody reaches hold nothing

Ruled out: hosts' own suspicion (it routes around, but loads nothing).

Change: hosts tell the controller which endpoints they could not connect to; it asks them itself, and what neither reaches holds nothing, until it answers. A controller that is cut off alone takes nothing from the others. A swap whose order finds no connection ends at once.

Test: TestModelsOfACrashedEndpointAreLoadedElsewhere, both ways.

--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -58,6 +58,8 @@
 	ConfigVersion int64 `cbor:"4,keyasint,omitempty"`
 	// Addr is where the host answers messages.
 	Addr string `cbor:"5,keyasint,omitempty"`
+	// Unreachable names the endpoints that the host could not connect to lately.
+	Unreachable []EndpointID `cbor:"6,keyasint,omitempty"`
 }
 
 // NeedReport is the demand for one model, or for one adapter of it.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -55,7 +55,13 @@
 
 func (g *Gateway) report(ctx context.Context) {
 	now := g.Now()
-	report := fleet.DemandReport{Host: g.self.Host, Incarnation: g.self.Incarnation, ConfigVersion: g.configVersion(), Addr: g.self.Addr}
+	report := fleet.DemandReport{
+		Host:          g.self.Host,
+		Incarnation:   g.self.Incarnation,
+		ConfigVersion: g.configVersion(),
+		Addr:          g.self.Addr,
+		Unreachable:   g.health.AllUnreachable(now),
+	}
 	for _, d := range g.dispatcher.Demand() {
 		n := fleet.NeedReport{
 			Service:  d.Service,
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/residency"
 )
@@ -88,6 +89,11 @@
 		g.demand = NewDemand(now)
 	}
 	g.demand.Take(now, r)
+	for _, id := range r.Unreachable {
+		if t := g.tracks[id]; t != nil && (r.Host != g.Election.self.Host || g.demand.alone()) {
+			t.reported(now)
+		}
+	}
 }
 
 // Step decides and starts orders. It returns what other hosts have to be told;
@@ -177,6 +183,7 @@
 		due := !t.known && !t.working && !now.Before(t.pause) && !now.Before(t.busyUntil)
 		if due {
 			t.working = true
+			t.asked = now
 		}
 		e := t.endpoint
 		t.mu.Unlock()
@@ -197,6 +204,9 @@
 	now := g.Now()
 	if err != nil {
 		g.Log.Info("endpoint gave no report", "endpoint", e.ID, "error", err)
+		if errors.Is(err, ErrUnreachable) {
+			t.markUnreachable(g.Now())
+		}
 		t.mu.Lock()
 		t.pause = now.Add(failurePause)
 		t.mu.Unlock()
--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -36,8 +36,9 @@
 	// lose decides what is lost of the next order: nothing, the order or its
 	// answer, or that it is carried out late.
 	lose func() loss
-	// silent endpoints answer no report.
+	// silent endpoints answer no report, those that are down take no connection.
 	silent bool
+	down   bool
 	orders int
 }
 
@@ -92,6 +93,9 @@
 	if e.silent {
 		return fleet.Report{}, errors.New("no answer")
 	}
+	if e.down {
+		return fleet.Report{}, orders.ErrUnreachable
+	}
 	r := e.past[0].report
 	for _, p := range e.past {
 		if time.Since(p.at) >= reportLag {
@@ -105,8 +109,11 @@
 func (e *engine) Order(ctx context.Context, _ fleet.Endpoint, o orders.Order) (orders.Result, error) {
 	e.mu.Lock()
 	e.orders++
-	l := e.lose()
+	l, down := e.lose(), e.down
 	e.mu.Unlock()
+	if down {
+		return 0, orders.ErrUnreachable
+	}
 	switch l {
 	case lostOrder:
 		<-ctx.Done()
@@ -496,3 +503,40 @@
 		is.Equal(n, 1)
 	})
 }
+
+// An endpoint crashes. The list names it for seconds more, and the model that lay
+// there counted as held: requests for it were refused after failed connections,
+// and nobody loaded it at its other home. While only the controller cannot reach
+// the endpoint, though, the other hosts go on to use it.
+func TestModelsOfACrashedEndpointAreLoadedElsewhere(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		run(t, func(ctx context.Context) {
+			is := is.NewRelaxed(t)
+			both := engines{"e1": newEngine(130, weights, "cold"), "e2": newEngine(130, weights, "x", "y")}
+			g := newController(both["e1"], 1)
+			g.Orderer = both
+			view := g.Endpoints(time.Now())[0]
+			first, second := view, view
+			first.ID, second.ID = "e1", "e2"
+			first.Holds = []fleet.Held{{Model: "cold"}}
+			second.Holds = []fleet.Held{{Model: "x"}, {Model: "y"}}
+			g.Endpoints = func(time.Time) []fleet.View { return []fleet.View{first, second} }
+			steps(ctx, g, time.Second, fleet.DemandReport{Host: "h"})
+			both["e1"].mu.Lock()
+			both["e1"].down = true
+			both["e1"].mu.Unlock()
+			r := waiting("cold", "")
+			r.Needs[0].Arrived = 0
+			if told {
+				r.Unreachable = []fleet.EndpointID{"e1"}
+			}
+			steps(ctx, g, 2*time.Second, r)
+			is.Equal(slices.Contains(both["e2"].held(), "cold"), told)
+			for _, p := range g.Step(ctx, time.Now(), true).Endpoints {
+				if p.Endpoint == "e1" {
+					is.Equal(len(p.Models) == 0, told)
+				}
+			}
+		})
+	}
+}
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -93,6 +93,9 @@
 	return 1 / (1 - math.Exp(-observed/memory.Seconds()))
 }
 
+// alone tells whether only one host reports.
+func (d *Demand) alone() bool { return len(d.hosts) <= 1 }
+
 // Models returns the demand for each model of a service.
 func (d *Demand) Models(now time.Time, service fleet.Service) []residency.Model {
 	return models(service, d.totals(now))
--- a/pkg/orders/orderer.go
+++ b/pkg/orders/orderer.go
@@ -48,6 +48,9 @@
 // ErrNoAnswer means that an order may have been accepted, or may be later.
 var ErrNoAnswer = errors.New("no answer to an order")
 
+// ErrUnreachable means that no connection to the endpoint could be made.
+var ErrUnreachable = errors.New("endpoint is not reachable")
+
 // Orderer reaches endpoints.
 type Orderer interface {
 	// Order sends an order once. An error means that its outcome is unknown.
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
@@ -34,6 +35,9 @@
 		result, err := g.send(ctx, e, o)
 		g.Log.Info("order", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", token, "result", outcome(result, err))
 		switch {
+		case errors.Is(err, ErrUnreachable):
+			t.markUnreachable(g.Now())
+			return false
 		case err != nil:
 			unanswered = true
 			pause(ctx, conflictPause)
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -31,6 +31,9 @@
 	busyUntil time.Time
 	// ordered is when the last order was sent.
 	ordered time.Time
+	reach   reach
+	// asked is when the endpoint was last asked for its state.
+	asked time.Time
 	// pause is until when nothing is tried after a failure.
 	pause   time.Time
 	changed bool
@@ -65,6 +68,51 @@
 	return t
 }
 
+// reach is what is known of the connections to an endpoint.
+//
+// The failure: endpoints crash, and the list names them for seconds more. Models
+// that lay there counted as held, so that they were loaded nowhere else, and
+// swaps were begun there; requests were refused after four failed connections.
+// An endpoint is lost when another host has told so and this one finds the same:
+// a controller that is cut off alone must not take it from the others.
+type reach struct {
+	// failed is set while this host cannot connect, told when another host could
+	// not, lost once both came together, until the endpoint answers again.
+	failed bool
+	told   time.Time
+	lost   bool
+}
+
+// toldFor is how long another host's word counts: a few reports.
+const toldFor = 2 * time.Second
+
+// reported takes in that another host could not connect. The endpoint is asked,
+// unless that is under way or was done just now.
+func (t *track) reported(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reach.told = now
+	t.settleReach(now)
+	if !t.reach.failed && !t.working && now.Sub(t.asked) > failurePause {
+		t.known = false
+	}
+}
+
+// markUnreachable notes that this host could not connect.
+func (t *track) markUnreachable(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reach.failed = true
+	t.settleReach(now)
+}
+
+func (t *track) settleReach(now time.Time) {
+	if t.reach.failed && now.Sub(t.reach.told) < toldFor && !t.reach.lost {
+		t.reach.lost = true
+		t.changed = true
+	}
+}
+
 // adopt takes over what the endpoint says it holds.
 func (t *track) adopt(now time.Time, holds []fleet.Held) {
 	old := t.models
@@ -151,6 +199,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sequence = r.Sequence
+	t.changed = t.changed || t.reach.lost
+	t.reach = reach{}
 	if r.Busy {
 		t.pause = now.Add(reportLag)
 		return
@@ -169,6 +219,9 @@
 func (t *track) snapshot(now time.Time, engine *fleet.Engine) residency.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.reach.lost {
+		return residency.Endpoint{ID: t.endpoint.ID, Zone: t.endpoint.Zone, CapacityMB: engine.WeightsMB, Busy: true}
+	}
 	e := residency.Endpoint{
 		ID:         t.endpoint.ID,
 		Zone:       t.endpoint.Zone,
@@ -209,6 +262,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := fleet.Placement{Endpoint: t.endpoint.ID}
+	if t.reach.lost {
+		return p
+	}
 	for name, r := range t.models {
 		m := fleet.ModelPlacement{Model: name, Leaving: r.leaving}
 		if wait := r.readyAt.Sub(now); wait > 0 || r.unsure {
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -381,6 +381,10 @@
 // Release implements Queue.
 func (d *Dispatcher) Release(r *Request, e fleet.EndpointID, u Use) {
 	d.health.End(e)
+	if u.Unreachable {
+		d.health.Unreachable(d.now(), e)
+		d.wanted()
+	}
 	s := d.shard(r.Service)
 	s.mu.Lock()
 	s.useOf(r.Need()).inflight--
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -11,6 +11,9 @@
 	// suspectFor is how long an endpoint that failed a connection is used only
 	// as a last choice: about one heartbeat.
 	suspectFor = 1500 * time.Millisecond
+	// unreachableFor is for how long a failed connection is told to the controller: a
+	// few reports.
+	unreachableFor = 600 * time.Millisecond
 	// fullFor is how long an endpoint that refused for want of places is left
 	// alone: a few times the time in which a place comes free.
 	fullFor = 150 * time.Millisecond
@@ -34,6 +37,8 @@
 
 type condition struct {
 	suspectUntil time.Time
+	// unreachable is when the endpoint last could not be connected to.
+	unreachable time.Time
 	// closed is until when the endpoint is not asked for a model or adapter.
 	closed   map[string]time.Time
 	failures float64
@@ -65,6 +70,26 @@
 	h.of(id).suspectUntil = now.Add(suspectFor)
 }
 
+// Unreachable notes that no connection could be made.
+func (h *Health) Unreachable(now time.Time, id fleet.EndpointID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(id).unreachable = now
+}
+
+// AllUnreachable returns the endpoints that could not be connected to lately.
+func (h *Health) AllUnreachable(now time.Time) []fleet.EndpointID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []fleet.EndpointID
+	for id, c := range h.endpoints {
+		if now.Sub(c.unreachable) < unreachableFor {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Full notes a refusal of what is named. An endpoint refuses in the same way
 // for want of places and for a model that is being loaded or unloaded, so that
 // other models stay open.
--- a/pkg/serve/queue.go
+++ b/pkg/serve/queue.go
@@ -52,4 +52,6 @@
 	Took time.Duration
 	// Failed uses ended by a fault of the endpoint, also if it only refused.
 	Failed bool
+	// Unreachable endpoints could not be connected to.
+	Unreachable bool
 }
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -86,6 +86,10 @@
 // ErrNotSent marks errors of a Backend after which nothing has been sent.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrUnreachable marks errors of a Backend that could not connect to the endpoint;
+// they are marked ErrNotSent too.
+var ErrUnreachable = errors.New("endpoint is not reachable")
+
 // Send says how a request goes to an endpoint.
 type Send struct {
 	Endpoint fleet.Endpoint
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -227,7 +227,7 @@
 		span.RecordError(err)
 		x.result.Note = err.Error()
 		s.Health.Suspect(s.Now(), e.ID)
-		s.Queue.Release(x.request, e.ID, Use{Failed: true})
+		s.Queue.Release(x.request, e.ID, Use{Failed: true, Unreachable: errors.Is(err, ErrUnreachable)})
 		return notRun
 	}
 	x.result.Sent++
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -33,6 +33,8 @@
 var (
 	// ErrNotSent means that no byte of the request has left this host.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrUnreachable means that no connection could be made; nothing was sent.
+	ErrUnreachable = errors.Wrap(ErrNotSent, "no connection")
 	// ErrFull means that all connections to the endpoint are in use.
 	ErrFull = errors.Wrap(ErrNotSent, "all connections are in use")
 	// ErrForeign means that the connection brought answers to other requests only.
@@ -111,7 +113,11 @@
 	raw, err := Dial(ctx, p.addr)
 	if err != nil {
 		p.forget()
-		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
+		err = errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return nil, err // The caller has gone; that tells nothing of the endpoint.
+		}
+		return nil, errors.Mark(err, ErrUnreachable)
 	}
 	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
