Fill empty endpoints ahead of need

Change: the bound holds for endpoints that have copies to swap in; one that has none is filled with what is asked for most for each copy, as far as its memory goes. Endpoints that nobody reaches are left out of decisions.

--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -223,17 +223,21 @@
 		Models: models(service, totals),
 		Limits: residency.Limits{
 			Slots:          engine.Slots,
-			StoreLoads:     g.storeLoads(now, engine, len(tracks)),
 			RatePerReplica: ratePerReplica,
 		},
 	}
 	byID := map[fleet.EndpointID]*track{}
 	for _, t := range tracks {
+		if t.lost() {
+			continue
+		}
 		e := t.snapshot(now, engine)
 		byID[e.ID] = t
 		snap.Endpoints = append(snap.Endpoints, e)
 	}
-	for _, f := range residency.Far(snap, len(g.loads), residency.StoreSlots(len(tracks), storeSlots)) {
+	slots := residency.StoreSlots(snap.Endpoints, min(storeSlots, max(1, int(engine.LoadsPerSecond))))
+	snap.Limits.StoreLoads = slots - g.storeLoads(now, engine)
+	for _, f := range residency.Far(snap, len(g.loads), slots) {
 		g.far = append(g.far, fleet.FarModel{Service: service.Name, Model: f.Model, ReadyIn: f.ReadyIn.Milliseconds()})
 	}
 	for _, s := range residency.Decide(snap) {
@@ -283,14 +287,14 @@
 	return out
 }
 
-// storeLoads is how many loads from the weight store may start now.
-func (g *Controller) storeLoads(now time.Time, engine *fleet.Engine, endpoints int) int {
+// storeLoads is how many loads from the weight store are under way.
+func (g *Controller) storeLoads(now time.Time, engine *fleet.Engine) int {
 	longest := time.Duration(0)
 	for _, m := range engine.Models {
 		longest = max(longest, m.StoreLoad)
 	}
 	g.loads = slices.DeleteFunc(g.loads, func(at time.Time) bool { return now.Sub(at) > longest })
-	return residency.StoreSlots(endpoints, min(storeSlots, max(1, int(engine.LoadsPerSecond)))) - len(g.loads)
+	return len(g.loads)
 }
 
 // Wait returns when no order is under way.
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -113,6 +113,13 @@
 	}
 }
 
+// lost tells whether nobody reaches the endpoint.
+func (t *track) lost() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reach.lost
+}
+
 // adopt takes over what the endpoint says it holds.
 func (t *track) adopt(now time.Time, holds []fleet.Held) {
 	old := t.models
@@ -219,9 +226,6 @@
 func (t *track) snapshot(now time.Time, engine *fleet.Engine) residency.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.reach.lost {
-		return residency.Endpoint{ID: t.endpoint.ID, Zone: t.endpoint.Zone, CapacityMB: engine.WeightsMB, Busy: true}
-	}
 	e := residency.Endpoint{
 		ID:         t.endpoint.ID,
 		Zone:       t.endpoint.Zone,
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -159,12 +159,13 @@
 	models   map[string]*Model
 	replicas map[string]int
 	// excess counts replicas beyond the wanted number.
-	wanted    map[string]int
-	loads     int
-	out       []Swap
-	touched   map[fleet.EndpointID]bool
-	zones     map[string]map[string]int
-	haveCopy  map[string]bool
+	wanted  map[string]int
+	loads   int
+	out     []Swap
+	touched map[fleet.EndpointID]bool
+	zones   map[string]map[string]int
+	// copies counts the endpoints that have a copy of a model.
+	copies    map[string]int
 	endpoints []Endpoint
 }
 
@@ -174,6 +175,7 @@
 	for _, n := range d.needs() {
 		d.meet(n)
 	}
+	d.fill()
 	return d.out
 }
 
@@ -186,7 +188,7 @@
 		loads:     snap.Limits.StoreLoads,
 		touched:   map[fleet.EndpointID]bool{},
 		zones:     map[string]map[string]int{},
-		haveCopy:  map[string]bool{},
+		copies:    map[string]int{},
 		endpoints: snap.Endpoints,
 	}
 	for i := range snap.Models {
@@ -209,7 +211,7 @@
 			d.zones[r.Model][e.Zone]++
 		}
 		for name := range e.Copies {
-			d.haveCopy[name] = true
+			d.copies[name]++
 		}
 	}
 	for name, m := range d.models {
