Prove the store's rate and orders where tokens are not checked

Two rules stood in the code without a test. TestOrdersWithoutTheStore: where endpoints do not check tokens, a controller that the store does not answer orders nothing until it does; where they do, it goes on. TestStoreLoadsKeepToTheirRate: twelve empty endpoints, as many models without a copy. Each fails without its guard.

--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -24,6 +24,9 @@
 	return away
 }
 
+// MayOrder tells whether orders may be given for all that the host knows.
+func (g *Gateway) MayOrder() bool { return g.mayOrder() }
+
 // HearNotice takes in a notice as if it came from another host.
 func (g *Gateway) HearNotice(n fleet.Notice) { g.takeNotice(g.Now(), n) }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -54,6 +54,8 @@
 	t      *testing.T
 	store  *site.Store
 	tracer trace.TracerProvider
+	// unchecked endpoints do not refuse old fencing tokens.
+	unchecked bool
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -86,6 +88,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	s.Orders.EndpointsCheckTokens = !d.unchecked
 	g, err := platform.NewGateway(s, slog.New(slog.NewTextHandler(io.Discard, nil)), d.tracer)
 	if err != nil {
 		d.t.Fatal(err)
--- /dev/null
+++ b/pkg/gateway/unchecked_test.go
@@ -0,0 +1,38 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/standin/site"
+)
+
+// Endpoints do not check who gives them an order. A controller that the store no
+// longer answers cannot know whether another host has claimed since; if it went
+// on, two hosts would order the same endpoint in turn. It orders nothing until the
+// store answers again. Where endpoints refuse old tokens it goes on.
+func TestOrdersWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	for _, checked := range []bool{true, false} {
+		t.Run(map[bool]string{true: "tokens checked", false: "not checked"}[checked], func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t)
+			d.unchecked = !checked
+			d.publish(config(1))
+			e := d.engine("e1")
+			h := d.startHost("a")
+			d.until("the host gives orders", h.Controls)
+			h.door.Set(site.Silent)
+			d.until("the store is away", h.StoreAway)
+			d.until("the list is older than half a lease", func() bool { return h.MayOrder() == checked })
+			got := d.ask(h, "/chat/", "cold")
+			is.Equal(got.status == http.StatusOK, checked)
+			h.door.Set(site.Works)
+			d.until("the store is back", func() bool { return !h.StoreAway() })
+			d.until("the model is served", func() bool { return d.ask(h, "/chat/", "cold").status == http.StatusOK })
+			is.Equal(len(e.Faults()), 0)
+		})
+	}
+}
--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -540,3 +540,52 @@
 		})
 	}
 }
+
+// Twelve empty endpoints and as many models that lie nowhere: loaded all at once,
+// they would go beyond what the weight store allows, and the store would be slow
+// for every other customer too.
+func TestStoreLoadsKeepToTheirRate(t *testing.T) {
+	for _, perSecond := range []float64{0.5, 1, 3} {
+		run(t, func(ctx context.Context) {
+			is := is.NewRelaxed(t)
+			const endpoints = 12
+			all := engines{}
+			var views []fleet.View
+			var begun []time.Time
+			for i := range endpoints {
+				id := fleet.EndpointID(fmt.Sprintf("e%02d", i))
+				all[id] = newEngine(130, weights)
+				all[id].lose = func() loss {
+					begun = append(begun, time.Now())
+					return nothing
+				}
+				views = append(views, fleet.View{Endpoint: fleet.Endpoint{ID: id, Service: "llm"}})
+			}
+			g := newController(all["e00"], 1)
+			g.Orderer = all
+			g.Endpoints = func(time.Time) []fleet.View { return views }
+			cfg := config()
+			engine := cfg.Services["llm"].Engine
+			engine.LoadsPerSecond = perSecond
+			report := fleet.DemandReport{Host: "h"}
+			for i := range endpoints {
+				name := fmt.Sprintf("m%02d", i)
+				engine.Models[name] = fleet.Model{Name: name, WeightsMB: 60, StoreLoad: 6 * time.Second}
+				report.Needs = append(report.Needs, fleet.NeedReport{Service: "llm", Model: name, Waiting: 1})
+			}
+			g.Config = func() *fleet.Config { return cfg }
+			steps(ctx, g, 20*time.Second, report)
+			const window, over, extra = 5 * time.Second, 1.1, 3
+			for i, from := range begun {
+				n := 0
+				for _, at := range begun[i:] {
+					if at.Sub(from) < window {
+						n++
+					}
+				}
+				is.True(float64(n) <= perSecond*window.Seconds()*over+extra)
+			}
+			is.True(len(begun) > 0)
+		})
+	}
+}
