Busy models without a replica go first

Its requests have short objectives, cannot be in time once they wait, and stood behind rare models that could be.

Ruled out: the controller and the unload (70 ms).

Change: such a need goes before those of rare models, by its rate. Test: a row of TestDecide, fails before.

--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -264,6 +264,11 @@
 		if n.overload < overloaded {
 			n.overload = 0
 		}
+		if m.Rate >= hotRate && have == 0 {
+			// Its requests have short objectives, so that those which wait are late
+			// already, and so is each one that arrives until the model is back.
+			n.overload = overloaded + m.Rate/d.snap.Limits.RatePerReplica
+		}
 		if n.cold {
 			n.due = m.Due.Add(-time.Duration(min(4, m.Waiting-1)) * batchBonus)
 			n.late = m.InTime == 0
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -124,6 +124,12 @@
 			[]residency.Model{model("cold", 1, -time.Second, 0.2), model("hot", 0, 0, 40), model("x", 0, 0, 0.1), model("y", 0, 0, 0.1), model("z", 0, 0, 0.1)},
 			want{"home": "hot"},
 		},
+		{
+			"a busy model without any replica goes before a rare one that can be in time",
+			[]residency.Endpoint{endpoint("home", "a", []string{"x", "y"}, "cold", "busy")},
+			[]residency.Model{model("cold", 2, time.Second, 0.5), late(model("busy", 3, 2*time.Second, 8)), model("x", 0, 0, 0.1), model("y", 0, 0, 0.1)},
+			want{"home": "busy"},
+		},
 		{
 			"a replica that serves requests is not taken where an idle model lies, though another replica exists",
 			[]residency.Endpoint{endpoint("home", "a", []string{"hot", "x"}, "cold"), endpoint("other", "a", []string{"hot", "z"})},
