Split sending an order into steps

The loop, one copy of an order, and what a refusal means stand apart. An order that ends because its endpoint is not reachable, after a copy without an answer, is remembered as in doubt too; before, only one that ran out of time was.

--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -12,60 +12,66 @@
 // it tells what was so at the first one.
 const askEvery = int(reportLag/conflictPause) + 1
 
-// order sends an order until the endpoint has accepted it. An order without an
-// answer is sent again at once with the same expected sequence: at most one of
-// the two can be accepted.
+// order sends an order until the endpoint has accepted it.
 func (g *Controller) order(ctx context.Context, t *track, token int64, o Order) bool {
 	t.orderMu.Lock()
 	defer t.orderMu.Unlock()
 	o.Holder = g.Election.self.Host
 	o.Token = token
+	s := sending{order: o}
 	deadline := g.Now().Add(conflictLimit)
-	conflicts := 0
-	unanswered := false
-	for g.Now().Before(deadline) && ctx.Err() == nil {
-		if g.Election.Token(g.Now()) != token || !g.MayOrder() {
-			break
-		}
-		t.mu.Lock()
-		o.Expected = t.sequence
-		e := t.endpoint
-		t.ordered = g.Now()
-		t.mu.Unlock()
-		result, err := g.send(ctx, e, o)
-		g.Log.Info("order", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", token, "result", outcome(result, err))
-		switch {
-		case errors.Is(err, ErrUnreachable):
-			t.markUnreachable(g.Now())
-			return false
-		case err != nil:
-			unanswered = true
-			pause(ctx, conflictPause)
-			continue
-		case result == Done && unanswered && o.Adapter == "":
-			return g.carriedOut(ctx, t, e, o)
-		case result == Accepted || result == Done:
-			t.advance(result, o)
-			return true
-		case result == Fenced:
-			g.Log.Warn("claim lost: an endpoint has seen a newer token", "endpoint", e.ID, "token", token)
-			g.Election.Lost(token)
-			return false
-		case result == Gone || result == Invalid:
-			return false
-		}
-		conflicts++
-		switch g.conflict(ctx, t, e, o, conflicts, unanswered) {
-		case accepted:
-			return true
-		case unknown:
-			return false
-		}
+	state := pending
+	for state == pending && g.Now().Before(deadline) && ctx.Err() == nil && g.Election.Token(g.Now()) == token && g.MayOrder() {
+		state = g.sendOnce(ctx, t, &s)
 	}
-	if unanswered {
-		t.doubtful(o.Expected)
+	if state != accepted && s.unanswered {
+		t.doubtful(s.order.Expected)
 	}
-	return false
+	return state == accepted
+}
+
+// sending is an order on its way.
+type sending struct {
+	order Order
+	// conflicts counts the refusals so far; unanswered is set once a copy of the
+	// order may still be carried out.
+	conflicts  int
+	unanswered bool
+}
+
+// sendOnce sends a copy of an order and takes in what comes of it. An order
+// without an answer may be sent again at once with the same expected sequence: at
+// most one of the copies can be accepted.
+func (g *Controller) sendOnce(ctx context.Context, t *track, s *sending) settlement {
+	t.mu.Lock()
+	s.order.Expected = t.sequence
+	e := t.endpoint
+	t.ordered = g.Now()
+	t.mu.Unlock()
+	o := s.order
+	result, err := g.send(ctx, e, o)
+	g.Log.Info("order", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", o.Token, "result", outcome(result, err))
+	switch {
+	case errors.Is(err, ErrUnreachable):
+		t.markUnreachable(g.Now())
+		return unknown
+	case err != nil:
+		s.unanswered = true
+		pause(ctx, conflictPause)
+		return pending
+	case result == Done && s.unanswered && o.Adapter == "":
+		return g.carriedOut(ctx, t, e, o)
+	case result == Accepted || result == Done:
+		t.advance(result, o)
+		return accepted
+	case result == Conflict:
+		s.conflicts++
+		return g.conflict(ctx, t, e, s)
+	case result == Fenced:
+		g.Log.Warn("claim lost: an endpoint has seen a newer token", "endpoint", e.ID, "token", o.Token)
+		g.Election.Lost(o.Token)
+	}
+	return unknown
 }
 
 // advance counts an order that the endpoint has accepted.
@@ -99,12 +105,15 @@
 }
 
 // carriedOut takes in the sequence after an order that a repeat found done.
-func (g *Controller) carriedOut(ctx context.Context, t *track, e fleet.Endpoint, o Order) bool {
+func (g *Controller) carriedOut(ctx context.Context, t *track, e fleet.Endpoint, o Order) settlement {
 	if !pause(ctx, reportLag) {
-		return false
+		return unknown
 	}
 	r, err := g.report(ctx, e)
-	return err == nil && t.caughtUp(r, o)
+	if err != nil || !t.caughtUp(r, o) {
+		return unknown
+	}
+	return accepted
 }
 
 // caughtUp takes in a report after an order without an answer, and tells whether
@@ -119,29 +128,30 @@
 	return true
 }
 
-// settlement is what a refused order has come to.
+// settlement is what a copy of an order has come to.
 type settlement int
 
 const (
 	// pending orders may be sent again.
 	pending settlement = iota
-	// accepted means that an earlier copy of the order was accepted.
+	// accepted orders are being carried out, or an earlier copy of them is.
 	accepted
-	// unknown means that the endpoint has accepted orders that are not known here:
-	// what was believed of its memory when the order was decided no longer holds.
+	// unknown ends the order: the endpoint has accepted orders that are not known
+	// here, so that what was believed of its memory when the order was decided no
+	// longer holds; or it is not reachable, or has refused the order for good.
 	unknown
 )
 
 // conflict waits for another order to end, and asks the endpoint now and then
 // whether the order may be sent again.
-func (g *Controller) conflict(ctx context.Context, t *track, e fleet.Endpoint, o Order, n int, unanswered bool) settlement {
-	if n%askEvery == 0 {
+func (g *Controller) conflict(ctx context.Context, t *track, e fleet.Endpoint, s *sending) settlement {
+	if s.conflicts%askEvery == 0 {
 		r, err := g.report(ctx, e)
 		switch {
-		case err != nil || r.Sequence == o.Expected:
-		case unanswered && t.caughtUp(r, o):
+		case err != nil || r.Sequence == s.order.Expected:
+		case s.unanswered && t.caughtUp(r, s.order):
 			return accepted
-		case n > askEvery || r.Sequence > o.Expected:
+		case s.conflicts > askEvery || r.Sequence > s.order.Expected:
 			return unknown
 		}
 	}
