--- /dev/null
+++ b/pkg/residency/needs.go
@@ -0,0 +1,69 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// need is a model that lacks replicas.
+type need struct {
+	model *Model
+	// due is when the lack begins to cost.
+	due  time.Time
+	cold bool
+	// late needs are met when nothing else lacks.
+	late bool
+	// overload is how many times the rate exceeds what the replicas should
+	// serve, 0 while they can bear it. Such a model goes first: each second
+	// without another replica makes more requests late than a rare model has.
+	overload float64
+}
+
+// needs returns what lacks replicas, the most urgent first.
+func (d *decider) needs() []need {
+	var list []need
+	for name, m := range d.models {
+		have := d.replicas[name]
+		if have >= d.wanted[name] {
+			continue
+		}
+		n := need{model: m, due: d.snap.Now.Add(spareDue), cold: have == 0 && m.Waiting > 0}
+		if m.Rate >= hotRate {
+			n.overload = m.Rate / (d.snap.Limits.RatePerReplica * float64(max(1, have)))
+		}
+		if n.overload < overloaded {
+			n.overload = 0
+		}
+		if m.Rate >= hotRate && have == 0 {
+			// Its requests have short objectives, so that those which wait are late
+			// already, and so is each one that arrives until the model is back.
+			n.overload = overloaded + m.Rate/d.snap.Limits.RatePerReplica
+		}
+		if n.cold {
+			n.due = m.Due.Add(-time.Duration(min(4, m.Waiting-1)) * batchBonus)
+			n.late = m.InTime == 0
+		}
+		list = append(list, n)
+	}
+	slices.SortFunc(list, func(a, b need) int {
+		return cmp.Or(
+			-cmp.Compare(a.overload, b.overload),
+			boolCompare(a.late, b.late),
+			a.due.Compare(b.due),
+			cmp.Compare(a.model.Name, b.model.Name),
+		)
+	})
+	return list
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -11,7 +11,6 @@
 package residency
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -235,68 +234,6 @@
 	return n
 }
 
-// need is a model that lacks replicas.
-type need struct {
-	model *Model
-	// due is when the lack begins to cost.
-	due  time.Time
-	cold bool
-	// late needs are met when nothing else lacks.
-	late bool
-	// overload is how many times the rate exceeds what the replicas should
-	// serve, 0 while they can bear it. Such a model goes first: each second
-	// without another replica makes more requests late than a rare model has.
-	overload float64
-}
-
-// needs returns what lacks replicas, the most urgent first.
-func (d *decider) needs() []need {
-	var list []need
-	for name, m := range d.models {
-		have := d.replicas[name]
-		if have >= d.wanted[name] {
-			continue
-		}
-		n := need{model: m, due: d.snap.Now.Add(spareDue), cold: have == 0 && m.Waiting > 0}
-		if m.Rate >= hotRate {
-			n.overload = m.Rate / (d.snap.Limits.RatePerReplica * float64(max(1, have)))
-		}
-		if n.overload < overloaded {
-			n.overload = 0
-		}
-		if m.Rate >= hotRate && have == 0 {
-			// Its requests have short objectives, so that those which wait are late
-			// already, and so is each one that arrives until the model is back.
-			n.overload = overloaded + m.Rate/d.snap.Limits.RatePerReplica
-		}
-		if n.cold {
-			n.due = m.Due.Add(-time.Duration(min(4, m.Waiting-1)) * batchBonus)
-			n.late = m.InTime == 0
-		}
-		list = append(list, n)
-	}
-	slices.SortFunc(list, func(a, b need) int {
-		return cmp.Or(
-			-cmp.Compare(a.overload, b.overload),
-			boolCompare(a.late, b.late),
-			a.due.Compare(b.due),
-			cmp.Compare(a.model.Name, b.model.Name),
-		)
-	})
-	return list
-}
-
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
 // option is a way to meet a need at one endpoint.
 type option struct {
 	swap Swap
@@ -399,58 +336,3 @@
 		return m.StoreLoad
 	}
 }
-
-type victim struct {
-	model string
-	mb    float64
-	loss  float64
-}
-
-// victims returns what has to leave to free missing MB, the least wanted first.
-func (d *decider) victims(n need, e *Endpoint, missing float64) ([]string, float64, bool) {
-	if missing <= 0 {
-		return nil, 0, true
-	}
-	var list []victim
-	for _, r := range e.Residents {
-		if v, ok := d.victim(n, r); ok {
-			list = append(list, v)
-		}
-	}
-	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.model, b.model))
-	})
-	var out []string
-	loss := 0.0
-	for _, v := range list {
-		out = append(out, v.model)
-		loss += v.loss
-		if missing -= v.mb; missing <= 0 {
-			return out, loss, true
-		}
-	}
-	return nil, 0, false
-}
-
-// victim tells what it would cost to unload a resident, or that it must stay.
-func (d *decider) victim(n need, r Resident) (victim, bool) {
-	if !r.Ready || r.Leaving || d.snap.Now.Sub(r.Since) < minStay {
-		return victim{}, false
-	}
-	m := d.models[r.Model]
-	if m == nil {
-		return victim{model: r.Model, mb: r.MB}, true
-	}
-	mb := r.MB + float64(r.Adapters)*m.AdapterMB
-	replicas := d.replicas[r.Model]
-	if m.Waiting > 0 && replicas <= 1 {
-		return victim{}, false
-	}
-	// A replica that a busy model needs is not given up for a rare one.
-	if replicas <= d.wanted[r.Model] && d.wanted[r.Model] > 0 && m.Rate >= hotRate {
-		return victim{}, false
-	}
-	loss := m.Slow / float64(max(1, replicas))
-	loss += drainCost.Seconds() * math.Min(1, float64(m.Inflight)/float64(max(1, replicas)))
-	return victim{model: r.Model, mb: mb, loss: loss}, true
-}
--- /dev/null
+++ b/pkg/residency/victims.go
@@ -0,0 +1,62 @@
+package residency
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+type victim struct {
+	model string
+	mb    float64
+	loss  float64
+}
+
+// victims returns what has to leave to free missing MB, the least wanted first.
+func (d *decider) victims(n need, e *Endpoint, missing float64) ([]string, float64, bool) {
+	if missing <= 0 {
+		return nil, 0, true
+	}
+	var list []victim
+	for _, r := range e.Residents {
+		if v, ok := d.victim(n, r); ok {
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.model, b.model))
+	})
+	var out []string
+	loss := 0.0
+	for _, v := range list {
+		out = append(out, v.model)
+		loss += v.loss
+		if missing -= v.mb; missing <= 0 {
+			return out, loss, true
+		}
+	}
+	return nil, 0, false
+}
+
+// victim tells what it would cost to unload a resident, or that it must stay.
+func (d *decider) victim(n need, r Resident) (victim, bool) {
+	if !r.Ready || r.Leaving || d.snap.Now.Sub(r.Since) < minStay {
+		return victim{}, false
+	}
+	m := d.models[r.Model]
+	if m == nil {
+		return victim{model: r.Model, mb: r.MB}, true
+	}
+	mb := r.MB + float64(r.Adapters)*m.AdapterMB
+	replicas := d.replicas[r.Model]
+	if m.Waiting > 0 && replicas <= 1 {
+		return victim{}, false
+	}
+	// A replica that a busy model needs is not given up for a rare one.
+	if replicas <= d.wanted[r.Model] && d.wanted[r.Model] > 0 && m.Rate >= hotRate {
+		return victim{}, false
+	}
+	loss := m.Slow / float64(max(1, replicas))
+	loss += drainCost.Seconds() * math.Min(1, float64(m.Inflight)/float64(max(1, replicas)))
+	return victim{model: r.Model, mb: mb, loss: loss}, true
+}
