Drop endpoints that are gone

Change: both go after a minute; a late copy does not bring a dropped one back. Test: TestEndpointsThatAreGoneAreDropped fails without dropping and without the offset.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -10,6 +10,14 @@
 // it was away may still come back; the platform promises about two seconds.
 const lapseGrace = 2 * time.Second
 
+// goneFor is how long an endpoint that is gone is remembered, so that a late copy
+// of its entry does not bring it back: hosts that cannot read the store pass copies
+// on that are some seconds old.
+const goneFor = time.Minute
+
+// noOffset is below every offset.
+const noOffset = -1
+
 // Directory is the list of endpoints as one host has learned it.
 // It is safe for concurrent use.
 type Directory struct {
@@ -24,6 +32,9 @@
 	// is away now.
 	storeBack time.Time
 	storeAway bool
+	// forgotten is the offset up to which entries of unknown endpoints are those of
+	// endpoints that were dropped.
+	forgotten int64
 }
 
 type entry struct {
@@ -34,10 +45,14 @@
 	// missing is when the entry vanished while the store was away, else zero.
 	missing time.Time
 	gone    bool
+	// goneAt is when the endpoint was first found gone.
+	goneAt time.Time
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{entries: map[EndpointID]*entry{}} }
+func NewDirectory() *Directory {
+	return &Directory{entries: map[EndpointID]*entry{}, forgotten: noOffset}
+}
 
 // Offset is the offset from which the list has to be read on.
 func (d *Directory) Offset() int64 {
@@ -66,7 +81,7 @@
 
 func (d *Directory) apply(now time.Time, offset int64, e Endpoint) {
 	old := d.entries[e.ID]
-	if old != nil && old.offset >= offset {
+	if old != nil && old.offset >= offset || old == nil && offset <= d.forgotten {
 		return
 	}
 	// An endpoint that has announced its leaving never takes requests again. A
@@ -168,6 +183,35 @@
 	return list
 }
 
+// Prune drops the endpoints that have been gone for long. Otherwise each one that
+// is replaced would take about a kilobyte for the life of the process. Endpoints
+// that live have newer entries than those dropped: they write one each second. It
+// returns what was dropped.
+func (d *Directory) Prune(now time.Time) []EndpointID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var dropped []EndpointID
+	for id, e := range d.entries {
+		switch {
+		case !e.gone:
+		case e.goneAt.IsZero():
+			e.goneAt = now
+		case now.Sub(e.goneAt) >= goneFor:
+			delete(d.entries, id)
+			d.forgotten = max(d.forgotten, e.offset)
+			dropped = append(dropped, id)
+		}
+	}
+	return dropped
+}
+
+// Known is the number of endpoints that are remembered, gone ones too.
+func (d *Directory) Known() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.entries)
+}
+
 // Forget marks an endpoint as gone by what this host has seen itself, such as
 // another incarnation at its address.
 func (d *Directory) Forget(id EndpointID) {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -150,3 +151,27 @@
 	d.Remove(at(3), 6, "a")
 	is.Equal(d.Material(), int64(6))
 }
+
+// Endpoints are replaced thousands of times a day, and each one that is gone was
+// kept for the life of the process. They are dropped after a while, and a late
+// copy of a dropped one's entry must not bring it back: its address may belong to
+// another endpoint by then.
+func TestEndpointsThatAreGoneAreDropped(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	const replaced = 1000
+	for i := range replaced {
+		now := at(float64(i))
+		d.Apply(now, int64(2*i), endpoint(fmt.Sprint("e", i)))
+		if i > 0 {
+			d.Remove(now, int64(2*i+1), fleet.EndpointID(fmt.Sprint("e", i-1)))
+		}
+		d.Prune(now)
+	}
+	is.True(d.Known() < 100)
+	end := at(replaced)
+	d.Apply(end, 10, endpoint("e5"))
+	live := d.Live(end)
+	is.Equal(len(live), 1)
+	is.Equal(live[0].ID, fleet.EndpointID(fmt.Sprint("e", replaced-1)))
+}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -305,6 +305,7 @@
 			return
 		}
 		last = now
+		g.feed.drop(g.directory.Prune(now))
 		live := map[fleet.EndpointID]bool{}
 		for _, v := range g.directory.Live(now) {
 			live[v.ID] = true
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -105,6 +105,15 @@
 	return f.topic(t).loaded
 }
 
+// drop forgets the entries of endpoints that are gone for long.
+func (f *feed) drop(ids []fleet.EndpointID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		delete(f.endpoints, string(id))
+	}
+}
+
 func (f *feed) setLoaded(t fleet.Topic) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
