Keep the index of endpoints up by endpoint

Ways weighed: an index that is rebuilt at most so often (a leaving endpoint would get requests meanwhile); one kept up by endpoint, whose answers are built when asked for (this).

Change: the list tells which entries have changed, notices which endpoints; only these are entered anew. An entry that has not come back after the store's return ends once, not with each look.

--- a/pkg/fleet/bench_test.go
+++ b/pkg/fleet/bench_test.go
@@ -8,7 +8,7 @@
 )
 
 // BenchmarkLocate measures the choice of endpoints for one request, and
-// BenchmarkIndex the work after a change of the list.
+// BenchmarkIndex the same just after a new entry of one that holds the model.
 func BenchmarkLocate(b *testing.B) {
 	for _, n := range []int{18, 1000, 12000} {
 		board, _ := crowd(n)
@@ -22,9 +22,14 @@
 
 func BenchmarkIndex(b *testing.B) {
 	for _, n := range []int{18, 1000, 12000} {
-		board, _ := crowd(n)
+		board, d := crowd(n)
+		e := endpoint("e6")
+		e.Holds = []fleet.Held{{Model: "m6"}, {Model: "m7"}}
+		offset := int64(n)
 		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
 			for b.Loop() {
+				offset++
+				d.Apply(at(0), offset, e)
 				board.Changed()
 				board.Locate(at(0), "s", "m7", "")
 			}
--- a/pkg/fleet/board.go
+++ b/pkg/fleet/board.go
@@ -26,7 +26,10 @@
 	// far is when a model without a copy can serve at best, by the last notice.
 	far   map[modelKey]time.Time
 	index *index
-	built time.Time
+	// stale is set when the list or a notice has changed since the index was brought
+	// up to date, checked is when that was.
+	stale   bool
+	checked time.Time
 }
 
 // residence is a model on an endpoint.
@@ -39,21 +42,16 @@
 
 type modelKey struct{ service, model string }
 
-type index struct {
-	byService map[string][]Endpoint
-	byModel   map[modelKey][]residence
-}
-
 // NewBoard returns a board on a directory.
 func NewBoard(d *Directory) *Board {
-	return &Board{directory: d, notices: map[EndpointID]map[string]residence{}}
+	return &Board{directory: d, notices: map[EndpointID]map[string]residence{}, index: newIndex()}
 }
 
 // Changed makes the board look at the directory again.
 func (b *Board) Changed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.index = nil
+	b.stale = true
 }
 
 // Notice takes in a notice and tells whether it is of the newest claim known.
@@ -64,18 +62,22 @@
 		return false
 	}
 	if n.Token > b.token || n.Full {
+		for id := range b.notices {
+			b.index.touch(id)
+		}
 		b.notices = map[EndpointID]map[string]residence{}
 	}
 	b.token = n.Token
 	b.heard = now
 	for _, p := range n.Endpoints {
 		b.notices[p.Endpoint] = residences(now, p)
+		b.index.touch(p.Endpoint)
 	}
 	b.far = make(map[modelKey]time.Time, len(n.Far))
 	for _, f := range n.Far {
 		b.far[modelKey{f.Service, f.Model}] = now.Add(time.Duration(f.ReadyIn) * time.Millisecond)
 	}
-	b.index = nil
+	b.stale = true
 	return true
 }
 
@@ -119,19 +121,18 @@
 func (b *Board) Locate(now time.Time, service, model, adapter string) Location {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.index == nil || now.Sub(b.built) > indexAge {
-		b.index = b.build(now)
-		b.built = now
+	if b.stale || now.Sub(b.checked) > indexAge {
+		b.refresh(now)
 	}
-	all := b.index.byService[service]
+	l := Location{Known: b.index.serves(service)}
 	if model == "" {
-		return Location{Ready: all, Known: len(all) > 0}
+		l.Ready = b.index.endpoints(service)
+		return l
 	}
-	l := Location{Known: len(all) > 0}
 	if now.Sub(b.heard) < controllerSilent {
 		l.FarUntil = b.far[modelKey{service, model}]
 	}
-	for _, r := range b.index.byModel[modelKey{service, model}] {
+	for _, r := range b.index.holders(modelKey{service, model}) {
 		switch {
 		case r.leaving || adapter != "" && !r.adapters[adapter]:
 		case r.readyAt.After(now):
@@ -145,25 +146,18 @@
 	return l
 }
 
-func (b *Board) build(now time.Time) *index {
-	ix := &index{byService: map[string][]Endpoint{}, byModel: map[modelKey][]residence{}}
-	trusted := now.Sub(b.heard) < controllerSilent
-	for _, v := range b.directory.Live(now) {
-		if v.Draining {
-			continue
-		}
-		ix.byService[v.Service] = append(ix.byService[v.Service], v.Endpoint)
-		models, known := b.notices[v.ID]
-		if !known || !trusted {
-			models = fromEntry(v.Endpoint)
-		}
-		for name, r := range models {
-			r.endpoint = v.Endpoint
-			key := modelKey{v.Service, name}
-			ix.byModel[key] = append(ix.byModel[key], r)
-		}
+// refresh brings the index up to date with the list and the notices.
+func (b *Board) refresh(now time.Time) {
+	b.stale = false
+	b.checked = now
+	if trusted := now.Sub(b.heard) < controllerSilent; trusted != b.index.trusted {
+		b.index.trusted = trusted
+		b.index.touchAll()
+	}
+	for _, c := range b.directory.takeChanges(now) {
+		b.index.list(c)
 	}
-	return ix
+	b.index.settle(b.notices)
 }
 
 func fromEntry(e Endpoint) map[string]residence {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -23,6 +23,10 @@
 type Directory struct {
 	mu      sync.Mutex
 	entries map[EndpointID]*entry
+	// changed names the entries that have changed since takeChanges.
+	changed map[EndpointID]bool
+	// missing counts the entries that may still come back.
+	missing int
 	// read is the offset up to which the list has been followed.
 	read int64
 	// material is the offset of the newest entry that changed which endpoints
@@ -51,7 +55,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[EndpointID]*entry{}, forgotten: noOffset}
+	return &Directory{entries: map[EndpointID]*entry{}, changed: map[EndpointID]bool{}, forgotten: noOffset}
 }
 
 // Offset is the offset from which the list has to be read on.
@@ -92,7 +96,11 @@
 	if old == nil || old.gone || old.Draining != e.Draining {
 		d.material = max(d.material, offset)
 	}
+	if old != nil && !old.missing.IsZero() {
+		d.missing--
+	}
 	d.entries[e.ID] = &entry{Endpoint: e, offset: offset, changed: now}
+	d.changed[e.ID] = true
 }
 
 // Remove takes in that an entry was deleted.
@@ -120,13 +128,62 @@
 // lapseGrace after its return. Taking them as gone at once would refuse every
 // request for that time.
 func (d *Directory) vanish(now time.Time, e *entry) {
+	if e.gone {
+		return
+	}
 	if !d.storeBack.IsZero() && now.Sub(d.storeBack) < lapseGrace && !e.Draining {
 		if e.missing.IsZero() {
 			e.missing = now
+			d.missing++
 		}
 		return
 	}
+	d.end(e)
+}
+
+// end marks an endpoint as gone.
+func (d *Directory) end(e *entry) {
+	if !e.missing.IsZero() {
+		d.missing--
+		e.missing = time.Time{}
+	}
 	e.gone = true
+	d.changed[e.ID] = true
+}
+
+// expire ends the endpoints whose entries have not come back.
+func (d *Directory) expire(now time.Time) {
+	if d.missing == 0 || d.storeAway || now.Sub(d.storeBack) < lapseGrace {
+		return
+	}
+	for _, e := range d.entries {
+		if !e.missing.IsZero() {
+			d.end(e)
+		}
+	}
+}
+
+// change is what has become of an endpoint.
+type change struct {
+	endpoint Endpoint
+	gone     bool
+}
+
+// takeChanges returns what has changed since the last call.
+func (d *Directory) takeChanges(now time.Time) []change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	var out []change
+	for id := range d.changed {
+		c := change{endpoint: Endpoint{ID: id}, gone: true}
+		if e := d.entries[id]; e != nil {
+			c = change{e.Endpoint, e.gone}
+		}
+		out = append(out, c)
+	}
+	clear(d.changed)
+	return out
 }
 
 // Replace takes in a complete listing that was read up to offset next. An
@@ -164,11 +221,9 @@
 func (d *Directory) Live(now time.Time) []View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.expire(now)
 	list := make([]View, 0, len(d.entries))
 	for _, e := range d.entries {
-		if !e.missing.IsZero() && !d.storeAway && now.Sub(d.storeBack) >= lapseGrace {
-			e.gone = true
-		}
 		if e.gone {
 			continue
 		}
@@ -218,6 +273,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e := d.entries[id]; e != nil {
-		e.gone = true
+		d.end(e)
 	}
 }
