--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -255,8 +256,11 @@
 	run(t, func(ctx context.Context) {
 		is := is.NewRelaxed(t)
 		both := engines{"e1": newEngine(130, weights, "x", "y"), "e2": newEngine(130, weights, "x", "y")}
+		var mu sync.Mutex
 		sent := 0
 		slow := func() loss {
+			mu.Lock()
+			defer mu.Unlock()
 			if sent++; sent <= 2 {
 				return lostOrder
 			}
@@ -329,11 +333,14 @@
 			const endpoints = 12
 			all := engines{}
 			var views []fleet.View
+			var mu sync.Mutex
 			var begun []time.Time
 			for i := range endpoints {
 				id := fleet.EndpointID(fmt.Sprintf("e%02d", i))
 				all[id] = newEngine(130, weights)
 				all[id].lose = func() loss {
+					mu.Lock()
+					defer mu.Unlock()
 					begun = append(begun, time.Now())
 					return nothing
 				}
@@ -353,6 +360,8 @@
 			}
 			g.Config = func() *fleet.Config { return cfg }
 			steps(ctx, g, 20*time.Second, report)
+			mu.Lock()
+			defer mu.Unlock()
 			const window, over, extra = 5 * time.Second, 1.1, 3
 			for i, from := range begun {
 				n := 0
