Prove configuration order and a controller cut from its peers

TestConfigurationNeverGoesBack: records repeated, late, out of order or damaged; fails when versions are not compared. TestControllerCutFromItsPeersStops: the store shows the former controller its successor's claim.

--- /dev/null
+++ b/pkg/gateway/config_test.go
@@ -0,0 +1,38 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/tealvane/tealvane/internal/proptest"
+	"github.com/tealvane/tealvane/internal/standin/site"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, 100, 30) }
+
+// A route that was added is refused again: records of the configuration's topic
+// are read twice, come late from another host, out of order, or cannot be
+// decoded. The version in force is always the newest that was understood.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startWith("a", site.Silent)
+	newest := int64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		start := newest
+		for i, step := range rapid.SliceOfN(rapid.IntRange(0, 30), 1, 20).Draw(t, "versions") {
+			version := start + int64(step)
+			value := fmt.Sprintf(`{"version":%d,"routes":[],"services":[]}`, version)
+			damaged := rapid.IntRange(0, 4).Draw(t, "damaged") == 0
+			if damaged {
+				value = value[:len(value)/2]
+			} else if version > newest {
+				newest = version
+			}
+			if got := g.TakeConfig(fleet.Entry{Key: "config", Value: []byte(value), Offset: int64(i)}); got != newest {
+				t.Fatalf("version %d in force, not %d, after %s", got, newest, value)
+			}
+		}
+	})
+}
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -27,6 +27,16 @@
 // MayOrder tells whether orders may be given for all that the host knows.
 func (g *Gateway) MayOrder() bool { return g.mayOrder() }
 
+// CutPeers cuts the host off from the other hosts; the store and endpoints stay.
+func (g *Gateway) CutPeers() { _ = g.mesh.node.Close() }
+
+// TakeConfig takes in a record of the configuration's topic and returns the version
+// in force after it.
+func (g *Gateway) TakeConfig(e fleet.Entry) int64 {
+	g.takeConfig(e)
+	return g.configVersion()
+}
+
 // HearNotice takes in a notice as if it came from another host.
 func (g *Gateway) HearNotice(n fleet.Notice) { g.takeNotice(g.Now(), n) }
 
--- a/pkg/gateway/unchecked_test.go
+++ b/pkg/gateway/orders_test.go
@@ -8,6 +8,27 @@
 	"github.com/tealvane/tealvane/internal/standin/site"
 )
 
+// The controller is cut off from the other hosts, not from the store. Another host
+// takes over; the former one learns of it from the store and must stop, or two hosts
+// would swap models against each other. Both go on to serve what is loaded.
+func TestControllerCutFromItsPeersStops(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	e := d.engine("e1")
+	a := d.startHost("a")
+	d.until("the first host gives orders", a.Controls)
+	b := d.startHost("b")
+	d.until("the hosts know each other", func() bool { return a.Peers() == 1 && b.Peers() == 1 })
+	a.CutPeers()
+	d.until("the other host takes over", b.Controls)
+	d.until("the first one stops", func() bool { return !a.Controls() })
+	is.Equal(d.ask(b, "/chat/", "cold").status, http.StatusOK)
+	is.Equal(d.ask(a, "/chat/", "warm").status, http.StatusOK)
+	is.Equal(len(e.Faults()), 0)
+}
+
 // Endpoints do not check who gives them an order. A controller that the store no
 // longer answers cannot know whether another host has claimed since; if it went
 // on, two hosts would order the same endpoint in turn. It orders nothing until the
