--- a/pkg/emulator/endpoint.go
+++ b/pkg/emulator/endpoint.go
@@ -41,8 +41,6 @@
 	// next is when the present step ends; loading tells that it is the load.
 	next    time.Time
 	loading bool
-	// fromStore loads share the weight store.
-	fromStore bool
 }
 
 // touch notes the use of a copy in a list of limited length.
