--- a/pkg/entryhost/once_test.go
+++ b/pkg/entryhost/once_test.go
@@ -21,7 +21,7 @@
 // by the first try, and the screen was refused as if it might have run.
 func TestKeyOfARefusedCallIsFreeAgain(t *testing.T) {
 	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
-		e := f.addService("s0", "screen")
+		e := f.joinService("s0", "screen")
 		time.Sleep(settleTime)
 		key := uuid.Must(uuid.NewV7()).String()
 		f.setDead(e, true)
@@ -39,7 +39,7 @@
 // record of that it waited until its deadline for an answer that never comes.
 func TestRepeatOfALostAnswerIsToldAtOnce(t *testing.T) {
 	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
-		e := f.addService("s0", "screen")
+		e := f.joinService("s0", "screen")
 		time.Sleep(settleTime)
 		key := uuid.Must(uuid.NewV7()).String()
 		f.mu.Lock()
@@ -56,6 +56,13 @@
 	})
 }
 
+// joinService adds a service while hosts run.
+func (f *fakes) joinService(name, service string) *fakeEngine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.addService(name, service)
+}
+
 func (f *fakes) setDead(e *fakeEngine, dead bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
