--- a/pkg/openai/completions.go
+++ b/pkg/openai/completions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"time"
 
@@ -48,40 +49,59 @@
 	})
 }
 
+// whole is an answer that was read to its end.
+type whole struct {
+	id     string
+	text   string
+	tokens int
+	reason string
+}
+
+// streamer turns an answer that has begun into an event stream.
+type streamer func(*completion.Answer) (io.ReadCloser, *completion.Refusal)
+
+// generate carries a completion: it returns an event stream if one is asked for,
+// and the whole answer otherwise.
+func (d Door) generate(ctx context.Context, in generation, stream bool, events streamer) (io.ReadCloser, whole, *completion.Refusal) {
+	ans, refusal := d.begin(ctx, in)
+	if refusal != nil {
+		return nil, whole{}, refusal
+	}
+	if stream {
+		body, refusal := events(ans)
+		return body, whole{}, refusal
+	}
+	w := whole{id: ans.Call.RequestID}
+	w.text, w.tokens, w.reason, refusal = ans.Collect()
+	return nil, w, refusal
+}
+
 // CreateChatCompletion implements callers.Handler.
 func (d Door) CreateChatCompletion(ctx context.Context, req *callers.ChatRequest, params callers.CreateChatCompletionParams) (callers.CreateChatCompletionRes, error) {
-	ans, refusal := d.begin(ctx, generation{
+	events, answer, refusal := d.generate(ctx, generation{
 		model:       req.Model,
 		prompt:      chatPrompt(req.Messages),
 		maxTokens:   req.MaxTokens,
 		temperature: req.Temperature,
 		key:         params.IdempotencyKey,
 		deadlineMs:  params.XDeadlineMs,
-	})
-	if refusal != nil {
+	}, req.Stream.Or(false), d.Chat)
+	switch {
+	case refusal != nil:
 		return nil, refusal
-	}
-	if req.Stream.Or(false) {
-		events, refusal := d.events(ans, chatChunk)
-		if refusal != nil {
-			return nil, refusal
-		}
+	case events != nil:
 		return &callers.CreateChatCompletionOKTextEventStream{Data: events}, nil
 	}
-	text, tokens, reason, refusal := ans.Collect()
-	if refusal != nil {
-		return nil, refusal
-	}
 	return &callers.ChatCompletion{
-		ID:      ans.Call.RequestID,
+		ID:      answer.id,
 		Object:  "chat.completion",
 		Created: d.Host.Now().Unix(),
 		Model:   req.Model,
 		Choices: []callers.ChatChoice{{
-			Message:      callers.ChatMessage{Role: "assistant", Content: text},
-			FinishReason: reason,
+			Message:      callers.ChatMessage{Role: "assistant", Content: answer.text},
+			FinishReason: answer.reason,
 		}},
-		Usage: callers.TokenUsage{CompletionTokens: tokens},
+		Usage: callers.TokenUsage{CompletionTokens: answer.tokens},
 	}, nil
 }
 
@@ -96,29 +116,21 @@
 
 // CreateCompletion implements callers.Handler.
 func (d Door) CreateCompletion(ctx context.Context, req *callers.CompletionRequest, params callers.CreateCompletionParams) (callers.CreateCompletionRes, error) {
-	ans, refusal := d.begin(ctx, generation{
+	events, answer, refusal := d.generate(ctx, generation{
 		model:       req.Model,
 		prompt:      req.Prompt,
 		maxTokens:   req.MaxTokens,
 		temperature: req.Temperature,
 		key:         params.IdempotencyKey,
 		deadlineMs:  params.XDeadlineMs,
-	})
-	if refusal != nil {
+	}, req.Stream.Or(false), d.Text)
+	switch {
+	case refusal != nil:
 		return nil, refusal
-	}
-	if req.Stream.Or(false) {
-		events, refusal := d.Text(ans)
-		if refusal != nil {
-			return nil, refusal
-		}
+	case events != nil:
 		return &callers.CreateCompletionOKTextEventStream{Data: events}, nil
 	}
-	text, tokens, reason, refusal := ans.Collect()
-	if refusal != nil {
-		return nil, refusal
-	}
-	out := newCompletion(ans.Call.RequestID, req.Model, d.Host.Now(), text, tokens, reason)
+	out := newCompletion(answer.id, req.Model, d.Host.Now(), answer.text, answer.tokens, answer.reason)
 	return &out, nil
 }
 
--- a/pkg/openai/events.go
+++ b/pkg/openai/events.go
@@ -51,6 +51,11 @@
 	Error *callers.ErrorDetail `json:"error"`
 }
 
+// Chat returns the event stream of a chat completion.
+func (d Door) Chat(ans *completion.Answer) (io.ReadCloser, *completion.Refusal) {
+	return d.events(ans, chatChunk)
+}
+
 // Text returns the event stream of a plain completion.
 func (d Door) Text(ans *completion.Answer) (io.ReadCloser, *completion.Refusal) {
 	return d.events(ans, textChunk)
--- a/pkg/residency/needs.go
+++ b/pkg/residency/needs.go
@@ -20,6 +20,14 @@
 	overload float64
 }
 
+// class orders needs before their due times do: late ones come last.
+func (n need) class() int {
+	if n.late {
+		return 1
+	}
+	return 0
+}
+
 // needs returns what lacks replicas, the most urgent first.
 func (d *decider) needs() []need {
 	var list []need
@@ -49,21 +57,10 @@
 	slices.SortFunc(list, func(a, b need) int {
 		return cmp.Or(
 			-cmp.Compare(a.overload, b.overload),
-			boolCompare(a.late, b.late),
+			cmp.Compare(a.class(), b.class()),
 			a.due.Compare(b.due),
 			cmp.Compare(a.model.Name, b.model.Name),
 		)
 	})
 	return list
 }
-
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
