A leaving client is no fault of the endpoint, whatever the error says

The common path looked at the error's kind only, which its own backend keeps and others need not.

Change: the client's context decides, for the endpoint's health and for the cause. Test: TestBrokenStreamOfALeavingClient, fails before.

--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -145,8 +145,9 @@
 	body    bytes.Buffer
 	refusal *serve.Refusal
 	aborted bool
-	// gone makes the client take nothing.
-	gone bool
+	// gone makes the client take nothing; leave is called with the first bytes.
+	gone  bool
+	leave func()
 }
 
 func (s *sink) Begin(a *serve.Answer) { s.status = a.Status; s.begun++ }
@@ -155,6 +156,9 @@
 		return errReset
 	}
 	s.body.Write(p)
+	if s.leave != nil {
+		s.leave()
+	}
 	return nil
 }
 func (s *sink) Abort()                 { s.aborted = true }
--- a/pkg/serve/serve_test.go
+++ b/pkg/serve/serve_test.go
@@ -239,6 +239,27 @@
 	})
 }
 
+// A client leaves in the middle of its stream, and the backend reports a broken
+// stream, not why. The endpoint was taken for failing, and the log said so.
+func TestBrokenStreamOfALeavingClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a")
+		s := newServer(w)
+		for range 20 {
+			w.does("a", script{events: 3, broken: 1})
+			ctx, cancel := context.WithCancel(context.Background())
+			r := s.Serve(ctx, request("r", fleet.Stream, true), &sink{leave: cancel})
+			is.Equal(r.Refusal.Cause, serve.CauseClientGone)
+		}
+		w.setReady("b")
+		for range 20 {
+			s.Serve(context.Background(), request("r", fleet.Stream, true), &sink{})
+		}
+		is.True(!s.Health.Condition(time.Now(), "a", "s", "m").Suspect)
+	})
+}
+
 // A client that leaves must not have its request started afterwards, and its
 // endpoint must stop.
 func TestClientThatLeaves(t *testing.T) {
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -173,6 +173,7 @@
 func (x *exchange) giveUp(ctx context.Context, r Refusal) {
 	switch {
 	case x.begun:
+		r = x.final(ctx, r)
 		x.sink.Abort()
 	case x.kept != nil:
 		x.pass(x.kept)
@@ -234,7 +235,7 @@
 	if err != nil {
 		span.RecordError(err)
 		x.result.Runs++
-		x.fail(e, err)
+		x.fail(ctx, e, err)
 		return failed
 	}
 	watch.progress()
@@ -271,11 +272,12 @@
 }
 
 // fail notes a run without a complete answer.
-func (x *exchange) fail(e fleet.Endpoint, err error) {
+func (x *exchange) fail(ctx context.Context, e fleet.Endpoint, err error) {
 	s := x.server
 	x.result.Note = err.Error()
-	// A client that has gone, or its deadline, is no fault of the endpoint.
-	failed := !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, errClientWrite)
+	// A client that has gone, or its deadline, is no fault of the endpoint, whatever
+	// the error says that it leaves behind.
+	failed := ctx.Err() == nil && !errors.Is(err, errClientWrite)
 	if failed {
 		s.Health.Result(e.ID, x.request.Service, true)
 	}
@@ -306,7 +308,7 @@
 		s.Queue.Release(x.request, e.ID, Use{Took: s.Now().Sub(start)})
 		return finished
 	}
-	x.fail(e, err)
+	x.fail(ctx, e, err)
 	if errors.Is(err, errClientWrite) {
 		x.result.Refusal = &Refusal{Cause: CauseClientGone}
 		x.sink.Abort()
