tealvaned writes its log to standard output and never blocks on it

It writes a line a request since the doors share a path. It went to standard error without a bound; a stalled reader would have stalled requests. Test: TestSlowReaderBlocksNobody proves the writer; the process tests passed.

--- a/cmd/tealvaned/main.go
+++ b/cmd/tealvaned/main.go
@@ -59,6 +59,8 @@
 		return err
 	}
 	defer flush()
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	defer out.Close()
 	identity, err := s.Peers.TLS()
 	if err != nil {
 		return err
@@ -74,7 +76,7 @@
 		Engine:   httpadapter.NewEngine(),
 		HostList: httpadapter.NewHostList(s.Platform.Hosts),
 		PeerTLS:  identity,
-		Logger:   telemetry.Logger(os.Stderr),
+		Logger:   telemetry.Logger(out),
 		Tracer:   tracer,
 	})
 	if err != nil {
