Only hosts that know the claim witness its holder

Found by reading: a host that has not read the asker's entry yet answers without its claim and without saying when it heard the holder; the missing number read as heard just now. While such a read hangs, up to 15 s, each answer put off the successor of a dead controller. A host with an older claim spoke of another holder.

Change: an answer counts with the claim asked about, or a newer one. Test: TestWhoCanWitnessTheHolder, two rows fail without the guard.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -201,8 +201,8 @@
 			if err == nil && answer.Claim != nil && answer.Claim.Token > holder.Token {
 				g.election.Observe(g.Now(), *answer.Claim)
 			}
-			ago := time.Duration(answer.HolderHeard) * time.Millisecond
-			heard <- sign{g.Now().Add(-ago), err == nil && ago < heardLately}
+			ago, ok := witnessed(answer, holder.Token)
+			heard <- sign{g.Now().Add(-ago), err == nil && ok}
 		}()
 	}
 	for range asked {
@@ -214,6 +214,19 @@
 	return false
 }
 
+// witnessed tells how long ago another host has heard the holder of a claim, if it
+// can witness that. A host that does not know the asker yet answers without its
+// claim, and one that knows an older claim speaks of another holder; taken for
+// witnesses, they would put the successor of a dead holder off for as long as their
+// reads of the store hang.
+func witnessed(answer peer.Response, token int64) (ago time.Duration, ok bool) {
+	if answer.Claim == nil || answer.Claim.Token < token {
+		return 0, false
+	}
+	ago = time.Duration(answer.HolderHeard) * time.Millisecond
+	return ago, ago < heardLately
+}
+
 // bootTime is the clock that goes on while the host is suspended.
 func bootTime() time.Duration {
 	var ts unix.Timespec
