Test that a foreign order does not pass for the own one

Cause: taking guards out one by one showed that the comparison of sequences after a lost answer was held by no test; with it gone the endpoint got 170 MB of 130 (another holder's load between an unload and its repeat). Ruled out: the random schedules find it; they have one holder only, and passed 1,500 schedules without the comparison.

--- a/pkg/orders/send_test.go
+++ b/pkg/orders/send_test.go
@@ -67,3 +67,26 @@
 		is.Equal(len(e.faults), 0)
 	})
 }
+
+// An unload is carried out, its answer is lost, and another holder's load comes
+// before the repeat, whose report says a sequence two higher. Taken for the own
+// unload it left the other load uncounted, and the endpoint got 170 MB of 130.
+func TestForeignOrderDoesNotPassForTheOwn(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x")
+		e.lose = func() loss {
+			if e.orders > 1 {
+				return nothing
+			}
+			time.AfterFunc(time.Millisecond, func() {
+				is.Equal(e.carryOut(orders.Order{Load: true, Model: "y", Expected: 1, Token: 1}), orders.Accepted)
+			})
+			return lostAnswer
+		}
+		g := newController(e, 1, "x")
+		steps(ctx, g, 4*time.Second, waiting("big", ""))
+		is.Equal(len(e.faults), 0)
+		is.Equal(e.held(), []string{"big"})
+	})
+}
