Refuse a stream in time for its client to come back

Cause: a stream's client leaves after 3.2 s without a first event, whatever time it has in all; its request was held for 55% of 15 s. Ruled out: endpoints (the requests had reached none). Change: the door states when a client leaves without a first part, and requests are refused 250 ms before.

--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -15,6 +15,10 @@
 	retryAfterShare = 1.0 / 3
 	// wakeTime is about how long a model takes from a decision until it serves.
 	wakeTime = 800 * time.Millisecond
+	// leaveMargin is how long before its client leaves a request is refused at the
+	// latest: the refusal has to reach the client, also over a link that has lost a
+	// packet of it (200 ms until it is sent again).
+	leaveMargin = 250 * time.Millisecond
 	// minRun is the least time in which an answer can be made: the prompt and
 	// the first token of an idle endpoint.
 	minRun = 60 * time.Millisecond
@@ -30,10 +34,13 @@
 	return giveUp(r).Add(-wakeTime), false
 }
 
-// giveUp is until when a request is held without a load under way.
+// giveUp is until when a request is held without a load under way. It looks at
+// when the client leaves without a first part, not at its deadline alone: a client
+// with 15 s that leaves after 3.2 s was held until it had gone, and was neither
+// served nor told to come back.
 func giveUp(r *Request) time.Time {
 	until := r.Arrived.Add(time.Duration(float64(r.Deadline.Sub(r.Arrived)) * holdShare))
-	if latest := r.Deadline.Add(-minRun); latest.Before(until) {
+	if latest := r.BeginBy().Add(-leaveMargin); latest.Before(until) {
 		return latest
 	}
 	return until
@@ -55,14 +62,14 @@
 // Hold decides whether a request waits. It returns until when, or when the
 // client may come back if waiting is hopeless.
 func Hold(r *Request, s Situation) (until time.Time, retryAfter time.Duration, hold bool) {
-	if !s.Ready && s.ComingAt.IsZero() && s.FarUntil.After(r.Deadline.Add(-minRun)) {
+	if !s.Ready && s.ComingAt.IsZero() && s.FarUntil.After(r.BeginBy().Add(-minRun)) {
 		// The model has to come from the weight store and cannot be there in time.
 		// A client that is told so at once can come back or go elsewhere.
 		s.ComingAt = s.FarUntil
 		return s.Now, RetryAfter(r.Deadline.Sub(s.Now), s), false
 	}
 	until = giveUp(r)
-	if !s.ComingAt.IsZero() && s.ComingAt.After(until) && s.ComingAt.Before(r.Deadline.Add(-minRun)) {
+	if !s.ComingAt.IsZero() && s.ComingAt.After(until) && s.ComingAt.Before(r.BeginBy().Add(-minRun)) {
 		// The load will end in time: what the client waits is not in vain.
 		until = s.ComingAt.Add(minRun)
 	}
--- a/pkg/serve/hold_test.go
+++ b/pkg/serve/hold_test.go
@@ -59,3 +59,22 @@
 	is.True(freshDue.Before(oldDue))
 	is.True(oldDue.Before(old.Deadline))
 }
+
+// A user with fifteen seconds asks for a stream whose model is not loaded, and gets
+// nothing. The request was held for 55% of the fifteen seconds; but clients of
+// such streams leave after 3.2 s without a first event, so that all of them had
+// gone before they were told to come back.
+func TestStreamIsRefusedBeforeItsClientLeaves(t *testing.T) {
+	is := is.New(t)
+	r := held(500*time.Millisecond, 15*time.Second)
+	r.FirstBy = r.Arrived.Add(3200 * time.Millisecond)
+	_, _, hold := serve.Hold(r, serve.Situation{Now: r.Arrived.Add(time.Second)})
+	is.True(hold)
+	_, retryAfter, hold := serve.Hold(r, serve.Situation{Now: r.Arrived.Add(3 * time.Second)})
+	is.True(!hold)
+	is.True(retryAfter > 0)
+	_, _, hold = serve.Hold(r, serve.Situation{Now: r.Arrived, FarUntil: r.Arrived.Add(6 * time.Second)})
+	is.True(!hold) // a model from the weight store comes after the client has left
+	due, _ := serve.Due(r, r.Arrived.Add(time.Second))
+	is.True(due.Before(r.FirstBy))
+}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -25,6 +25,9 @@
 	Deadline time.Time
 	// ClientDeadline is when the client gives up; endpoints are told of it.
 	ClientDeadline time.Time
+	// FirstBy is when a client that has got no part of the answer leaves, which may
+	// be long before its deadline; zero if only the deadline counts.
+	FirstBy time.Time
 	// Model is empty for plain services; Adapter is empty for the model itself.
 	Model   string
 	Adapter string
@@ -42,6 +45,15 @@
 	return Need{Service: r.Service, Model: r.Model, Adapter: r.Adapter}
 }
 
+// BeginBy is when the answer has to begin at the latest: after it the client has
+// gone.
+func (r *Request) BeginBy() time.Time {
+	if r.FirstBy.IsZero() || r.Deadline.Before(r.FirstBy) {
+		return r.Deadline
+	}
+	return r.FirstBy
+}
+
 // Aim is when the answer has to begin to be in time.
 func (r *Request) Aim() time.Time { return r.Arrived.Add(r.Route.Objective) }
 
