A controller without the store goes on while all others hear it

Cause: where endpoints do not check tokens, a holder gave no orders once its last read of the store was older than half a lease, and no other host claimed, since all of them heard it. Ruled out: the list of endpoints (asked from other hosts). Change: the holder goes on while another host that reads the store knows no newer claim, or while every known host has granted it a lease by hearing it; a claimant waits for as long as a holder's last read counts, which a property test found missing (a holder and a claimant that lose the store in turn: 200 ms between an order of each).

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -144,20 +144,33 @@
 	n.ListAge = g.listAge(g.Now()).Milliseconds()
 	g.board.Notice(g.Now(), n)
 	g.dispatcher.Kick()
-	for _, addr := range g.mesh.addrs() {
-		go func() {
-			answer, err := g.mesh.send(ctx, addr, peer.Request{Notice: &n})
-			if err != nil {
-				g.metrics.count("notices_lost", nil)
-				return
-			}
-			if answer.Claim != nil && answer.Claim.Token > n.Token {
-				g.election.Observe(g.Now(), *answer.Claim)
-			}
-		}()
+	for host, addr := range g.mesh.addresses() {
+		go g.tell(ctx, host, addr, n)
 	}
 }
 
+// tell sends a notice to one host and takes in what it answers.
+func (g *Gateway) tell(ctx context.Context, host, addr string, n fleet.Notice) {
+	sent := g.Now()
+	answer, err := g.mesh.send(ctx, addr, peer.Request{Notice: &n})
+	if err != nil {
+		g.metrics.count("notices_lost", nil)
+		return
+	}
+	if answer.Claim == nil {
+		return // That host does not know this one yet.
+	}
+	if answer.Claim.Token > n.Token {
+		g.election.Observe(g.Now(), *answer.Claim)
+	}
+	g.standing.Heard(n.Token, orders.Word{
+		Host:     host,
+		Sent:     sent,
+		Token:    answer.Claim.Token,
+		StoreAge: time.Duration(answer.StoreAge) * time.Millisecond,
+	})
+}
+
 // elect claims when nobody gives orders.
 func (g *Gateway) elect(ctx context.Context) {
 	every(ctx, electPeriod, func() {
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/tealvane/tealvane/pkg/fleet"
+import (
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
 
 // ReadinessAddr is where the balancer asks.
 func (g *Gateway) ReadinessAddr() string { return g.readiness.Addr().String() }
@@ -42,3 +46,6 @@
 
 // ControllerAddr is where this host tells its demand.
 func (g *Gateway) ControllerAddr() string { return g.election.Newest().Holder.Addr }
+
+// ListAge is how long ago the store answered a read of the list of endpoints.
+func (g *Gateway) ListAge() time.Duration { return g.listAge(g.Now()) }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,6 +79,7 @@
 	budget     *retry.Budget
 
 	election   *orders.Election
+	standing   *orders.Standing
 	controller *orders.Controller
 	mesh       *mesh
 	// reportNow asks for a demand report at once.
@@ -131,7 +132,8 @@
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	g.election = orders.NewElection(g.self, g.takeoverLease(), g.Now())
+	g.election = orders.NewElection(g.self, g.takeoverLease(), g.takeoverSettle(), g.Now())
+	g.standing = orders.NewStanding(s.Timing.Lease)
 	g.controller = &orders.Controller{
 		Election:  g.election,
 		Orderer:   g.endpoints,
@@ -196,15 +198,13 @@
 	return serve.Found(l.board.Locate(now, n.Service, n.Model, n.Adapter))
 }
 
-// mayOrder guards orders where endpoints do not check fencing tokens: then only
-// a host that has just read the store may give orders, for another may have
-// claimed since.
+// mayOrder guards orders where endpoints do not check fencing tokens.
 func (g *Gateway) mayOrder() bool {
 	if g.settings.Orders.EndpointsCheckTokens {
 		return true
 	}
-	const leaseParts = 2
-	return g.Now().Sub(g.feed.lastAnswer(fleet.TopicEndpoints)) < g.settings.Timing.Lease/leaseParts
+	now := g.Now()
+	return g.standing.May(now, g.election.Held(), g.listAge(now), g.mesh.names())
 }
 
 // takeoverLease is how long after a holder's last sign of life another may give
@@ -217,6 +217,15 @@
 	return g.settings.Timing.Lease
 }
 
+// takeoverSettle is how long a former holder that cannot know of a claim may still
+// give orders, where endpoints do not check tokens.
+func (g *Gateway) takeoverSettle() time.Duration {
+	if g.settings.Orders.EndpointsCheckTokens {
+		return 0
+	}
+	return orders.Settle(g.settings.Timing.Lease)
+}
+
 // wantReport asks for a demand report at once.
 func (g *Gateway) wantReport() { signal(g.reportNow) }
 
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -95,11 +96,21 @@
 
 // addrs returns the addresses of all other hosts.
 func (m *mesh) addrs() []string {
+	return slices.Collect(maps.Values(m.addresses()))
+}
+
+// names returns the names of all other hosts.
+func (m *mesh) names() []string {
+	return slices.Collect(maps.Keys(m.addresses()))
+}
+
+// addresses returns where all other hosts are reached, by name.
+func (m *mesh) addresses() map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]string, 0, len(m.peers))
-	for _, e := range m.peers {
-		out = append(out, e.Addr)
+	out := make(map[string]string, len(m.peers))
+	for name, e := range m.peers {
+		out[name] = e.Addr
 	}
 	return out
 }
@@ -126,6 +137,7 @@
 	now := g.Now()
 	answer := peer.Response{ConfigVersion: g.configVersion()}
 	if !r.Known {
+		g.standing.Stranger(now)
 		// A host that the store turned away before its entry was written. It may
 		// read what the store would tell it, and say nothing.
 		if r.State != nil {
@@ -147,6 +159,7 @@
 	answer.Claim = &claim
 	answer.Controlling = g.election.Held() != 0
 	answer.HolderHeard = g.election.HeardAgo(now).Milliseconds()
+	answer.StoreAge = g.listAge(now).Milliseconds()
 	return []peer.Response{answer}
 }
 
--- a/pkg/gateway/orders_test.go
+++ b/pkg/gateway/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/internal/standin/site"
@@ -57,3 +58,34 @@
 		})
 	}
 }
+
+// Endpoints do not check who gives them an order, and the controller alone, or every
+// host, gets no answer from the store. All hosts hear the controller, so that none of
+// them claims; but it gave no orders until the store answered again, and users of
+// models that were not loaded waited in vain for as long.
+func TestOrdersOfAHostThatAllOthersHear(t *testing.T) {
+	t.Parallel()
+	for _, all := range []bool{false, true} {
+		t.Run(map[bool]string{true: "no host reads the store", false: "the others do"}[all], func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t)
+			d.unchecked = true
+			d.publish(config(1))
+			e := d.engine("e1")
+			a := d.startHost("a")
+			d.until("the first host gives orders", a.Controls)
+			b := d.startHost("b")
+			d.until("the hosts know each other", func() bool { return a.Peers() == 1 && b.Peers() == 1 })
+			a.door.Set(site.Silent)
+			if all {
+				b.door.Set(site.Silent)
+			}
+			d.until("the store is away", a.StoreAway)
+			d.until("the list is older than half a lease", func() bool { return a.ListAge() > 500*time.Millisecond })
+			is.Equal(d.ask(b, "/chat/", "cold").status, http.StatusOK)
+			is.True(a.Controls())
+			is.Equal(len(e.Faults()), 0)
+		})
+	}
+}
--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -48,6 +48,9 @@
 	self Holder
 	// lease is the time within which two holders must not give orders in turn.
 	lease time.Duration
+	// settle is how long a former holder may give orders after a claim that it does
+	// not know of.
+	settle time.Duration
 
 	mu     sync.Mutex
 	newest Claim
@@ -67,9 +70,11 @@
 	known   bool
 }
 
-// NewElection returns the state of a host that knows no claim.
-func NewElection(self Holder, lease time.Duration, now time.Time) *Election {
-	return &Election{self: self, lease: lease, heard: now}
+// NewElection returns the state of a host that knows no claim. Two holders do not
+// give orders in turn within the lease; settle is how long a holder may go on after
+// a claim that it does not know of.
+func NewElection(self Holder, lease, settle time.Duration, now time.Time) *Election {
+	return &Election{self: self, lease: lease, settle: settle, heard: now}
 }
 
 // Observe takes in a claim from the store, or from another host's notice.
@@ -193,7 +198,10 @@
 }
 
 // win takes the claim up. The former holder may have given orders until it was
-// last heard; a holder within its lease after that would take turns with it.
+// last heard; a holder within its lease after that would take turns with it. One
+// that was cut off from this host for longer may have read the store just before
+// this claim, and goes on for as long as that counts: an order of the new holder
+// before that would meet one with an older token.
 func (e *Election) win(now time.Time, token int64) {
 	// A token that was given up is the newest one known, or older.
 	if token <= e.newest.Token {
@@ -201,13 +209,20 @@
 	}
 	e.startAt = now
 	if !e.vacant() {
-		e.startAt = e.heard.Add(e.lease)
+		e.startAt = later(e.heard.Add(e.lease), now.Add(e.settle))
 	}
 	e.newest = Claim{Holder: e.self, Token: token}
 	e.held = token
 	e.confirm = false
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Token returns the token with which orders may be given now, 0 without one.
 func (e *Election) Token(now time.Time) int64 {
 	e.mu.Lock()
--- a/pkg/orders/claim_test.go
+++ b/pkg/orders/claim_test.go
@@ -20,7 +20,7 @@
 
 func holder(host string) orders.Holder { return orders.Holder{Host: host, Incarnation: host + "-1"} }
 
-func election(host string) *orders.Election { return orders.NewElection(holder(host), lease, start) }
+func election(host string) *orders.Election { return orders.NewElection(holder(host), lease, 0, start) }
 
 // The holder is cut off but lives. Its successor must not order before the
 // former one's lease has run out, or endpoints see two hosts in turn.
--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -32,7 +32,7 @@
 
 // newController returns a controller that holds the claim with a token over one endpoint.
 func newController(e *engine, token int64, listed ...string) *orders.Controller {
-	el := orders.NewElection(holder("a"), lease, time.Now())
+	el := orders.NewElection(holder("a"), lease, 0, time.Now())
 	el.Caught()
 	el.Won(time.Now(), token)
 	cfg := config()
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -89,6 +89,8 @@
 	// HolderHeard is how many milliseconds ago the answering host has heard the
 	// holder of that claim.
 	HolderHeard int64 `cbor:"9,keyasint,omitempty"`
+	// StoreAge is how many milliseconds ago the store answered that host.
+	StoreAge int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Handler answers the requests of other hosts.
