Follow the store in a package of its own, with a bound on calls and the list passed on

In calm time every host read the list every 2 s and with each change of it, and all were woken by each entry of hosts that started together. Ruled out: claims and reports (counted).

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -44,6 +44,9 @@
 type entry struct {
 	Endpoint
 	offset int64
+	// material is the offset of the entry that last changed whether the endpoint takes
+	// requests.
+	material int64
 	// changed is when the entry was last taken in.
 	changed time.Time
 	// missing is when the entry vanished while the store was away, else zero.
@@ -93,13 +96,15 @@
 	if old != nil && old.Draining {
 		e.Draining = true
 	}
-	if old == nil || old.gone || old.Draining != e.Draining {
-		d.material = max(d.material, offset)
+	material := offset
+	if old != nil && !old.gone && old.Draining == e.Draining && old.missing.IsZero() {
+		material = old.material
 	}
+	d.material = max(d.material, material)
 	if old != nil && !old.missing.IsZero() {
 		d.missing--
 	}
-	d.entries[e.ID] = &entry{Endpoint: e, offset: offset, changed: now}
+	d.entries[e.ID] = &entry{Endpoint: e, offset: offset, material: material, changed: now}
 	d.changed[e.ID] = true
 }
 
@@ -110,6 +115,7 @@
 	d.read = max(d.read, offset+1)
 	if e := d.entries[id]; e != nil && e.offset < offset {
 		e.offset = offset
+		e.material = offset
 		d.material = max(d.material, offset)
 		d.vanish(now, e)
 	}
@@ -123,6 +129,42 @@
 	return d.material
 }
 
+// MaterialSince returns the endpoints that came, announced their leaving or went
+// after an offset.
+func (d *Directory) MaterialSince(offset int64) []EndpointID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []EndpointID
+	for id, e := range d.entries {
+		if e.material > offset {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// StoreBack takes in that the store was away until a time. A host that reads it
+// seldom may not have noticed.
+func (d *Directory) StoreBack(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.storeBack) {
+		d.storeBack = at
+	}
+}
+
+// StoreBackAgo is how long ago the store was found to be back, 0 if entries that
+// lapsed while it was away cannot come back any more.
+func (d *Directory) StoreBackAgo(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ago := now.Sub(d.storeBack)
+	if d.storeBack.IsZero() || ago > lapseGrace {
+		return 0
+	}
+	return ago
+}
+
 // vanish marks an endpoint whose entry is gone. While the store was away all
 // entries lapse, also those of endpoints that serve: they stay in use until
 // lapseGrace after its return. Taking them as gone at once would refuse every
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -21,6 +21,13 @@
 	// hangs learns from them whom to tell its demand.
 	Incarnation string `cbor:"8,keyasint,omitempty"`
 	Addr        string `cbor:"9,keyasint,omitempty"`
+	// ListEntries are the newest entries of the endpoints that came, announced their
+	// leaving or went after the offset ListSince, as they stand in the store.
+	ListEntries []Entry `cbor:"11,keyasint,omitempty"`
+	ListSince   int64   `cbor:"12,keyasint,omitempty"`
+	// StoreBackAgo is how many milliseconds ago the controller found the store back
+	// after an outage; 0 if that is long ago or was not.
+	StoreBackAgo int64 `cbor:"13,keyasint,omitempty"`
 	// Far names all models that are asked for and have no copy at any endpoint.
 	Far []FarModel `cbor:"10,keyasint,omitempty"`
 }
--- /dev/null
+++ b/pkg/follow/follower.go
@@ -0,0 +1,179 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+const (
+	// retryMin is the pause after a call that failed; it doubles with each further
+	// one up to retryMax. Calls that the store refuses have a price too, and other
+	// hosts tell meanwhile what changes.
+	retryMin = 250 * time.Millisecond
+	retryMax = 1500 * time.Millisecond
+	// listRetryMax is the same for the list of endpoints, whose reads find out that
+	// the store is back.
+	listRetryMax = 700 * time.Millisecond
+	// awayPause is the pause after a read that succeeds while the list cannot be read.
+	// Such reads do not wait at the store. Without a pause 60 hosts made 21,000 reads
+	// in the 0.7 s until the list could be read again, counted at the store.
+	awayPause = 500 * time.Millisecond
+	// recheck is how often a pause is looked at again: what it depends on changes
+	// with time alone, as when the word of another host gets too old.
+	recheck = 250 * time.Millisecond
+)
+
+// Follower reads one topic to its end again and again.
+type Follower struct {
+	Store fleet.Store
+	State *State
+	Log   *slog.Logger
+	Topic fleet.Topic
+	// Wait is how long a read waits at the store for records, 0 not at all.
+	Wait time.Duration
+	// Pause is how long to rest after a read; nil rests only while the list of
+	// endpoints cannot be read. Wake ends the pause early.
+	Pause func() time.Duration
+	Wake  <-chan struct{}
+	// Gather is how long to rest after a read that brought entries, so that those
+	// which come one after the other are read together: sixty hosts that start
+	// together write as many entries, and each host was woken by nearly every one.
+	Gather time.Duration
+	// Reset takes in the newest entries of all keys, Apply those that follow.
+	Reset func(fleet.Batch)
+	Apply func(fleet.Batch)
+	// Result is told how each read went, Failed is called after one without answer.
+	Result func(err error)
+	Failed func(ctx context.Context)
+}
+
+// errReadAgain means that a read was ended because the store is back.
+var errReadAgain = errors.New("read ended by the return of the store")
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	next := int64(-1)
+	backoff := retryMin
+	for ctx.Err() == nil {
+		fresh := next < 0
+		batch, err := f.read(ctx, next)
+		var compacted *fleet.CompactedError
+		switch {
+		case errors.As(err, &compacted):
+			f.Log.Info("records are gone from the store", "topic", f.Topic, "from", next, "first", compacted.First)
+			next = -1
+			continue
+		case errors.Is(err, errReadAgain):
+			continue
+		case err != nil && ctx.Err() != nil:
+			return // This host stops; the store is not lost.
+		}
+		f.Result(err)
+		if err != nil {
+			if f.Failed != nil {
+				f.Failed(ctx)
+			}
+			f.restOrBack(ctx, backoff)
+			backoff = min(2*backoff, f.retryMax())
+			continue
+		}
+		backoff = retryMin
+		if fresh {
+			f.Reset(batch)
+		} else {
+			f.Apply(batch)
+		}
+		next = batch.Next
+		if len(batch.Entries) > 0 {
+			sleep(ctx, f.Gather, nil)
+		}
+		f.rest(ctx)
+	}
+}
+
+func (f *Follower) read(ctx context.Context, next int64) (fleet.Batch, error) {
+	if next < 0 {
+		return f.Store.Newest(ctx, f.Topic)
+	}
+	return f.readOn(ctx, next)
+}
+
+// readOn reads what follows. A read that began while the store was silent hangs
+// for its whole wait, long after the store is back; a host would not hear of a
+// new configuration meanwhile. So it does not wait while the store is away, and
+// ends when another read shows that the store is back.
+func (f *Follower) readOn(ctx context.Context, next int64) (fleet.Batch, error) {
+	away, back := f.State.ListAway()
+	if f.Wait == 0 || away {
+		return f.Store.Read(ctx, f.Topic, next, 0)
+	}
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-back:
+			cancel()
+		case <-wait.Done():
+		}
+	}()
+	batch, err := f.Store.Read(wait, f.Topic, next, f.Wait)
+	if err != nil && wait.Err() != nil && ctx.Err() == nil {
+		return fleet.Batch{}, errReadAgain
+	}
+	return batch, err
+}
+
+func (f *Follower) retryMax() time.Duration {
+	if f.Topic == fleet.TopicEndpoints {
+		return listRetryMax
+	}
+	return retryMax
+}
+
+// rest is the pause after a read that succeeded.
+func (f *Follower) rest(ctx context.Context) {
+	if f.Pause == nil {
+		if away, _ := f.State.ListAway(); away {
+			f.restOrBack(ctx, awayPause)
+		}
+		return
+	}
+	start := time.Now()
+	share := jitter(time.Second).Seconds()
+	for {
+		left := time.Duration(share*float64(f.Pause())) - time.Since(start)
+		if left <= 0 || !sleep(ctx, min(left, recheck), f.Wake) {
+			return
+		}
+	}
+}
+
+// restOrBack waits, until the store is back at the latest.
+func (f *Follower) restOrBack(ctx context.Context, d time.Duration) {
+	var back <-chan struct{}
+	if f.Topic != fleet.TopicEndpoints {
+		_, back = f.State.ListAway()
+	}
+	sleep(ctx, jitter(d), back)
+}
+
+// sleep waits and tells whether nothing has ended it early.
+func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-wake:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// jitter spreads a period by up to a quarter, so that hosts do not call together.
+func jitter(d time.Duration) time.Duration { return d - d/4 + rand.N(d/2) }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -105,6 +105,7 @@
 // control runs the controller while this host holds the claim.
 func (g *Gateway) control(ctx context.Context) {
 	var lastNotice, lastFull time.Time
+	told := int64(noOffset)
 	for ctx.Err() == nil {
 		select {
 		case <-g.noticeNow:
@@ -117,15 +118,18 @@
 		n := g.controller.Step(ctx, now, full)
 		if n == nil {
 			lastFull = time.Time{}
+			told = noOffset
 			sleep(ctx, stepPeriod)
 			continue
 		}
-		if len(n.Endpoints) > 0 || now.Sub(lastNotice) >= noticePeriod {
+		change := g.directory.Material()
+		if len(n.Endpoints) > 0 || change > told || now.Sub(lastNotice) >= noticePeriod {
 			lastNotice = now
 			if full {
 				lastFull = now
 			}
-			g.publish(ctx, *n)
+			g.publish(ctx, g.withList(now, *n, told, change))
+			told = change
 		}
 		sleep(ctx, stepPause)
 	}
@@ -133,15 +137,30 @@
 
 // listAge is how long ago the store answered a read of the list of endpoints.
 func (g *Gateway) listAge(now time.Time) time.Duration {
-	return now.Sub(g.feed.lastAnswer(fleet.TopicEndpoints))
+	return now.Sub(g.reads.LastAnswer(fleet.TopicEndpoints))
 }
 
+// withList adds what has changed in the list of endpoints since the last notice.
+func (g *Gateway) withList(now time.Time, n fleet.Notice, told, change int64) fleet.Notice {
+	n.ListSince = told
+	n.ListChange = change
+	n.ListAge = g.listAge(now).Milliseconds()
+	if told != noOffset && change > told {
+		n.ListEntries = g.feed.entries(g.directory.MaterialSince(told))
+	}
+	if back := g.directory.StoreBackAgo(now); back > 0 {
+		n.StoreBackAgo = max(1, back.Milliseconds())
+	}
+	return n
+}
+
+// noOffset is before all offsets.
+const noOffset = -1
+
 // publish tells all hosts what the controller believes.
 func (g *Gateway) publish(ctx context.Context, n fleet.Notice) {
 	n.Incarnation = g.self.Incarnation
 	n.Addr = g.self.Addr
-	n.ListChange = g.directory.Material()
-	n.ListAge = g.listAge(g.Now()).Milliseconds()
 	g.board.Notice(g.Now(), n)
 	g.dispatcher.Kick()
 	for host, addr := range g.mesh.addresses() {
@@ -262,6 +281,7 @@
 		return
 	}
 	g.election.Won(g.Now(), token(offset))
+	signal(g.listNow) // The controller knows the list from the store itself.
 	g.log.Info("claim won", "token", token(offset))
 	signal(g.noticeNow)
 }
@@ -324,7 +344,7 @@
 	every(ctx, kickPeriod, func() {
 		g.dispatcher.Kick()
 		now := g.Now()
-		if g.feed.loaded(fleet.TopicEndpoints) && g.listAge(now) > g.listPause()+maxListAge-listPoll {
+		if g.reads.Loaded(fleet.TopicEndpoints) && g.viewAge(now) > maxListAge {
 			go g.askPeer(ctx)
 		}
 		if now.Sub(last) < prunePeriod {
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -24,7 +24,7 @@
 
 // StoreAway tells whether the host has noticed that the store does not answer.
 func (g *Gateway) StoreAway() bool {
-	away, _ := g.feed.listAway()
+	away, _ := g.reads.ListAway()
 	return away
 }
 
@@ -49,3 +49,12 @@
 
 // ListAge is how long ago the store answered a read of the list of endpoints.
 func (g *Gateway) ListAge() time.Duration { return g.listAge(g.Now()) }
+
+// Confirmed tells whether the controller has confirmed this host's list of endpoints.
+func (g *Gateway) Confirmed() bool { return g.mesh.confirmedAge(g.Now()) < confirmedFor }
+
+// ListOffset is the offset up to which the host knows the list of endpoints.
+func (g *Gateway) ListOffset() int64 { return g.directory.Offset() }
+
+// LiveEndpoints is the number of endpoints that the host takes for alive.
+func (g *Gateway) LiveEndpoints() int { return len(g.directory.Live(g.Now())) }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/record"
@@ -24,86 +24,31 @@
 	// listReads is how often the list is read at least in the time in which a
 	// leaving endpoint must have been noticed.
 	listReads = 3
-	// calmListPoll is the period while the controller reads the list and
-	// says in its notices when it has changed. With longPoll it saved 397 of 1,064
-	// calls of nine hosts in 46 s, counted at the store.
-	calmListPoll = 2 * time.Second
-	// freshNotice and freshList are how old the controller's last notice and its list
-	// may be for that.
-	freshNotice = 700 * time.Millisecond
-	freshList   = 800 * time.Millisecond
+	// confirmedListPoll is the period while the controller reads the list and passes
+	// on in its notices what has changed; half of the history that the store keeps.
+	confirmedListPoll = 10 * time.Second
+	// confirmedFor is how old what is known of the list may be for that: the age of the
+	// controller's read and the pause of its notices, with a notice that was lost.
+	confirmedFor = 1100 * time.Millisecond
 	// controllerListPoll is the period while this host gives orders: what endpoints
 	// say of themselves corrects what it believes.
 	controllerListPoll = 350 * time.Millisecond
-	// storeRetry is the pause after a call that failed; it doubles with each
-	// further one up to storeRetryMax. Calls that the store refuses have a price
-	// too, and other hosts tell meanwhile what changes.
-	storeRetry    = 250 * time.Millisecond
-	storeRetryMax = 1500 * time.Millisecond
+	// gatherHosts is for how long entries of hosts are gathered, about the time in which
+	// hosts start that are started together.
+	gatherHosts = 300 * time.Millisecond
+	// storeRetry is the pause after a write that failed.
+	storeRetry = 250 * time.Millisecond
 )
 
 // feed is what a host has read from the store, as it stands there, so that it
-// can pass it on to hosts that cannot read the store. It is safe for concurrent use.
+// can pass it on to other hosts. It is safe for concurrent use.
 type feed struct {
 	mu        sync.Mutex
 	config    fleet.Entry
 	endpoints map[string]fleet.Entry
-	topics    map[fleet.Topic]*topicState
-	// back is closed, and made anew, when the list of endpoints can be read again.
-	back chan struct{}
 }
 
-type topicState struct {
-	loaded bool
-	away   bool
-	answer time.Time
-}
-
-func newFeed() *feed {
-	return &feed{endpoints: map[string]fleet.Entry{}, topics: map[fleet.Topic]*topicState{}, back: make(chan struct{})}
-}
-
-func (f *feed) topic(t fleet.Topic) *topicState {
-	s := f.topics[t]
-	if s == nil {
-		s = &topicState{}
-		f.topics[t] = s
-	}
-	return s
-}
-
-// answered notes a call's result and tells whether the store was lost or regained.
-func (f *feed) answered(t fleet.Topic, now time.Time, err error) (changed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.topic(t)
-	away := err != nil
-	changed = s.away != away
-	s.away = away
-	if changed && !away && t == fleet.TopicEndpoints {
-		close(f.back)
-		f.back = make(chan struct{})
-	}
-	if !away {
-		s.answer = now
-		s.loaded = true
-	}
-	return changed
-}
-
-// listAway tells whether the list of endpoints cannot be read, and returns a
-// channel that is closed when it can be read again.
-func (f *feed) listAway() (bool, <-chan struct{}) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.topic(fleet.TopicEndpoints).away, f.back
-}
-
-func (f *feed) loaded(t fleet.Topic) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.topic(t).loaded
-}
+func newFeed() *feed { return &feed{endpoints: map[string]fleet.Entry{}} }
 
 // drop forgets the entries of endpoints that are gone for long.
 func (f *feed) drop(ids []fleet.EndpointID) {
@@ -114,142 +59,37 @@
 	}
 }
 
-func (f *feed) setLoaded(t fleet.Topic) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.topic(t).loaded = true
-}
-
-func (f *feed) lastAnswer(t fleet.Topic) time.Time {
+// entries returns the newest entries of endpoints.
+func (f *feed) entries(ids []fleet.EndpointID) []fleet.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.topic(t).answer
-}
-
-// follower reads one topic to its end again and again.
-type follower struct {
-	topic fleet.Topic
-	// wait returns how long a read waits, and pause how long to rest after one.
-	wait  time.Duration
-	pause func() time.Duration
-	// wake ends the pause early.
-	wake <-chan struct{}
-	// reset takes in the newest entries of all keys, apply those that follow.
-	reset func(fleet.Batch)
-	apply func(fleet.Batch)
-	// failed is called when the store does not answer.
-	failed func(context.Context)
-}
-
-// retryMax is the longest pause after failed calls. Reads of the list of
-// endpoints find out that the store is back; the other topics wait for them.
-func (f follower) retryMax() time.Duration {
-	if f.topic == fleet.TopicEndpoints {
-		return listPoll
-	}
-	return storeRetryMax
-}
-
-// follow runs a follower until ctx ends.
-func (g *Gateway) follow(ctx context.Context, f follower) {
-	next := int64(-1)
-	backoff := storeRetry
-	for ctx.Err() == nil {
-		var batch fleet.Batch
-		var err error
-		fresh := next < 0
-		if fresh {
-			batch, err = g.store.Newest(ctx, f.topic)
-		} else {
-			batch, err = g.readOn(ctx, f, next)
-		}
-		var compacted *fleet.CompactedError
-		if errors.As(err, &compacted) {
-			g.log.Info("records are gone from the store", "topic", f.topic, "from", next, "first", compacted.First)
-			next = -1
-			continue
-		}
-		if errors.Is(err, errReadAgain) {
-			continue
-		}
-		g.noteStore(f.topic, err)
-		if err != nil {
-			if f.failed != nil {
-				f.failed(ctx)
-			}
-			g.restOrBack(ctx, f.topic, jitter(backoff))
-			backoff = min(2*backoff, f.retryMax())
-			continue
-		}
-		backoff = storeRetry
-		if fresh {
-			f.reset(batch)
-		} else {
-			f.apply(batch)
-		}
-		next = batch.Next
-		if f.pause != nil {
-			rest(ctx, jitter(f.pause()), f.wake)
-		}
-	}
-}
-
-// readOn reads what follows. A read that began while the store was silent hangs
-// for its whole wait, long after the store is back; a host would not hear of a
-// new configuration meanwhile. So it does not wait while the store is away, and
-// ends when another read shows that the store is back.
-func (g *Gateway) readOn(ctx context.Context, f follower, next int64) (fleet.Batch, error) {
-	if f.wait == 0 {
-		return g.store.Read(ctx, f.topic, next, 0)
-	}
-	away, back := g.feed.listAway()
-	if away {
-		return g.store.Read(ctx, f.topic, next, 0)
-	}
-	wait, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-back:
-			cancel()
-		case <-wait.Done():
+	var out []fleet.Entry
+	for _, id := range ids {
+		if e, ok := f.endpoints[string(id)]; ok {
+			out = append(out, e)
 		}
-	}()
-	batch, err := g.store.Read(wait, f.topic, next, f.wait)
-	if err != nil && wait.Err() != nil && ctx.Err() == nil {
-		return fleet.Batch{}, errReadAgain
-	}
-	return batch, err
-}
-
-// errReadAgain means that a read was ended because the store is back.
-var errReadAgain = errors.New("read ended by the return of the store")
-
-// restOrBack waits after a failed call, until the store is back at the latest.
-func (g *Gateway) restOrBack(ctx context.Context, t fleet.Topic, d time.Duration) {
-	if t == fleet.TopicEndpoints {
-		sleep(ctx, d)
-		return
 	}
-	_, back := g.feed.listAway()
-	rest(ctx, d, back)
-}
-
-// rest waits until the time is over or something wakes it.
-func rest(ctx context.Context, d time.Duration, wake <-chan struct{}) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-wake:
-	case <-ctx.Done():
+	return out
+}
+
+// follower returns a follower of a topic.
+func (g *Gateway) follower(t fleet.Topic, reset, apply func(fleet.Batch)) *follow.Follower {
+	return &follow.Follower{
+		Store:  g.store,
+		State:  g.reads,
+		Log:    g.log,
+		Topic:  t,
+		Wait:   longPoll,
+		Reset:  reset,
+		Apply:  apply,
+		Result: func(err error) { g.noteStore(t, err) },
 	}
 }
 
 // noteStore logs a lost or regained store once.
 func (g *Gateway) noteStore(t fleet.Topic, err error) {
 	now := g.Now()
-	changed := g.feed.answered(t, now, err)
+	changed := g.reads.Answered(t, now, err)
 	if t == fleet.TopicEndpoints {
 		g.directory.StoreState(now, err == nil)
 	}
@@ -263,13 +103,9 @@
 }
 
 func (g *Gateway) followConfig(ctx context.Context) {
-	g.follow(ctx, follower{
-		topic:  fleet.TopicConfig,
-		wait:   longPoll,
-		reset:  g.takeConfigs,
-		apply:  g.takeConfigs,
-		failed: g.askPeer,
-	})
+	f := g.follower(fleet.TopicConfig, g.takeConfigs, g.takeConfigs)
+	f.Failed = g.askPeer
+	f.Run(ctx)
 }
 
 func (g *Gateway) takeConfigs(b fleet.Batch) {
@@ -301,14 +137,12 @@
 }
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
-	g.follow(ctx, follower{
-		topic:  fleet.TopicEndpoints,
-		pause:  g.listPause,
-		wake:   g.listNow,
-		reset:  g.resetEndpoints,
-		apply:  g.takeEndpoints,
-		failed: g.askPeer,
-	})
+	f := g.follower(fleet.TopicEndpoints, g.resetEndpoints, g.takeEndpoints)
+	f.Wait = 0
+	f.Pause = g.listPause
+	f.Wake = g.listNow
+	f.Failed = g.askPeer
+	f.Run(ctx)
 }
 
 // listPause is the pause between two reads of the list of endpoints.
@@ -316,13 +150,18 @@
 	if g.election.Held() != 0 {
 		return controllerListPoll
 	}
-	at, age := g.mesh.listNotice()
-	if g.Now().Sub(at) < freshNotice && age < freshList {
-		return min(calmListPoll, g.settings.Timing.Drain)
+	if g.mesh.confirmedAge(g.Now()) < confirmedFor {
+		return confirmedListPoll
 	}
 	return min(listPoll, g.settings.Timing.Drain/listReads)
 }
 
+// viewAge is how old what this host knows of the list of endpoints is at most: it
+// was read from the store, or the controller has told that nothing else changed.
+func (g *Gateway) viewAge(now time.Time) time.Duration {
+	return min(g.listAge(now), g.mesh.confirmedAge(now))
+}
+
 func (g *Gateway) resetEndpoints(b fleet.Batch) {
 	list := make(map[int64]fleet.Endpoint, len(b.Entries))
 	raw := make(map[string]fleet.Entry, len(b.Entries))
@@ -406,7 +245,9 @@
 		}
 		g.budget.SetHosts(g.mesh.hosts())
 	}
-	g.follow(ctx, follower{topic: fleet.TopicHosts, wait: longPoll, reset: take, apply: take})
+	f := g.follower(fleet.TopicHosts, take, take)
+	f.Gather = gatherHosts
+	f.Run(ctx)
 }
 
 func (g *Gateway) takeHost(e fleet.Entry) {
@@ -427,7 +268,7 @@
 		g.mesh.setClaimsNext(b.Next)
 		g.election.Caught()
 	}
-	g.follow(ctx, follower{topic: fleet.TopicClaims, wait: longPoll, reset: take, apply: take})
+	g.follower(fleet.TopicClaims, take, take).Run(ctx)
 }
 
 func (g *Gateway) takeClaim(e fleet.Entry) {
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -104,7 +104,7 @@
 
 // awaitConfig waits for the first configuration and list of endpoints.
 func (g *Gateway) awaitConfig(ctx context.Context) bool {
-	for g.config.Load() == nil || !g.feed.loaded(fleet.TopicEndpoints) {
+	for g.config.Load() == nil || !g.reads.Loaded(fleet.TopicEndpoints) {
 		if !sleep(ctx, configPoll) {
 			return false
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/retry"
@@ -70,6 +71,7 @@
 
 	config    atomic.Pointer[fleet.Config]
 	feed      *feed
+	reads     *follow.State
 	directory *fleet.Directory
 	board     *fleet.Board
 
@@ -105,7 +107,7 @@
 	s := cfg.Settings
 	g := &Gateway{
 		settings:  s,
-		store:     cfg.Store,
+		store:     follow.NewCalls(cfg.Store),
 		codec:     cfg.Codec,
 		metrics:   newMetrics(),
 		directory: fleet.NewDirectory(),
@@ -115,6 +117,7 @@
 		noticeNow: make(chan struct{}, 1),
 		listNow:   make(chan struct{}, 1),
 		feed:      newFeed(),
+		reads:     follow.NewState(),
 	}
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -39,24 +39,25 @@
 	silent map[string]time.Time
 	// asked is when a peer was last asked for the state.
 	asked time.Time
-	// noticed is when the controller's last notice came, listAge how old its list was.
-	noticed time.Time
-	listAge time.Duration
+	// confirmed is as of when the controller has last told all changes of the list of
+	// endpoints that this host had not read itself.
+	confirmed time.Time
 }
 
-// noteList takes in how old the controller's list of endpoints is.
-func (m *mesh) noteList(now time.Time, age time.Duration) {
+// confirm takes in that this host knows the list of endpoints as of a time.
+func (m *mesh) confirm(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noticed = now
-	m.listAge = age
+	if at.After(m.confirmed) {
+		m.confirmed = at
+	}
 }
 
-// listNotice returns when the controller last told the age of its list, and that age.
-func (m *mesh) listNotice() (time.Time, time.Duration) {
+// confirmedAge is how old the list of endpoints is that the controller has confirmed.
+func (m *mesh) confirmedAge(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.noticed, m.listAge
+	return now.Sub(m.confirmed)
 }
 
 func newMesh(self string, own peer.Fingerprint) *mesh {
@@ -189,14 +190,31 @@
 		Token:  n.Token,
 	})
 	g.election.Heard(now, n.Token)
-	g.mesh.noteList(now, time.Duration(n.ListAge)*time.Millisecond)
+	g.takeListNotice(now, n)
+	g.dispatcher.Kick()
+	g.compareConfig(n.Addr, n.ConfigVersion)
+}
+
+// takeListNotice takes in what the controller tells of the list of endpoints. Changes
+// that came in a notice which was lost are not in this one: a host that lacks what
+// came before reads the store itself. Else it would send requests for ten seconds to
+// an endpoint that has left.
+func (g *Gateway) takeListNotice(now time.Time, n fleet.Notice) {
+	if n.StoreBackAgo > 0 {
+		g.directory.StoreBack(now.Add(-milliseconds(n.StoreBackAgo)))
+	}
+	if len(n.ListEntries) > 0 && g.directory.Offset() > n.ListSince {
+		g.takeEndpoints(fleet.Batch{Entries: n.ListEntries})
+	}
 	if n.ListChange >= g.directory.Offset() {
 		signal(g.listNow)
+		return
 	}
-	g.dispatcher.Kick()
-	g.compareConfig(n.Addr, n.ConfigVersion)
+	g.mesh.confirm(now.Add(-milliseconds(n.ListAge)))
 }
 
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // state answers a host that cannot read the store.
 func (g *Gateway) state(r peer.StateRequest) *peer.StateAnswer {
 	g.feed.mu.Lock()
@@ -250,7 +268,7 @@
 		return
 	}
 	request := peer.StateRequest{EndpointsFrom: stateFrom, ConfigVersion: g.configVersion()}
-	if g.feed.loaded(fleet.TopicEndpoints) {
+	if g.reads.Loaded(fleet.TopicEndpoints) {
 		request.EndpointsFrom = g.directory.Offset()
 	}
 	answer, err := g.mesh.send(ctx, addr, peer.Request{State: &request})
@@ -267,7 +285,7 @@
 	}
 	if len(answer.State.Endpoints) > 0 {
 		g.takeEndpoints(fleet.Batch{Entries: answer.State.Endpoints, Next: answer.State.EndpointsNext})
-		g.feed.setLoaded(fleet.TopicEndpoints)
+		g.reads.SetLoaded(fleet.TopicEndpoints)
 	}
 }
 
