--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -124,6 +124,17 @@
 	return c.Routes[best], true
 }
 
+// Names tells whether the configuration names a model of a service and, unless it is
+// empty, an adapter of it. A plain service has no models; any is as good as none.
+func (c *Config) Names(service, model, adapter string) bool {
+	engine := c.Services[service].Engine
+	if engine == nil || model == "" {
+		return true
+	}
+	m, ok := engine.Models[model]
+	return ok && (adapter == "" || m.Adapters > 0)
+}
+
 // Choose returns the service of a request. draw returns a number below n.
 func (r Route) Choose(draw func(n int) int) string {
 	total := 0
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -123,7 +123,7 @@
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.board = fleet.NewBoard(g.directory)
 	g.endpoints = cfg.Endpoints(g.Now, g.connectionLimit)
-	g.dispatcher = serve.NewDispatcher(s.Zone, locator{g.board}, g.health, g.Now, g.wantReport)
+	g.dispatcher = serve.NewDispatcher(s.Zone, locator{g.board, g.config.Load}, g.health, g.Now, g.wantReport)
 	g.server = &serve.Server{
 		Backend: g.endpoints,
 		Queue:   g.dispatcher,
@@ -194,11 +194,22 @@
 }
 
 // locator tells the dispatcher where models are.
-type locator struct{ board *fleet.Board }
+type locator struct {
+	board  *fleet.Board
+	config func() *fleet.Config
+}
 
 // Find implements serve.Placement.
 func (l locator) Find(now time.Time, n serve.Need) serve.Found {
-	return serve.Found(l.board.Locate(now, n.Service, n.Model, n.Adapter))
+	at := l.board.Locate(now, n.Service, n.Model, n.Adapter)
+	c := l.config()
+	return serve.Found{
+		Ready:    at.Ready,
+		ComingAt: at.ComingAt,
+		FarUntil: at.FarUntil,
+		Known:    at.Known,
+		Unnamed:  c != nil && !c.Names(n.Service, n.Model, n.Adapter),
+	}
 }
 
 // mayOrder guards orders where endpoints do not check fencing tokens.
--- a/pkg/gateway/orders_test.go
+++ b/pkg/gateway/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,21 @@
 		})
 	}
 }
+
+// A user mistypes a model's name. The request was held for half of its time, refused
+// with an invitation to come back in 150 ms, and held again: nobody would ever load
+// such a model, and the log said only that it was not loaded.
+func TestModelThatNoConfigurationNames(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	d.engine("e1")
+	h := d.startHost("a")
+	d.until("the host gives orders", h.Controls)
+	start := time.Now()
+	got := d.ask(h, "/chat/", "nosuch")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(got.body, "no_such_model"))
+	is.True(time.Since(start) < time.Second)
+}
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -59,6 +59,8 @@
 	FarUntil time.Time
 	// Known tells whether the service has any endpoint.
 	Known bool
+	// Unnamed needs are for a model or adapter that no configuration names.
+	Unnamed bool
 }
 
 // Placement tells where models are held.
@@ -193,6 +195,8 @@
 func refuse(s Situation, retryAfter time.Duration) *Refusal {
 	cause := CauseNotLoaded
 	switch {
+	case s.Unnamed:
+		cause = CauseNoModel
 	case !s.Known:
 		cause = CauseNoEndpoint
 	case s.Ready:
@@ -239,8 +243,8 @@
 // situation tells also whether a model is missing that should be loaded.
 func (d *Dispatcher) situation(now time.Time, w *waiter) (s Situation, cold bool) {
 	f := d.placement.Find(now, w.need)
-	s = Situation{Now: now, Ready: len(f.Ready) > 0, ComingAt: f.ComingAt, FarUntil: f.FarUntil, Known: f.Known}
-	return s, !s.Ready && w.need.Model != ""
+	s = Situation{Now: now, Ready: len(f.Ready) > 0, ComingAt: f.ComingAt, FarUntil: f.FarUntil, Known: f.Known, Unnamed: f.Unnamed}
+	return s, !s.Ready && !s.Unnamed && w.need.Model != ""
 }
 
 // wantLater keeps a need alive whose request was refused because its model has
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -15,6 +15,8 @@
 	retryAfterShare = 1.0 / 3
 	// wakeTime is about how long a model takes from a decision until it serves.
 	wakeTime = 800 * time.Millisecond
+	// configTime is within what time a new configuration is in force everywhere.
+	configTime = 2 * time.Second
 	// leaveMargin is how long before its client leaves a request is refused at the
 	// latest: the refusal has to reach the client, also over a link that has lost a
 	// packet of it (200 ms until it is sent again).
@@ -57,11 +59,20 @@
 	FarUntil time.Time
 	// Known tells whether the service has any live endpoint at all.
 	Known bool
+	// Unnamed needs are for a model or adapter that no configuration names.
+	Unnamed bool
 }
 
 // Hold decides whether a request waits. It returns until when, or when the
 // client may come back if waiting is hopeless.
 func Hold(r *Request, s Situation) (until time.Time, retryAfter time.Duration, hold bool) {
+	if s.Unnamed {
+		// Nobody will load it. Held for half of its client's time, and again when the
+		// client had come back, the request would only have been refused later. A new
+		// configuration may name it soon.
+		s.ComingAt = s.Now.Add(configTime)
+		return s.Now, RetryAfter(r.Deadline.Sub(s.Now), s), false
+	}
 	if !s.Ready && s.ComingAt.IsZero() && s.FarUntil.After(r.BeginBy().Add(-minRun)) {
 		// The model has to come from the weight store and cannot be there in time.
 		// A client that is told so at once can come back or go elsewhere.
--- a/pkg/serve/hold_test.go
+++ b/pkg/serve/hold_test.go
@@ -28,6 +28,7 @@
 		{"unless the model is about to be there", serve.Situation{Now: at(6 * time.Second), ComingAt: at(7 * time.Second)}, true},
 		{"a model that cannot come from the weight store in time is refused at once", serve.Situation{Now: at(0), FarUntil: at(12 * time.Second)}, false},
 		{"one that can is waited for", serve.Situation{Now: at(0), FarUntil: at(7 * time.Second)}, true},
+		{"a model that no configuration names is refused at once", serve.Situation{Now: at(0), Known: true, Unnamed: true}, false},
 		{"but not when it comes too late", serve.Situation{Now: at(6 * time.Second), ComingAt: at(11 * time.Second)}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -128,6 +128,7 @@
 	CauseNoEndpoint Cause = "no_endpoint"
 	CauseNoRoom     Cause = "no_room"
 	CauseNotLoaded  Cause = "not_loaded"
+	CauseNoModel    Cause = "no_such_model"
 	CauseDeadline   Cause = "deadline"
 	CauseClientGone Cause = "client_gone"
 	CauseBroken     Cause = "endpoint_failed"
