--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -83,6 +83,9 @@
 	// InTime is how many of the waiting requests can still begin in time; DueIn is
 	// then that of the first of these.
 	InTime int `cbor:"9,keyasint,omitempty"`
+	// Starting is for how many milliseconds requests have waited at endpoints for the
+	// first part of their answers, summed, since the last report.
+	Starting int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Due returns the time that DueIn meant when the report came.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -71,6 +71,7 @@
 			InTime:   d.InTime,
 			Inflight: d.Inflight,
 			Arrived:  d.Arrived,
+			Starting: d.Starting.Milliseconds(),
 			Priority: d.Priority,
 		}
 		if d.Waiting > 0 {
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -277,6 +277,7 @@
 		r.Inflight += x.inflight
 		r.Rate += x.fast
 		r.Slow += x.slow
+		r.Starting += x.starting
 	}
 	out := make([]residency.Model, 0, len(byName))
 	for _, name := range sortedKeys(byName) {
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -27,8 +27,11 @@
 // rate is an arrival rate that fades.
 type rate struct {
 	fast, slow float64
-	at         time.Time
-	lastUsed   time.Time
+	// starting is how many requests wait at endpoints for the first part of their
+	// answers, on the average of the fast time constant.
+	starting float64
+	at       time.Time
+	lastUsed time.Time
 }
 
 func (r *rate) fade(now time.Time) {
@@ -38,6 +41,7 @@
 	}
 	r.fast *= math.Exp(-dt / fastMemory.Seconds())
 	r.slow *= math.Exp(-dt / slowMemory.Seconds())
+	r.starting *= math.Exp(-dt / fastMemory.Seconds())
 	r.at = now
 }
 
@@ -79,6 +83,7 @@
 			d.rates[key] = x
 		}
 		x.add(now, n.Arrived)
+		x.starting += float64(n.Starting) / 1000 / fastMemory.Seconds()
 		if n.Inflight > 0 || n.Waiting > 0 {
 			x.lastUsed = now
 		}
@@ -109,6 +114,7 @@
 	inTime     int
 	due        time.Time
 	fast, slow float64
+	starting   float64
 	lastUsed   time.Time
 }
 
@@ -122,7 +128,7 @@
 			delete(d.rates, key)
 			continue
 		}
-		out[key] = &total{fast: x.fast * fast, slow: x.slow * slow, lastUsed: x.lastUsed}
+		out[key] = &total{fast: x.fast * fast, slow: x.slow * slow, starting: x.starting * fast, lastUsed: x.lastUsed}
 	}
 	for host, h := range d.hosts {
 		if now.Sub(h.at) > reportLife {
--- /dev/null
+++ b/pkg/orders/demand_test.go
@@ -0,0 +1,30 @@
+package orders_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
+)
+
+// Two hosts each tell four times a second for how long requests waited for their first
+// words. A second of waiting in each second means one request that waits all the time,
+// however many requests that were.
+func TestWaitForTheFirstPartIsSummedOverHosts(t *testing.T) {
+	is := is.New(t)
+	d := orders.NewDemand(start)
+	service := fleet.Service{Name: "llm", Engine: &fleet.Engine{Models: map[string]fleet.Model{"m": {Name: "m"}}}}
+	now := start
+	for range 80 {
+		now = now.Add(250 * time.Millisecond)
+		for _, host := range []string{"a", "b"} {
+			d.Take(now, fleet.DemandReport{Host: host, Needs: []fleet.NeedReport{{Service: "llm", Model: "m", Arrived: 1, Starting: 125}}})
+		}
+	}
+	models := d.Models(now, service)
+	is.Equal(len(models), 1)
+	is.True(math.Abs(models[0].Starting-1) < 0.1)
+}
--- a/pkg/residency/needs.go
+++ b/pkg/residency/needs.go
@@ -14,6 +14,8 @@
 	cold bool
 	// late needs are met when nothing else lacks.
 	late bool
+	// extra replicas let prompts be read sooner; what costs others is not done for them.
+	extra bool
 	// overload is how many times the rate exceeds what the replicas should
 	// serve, 0 while they can bear it. Such a model goes first: each second
 	// without another replica makes more requests late than a rare model has.
@@ -22,10 +24,14 @@
 
 // class orders needs before their due times do: late ones come last.
 func (n need) class() int {
-	if n.late {
+	switch {
+	case n.extra:
+		return 2
+	case n.late:
 		return 1
+	default:
+		return 0
 	}
-	return 0
 }
 
 // needs returns what lacks replicas, the most urgent first.
@@ -34,6 +40,9 @@
 	for name, m := range d.models {
 		have := d.replicas[name]
 		if have >= d.wanted[name] {
+			if m.Rate >= hotRate && m.offered(have) > extraUse*float64(have) {
+				list = append(list, need{model: m, due: d.snap.Now.Add(spareDue), extra: true})
+			}
 			continue
 		}
 		n := need{model: m, due: d.snap.Now.Add(spareDue), cold: have == 0 && m.Waiting > 0}
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -83,6 +83,19 @@
 	Rate     float64
 	Slow     float64
 	Inflight int
+	// Starting is how many requests wait at endpoints for the first part of their
+	// answers, on the average of a few seconds.
+	Starting float64
+}
+
+// offered is how many endpoints the prompts of a model would keep busy without a
+// pause. Requests that wait for the first part of their answers at a replica are
+// read one after the other, so that n of them on the average mean that it reads for
+// n/(1+n) of the time.
+func (m *Model) offered(replicas int) float64 {
+	n := float64(max(1, replicas))
+	each := m.Starting / n
+	return n * each / (1 + each)
 }
 
 // Limits are the bounds of a decision.
@@ -152,6 +165,12 @@
 	// busyShare is the part of an endpoint's slots that one model may fill
 	// before it gets another replica.
 	busyShare = 0.6
+	// extraUse is the part of its time that a replica reads prompts for, above which
+	// the model gets a further one where that costs others little: requests queue for
+	// as long again as they take at half of the time.
+	extraUse = 0.3
+	// extraLoss is the most that may leave for such a replica, in requests a second.
+	extraLoss = 0.15
 	// adapterCost keeps swaps away from endpoints that hold adapters: these load
 	// only while no order runs there, and are lost with their model.
 	adapterCost = 0.15
@@ -242,6 +261,8 @@
 type option struct {
 	swap Swap
 	cost float64
+	// loss is what the models that leave would have served, in requests a second.
+	loss float64
 }
 
 func (d *decider) meet(n need) {
@@ -262,7 +283,7 @@
 			best = o
 		}
 	}
-	if math.IsInf(best.cost, 1) {
+	if math.IsInf(best.cost, 1) || n.extra && (best.swap.From == InStore || best.loss > extraLoss) {
 		return
 	}
 	if best.swap.From == InStore {
@@ -315,7 +336,7 @@
 		cost += zoneCost * float64(d.zones[n.model.Name][e.Zone])
 		cost += stackCost * float64(d.hotAt(e))
 	}
-	return option{swap: Swap{Endpoint: e.ID, Evict: victims, Load: n.model.Name, From: tier}, cost: cost}, true
+	return option{swap: Swap{Endpoint: e.ID, Evict: victims, Load: n.model.Name, From: tier}, cost: cost, loss: loss}, true
 }
 
 // hotAt counts the busy models at an endpoint.
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -314,3 +314,49 @@
 	}
 	return snap
 }
+
+// Drafts of 9,000 tokens take an endpoint a quarter of a second each. Four a second are
+// few requests, but a second replica halves the time that they queue: users got
+// their first words after 0.8 s where 0.25 s would do. It must not cost rare models
+// their places, nor the weight store.
+func TestSlowPromptsGetAnotherReplica(t *testing.T) {
+	slow := func(starting float64) residency.Model {
+		m := model("slow", 0, 0, 4)
+		m.Starting = starting
+		return m
+	}
+	idle := model("idle", 0, 0, 0.01)
+	used := model("used", 0, 0, 1)
+	for _, c := range []struct {
+		name     string
+		starting float64
+		other    residency.Model
+		onDisk   []string
+		want     int
+	}{
+		{"prompts that queue get one", 0.9, idle, []string{"slow"}, 1},
+		{"those that do not, none", 0.2, idle, []string{"slow"}, 0},
+		{"not at the cost of a model that is asked for", 0.9, used, []string{"slow"}, 0},
+		{"not from the weight store", 0.9, idle, nil, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := residency.Decide(residency.Snapshot{
+				Now: now,
+				Endpoints: []residency.Endpoint{
+					endpoint("e1", "a", []string{"slow"}),
+					endpoint("e2", "b", []string{c.other.Name, "busy"}, c.onDisk...),
+				},
+				Models: []residency.Model{slow(c.starting), c.other, model("busy", 0, 0, 5)},
+				Limits: limits,
+			})
+			replicas := 0
+			for _, swap := range got {
+				if swap.Load == "slow" {
+					replicas++
+				}
+			}
+			is.Equal(replicas, c.want)
+		})
+	}
+}
--- a/pkg/serve/demand.go
+++ b/pkg/serve/demand.go
@@ -14,6 +14,9 @@
 	// Inflight requests run, Arrived ones came since the last report.
 	Inflight int
 	Arrived  int
+	// Starting is for how long requests have waited at endpoints for the first part
+	// of their answers, summed, since the last report.
+	Starting time.Duration
 	// Priority is the most urgent rank that asked, 0 first.
 	Priority int
 }
@@ -59,13 +62,14 @@
 			delete(s.use, n)
 			continue
 		}
-		byNeed[n] = &Demand{Need: n, Inflight: u.inflight, Arrived: u.arrived, Priority: u.priority}
+		byNeed[n] = &Demand{Need: n, Inflight: u.inflight, Arrived: u.arrived, Starting: u.starting, Priority: u.priority}
 		if wanted && u.inflight == 0 {
 			// It is due when its client comes back, after all that wait.
 			byNeed[n].Waiting = 1
 			byNeed[n].Due = u.wantedUntil
 		}
 		u.arrived = 0
+		u.starting = 0
 	}
 	for _, w := range s.waiting {
 		if w.need.Model == "" {
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -100,6 +100,9 @@
 	inflight int
 	arrived  int
 	priority int
+	// starting is for how long requests have waited at endpoints for the first part
+	// of their answers, summed, since the last report.
+	starting time.Duration
 	// wantedUntil is until when a refused request counts as demand: its client
 	// was told to come back, and the model has to be loaded by then.
 	wantedUntil time.Time
@@ -402,6 +405,14 @@
 	}
 }
 
+// Began implements Queue.
+func (d *Dispatcher) Began(r *Request, after time.Duration) {
+	s := d.shard(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.useOf(r.Need()).starting += after
+}
+
 // ServiceTime implements Queue.
 func (d *Dispatcher) ServiceTime(service string) time.Duration {
 	s := d.shard(service)
--- a/pkg/serve/queue.go
+++ b/pkg/serve/queue.go
@@ -18,6 +18,9 @@
 	Acquire(ctx context.Context, r *Request, t Tried) (fleet.Endpoint, *Refusal)
 	// Release gives a place back.
 	Release(r *Request, e fleet.EndpointID, u Use)
+	// Began notes that an endpoint has begun to answer, some time after it was sent
+	// the request.
+	Began(r *Request, after time.Duration)
 	// HasOther tells whether an endpoint other than e could take the request now.
 	HasOther(r *Request, e fleet.EndpointID) bool
 	// ServiceTime is the usual time of a request of a service.
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -247,6 +247,7 @@
 		return notRun
 	}
 	x.result.Runs++
+	s.Queue.Began(x.request, s.Now().Sub(start))
 	return x.take(ctx, e, answer, watch, start)
 }
 
--- a/pkg/shares/shares.go
+++ b/pkg/shares/shares.go
@@ -144,6 +144,10 @@
 // ServiceTime implements serve.Queue; it is asked only where HasOther may be true.
 func (s *Queues) ServiceTime(string) time.Duration { return 0 }
 
+// Began implements serve.Queue. Shares follow from places, not from how soon answers
+// begin.
+func (s *Queues) Began(*serve.Request, time.Duration) {}
+
 // Step gives free places to waiting requests and refuses what has become hopeless.
 func (s *Queues) Step(now time.Time) {
 	for _, q := range s.all() {
