Ask the endpoint what has become of a request whose answer does not come

Ruled out: load (first parts of others after 0.2 s), health of the endpoint. Change: a repeatable request without a first byte after 1, 2, 4 s is looked up in its endpoint's report; if the run has ended there, or has made events, the try is cancelled and sent again, also to the same endpoint.

--- a/pkg/completion/backend.go
+++ b/pkg/completion/backend.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/external"
+	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/serve"
 )
@@ -98,3 +99,8 @@
 	}
 	return answer(io.NopCloser(bytes.NewReader(got.Body))), nil
 }
+
+// Run implements serve.Backend. The engines of this path do not tell of single calls.
+func (b backend) Run(context.Context, *serve.Request, fleet.Endpoint) (serve.Run, error) {
+	return serve.Run{Held: true}, nil
+}
--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -43,9 +43,11 @@
 	sends []serve.Send
 	// cancelled counts runs that were stopped by the host.
 	cancelled int
-	ready     []fleet.Endpoint
-	comingAt  time.Time
-	farUntil  time.Time
+	// told is what endpoints say of a request that has not been answered.
+	told     serve.Run
+	ready    []fleet.Endpoint
+	comingAt time.Time
+	farUntil time.Time
 }
 
 func newWorld(ids ...string) *world {
@@ -53,6 +55,7 @@
 	for _, id := range ids {
 		w.ready = append(w.ready, fleet.Endpoint{ID: fleet.EndpointID(id), Slots: 8})
 	}
+	w.told = serve.Run{Held: true}
 	return w
 }
 
@@ -114,6 +117,13 @@
 	return &serve.Answer{Verdict: act.verdict, Status: act.status, Body: io.NopCloser(body(r, s, act))}, nil
 }
 
+// Run implements serve.Backend.
+func (w *world) Run(context.Context, *serve.Request, fleet.Endpoint) (serve.Run, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.told, nil
+}
+
 // body is an event stream from the event after the last one on, or plain text.
 func body(r *serve.Request, s serve.Send, act script) io.Reader {
 	if r.Route.Kind != fleet.Stream {
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -137,30 +137,38 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	last  time.Time
+	// moved is set once the endpoint has sent something.
+	moved bool
 	now   func() time.Time
 }
 
-func (x *exchange) watch(cancel context.CancelFunc, id fleet.EndpointID) *watcher {
+func (x *exchange) watch(ctx context.Context, cancel context.CancelFunc, e fleet.Endpoint) *watcher {
 	s := x.server
-	w := &watcher{now: s.Now, last: s.Now()}
+	start := s.Now()
+	w := &watcher{now: s.Now, last: start}
 	route := x.request.Route
 	if !route.Repeatable() || x.result.Runs+1 >= route.Attempts || route.Objective == 0 {
 		// Without an objective nothing tells a slow answer from a hung endpoint.
 		return w
 	}
 	patience := x.patience()
+	ask := askAfter
 	check := func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.timer == nil {
 			return
 		}
+		if !w.moved && s.Now().Sub(start) >= ask {
+			ask *= 2
+			go x.askForRun(ctx, e, w, cancel)
+		}
 		quiet := s.Now().Sub(w.last)
-		hung := quiet >= patience || (quiet >= silentLimit && s.Health.Silent(s.Now(), id) >= silentLimit)
+		hung := quiet >= patience || (quiet >= silentLimit && s.Health.Silent(s.Now(), e.ID) >= silentLimit)
 		// Without another endpoint a second run would only add to the load that
 		// makes this one slow, and throw away what it has done.
-		if hung && s.Queue.HasOther(x.request, id) {
-			s.Health.Suspect(s.Now(), id)
+		if hung && s.Queue.HasOther(x.request, e.ID) {
+			s.Health.Suspect(s.Now(), e.ID)
 			cancel()
 			return
 		}
@@ -172,6 +180,22 @@
 	return w
 }
 
+// askForRun gives a try up whose answer is lost: its endpoint has ended the run, or
+// has begun to answer and nothing has come. Such requests of models with a single
+// replica waited until their clients left, 12 s with an objective of 3 s, since no
+// other endpoint could take them.
+func (x *exchange) askForRun(ctx context.Context, e fleet.Endpoint, w *watcher, cancel context.CancelFunc) {
+	ctx, stop := context.WithTimeout(ctx, askTimeout)
+	defer stop()
+	run, err := x.server.Backend.Run(ctx, x.request, e)
+	if err != nil || run.Held && !run.Begun {
+		return // What the endpoint does not answer is the business of other timeouts.
+	}
+	if w.unmoved() {
+		cancel()
+	}
+}
+
 // patience is how long a repeatable request waits for the next byte.
 func (x *exchange) patience() time.Duration {
 	route := x.request.Route
@@ -190,6 +214,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last = w.now()
+	w.moved = true
+}
+
+// unmoved tells whether the try still waits for its first byte.
+func (w *watcher) unmoved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.timer != nil && !w.moved
 }
 
 func (w *watcher) stop() {
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -120,6 +120,16 @@
 	// nothing was sent, a *Refusal that nothing may be sent at all; after any other
 	// the request may have run. Cancelling ctx makes the endpoint stop.
 	Send(ctx context.Context, r *Request, s Send) (*Answer, error)
+	// Run asks an endpoint what has become of a request that was sent to it.
+	Run(ctx context.Context, r *Request, e fleet.Endpoint) (Run, error)
+}
+
+// Run is what an endpoint says of a request, as of a few hundred milliseconds ago.
+type Run struct {
+	// Held tells whether it waits or runs there, as far as the endpoint tells.
+	Held bool
+	// Begun tells whether it has made a part of the answer.
+	Begun bool
 }
 
 // Cause is why a request was refused or failed.
--- a/pkg/serve/serve_test.go
+++ b/pkg/serve/serve_test.go
@@ -329,3 +329,37 @@
 		})
 	})
 }
+
+// An expert opinion runs at the only endpoint that holds its model, and the answer is
+// lost on its way. No other endpoint could take the request, so that it was not sent
+// again: its client left after 12 s with an objective of 3 s, while the endpoint
+// answered all others in 0.2 s. One that is still held there must not run twice.
+func TestLostAnswerIsAskedFor(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		told serve.Run
+		kind fleet.Kind
+		sent int
+	}{
+		{"the run has ended there", serve.Run{}, fleet.Stream, 2},
+		{"it has begun to answer", serve.Run{Held: true, Begun: true}, fleet.Stream, 2},
+		{"it still waits", serve.Run{Held: true}, fleet.Stream, 1},
+		{"it may run only once", serve.Run{}, fleet.Once, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld("a")
+				w.told = c.told
+				w.does("a", script{hang: true}, script{events: 3, broken: -1})
+				var out sink
+				r := request("r", c.kind, true)
+				start := time.Now()
+				got := newServer(w).Serve(t.Context(), r, &out)
+				is.Equal(len(w.sends), c.sent)
+				is.Equal(got.Complete, c.sent == 2)
+				is.True(c.sent == 1 || time.Since(start) < 1500*time.Millisecond)
+			})
+		})
+	}
+}
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -28,6 +28,11 @@
 	patienceServices   = 6
 	// minPatience keeps short objectives from repeating requests that only queue.
 	minPatience = 600 * time.Millisecond
+	// askAfter is after how long without a first byte an endpoint is asked what has
+	// become of a repeatable request, and again each time that has doubled: a few times
+	// the lag of what it says. askTimeout bounds the question.
+	askAfter   = time.Second
+	askTimeout = 700 * time.Millisecond
 	// gapPatience is how many longest pauses of a stream pass before it is
 	// resumed elsewhere. Clients leave after eight.
 	gapPatience = 3
@@ -210,7 +215,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := x.watch(cancel, e.ID)
+	watch := x.watch(ctx, cancel, e)
 	defer watch.stop()
 	x.result.Endpoint = e.ID
 	answer, err := s.Backend.Send(ctx, x.request, Send{
