--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -98,6 +98,7 @@
 func (g *Gateway) control(ctx context.Context) {
 	var lastNotice, lastFull time.Time
 	told := int64(noOffset)
+	may := true
 	for ctx.Err() == nil {
 		select {
 		case <-g.noticeNow:
@@ -114,6 +115,10 @@
 			sleep(ctx, stepPeriod)
 			continue
 		}
+		if allowed := g.mayOrder(); allowed != may {
+			may = allowed
+			g.logOrders(may)
+		}
 		change := g.directory.Material()
 		if len(n.Endpoints) > 0 || change > told || now.Sub(lastNotice) >= noticePeriod {
 			lastNotice = now
@@ -127,6 +132,15 @@
 	}
 }
 
+// logOrders tells why the controller gives orders again, or does not.
+func (g *Gateway) logOrders(may bool) {
+	msg := "orders rest: neither the store nor all other hosts show that no other host gives orders"
+	if may {
+		msg = "orders go on"
+	}
+	g.log.Info(msg, "token", g.election.Held(), "list_age_ms", g.listAge(g.Now()).Milliseconds(), "hosts", g.mesh.hosts())
+}
+
 // listAge is how long ago the store answered a read of the list of endpoints.
 func (g *Gateway) listAge(now time.Time) time.Duration {
 	return now.Sub(g.reads.LastAnswer(fleet.TopicEndpoints))
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -13,6 +13,9 @@
 // errClientWrite marks that the client takes no more bytes.
 var errClientWrite = errors.New("client takes no more")
 
+// errGivenUp marks tries that this host gave up for another.
+var errGivenUp = errors.New("try was given up")
+
 // forward passes an answer on to the client.
 func (x *exchange) forward(a *Answer, w *watcher, id fleet.EndpointID) error {
 	body := &noted{in: a.Body, note: func() {
@@ -142,7 +145,7 @@
 	now   func() time.Time
 }
 
-func (x *exchange) watch(ctx context.Context, cancel context.CancelFunc, e fleet.Endpoint) *watcher {
+func (x *exchange) watch(ctx context.Context, cancel context.CancelCauseFunc, e fleet.Endpoint) *watcher {
 	s := x.server
 	start := s.Now()
 	w := &watcher{now: s.Now, last: start}
@@ -169,7 +172,7 @@
 		// makes this one slow, and throw away what it has done.
 		if hung && s.Queue.HasOther(x.request, e.ID) {
 			s.Health.Suspect(s.Now(), e.ID)
-			cancel()
+			cancel(errors.Wrapf(errGivenUp, "nothing came for %v", quiet.Round(time.Millisecond)))
 			return
 		}
 		w.timer.Reset(min(patience, silentLimit) / 3)
@@ -184,7 +187,7 @@
 // has begun to answer and nothing has come. Such requests of models with a single
 // replica waited until their clients left, 12 s with an objective of 3 s, since no
 // other endpoint could take them.
-func (x *exchange) askForRun(ctx context.Context, e fleet.Endpoint, w *watcher, cancel context.CancelFunc) {
+func (x *exchange) askForRun(ctx context.Context, e fleet.Endpoint, w *watcher, cancel context.CancelCauseFunc) {
 	ctx, stop := context.WithTimeout(ctx, askTimeout)
 	defer stop()
 	run, err := x.server.Backend.Run(ctx, x.request, e)
@@ -192,7 +195,7 @@
 		return // What the endpoint does not answer is the business of other timeouts.
 	}
 	if w.unmoved() {
-		cancel()
+		cancel(errors.Wrapf(errGivenUp, "answer is lost: held there %t, begun %t", run.Held, run.Begun))
 	}
 }
 
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -213,8 +213,8 @@
 	}
 	ctx, span := s.Tracer.Start(ctx, "endpoint", trace.WithAttributes(attribute.String("endpoint", string(e.ID))))
 	defer span.End()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	watch := x.watch(ctx, cancel, e)
 	defer watch.stop()
 	x.result.Endpoint = e.ID
@@ -281,6 +281,9 @@
 func (x *exchange) fail(ctx context.Context, e fleet.Endpoint, err error) {
 	s := x.server
 	x.result.Note = err.Error()
+	if cause := context.Cause(ctx); errors.Is(cause, errGivenUp) {
+		x.result.Note = cause.Error()
+	}
 	// A client that has gone, or its deadline, is no fault of the endpoint, whatever
 	// the error says that it leaves behind.
 	failed := ctx.Err() == nil && !errors.Is(err, errClientWrite)
