--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -185,7 +185,7 @@
 	if answer.Claim.Token > n.Token {
 		g.election.Observe(g.Now(), *answer.Claim)
 	}
-	g.standing.Heard(n.Token, orders.Word{
+	g.lease.Heard(n.Token, orders.NoticeAnswer{
 		Host:     host,
 		Sent:     sent,
 		Token:    answer.Claim.Token,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -81,7 +81,7 @@
 	budget     *retry.Budget
 
 	election   *orders.Election
-	standing   *orders.Standing
+	lease      *orders.HolderLease
 	controller *orders.Controller
 	mesh       *mesh
 	// reportNow asks for a demand report at once.
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	g.election = orders.NewElection(g.self, g.takeoverLease(), g.takeoverSettle(), g.Now())
-	g.standing = orders.NewStanding(s.Timing.Lease)
+	g.lease = orders.NewHolderLease(s.Timing.Lease)
 	g.controller = &orders.Controller{
 		Election:  g.election,
 		Orderer:   g.endpoints,
@@ -218,7 +218,7 @@
 		return true
 	}
 	now := g.Now()
-	return g.standing.May(now, g.election.Held(), g.listAge(now), g.mesh.names())
+	return g.lease.May(now, g.election.Held(), g.listAge(now), g.mesh.names())
 }
 
 // takeoverLease is how long after a holder's last sign of life another may give
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -138,7 +138,7 @@
 	now := g.Now()
 	answer := peer.Response{ConfigVersion: g.configVersion()}
 	if !r.Known {
-		g.standing.Stranger(now)
+		g.lease.UnknownHost(now)
 		// A host that the store turned away before its entry was written. It may
 		// read what the store would tell it, and say nothing.
 		if r.State != nil {
--- a/pkg/orders/standing_test.go
+++ b/pkg/orders/holderlease_test.go
@@ -12,40 +12,40 @@
 // The store answers no host, or not the holder. All others hear the holder, and none
 // can give orders; a holder that waited for the store left users of models that were
 // not loaded without an answer for as long as the store was away.
-func TestStandingWithoutTheStore(t *testing.T) {
+func TestHolderLeaseWithoutTheStore(t *testing.T) {
 	const away = time.Hour
-	word := func(host string, sent time.Duration, token int64, storeAge time.Duration) orders.Word {
-		return orders.Word{Host: host, Sent: at(sent), Token: token, StoreAge: storeAge}
+	answer := func(host string, sent time.Duration, token int64, storeAge time.Duration) orders.NoticeAnswer {
+		return orders.NoticeAnswer{Host: host, Sent: at(sent), Token: token, StoreAge: storeAge}
 	}
 	for _, c := range []struct {
 		name     string
-		words    []orders.Word
-		stranger bool
+		answers  []orders.NoticeAnswer
+		unknown  bool
 		now      time.Duration
 		storeAge time.Duration
 		may      bool
 	}{
 		{name: "the store has just answered", now: time.Second, storeAge: time.Second, may: true},
 		{name: "nobody has answered", now: time.Second, storeAge: away},
-		{name: "all have heard it", words: []orders.Word{word("b", 0, 1, away), word("c", 100*time.Millisecond, 1, away)}, now: 2 * time.Second, storeAge: away, may: true},
-		{name: "one has not", words: []orders.Word{word("b", 0, 1, away)}, now: time.Second, storeAge: away},
-		{name: "one has long ago", words: []orders.Word{word("b", 0, 1, away), word("c", 2*time.Second, 1, away)}, now: 3 * time.Second, storeAge: away},
-		{name: "one knows a newer claim", words: []orders.Word{word("b", 0, 1, away), word("c", 0, 2, away)}, now: time.Second, storeAge: away},
-		{name: "a host that is not known has spoken", words: []orders.Word{word("b", 0, 1, away), word("c", 0, 1, away)}, stranger: true, now: time.Second, storeAge: away},
-		{name: "one that reads the store vouches", words: []orders.Word{word("b", 0, 1, time.Second)}, now: 400 * time.Millisecond, storeAge: away, may: true},
-		{name: "but its own read is too long ago", words: []orders.Word{word("b", 0, 1, time.Second)}, now: 600 * time.Millisecond, storeAge: away},
+		{name: "all have heard it", answers: []orders.NoticeAnswer{answer("b", 0, 1, away), answer("c", 100*time.Millisecond, 1, away)}, now: 2 * time.Second, storeAge: away, may: true},
+		{name: "one has not", answers: []orders.NoticeAnswer{answer("b", 0, 1, away)}, now: time.Second, storeAge: away},
+		{name: "one has long ago", answers: []orders.NoticeAnswer{answer("b", 0, 1, away), answer("c", 2*time.Second, 1, away)}, now: 3 * time.Second, storeAge: away},
+		{name: "one knows a newer claim", answers: []orders.NoticeAnswer{answer("b", 0, 1, away), answer("c", 0, 2, away)}, now: time.Second, storeAge: away},
+		{name: "a host that is not known has spoken", answers: []orders.NoticeAnswer{answer("b", 0, 1, away), answer("c", 0, 1, away)}, unknown: true, now: time.Second, storeAge: away},
+		{name: "one that reads the store knows no newer claim", answers: []orders.NoticeAnswer{answer("b", 0, 1, time.Second)}, now: 400 * time.Millisecond, storeAge: away, may: true},
+		{name: "but its own read is too long ago", answers: []orders.NoticeAnswer{answer("b", 0, 1, time.Second)}, now: 600 * time.Millisecond, storeAge: away},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			s := orders.NewStanding(lease)
-			if c.stranger {
-				s.Stranger(at(0))
+			l := orders.NewHolderLease(lease)
+			if c.unknown {
+				l.UnknownHost(at(0))
 			}
-			for _, w := range c.words {
-				s.Heard(1, w)
+			for _, a := range c.answers {
+				l.Heard(1, a)
 			}
-			is.Equal(s.May(at(c.now), 1, c.storeAge, []string{"b", "c"}), c.may)
-			is.Equal(s.May(at(c.now), 2, away, []string{"b", "c"}), false) // nothing was granted to another claim
+			is.Equal(l.May(at(c.now), 1, c.storeAge, []string{"b", "c"}), c.may)
+			is.Equal(l.May(at(c.now), 2, away, []string{"b", "c"}), false) // nothing was granted to another claim
 		})
 	}
 }
@@ -55,7 +55,7 @@
 // load by one what the other had evicted.
 func TestNoTwoHostsOrderInTurn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newStandingWorld()
+		w := newLeaseWorld()
 		for range 40 {
 			w.change(t)
 			for range rapid.IntRange(1, 20).Draw(t, "ticks") {
@@ -73,34 +73,34 @@
 	inFlight = 250 * time.Millisecond
 )
 
-// standingHost is one host of a world in which endpoints do not check tokens.
-type standingHost struct {
+// leaseHost is one host of a world in which endpoints do not check tokens.
+type leaseHost struct {
 	name     string
 	election *orders.Election
-	standing *orders.Standing
+	lease    *orders.HolderLease
 	storeAt  time.Time
 	store    bool
 	won      time.Time
 	held     int64
 }
 
-type standingWorld struct {
+type leaseWorld struct {
 	now   time.Time
 	ticks int
-	hosts []*standingHost
+	hosts []*leaseHost
 	cut   map[[2]string]bool
 	claim orders.Claim
 	// ordered is when orders were last given with a token.
 	ordered map[int64]time.Time
 }
 
-func newStandingWorld() *standingWorld {
-	w := &standingWorld{now: start, cut: map[[2]string]bool{}, ordered: map[int64]time.Time{}}
+func newLeaseWorld() *leaseWorld {
+	w := &leaseWorld{now: start, cut: map[[2]string]bool{}, ordered: map[int64]time.Time{}}
 	for _, name := range []string{"a", "b", "c"} {
-		w.hosts = append(w.hosts, &standingHost{
+		w.hosts = append(w.hosts, &leaseHost{
 			name:     name,
 			election: orders.NewElection(holder(name), lease, orders.Settle(lease), start),
-			standing: orders.NewStanding(lease),
+			lease:    orders.NewHolderLease(lease),
 			storeAt:  start,
 			store:    true,
 		})
@@ -109,7 +109,7 @@
 }
 
 // change cuts or heals one link, or a host's path to the store.
-func (w *standingWorld) change(t *rapid.T) {
+func (w *leaseWorld) change(t *rapid.T) {
 	a := rapid.SampledFrom(w.hosts).Draw(t, "host")
 	b := rapid.SampledFrom(w.hosts).Draw(t, "peer")
 	if a == b {
@@ -120,11 +120,11 @@
 	w.cut[key] = !w.cut[key]
 }
 
-func linkOf(a, b *standingHost) [2]string {
+func linkOf(a, b *leaseHost) [2]string {
 	return [2]string{min(a.name, b.name), max(a.name, b.name)}
 }
 
-func (w *standingWorld) tick(t *rapid.T) {
+func (w *leaseWorld) tick(t *rapid.T) {
 	w.now = w.now.Add(tick)
 	w.ticks++
 	for _, h := range w.hosts {
@@ -146,7 +146,7 @@
 	}
 }
 
-func (w *standingWorld) witnessed(h *standingHost) bool {
+func (w *leaseWorld) witnessed(h *leaseHost) bool {
 	for _, p := range w.hosts {
 		if p != h && !w.cut[linkOf(h, p)] && p.election.HeardAgo(w.now) < 700*time.Millisecond {
 			return true
@@ -156,7 +156,7 @@
 }
 
 // take appends a claim if the host has read all claims before.
-func (w *standingWorld) take(h *standingHost) {
+func (w *leaseWorld) take(h *leaseHost) {
 	if !h.store || h.election.Newest().Token != w.claim.Token {
 		return
 	}
@@ -164,7 +164,7 @@
 	h.election.Won(w.now, w.claim.Token)
 }
 
-func (w *standingWorld) notice(h *standingHost) {
+func (w *leaseWorld) notice(h *leaseHost) {
 	for _, p := range w.hosts {
 		if p == h || w.cut[linkOf(h, p)] {
 			continue
@@ -173,12 +173,12 @@
 		p.election.Heard(w.now, h.held)
 		newest := p.election.Newest()
 		h.election.Observe(w.now, newest)
-		h.standing.Heard(h.held, orders.Word{Host: p.name, Sent: w.now, Token: newest.Token, StoreAge: w.now.Sub(p.storeAt)})
+		h.lease.Heard(h.held, orders.NoticeAnswer{Host: p.name, Sent: w.now, Token: newest.Token, StoreAge: w.now.Sub(p.storeAt)})
 	}
 }
 
 // order checks that no order meets one with another token on its way.
-func (w *standingWorld) order(t *rapid.T, h *standingHost) {
+func (w *leaseWorld) order(t *rapid.T, h *leaseHost) {
 	var others []string
 	for _, p := range w.hosts {
 		if p != h {
@@ -186,7 +186,7 @@
 		}
 	}
 	token := h.election.Token(w.now)
-	if token == 0 || w.now.Sub(h.won) < listenFor || !h.standing.May(w.now, token, w.now.Sub(h.storeAt), others) {
+	if token == 0 || w.now.Sub(h.won) < listenFor || !h.lease.May(w.now, token, w.now.Sub(h.storeAt), others) {
 		return
 	}
 	for other, last := range w.ordered {
