--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -144,9 +144,9 @@
 		return
 	}
 	start := time.Now()
-	share := jitter(time.Second).Seconds()
+	spread := jitter(time.Second).Seconds() // One factor for the whole rest.
 	for {
-		left := time.Duration(share*float64(f.Pause())) - time.Since(start)
+		left := time.Duration(spread*float64(f.Pause())) - time.Since(start)
 		if left <= 0 || !sleep(ctx, min(left, recheck), f.Wake) {
 			return
 		}
