A confirmed list counts for half of the bound on leaving endpoints at most

Cause (found by reading): what the controller confirms counted for 1.1 s whatever the bound of the deployment; with a bound of a second a host would have read the list itself too late. Change: half of the bound where that is shorter. On the sites with 2 s that is 1.0 s.

--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -51,7 +51,7 @@
 func (g *Gateway) ListAge() time.Duration { return g.listAge(g.Now()) }
 
 // Confirmed tells whether the controller has confirmed this host's list of endpoints.
-func (g *Gateway) Confirmed() bool { return g.mesh.confirmedAge(g.Now()) < confirmedFor }
+func (g *Gateway) Confirmed() bool { return g.listConfirmed() }
 
 // ListOffset is the offset up to which the host knows the list of endpoints.
 func (g *Gateway) ListOffset() int64 { return g.directory.Offset() }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -25,11 +25,15 @@
 	// leaving endpoint must have been noticed.
 	listReads = 3
 	// confirmedListPoll is the period while the controller reads the list and passes
-	// on in its notices what has changed; half of the history that the store keeps.
+	// on in its notices what has changed. Where the store keeps a shorter history, a read
+	// starts anew from the newest entries.
 	confirmedListPoll = 10 * time.Second
 	// confirmedFor is how old what is known of the list may be for that: the age of the
 	// controller's read and the pause of its notices, with a notice that was lost.
-	confirmedFor = 1100 * time.Millisecond
+	// confirmedParts bounds it by a part of the time in which a leaving endpoint must
+	// have been noticed, so that a read of this host's own still comes in time.
+	confirmedFor   = 1100 * time.Millisecond
+	confirmedParts = 2
 	// controllerListPoll is the period while this host gives orders: what endpoints
 	// say of themselves corrects what it believes.
 	controllerListPoll = 350 * time.Millisecond
@@ -150,12 +154,17 @@
 	if g.election.Held() != 0 {
 		return controllerListPoll
 	}
-	if g.mesh.confirmedAge(g.Now()) < confirmedFor {
+	if g.listConfirmed() {
 		return confirmedListPoll
 	}
 	return min(listPoll, g.settings.Timing.Drain/listReads)
 }
 
+// listConfirmed tells whether the controller passes on what changes in the list.
+func (g *Gateway) listConfirmed() bool {
+	return g.mesh.confirmedAge(g.Now()) < min(confirmedFor, g.settings.Timing.Drain/confirmedParts)
+}
+
 // viewAge is how old what this host knows of the list of endpoints is at most: it
 // was read from the store, or the controller has told that nothing else changed.
 func (g *Gateway) viewAge(now time.Time) time.Duration {
