A try is given up only if the retry budget allows another

Change: the retry is taken first, and without one the try goes on; the same where a lost answer is asked for. Test: TestTryIsNotGivenUpWithoutARetry fails without it (a 502 for an answer on its way).

--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -170,7 +170,7 @@
 		hung := quiet >= patience || (quiet >= silentLimit && s.Health.Silent(s.Now(), e.ID) >= silentLimit)
 		// Without another endpoint a second run would only add to the load that
 		// makes this one slow, and throw away what it has done.
-		if hung && s.Queue.HasOther(x.request, e.ID) {
+		if hung && s.Queue.HasOther(x.request, e.ID) && x.payRetry() {
 			s.Health.Suspect(s.Now(), e.ID)
 			cancel(errors.Wrapf(errGivenUp, "nothing came for %v", quiet.Round(time.Millisecond)))
 			return
@@ -194,7 +194,7 @@
 	if err != nil || run.Held && !run.Begun {
 		return // What the endpoint does not answer is the business of other timeouts.
 	}
-	if w.unmoved() {
+	if w.unmoved() && x.payRetry() {
 		cancel(errors.Wrapf(errGivenUp, "answer is lost: held there %t, begun %t", run.Held, run.Begun))
 	}
 }
--- a/pkg/serve/serve_test.go
+++ b/pkg/serve/serve_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/internal/proptest"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
 	"pgregory.net/rapid"
 )
@@ -363,3 +364,23 @@
 		})
 	}
 }
+
+// An endpoint is slow, another has room, and the retry budget of all hosts is used up. The
+// try was given up as hung, and only then it showed that no other could follow: the
+// client got an error, or a stream that broke off, for an answer that was on its way.
+func TestTryIsNotGivenUpWithoutARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		slow := script{took: 1300 * time.Millisecond, events: 3, broken: -1}
+		w.does("a", slow)
+		w.does("b", slow)
+		w.told = serve.Run{} // The report lags behind, too.
+		s := newServer(w)
+		s.Budget = retry.NewBudget(retry.Limits{Window: 10 * time.Second}, 1)
+		var out sink
+		got := s.Serve(t.Context(), request("r", fleet.Stream, true), &out)
+		is.True(got.Complete)
+		is.Equal(len(w.sends), 1)
+	})
+}
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,6 +107,8 @@
 	// begun tells whether the head of an answer went to the client.
 	begun     bool
 	lastEvent string
+	// paid is set while a try that was given up has taken the retry after it.
+	paid atomic.Bool
 	// kept is a failed answer that is passed on if no other endpoint can do better.
 	kept   *Answer
 	result Result
@@ -125,7 +128,7 @@
 
 func (x *exchange) run(ctx context.Context) {
 	for {
-		if x.result.Sent > 0 && !x.server.Budget.Take(x.server.Now(), x.request.Service) {
+		if x.result.Sent > 0 && !x.mayRetry() {
 			x.giveUp(ctx, Refusal{Cause: CauseBudget, NotRun: true, RetryAfter: minRetryAfter})
 			return
 		}
@@ -153,6 +156,22 @@
 	}
 }
 
+// mayRetry takes a retry from the common budget, unless one was taken already.
+func (x *exchange) mayRetry() bool {
+	return x.paid.Swap(false) || x.server.Budget.Take(x.server.Now(), x.request.Service)
+}
+
+// payRetry takes the retry that follows a try which is to be given up. Without one
+// the try goes on: given up, its answer would end without another in its place. A
+// stream was cut 84 ms after its first event, which came as its try was given up.
+func (x *exchange) payRetry() bool {
+	if !x.server.Budget.Take(x.server.Now(), x.request.Service) {
+		return false
+	}
+	x.paid.Store(true)
+	return true
+}
+
 func (x *exchange) acquire(ctx context.Context) (fleet.Endpoint, *Refusal) {
 	ctx, span := x.server.Tracer.Start(ctx, "queue", trace.WithAttributes(attribute.String("model", x.request.Model)))
 	defer span.End()
