A fresh claim is not challenged

A host that finds the controller silent asks the others, which takes up to 0.3 s, and then claimed at the end of the topic as it was by then, over the claim that had been won meanwhile. Ruled out: released claims, entries of new incarnations (none in the log). Change: only the claim that was the newest at the start is challenged, at the end of the topic as it was then; hosts wait 5 ms for each host, 0.3 s at most, at random before. Test: TestFreshClaimIsNotChallenged. Also gone: a wake of the list after a claim, which the pause that is looked at again makes needless.

--- /dev/null
+++ b/pkg/gateway/challenge_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
+)
+
+// claimStore keeps the claims that were appended.
+type claimStore struct {
+	fleet.Store
+	ends []int64
+}
+
+func (s *claimStore) Put(_ context.Context, _ fleet.Topic, _ string, _ []byte, at int64) (int64, error) {
+	s.ends = append(s.ends, at)
+	return at, nil
+}
+
+// The controller dies. Each host asks the others whether they have heard it, which takes a
+// while, and claims. Those that were slower claimed over the one that had won meanwhile:
+// the orders of 78 hosts changed hands six times, and no model was loaded for seconds.
+func TestFreshClaimIsNotChallenged(t *testing.T) {
+	dead := orders.Claim{Holder: orders.Holder{Host: "dead", Incarnation: "1"}, Token: 7}
+	fresh := orders.Claim{Holder: orders.Holder{Host: "other", Incarnation: "1"}, Token: 8}
+	for _, c := range []struct {
+		name   string
+		during func(g *Gateway)
+		heard  bool
+		ends   []int64
+	}{
+		{"nobody else claims", func(*Gateway) {}, false, []int64{7}},
+		{"another host has heard the holder", func(*Gateway) {}, true, nil},
+		{"another host has claimed, and its claim was read", func(g *Gateway) {
+			g.election.Observe(g.Now(), fresh)
+			g.mesh.setClaimsNext(8)
+		}, false, nil},
+		{"it is not read yet: the store refuses this one", func(g *Gateway) { g.mesh.setClaimsNext(8) }, false, []int64{7}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := listHost(time.Second)
+				store := &claimStore{}
+				g.store = store
+				g.election = orders.NewElection(orders.Holder{Host: "b", Incarnation: "1"}, time.Second, 0, g.Now())
+				g.election.Observe(g.Now(), dead)
+				g.mesh.setClaimsNext(7)
+				g.challenge(t.Context(), func(context.Context) bool {
+					c.during(g)
+					return c.heard
+				})
+				is.Equal(store.ends, c.ends)
+			})
+		})
+	}
+}
+
+// Many hosts may claim at the same moment; a claim made in vain costs a call and another
+// to read the one that won.
+func TestClaimsAreSpread(t *testing.T) {
+	is := is.New(t)
+	for range 100 {
+		is.True(claimDelay(6) <= 30*time.Millisecond) // few hosts hardly wait
+		is.True(claimDelay(440) <= maxClaimDelay)
+	}
+	spread := map[time.Duration]bool{}
+	for range 100 {
+		spread[claimDelay(78).Round(10*time.Millisecond)] = true
+	}
+	is.True(len(spread) > 10)
+}
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,11 @@
 	// heardLately is how fresh a sign of the holder's life has to be.
 	secondOpinion = 300 * time.Millisecond
 	heardLately   = 700 * time.Millisecond
+	// claimTime is about how long a claim takes to be appended and read by others, and
+	// maxClaimDelay bounds the pause before one, a quarter of the silence after which a
+	// holder is challenged.
+	claimTime     = 5 * time.Millisecond
+	maxClaimDelay = 300 * time.Millisecond
 	// releaseRetry separates two tries of a stopping host to hand its claim on.
 	releaseRetry = 400 * time.Millisecond
 )
@@ -37,12 +43,33 @@
 		if g.leaving.Load() || !g.announced.Load() || !g.election.ShouldClaim(g.Now()) {
 			return
 		}
-		if g.election.Vacant() || !g.heardElsewhere(ctx) {
-			g.claim(ctx)
-		}
+		g.challenge(ctx, g.heardElsewhere)
 	})
 }
 
+// challenge claims, unless another host has heard the holder of the newest claim. It
+// challenges only the claim that was the newest when it began: hosts that had waited
+// for the others' opinions claimed over a claim that was won meanwhile, and among 78
+// hosts orders changed hands six times in four seconds.
+func (g *Gateway) challenge(ctx context.Context, heardElsewhere func(context.Context) bool) {
+	challenged := g.election.Newest().Token
+	end := g.mesh.claimsEnd()
+	if !g.election.Vacant() && heardElsewhere(ctx) {
+		return
+	}
+	sleep(ctx, claimDelay(g.mesh.hosts()))
+	if ctx.Err() != nil || g.election.Newest().Token != challenged {
+		return
+	}
+	g.claim(ctx, end)
+}
+
+// claimDelay is a random pause before a claim, so that most hosts read the first one's
+// instead of making one of their own in vain.
+func claimDelay(hosts int) time.Duration {
+	return rand.N(min(time.Duration(hosts)*claimTime, maxClaimDelay))
+}
+
 // heardElsewhere tells whether another host has heard the holder of the newest
 // claim lately. If so the holder lives, and only this host does not hear it.
 func (g *Gateway) heardElsewhere(ctx context.Context) bool {
@@ -103,8 +130,9 @@
 	return time.Duration(ts.Nano())
 }
 
-func (g *Gateway) claim(ctx context.Context) {
-	offset, err := g.putClaim(ctx, g.self)
+// claim appends a claim where the topic ended when the host decided to.
+func (g *Gateway) claim(ctx context.Context, end int64) {
+	offset, err := g.putClaim(ctx, g.self, end)
 	if err != nil {
 		g.log.Info("claim failed", "error", err.Error())
 		if errors.Is(err, fleet.ErrStoreConflict) {
@@ -114,22 +142,18 @@
 		return
 	}
 	g.election.Won(g.Now(), token(offset))
-	signal(g.listNow) // The controller knows the list from the store itself.
 	g.log.Info("claim won", "token", token(offset))
 	signal(g.noticeNow)
 }
 
-// putClaim appends a claim at the end that this host has read: if another claim
-// came in between, it fails.
-func (g *Gateway) putClaim(ctx context.Context, h orders.Holder) (int64, error) {
+// putClaim appends a claim at an end of the topic that this host has read: if another
+// claim came in between, it fails.
+func (g *Gateway) putClaim(ctx context.Context, h orders.Holder, end int64) (int64, error) {
 	value, err := record.Marshal(h)
 	if err != nil {
 		return 0, err
 	}
-	g.mesh.mu.Lock()
-	at := g.mesh.claimsNext
-	g.mesh.mu.Unlock()
-	return g.store.Put(ctx, fleet.TopicClaims, claimKey, value, at)
+	return g.store.Put(ctx, fleet.TopicClaims, claimKey, value, end)
 }
 
 // claimKey is the only key of the claims topic; the newest claim stays.
@@ -161,7 +185,7 @@
 		if held == 0 {
 			return
 		}
-		if _, err := g.putClaim(ctx, released); err == nil {
+		if _, err := g.putClaim(ctx, released, g.mesh.claimsEnd()); err == nil {
 			g.election.Lost(held)
 			g.log.Info("claim handed on", "token", held)
 			return
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -122,6 +122,13 @@
 	m.claimsNext = max(m.claimsNext, next)
 }
 
+// claimsEnd is the offset up to which the claims were read.
+func (m *mesh) claimsEnd() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.claimsNext
+}
+
 // send sends a message and returns the first message of the answer.
 func (m *mesh) send(ctx context.Context, addr string, r peer.Request) (peer.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
