Tests of followers end their calls before they end

Cause: a follower was in a call of the fake store, 4 ms of virtual time, when the test cancelled it and ended; how often depends on the jitter of the pauses. Change: the tests let a second of virtual time pass after the cancel.

--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -97,6 +97,14 @@
 	}
 }
 
+// end stops all loops of a bubble and lets calls in flight end: a call that still waits
+// for its answer would outlive the test.
+func end(cancel context.CancelFunc) {
+	cancel()
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
 // run follows a topic with pauses, or with reads that wait if pause is nil.
 func run(ctx context.Context, s fleet.Store, state *follow.State, t fleet.Topic, pause func() time.Duration) {
 	f := follower(s, state, t)
@@ -131,8 +139,7 @@
 		before = s.count()
 		time.Sleep(10 * time.Second)
 		is.True(s.count()-before < 20) // long polls and the list
-		cancel()
-		synctest.Wait()
+		end(cancel)
 	})
 }
 
@@ -155,8 +162,7 @@
 		is.Equal(s.count(), 1)
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(s.count(), 2)
-		cancel()
-		synctest.Wait()
+		end(cancel)
 	})
 }
 
@@ -181,8 +187,7 @@
 		_, err := calls.Put(ctx, fleet.TopicClaims, "k", nil, 0)
 		is.NoErr(err)
 		is.Equal(time.Since(start), answerTime)
-		cancel()
-		synctest.Wait()
+		end(cancel)
 	})
 }
 
@@ -200,8 +205,7 @@
 		go f.Run(ctx)
 		time.Sleep(2 * time.Second)
 		is.True(s.count() <= 4) // the newest, two with entries, the one that waits
-		cancel()
-		synctest.Wait()
+		end(cancel)
 	})
 }
 
@@ -221,8 +225,7 @@
 		}
 		go f.Run(ctx)
 		time.Sleep(time.Second)
-		cancel()
-		synctest.Wait()
+		end(cancel)
 		is.Equal(lost, 0)
 	})
 }
