Notices carry entries of the list only as far as the link allows

All 93 entries had lapsed and come back, and each notice carried them to 77 hosts, over links of 10 to 200 Mbit/s. Change: entries go along if they take a quarter of the link between two notices; else each host reads the store, as before they were passed on. The link's bandwidth comes from the settings. Test: TestNoticesKeepToTheLink.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -22,6 +22,11 @@
 	// two that name all endpoints: a notice may be lost.
 	noticePeriod = 300 * time.Millisecond
 	fullNotice   = 1500 * time.Millisecond
+	// listShare is the part of the link, as a divisor, that entries of the list may take
+	// in the time between two notices; the rest is for requests and other messages.
+	// leastLinkMbps is assumed where the link is not stated: the slowest that is in use.
+	listShare     = 4
+	leastLinkMbps = 10
 	// kickPeriod is how often waiting requests are looked at for what changes
 	// with time alone.
 	kickPeriod = 20 * time.Millisecond
@@ -153,7 +158,7 @@
 	n.ListChange = change
 	n.ListAge = g.listAge(now).Milliseconds()
 	if told != noOffset && change > told {
-		n.ListEntries = g.feed.entries(g.directory.MaterialSince(told))
+		n.ListEntries = g.fitting(g.feed.entries(g.directory.MaterialSince(told)))
 	}
 	if back := g.directory.StoreBackAgo(now); back > 0 {
 		n.StoreBackAgo = max(1, back.Milliseconds())
@@ -161,6 +166,33 @@
 	return n
 }
 
+// fitting returns entries that this host's link carries to all others beside its other
+// messages, or none. After an outage of the store the entries of all endpoints change at
+// once: 93 of them for 77 hosts took a link of 10 Mbit/s for seconds, notices came
+// too late, and other hosts claimed one after the other. Without the entries, each host
+// reads the store.
+func (g *Gateway) fitting(entries []fleet.Entry) []fleet.Entry {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Key) + len(e.Value)
+	}
+	if size > g.listBytes() {
+		return nil
+	}
+	return entries
+}
+
+// listBytes is how many bytes of entries a notice to each host may carry.
+func (g *Gateway) listBytes() int {
+	link := g.settings.Limits.LinkMbps
+	if link == 0 {
+		link = leastLinkMbps
+	}
+	const bitsPerByte, mega = 8, 1e6
+	period := link * mega / bitsPerByte * noticePeriod.Seconds()
+	return int(period/listShare) / g.mesh.hosts()
+}
+
 // publish tells all hosts what the controller believes.
 func (g *Gateway) publish(ctx context.Context, n fleet.Notice) {
 	n.Incarnation = g.self.Incarnation
--- a/pkg/gateway/passing_test.go
+++ b/pkg/gateway/passing_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -161,6 +162,50 @@
 	t.Fatalf("the host uses %v, confirmed as of %v ago; the controller used %v since", got, w.now.Sub(confirmed), allowed)
 }
 
+// The store comes back after an outage, and the entries of all endpoints change at once. The
+// controller, on a slow link, sent all of them to each of 77 hosts; its notices came
+// too late, others took it for dead, and for ten seconds hardly a model was loaded.
+func TestNoticesKeepToTheLink(t *testing.T) {
+	value := strings.Repeat("x", 600)
+	for _, c := range []struct {
+		name     string
+		mbps     float64
+		changed  int
+		entries  int
+		mustRead bool
+	}{
+		{"one endpoint leaves", 10, 1, 1, false},
+		{"all come back, on a slow link", 10, 90, 0, true},
+		{"the link is not stated", 0, 90, 0, true},
+		{"all come back, on a fast link", 1000, 90, 90, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			controller, host := listHost(time.Minute), listHost(time.Minute)
+			controller.settings.Limits.LinkMbps = c.mbps
+			for i := range 77 {
+				name := "h" + strconv.Itoa(i)
+				controller.mesh.peers[name] = hostEntry{Addr: name}
+			}
+			first := fleet.Batch{Entries: []fleet.Entry{{Key: "e", Offset: 0, Value: []byte(value)}}}
+			controller.takeEndpoints(first)
+			host.takeEndpoints(first)
+			var later fleet.Batch
+			for i := range c.changed {
+				later.Entries = append(later.Entries, fleet.Entry{Key: "e" + strconv.Itoa(i), Offset: int64(i + 1), Value: []byte(value)})
+			}
+			controller.takeEndpoints(later)
+			now := controller.Now()
+			controller.reads.Answered(fleet.TopicEndpoints, now, nil)
+			n := controller.withList(now, fleet.Notice{}, 0, controller.directory.Material())
+			is.Equal(len(n.ListEntries), c.entries)
+			host.takeListNotice(now, n)
+			is.Equal(len(host.listNow) > 0, c.mustRead)
+			is.Equal(host.listConfirmed(), !c.mustRead)
+		})
+	}
+}
+
 // A deployment demands that endpoints which leave are noticed within a second. A list that
 // counted as confirmed for longer than half of that would be read too late.
 func TestConfirmationKeepsToTheBoundOfTheDeployment(t *testing.T) {
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -34,6 +34,8 @@
 	Limits struct {
 		Cores    int   `yaml:"cores"`
 		MemoryMB int64 `yaml:"memory_mb"`
+		// LinkMbps is the bandwidth of the host's link; 0 if it is not stated.
+		LinkMbps float64 `yaml:"link_mbps"`
 	} `yaml:"limits"`
 	Timing struct {
 		// Lease is the time within which two hosts must not give orders in turn.
@@ -85,6 +87,9 @@
 		c.address("listen.metrics", s.Listen.Metrics)
 	}
 	c.address("store.address", s.Store.Address)
+	if s.Limits.LinkMbps < 0 {
+		c.add("limits.link_mbps", "must not be negative")
+	}
 	c.positive("timing.lease", s.Timing.Lease)
 	c.positive("timing.drain", s.Timing.Drain)
 	c.positive("timing.shutdown", s.Timing.Shutdown)
