Hosts ask relays of their zone for what the controller tells

Ways weighed. Pacing alone (messages still grow with hosts times events); a push tree (the sender has to know who is behind whom, and finds a dead relay only by a timeout); interest by model (hosts get any of 353 models, so that a subscription a request is made). Taken: each host asks one host, which holds the question until something that the asker waits for has changed, or 250 ms at most. The question carries the demand, the answer what has changed since a version. While hosts are few, that host is the controller; else a relay of the zone, which is found from the list of hosts alone, the strongest first, and asks the controller itself. Relays add up demand: arrivals once, what waits by the newest report of each host. Time stamps of the controller pass through unchanged, so that the lease of a holder whose tokens are not checked rests on its own clock as before. Before a claim eight hosts are asked, not all.

--- a/pkg/fleet/board.go
+++ b/pkg/fleet/board.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -19,12 +20,18 @@
 type Board struct {
 	directory *Directory
 
-	mu      sync.Mutex
-	token   int64
+	mu sync.Mutex
+	// holder is who the newest notice is of; nothing but the fields that name it is set.
+	holder  Notice
 	heard   time.Time
 	notices map[EndpointID]map[string]residence
+	// version counts the changes of notices and far, versions and farVersion hold when
+	// each was changed last.
+	version    int64
+	versions   map[EndpointID]int64
+	farVersion int64
 	// far is when a model without a copy can serve at best, by the last notice.
-	far   map[modelKey]time.Time
+	far   map[ModelRef]time.Time
 	index *index
 	// stale is set when the list or a notice has changed since the index was brought
 	// up to date, checked is when that was.
@@ -40,11 +47,12 @@
 	adapters map[string]bool
 }
 
-type modelKey struct{ service, model string }
+// ModelRef names a model of a service.
+type ModelRef struct{ Service, Model string }
 
 // NewBoard returns a board on a directory.
 func NewBoard(d *Directory) *Board {
-	return &Board{directory: d, notices: map[EndpointID]map[string]residence{}, index: newIndex()}
+	return &Board{directory: d, notices: map[EndpointID]map[string]residence{}, versions: map[EndpointID]int64{}, index: newIndex()}
 }
 
 // Changed makes the board look at the directory again.
@@ -58,29 +66,94 @@
 func (b *Board) Notice(now time.Time, n Notice) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n.Token < b.token {
+	if n.Token < b.holder.Token {
 		return false
 	}
-	if n.Token > b.token || n.Full {
-		for id := range b.notices {
-			b.index.touch(id)
-		}
-		b.notices = map[EndpointID]map[string]residence{}
+	if n.Token > b.holder.Token || n.Full {
+		b.dropOthers(n)
 	}
-	b.token = n.Token
-	b.heard = now
+	b.holder = Notice{Holder: n.Holder, Token: n.Token, Incarnation: n.Incarnation, Addr: n.Addr}
+	b.heard = now.Add(-time.Duration(n.HeardAgo) * time.Millisecond)
 	for _, p := range n.Endpoints {
-		b.notices[p.Endpoint] = residences(now, p)
-		b.index.touch(p.Endpoint)
+		b.place(p.Endpoint, residences(now, p))
 	}
-	b.far = make(map[modelKey]time.Time, len(n.Far))
-	for _, f := range n.Far {
-		b.far[modelKey{f.Service, f.Model}] = now.Add(time.Duration(f.ReadyIn) * time.Millisecond)
+	if !n.FarKnown {
+		b.takeFar(now, n.Far)
+	}
+	b.stale = true // Whether notices are trusted may have changed.
+	return true
+}
+
+// dropOthers forgets what a notice that names all endpoints does not name, and all where
+// it is of a newer claim.
+func (b *Board) dropOthers(n Notice) {
+	named := make(map[EndpointID]bool, len(n.Endpoints))
+	for _, p := range n.Endpoints {
+		named[p.Endpoint] = n.Token == b.holder.Token
+	}
+	for id := range b.notices {
+		if !named[id] {
+			delete(b.notices, id)
+			b.changed(id)
+		}
+	}
+}
+
+// place takes in what an endpoint holds. A notice that repeats what is known changes
+// nothing, so that other hosts are not told again.
+func (b *Board) place(id EndpointID, models map[string]residence) {
+	old, known := b.notices[id]
+	if known && sameResidences(old, models) {
+		return
+	}
+	b.notices[id] = models
+	b.changed(id)
+}
+
+func (b *Board) changed(id EndpointID) {
+	b.version++
+	b.versions[id] = b.version
+	b.index.touch(id)
+}
+
+// sameTime is the difference below which two statements of a time are one: each is
+// passed on as what is left of it, which takes a few milliseconds a hop.
+const sameTime = 25 * time.Millisecond
+
+func sameResidences(a, b map[string]residence) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, r := range a {
+		o, ok := b[name]
+		if !ok || r.leaving != o.leaving || r.readyAt.IsZero() != o.readyAt.IsZero() || !maps.Equal(r.adapters, o.adapters) {
+			return false
+		}
+		if r.readyAt.Sub(o.readyAt).Abs() > sameTime {
+			return false
+		}
 	}
-	b.stale = true
 	return true
 }
 
+// takeFar takes in which models have to come from the weight store.
+func (b *Board) takeFar(now time.Time, models []FarModel) {
+	far := make(map[ModelRef]time.Time, len(models))
+	same := len(models) == len(b.far)
+	for _, f := range models {
+		ref := ModelRef{f.Service, f.Model}
+		far[ref] = now.Add(time.Duration(f.ReadyIn) * time.Millisecond)
+		old, known := b.far[ref]
+		same = same && known && far[ref].Sub(old).Abs() <= sameTime
+	}
+	if same {
+		return
+	}
+	b.far = far
+	b.version++
+	b.farVersion = b.version
+}
+
 func residences(now time.Time, p Placement) map[string]residence {
 	models := make(map[string]residence, len(p.Models))
 	for _, m := range p.Models {
@@ -100,7 +173,7 @@
 func (b *Board) Token() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.token
+	return b.holder.Token
 }
 
 // Location is where a model, or an adapter of it, is held.
@@ -130,9 +203,9 @@
 		return l
 	}
 	if now.Sub(b.heard) < controllerSilent {
-		l.FarUntil = b.far[modelKey{service, model}]
+		l.FarUntil = b.far[ModelRef{service, model}]
 	}
-	for _, r := range b.index.holders(modelKey{service, model}) {
+	for _, r := range b.index.holders(ModelRef{service, model}) {
 		switch {
 		case r.leaving || adapter != "" && !r.adapters[adapter]:
 		case r.readyAt.After(now):
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -165,6 +165,16 @@
 	}
 }
 
+// serviceOf is the service of an endpoint, empty if it is not known.
+func (d *Directory) serviceOf(id EndpointID) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[id]; e != nil {
+		return e.Service
+	}
+	return ""
+}
+
 // Material is the offset of the newest entry that changed which endpoints take
 // requests.
 func (d *Directory) Material() int64 {
--- a/pkg/fleet/index.go
+++ b/pkg/fleet/index.go
@@ -14,13 +14,13 @@
 	// entered is what the index holds of each endpoint.
 	entered   map[EndpointID]entered
 	byService map[string]*group[Endpoint]
-	byModel   map[modelKey]*group[residence]
+	byModel   map[ModelRef]*group[residence]
 }
 
 // entered is what the index holds of one endpoint.
 type entered struct {
 	service string
-	models  []modelKey
+	models  []ModelRef
 }
 
 // group is the members of one answer, and the answer once it was asked for.
@@ -35,7 +35,7 @@
 		touched:   map[EndpointID]bool{},
 		entered:   map[EndpointID]entered{},
 		byService: map[string]*group[Endpoint]{},
-		byModel:   map[modelKey]*group[residence]{},
+		byModel:   map[ModelRef]*group[residence]{},
 	}
 }
 
@@ -89,7 +89,7 @@
 	in := entered{service: e.Service}
 	add(x.byService, e.Service, e.ID, e)
 	for name, r := range models {
-		key := modelKey{e.Service, name}
+		key := ModelRef{e.Service, name}
 		r.endpoint = e
 		add(x.byModel, key, e.ID, r)
 		in.models = append(in.models, key)
@@ -135,4 +135,4 @@
 
 func (x *index) endpoints(service string) []Endpoint { return x.byService[service].all() }
 
-func (x *index) holders(key modelKey) []residence { return x.byModel[key].all() }
+func (x *index) holders(key ModelRef) []residence { return x.byModel[key].all() }
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -28,8 +28,45 @@
 	// StoreBackAgo is how many milliseconds ago the controller found the store back
 	// after an outage; 0 if that is long ago or was not.
 	StoreBackAgo int64 `cbor:"13,keyasint,omitempty"`
-	// Far names all models that are asked for and have no copy at any endpoint.
-	Far []FarModel `cbor:"10,keyasint,omitempty"`
+	// Far names all models that are asked for and have no copy at any endpoint. It is
+	// left out where it is what the host knows (FarKnown).
+	Far      []FarModel `cbor:"10,keyasint,omitempty"`
+	FarKnown bool       `cbor:"14,keyasint,omitempty"`
+	// Source is the incarnation of the host that answers and Version that of what it
+	// tells, so that the next question names what is known.
+	Source  string `cbor:"15,keyasint,omitempty"`
+	Version int64  `cbor:"16,keyasint,omitempty"`
+	// HeardAgo is how many milliseconds ago the answering host has heard the controller;
+	// Stamp is the newest of the controller's own time stamps that it has heard.
+	HeardAgo int64 `cbor:"17,keyasint,omitempty"`
+	Stamp    int64 `cbor:"18,keyasint,omitempty"`
+}
+
+// Pull is a host's question for what has changed, with what its requests need.
+type Pull struct {
+	// Demand is that of the asking host and of all that ask it.
+	Demand DemandReport `cbor:"1,keyasint"`
+	// Source, Token and Version are those of the last answer that was taken in.
+	Source  string `cbor:"2,keyasint,omitempty"`
+	Token   int64  `cbor:"3,keyasint,omitempty"`
+	Version int64  `cbor:"4,keyasint,omitempty"`
+	// ListNext is the offset up to which the host knows the list of endpoints.
+	ListNext int64 `cbor:"5,keyasint,omitempty"`
+	// Heard is what the asking host has heard of the controller, Below what those
+	// have that ask it, where endpoints do not check fencing tokens.
+	Heard Heard   `cbor:"6,keyasint"`
+	Below []Heard `cbor:"7,keyasint,omitempty"`
+}
+
+// Heard is a host's last sign of life of a controller.
+type Heard struct {
+	Host string `cbor:"1,keyasint"`
+	// Token is that of the newest claim known there, Stamp the newest time stamp of
+	// its holder that was heard.
+	Token int64 `cbor:"2,keyasint,omitempty"`
+	Stamp int64 `cbor:"3,keyasint,omitempty"`
+	// StoreAge is how many milliseconds ago the store answered that host.
+	StoreAge int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // FarModel is a model that has to come from the weight store.
@@ -67,6 +104,19 @@
 	Addr string `cbor:"5,keyasint,omitempty"`
 	// Unreachable names the endpoints that the host could not connect to lately.
 	Unreachable []EndpointID `cbor:"6,keyasint,omitempty"`
+	// Seq counts the reports of an incarnation: an older one that comes late is void.
+	Seq int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Waiting names the models for which requests wait.
+func (r DemandReport) Waiting() map[ModelRef]bool {
+	out := map[ModelRef]bool{}
+	for _, n := range r.Needs {
+		if n.Waiting > 0 {
+			out[ModelRef{n.Service, n.Model}] = true
+		}
+	}
+	return out
 }
 
 // NeedReport is the demand for one model, or for one adapter of it.
@@ -88,6 +138,35 @@
 	Starting int64 `cbor:"10,keyasint,omitempty"`
 }
 
+// Plus adds what another host reports of the same need.
+func (n NeedReport) Plus(o NeedReport) NeedReport {
+	if dueFirst(o, n) {
+		n.DueIn = o.DueIn
+	}
+	n.Priority = min(n.Priority, o.Priority)
+	n.Waiting += o.Waiting
+	n.InTime += o.InTime
+	n.Inflight += o.Inflight
+	n.Arrived += o.Arrived
+	n.Starting += o.Starting
+	return n
+}
+
+// dueFirst tells whether what waits in one report is due before what waits in the
+// other: requests that can be in time go before those that are late.
+func dueFirst(a, b NeedReport) bool {
+	switch {
+	case a.Waiting == 0:
+		return false
+	case b.Waiting == 0:
+		return true
+	case (a.InTime > 0) != (b.InTime > 0):
+		return a.InTime > 0
+	default:
+		return a.DueIn < b.DueIn
+	}
+}
+
 // Due returns the time that DueIn meant when the report came.
 func (n NeedReport) Due(now time.Time) time.Time {
 	return now.Add(time.Duration(n.DueIn) * time.Millisecond)
--- /dev/null
+++ b/pkg/gateway/children.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
+	"github.com/tealvane/tealvane/pkg/relay"
+)
+
+// children are the questions of other hosts that wait here for something to change. It
+// is safe for concurrent use.
+type children struct {
+	mu     sync.Mutex
+	byHost map[string]*asker
+}
+
+// asker is a host that asks this one.
+type asker struct {
+	answered time.Time
+	told     told
+	// again wakes its question when something may have changed, over is closed when a
+	// newer question has come.
+	again chan struct{}
+	over  chan struct{}
+}
+
+// told is what a host was told of last.
+type told struct {
+	// list is the offset of the newest change of the list of endpoints, claim the token
+	// of the newest claim and config the version of the configuration.
+	list, claim, config int64
+}
+
+// newerThan tells whether something has come since.
+func (t told) newerThan(o told) bool {
+	return t.list > o.list || t.claim > o.claim || t.config > o.config
+}
+
+func newChildren() *children { return &children{byHost: map[string]*asker{}} }
+
+// enter takes in a question. It ends the one before: its answer would tell less.
+func (c *children) enter(r fleet.DemandReport) *asker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := &asker{again: make(chan struct{}, 1), over: make(chan struct{})}
+	if old := c.byHost[r.Host]; old != nil {
+		a.answered = old.answered
+		a.told = old.told
+		close(old.over)
+	}
+	c.byHost[r.Host] = a
+	return a
+}
+
+// answered notes when a question was answered.
+func (c *children) answered(a *asker, now time.Time, t told) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.answered = now
+	a.told = t
+}
+
+// count is the number of hosts that ask this one.
+func (c *children) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byHost)
+}
+
+// wake lets all questions look at what has changed.
+func (c *children) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.byHost {
+		signal(a.again)
+	}
+}
+
+// drop forgets hosts that have not asked for long.
+func (c *children) drop(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for host, a := range c.byHost {
+		if !a.answered.IsZero() && now.Sub(a.answered) > askerLife {
+			delete(c.byHost, host)
+		}
+	}
+}
+
+// askerLife is how long a host that asks no more is remembered.
+const askerLife = 4 * time.Second
+
+// answerPull takes in what another host and those behind it need, and answers when
+// something has changed for it, or when the host has to hear that the controller lives.
+func (g *Gateway) answerPull(p fleet.Pull) *fleet.Notice {
+	now := g.Now()
+	g.takeDemand(now, p)
+	a := g.children.enter(p.Demand)
+	waiting := p.Demand.Waiting()
+	spacing := relay.Spacing(g.children.count(), g.settings.cores())
+	question := relay.Question{Asked: now, Answered: a.answered}
+	for {
+		changed, urgent := g.board.ChangedFor(g.self.Incarnation, p, waiting)
+		urgent = urgent || g.telling().newerThan(a.told)
+		rest := question.Answer(changed, urgent, spacing).Sub(g.Now())
+		if rest <= 0 {
+			break
+		}
+		timer := time.NewTimer(rest)
+		select {
+		case <-a.again:
+			timer.Stop()
+			continue
+		case <-a.over:
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+		break
+	}
+	now = g.Now()
+	g.children.answered(a, now, g.telling())
+	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
+	n.Stamp = g.stamp(now)
+	return &n
+}
+
+// telling is what this host tells now of all that others must know at once.
+func (g *Gateway) telling() told {
+	return told{list: g.directory.Material(), claim: g.election.Newest().Token, config: g.configVersion()}
+}
+
+// takeDemand takes in a report for the controller, which is this host or the one that
+// it asks itself.
+func (g *Gateway) takeDemand(now time.Time, p fleet.Pull) {
+	held := g.election.Held()
+	if held == 0 {
+		if g.sums.Take(now, p.Demand, p.Heard) && g.lacks(p.Demand) {
+			g.wantReport()
+		}
+		return
+	}
+	g.controller.Report(now, p.Demand)
+	signal(g.noticeNow)
+	for _, h := range append(p.Below, p.Heard) {
+		g.lease.Heard(held, orders.NoticeAnswer{
+			Host:     h.Host,
+			Sent:     g.stampTime(h.Stamp),
+			Token:    h.Token,
+			StoreAge: milliseconds(h.StoreAge),
+		})
+	}
+}
+
+// lacks tells whether requests wait for a model that no endpoint holds or loads, as far
+// as this host knows: the controller has to hear of it at once.
+func (g *Gateway) lacks(r fleet.DemandReport) bool {
+	now := g.Now()
+	for _, n := range r.Needs {
+		if n.Waiting == 0 {
+			continue
+		}
+		if at := g.board.Locate(now, n.Service, n.Model, n.Adapter); len(at.Ready) == 0 && at.ComingAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// stamp is the newest of the controller's own times that this host has heard, in
+// milliseconds since the controller's start. Hosts pass it on as it is, so that the
+// controller knows by its own clock since when each has certainly heard it.
+func (g *Gateway) stamp(now time.Time) int64 {
+	if g.election.Held() != 0 {
+		return now.Sub(g.started).Milliseconds()
+	}
+	return g.heardStamp.Load()
+}
+
+// stampTime is the time of a stamp of this host.
+func (g *Gateway) stampTime(stamp int64) time.Time { return g.started.Add(milliseconds(stamp)) }
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -21,6 +21,10 @@
 	// heardLately is how fresh a sign of the holder's life has to be.
 	secondOpinion = 300 * time.Millisecond
 	heardLately   = 700 * time.Millisecond
+	// maxOpinions is how many other hosts are asked. Where the holder lives, most hosts
+	// hear it, and one of eight at random is among these; each host that asked all others
+	// would make as many connections as there are hosts, all at the same moment.
+	maxOpinions = 8
 	// claimTime is about how long a claim takes to be appended and read by others, and
 	// maxClaimDelay bounds the pause before one, a quarter of the silence after which a
 	// holder is challenged.
@@ -77,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, secondOpinion)
 	defer cancel()
 	holder := g.election.Newest()
-	addrs := g.mesh.answering(g.Now())
+	addrs := g.mesh.some(g.Now(), maxOpinions)
 	type sign struct {
 		at time.Time
 		ok bool
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -6,20 +6,19 @@
 
 	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
-	"github.com/tealvane/tealvane/pkg/orders"
-	"github.com/tealvane/tealvane/pkg/peer"
 )
 
 const (
-	// reportPeriod is the longest pause between two reports of demand, and
-	// reportPause the shortest: requests that come together make one report.
-	reportPeriod = 250 * time.Millisecond
-	reportPause  = 8 * time.Millisecond
-	// stepPeriod and stepPause are the same for the controller's decisions.
+	// stepPeriod and stepPause are the longest and the shortest pause between two
+	// of the controller's decisions. stepRest is the least pause in parts of the time
+	// that a decision takes: on the weakest hosts it takes a tenth of a second where hundreds
+	// of models are asked for, and what is reported meanwhile has to be taken in.
 	stepPeriod = 40 * time.Millisecond
 	stepPause  = 8 * time.Millisecond
-	// noticePeriod is the longest pause between two notices, fullNotice between
-	// two that name all endpoints: a notice may be lost.
+	stepRest   = 2
+	// noticePeriod is the time for which entries of the list may fill the link, about
+	// the longest pause between two answers to a host; fullNotice separates two
+	// notices that name all endpoints, so that what is gone is forgotten.
 	noticePeriod = 300 * time.Millisecond
 	fullNotice   = 1500 * time.Millisecond
 	// listShare is the part of the link, as a divisor, that entries of the list may take
@@ -36,74 +35,9 @@
 	noOffset = -1
 )
 
-// reportDemand tells the controller what this host's requests need.
-func (g *Gateway) reportDemand(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-g.reportNow:
-		case <-time.After(reportPeriod):
-		case <-ctx.Done():
-			return
-		}
-		g.report(ctx)
-		wait.For(ctx, reportPause)
-	}
-}
-
-func (g *Gateway) report(ctx context.Context) {
-	now := g.Now()
-	report := fleet.DemandReport{
-		Host:          g.self.Host,
-		Incarnation:   g.self.Incarnation,
-		ConfigVersion: g.configVersion(),
-		Addr:          g.self.Addr,
-		Unreachable:   g.health.AllUnreachable(now),
-	}
-	for _, d := range g.dispatcher.Demand() {
-		n := fleet.NeedReport{
-			Service:  d.Service,
-			Model:    d.Model,
-			Adapter:  d.Adapter,
-			Waiting:  d.Waiting,
-			InTime:   d.InTime,
-			Inflight: d.Inflight,
-			Arrived:  d.Arrived,
-			Starting: d.Starting.Milliseconds(),
-			Priority: d.Priority,
-		}
-		if d.Waiting > 0 {
-			n.DueIn = d.Due.Sub(now).Milliseconds()
-		}
-		report.Needs = append(report.Needs, n)
-	}
-	if g.election.Held() != 0 {
-		g.controller.Report(now, report)
-		signal(g.noticeNow)
-		return
-	}
-	claim := g.election.Newest()
-	if claim.Token == 0 || claim.Holder.Released || claim.Holder.Addr == "" {
-		return
-	}
-	answer, err := g.mesh.send(ctx, claim.Holder.Addr, peer.Request{Demand: &report})
-	if err != nil {
-		g.metrics.count("reports_lost", nil)
-		return
-	}
-	now = g.Now()
-	g.compareConfig(claim.Holder.Addr, answer.ConfigVersion)
-	if answer.Claim != nil && answer.Claim.Token > claim.Token {
-		g.election.Observe(now, *answer.Claim)
-	}
-	if answer.Controlling {
-		g.election.Heard(now, claim.Token)
-	}
-}
-
 // control runs the controller while this host holds the claim.
 func (g *Gateway) control(ctx context.Context) {
-	var lastNotice, lastFull time.Time
-	told := int64(noOffset)
+	var lastFull time.Time
 	may := true
 	for ctx.Err() == nil {
 		select {
@@ -117,7 +51,6 @@
 		n := g.controller.Step(ctx, now, full)
 		if n == nil {
 			lastFull = time.Time{}
-			told = noOffset
 			wait.For(ctx, stepPeriod)
 			continue
 		}
@@ -125,16 +58,11 @@
 			may = allowed
 			g.logOrders(may)
 		}
-		change := g.directory.Material()
-		if len(n.Endpoints) > 0 || change > told || now.Sub(lastNotice) >= noticePeriod {
-			lastNotice = now
-			if full {
-				lastFull = now
-			}
-			g.publish(ctx, g.withList(now, *n, told, change))
-			told = change
+		if full {
+			lastFull = now
 		}
-		wait.For(ctx, stepPause)
+		g.publish(*n)
+		wait.For(ctx, max(stepPause, stepRest*g.Now().Sub(now)))
 	}
 }
 
@@ -152,11 +80,11 @@
 	return now.Sub(g.reads.LastAnswer(fleet.TopicEndpoints))
 }
 
-// withList adds what has changed in the list of endpoints since the last notice.
+// withList adds what has changed in the list of endpoints since what a host was told.
 func (g *Gateway) withList(now time.Time, n fleet.Notice, told, change int64) fleet.Notice {
 	n.ListSince = told
 	n.ListChange = change
-	n.ListAge = g.listAge(now).Milliseconds()
+	n.ListAge = min(g.viewAge(now), time.Hour).Milliseconds()
 	if told != noOffset && change > told {
 		n.ListEntries = g.fitting(g.feed.entries(g.directory.MaterialSince(told)))
 	}
@@ -182,7 +110,7 @@
 	return entries
 }
 
-// listBytes is how many bytes of entries a notice to each host may carry.
+// listBytes is how many bytes of entries an answer to each host may carry.
 func (g *Gateway) listBytes() int {
 	link := g.settings.Limits.LinkMbps
 	if link == 0 {
@@ -190,40 +118,16 @@
 	}
 	const bitsPerByte, mega = 8, 1e6
 	period := link * mega / bitsPerByte * noticePeriod.Seconds()
-	return int(period/listShare) / g.mesh.hosts()
+	return int(period/listShare) / g.mesh.fanOut(g.settings.cores())
 }
 
-// publish tells all hosts what the controller believes.
-func (g *Gateway) publish(ctx context.Context, n fleet.Notice) {
+// publish takes in what the controller believes, and lets the hosts that ask see it.
+func (g *Gateway) publish(n fleet.Notice) {
 	n.Incarnation = g.self.Incarnation
 	n.Addr = g.self.Addr
 	g.board.Notice(g.Now(), n)
 	g.dispatcher.Kick()
-	for host, addr := range g.mesh.addresses() {
-		go g.tell(ctx, host, addr, n)
-	}
-}
-
-// tell sends a notice to one host and takes in what it answers.
-func (g *Gateway) tell(ctx context.Context, host, addr string, n fleet.Notice) {
-	sent := g.Now()
-	answer, err := g.mesh.send(ctx, addr, peer.Request{Notice: &n})
-	if err != nil {
-		g.metrics.count("notices_lost", nil)
-		return
-	}
-	if answer.Claim == nil {
-		return // That host does not know this one yet.
-	}
-	if answer.Claim.Token > n.Token {
-		g.election.Observe(g.Now(), *answer.Claim)
-	}
-	g.lease.Heard(n.Token, orders.NoticeAnswer{
-		Host:     host,
-		Sent:     sent,
-		Token:    answer.Claim.Token,
-		StoreAge: time.Duration(answer.StoreAge) * time.Millisecond,
-	})
+	g.children.wake()
 }
 
 // maintain does what has to be done from time to time.
@@ -239,6 +143,7 @@
 			return
 		}
 		last = now
+		g.children.drop(now)
 		g.feed.drop(g.directory.Prune(now))
 		live := map[fleet.EndpointID]bool{}
 		for _, v := range g.directory.Live(now) {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -139,6 +139,7 @@
 	g.feed.config = e
 	g.log.Info("configuration in force", "version", c.Version, "offset", e.Offset, "routes", len(c.Routes))
 	signal(g.noticeNow)
+	g.children.wake()
 }
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
@@ -219,6 +220,7 @@
 	g.board.Changed()
 	g.dispatcher.Kick()
 	signal(g.noticeNow)
+	g.children.wake()
 }
 
 // hostEntry is what a host writes of itself once at its start.
@@ -226,11 +228,20 @@
 	Addr        string           `cbor:"1,keyasint"`
 	Incarnation string           `cbor:"2,keyasint"`
 	Fingerprint peer.Fingerprint `cbor:"3,keyasint"`
+	Zone        string           `cbor:"4,keyasint,omitempty"`
+	// Cores is the processor that the host has, 0 if it does not state it.
+	Cores float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // announce writes where other hosts reach this one and by which key.
 func (g *Gateway) announce(ctx context.Context) {
-	value, err := record.Marshal(hostEntry{Addr: g.self.Addr, Incarnation: g.self.Incarnation, Fingerprint: g.mesh.own})
+	value, err := record.Marshal(hostEntry{
+		Addr:        g.self.Addr,
+		Incarnation: g.self.Incarnation,
+		Fingerprint: g.mesh.own,
+		Zone:        g.settings.Zone,
+		Cores:       g.settings.cores(),
+	})
 	if err != nil {
 		g.log.Error("own entry", "error", err)
 		return
@@ -287,6 +298,7 @@
 	claim := orders.Claim{Holder: h, Token: token(e.Offset)}
 	g.election.Observe(g.Now(), claim)
 	if claim.Token > before {
+		g.children.wake()
 		g.log.Info("claim", "holder", h.Host, "token", claim.Token, "released", h.Released)
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/relay"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
 	"go.opentelemetry.io/otel/trace"
@@ -83,6 +84,16 @@
 	lease      *orders.HolderLease
 	controller *orders.Controller
 	mesh       *mesh
+	// children are the hosts that ask this one, sums what they need, and news what this
+	// one was told itself.
+	children *children
+	sums     *relay.Sums
+	news     news
+	// reports counts the demand reports, heardStamp is the newest time stamp of the
+	// controller that was heard, and started the zero of this host's own.
+	reports    atomic.Int64
+	heardStamp atomic.Int64
+	started    time.Time
 	// reportNow asks for a demand report at once.
 	reportNow chan struct{}
 	// noticeNow asks the controller for a step at once.
@@ -117,7 +128,10 @@
 		listNow:   make(chan struct{}, 1),
 		feed:      newFeed(),
 		reads:     follow.NewState(),
+		children:  newChildren(),
+		sums:      relay.NewSums(),
 	}
+	g.started = g.Now()
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.board = fleet.NewBoard(g.directory)
@@ -163,6 +177,7 @@
 	}
 	g.mesh.node = node
 	g.self.Addr = node.Addr()
+	g.mesh.member = relay.Member{Name: g.self.Host, Addr: g.self.Addr, Zone: g.settings.Zone, Cores: g.settings.cores()}
 	if g.readiness, err = net.Listen("tcp", g.settings.Listen.Readiness); err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "readiness"), node.Close())
 	}
@@ -303,7 +318,7 @@
 		g.followClaims,
 		g.announce,
 		g.mesh.serve,
-		g.reportDemand,
+		g.followController,
 		g.control,
 		g.elect,
 		g.maintain,
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/relay"
 )
 
 const (
@@ -27,9 +28,10 @@
 
 // mesh knows the other hosts. It is safe for concurrent use.
 type mesh struct {
-	self string
-	own  peer.Fingerprint
-	node *peer.Node
+	self   string
+	member relay.Member
+	own    peer.Fingerprint
+	node   *peer.Node
 
 	mu         sync.Mutex
 	peers      map[string]hostEntry
@@ -37,6 +39,10 @@
 	claimsNext int64
 	// silent is until when a host that gave no answer is not asked.
 	silent map[string]time.Time
+	// failures counts the questions in a row that a host did not answer.
+	failures map[string]int
+	// tree holds the hosts to ask for what the controller tells, until hosts change.
+	tree map[string][]relay.Member
 	// asked is when a peer was last asked for the state.
 	asked time.Time
 	// confirmed is as of when the controller has last told all changes of the list of
@@ -61,7 +67,15 @@
 }
 
 func newMesh(self string, own peer.Fingerprint) *mesh {
-	return &mesh{self: self, own: own, peers: map[string]hostEntry{}, pinned: map[peer.Fingerprint]bool{}, silent: map[string]time.Time{}}
+	return &mesh{
+		self:     self,
+		own:      own,
+		peers:    map[string]hostEntry{},
+		pinned:   map[peer.Fingerprint]bool{},
+		silent:   map[string]time.Time{},
+		failures: map[string]int{},
+		tree:     map[string][]relay.Member{},
+	}
 }
 
 func (m *mesh) serve(ctx context.Context) { m.node.Serve(ctx) }
@@ -85,6 +99,9 @@
 		m.node.Forget(old.Addr)
 	}
 	m.peers[host] = e
+	clear(m.tree)
+	delete(m.silent, e.Addr)
+	delete(m.failures, e.Addr)
 	m.pinned[e.Fingerprint] = true
 }
 
@@ -154,12 +171,11 @@
 		return []peer.Response{answer}
 	}
 	switch {
-	case r.Demand != nil:
-		g.controller.Report(now, *r.Demand)
-		g.compareConfig(r.Demand.Addr, r.Demand.ConfigVersion)
-		signal(g.noticeNow)
-	case r.Notice != nil:
-		g.takeNotice(now, *r.Notice)
+	case r.Pull != nil:
+		g.compareConfig(r.Pull.Demand.Addr, r.Pull.Demand.ConfigVersion)
+		answer.Notice = g.answerPull(*r.Pull)
+		now = g.Now()
+		answer.ConfigVersion = g.configVersion()
 	case r.State != nil:
 		answer.State = g.state(*r.State)
 	}
@@ -187,19 +203,22 @@
 	}
 }
 
-// takeNotice takes in what the controller says.
+// takeNotice takes in what the controller says, as another host has told it.
 func (g *Gateway) takeNotice(now time.Time, n fleet.Notice) {
-	if !g.board.Notice(now, n) {
+	if !g.news.fresh(n) || !g.board.Notice(now, n) {
 		return
 	}
-	g.election.Observe(now, orders.Claim{
-		Holder: orders.Holder{Host: n.Holder, Incarnation: n.Incarnation, Addr: n.Addr},
-		Token:  n.Token,
-	})
-	g.election.Heard(now, n.Token)
+	if n.Token != 0 {
+		g.election.Observe(now, orders.Claim{
+			Holder: orders.Holder{Host: n.Holder, Incarnation: n.Incarnation, Addr: n.Addr},
+			Token:  n.Token,
+		})
+		g.election.Heard(now.Add(-milliseconds(n.HeardAgo)), n.Token)
+		g.heardStamp.Store(n.Stamp)
+	}
 	g.takeListNotice(now, n)
 	g.dispatcher.Kick()
-	g.compareConfig(n.Addr, n.ConfigVersion)
+	g.children.wake()
 }
 
 // takeListNotice takes in what the controller tells of the list of endpoints. Changes
@@ -249,8 +268,13 @@
 	}
 }
 
-// silentFor is how long a host that gave no answer is not asked again.
-const silentFor = 2 * time.Second
+const (
+	// silentFor is how long a host that gave no answer is not asked again; it doubles
+	// with each further time up to silentMost. Hosts that are gone for good stay in
+	// the store, and each question to one costs its timeout.
+	silentFor  = 2 * time.Second
+	silentMost = 32 * time.Second
+)
 
 // answering returns the hosts that have not failed to answer lately, or all.
 func (m *mesh) answering(now time.Time) []string {
@@ -264,10 +288,68 @@
 	return out
 }
 
+// some returns a few of the hosts that have not failed to answer lately, at random.
+func (m *mesh) some(now time.Time, most int) []string {
+	all := m.answering(now)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(most, len(all))]
+}
+
 func (m *mesh) noteSilent(now time.Time, addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.silent[addr] = now.Add(silentFor)
+	m.silent[addr] = now.Add(min(silentMost, silentFor<<min(m.failures[addr], 4)))
+	m.failures[addr]++
+}
+
+// noteAnswer takes in that a host has answered.
+func (m *mesh) noteAnswer(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.silent, addr)
+	delete(m.failures, addr)
+}
+
+// members returns all hosts, this one included, as the tree sees them. It is called with
+// the lock held.
+func (m *mesh) members() []relay.Member {
+	out := []relay.Member{m.member}
+	for name, e := range m.peers {
+		out = append(out, relay.Member{Name: name, Addr: e.Addr, Zone: e.Zone, Cores: e.Cores})
+	}
+	return out
+}
+
+// upstreams returns the hosts that this one asks, best first. The controller is left
+// out while its address is not known.
+func (m *mesh) upstreams(controller relay.Member) []relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := controller.Name + " " + controller.Addr
+	if list, ok := m.tree[key]; ok {
+		return list
+	}
+	controller.Cores = m.peers[controller.Name].Cores
+	list := relay.Upstreams(m.member, controller, m.members())
+	list = slices.DeleteFunc(list, func(u relay.Member) bool { return u.Addr == "" || u.Name == m.self })
+	m.tree[key] = list
+	return list
+}
+
+// fanOut is how many hosts at most ask a host with some cores.
+func (m *mesh) fanOut(cores float64) int { return min(m.hosts(), relay.Children(cores)) }
+
+// firstAnswering returns the first host that has not failed to answer lately; the last
+// one, which is the controller, if all have.
+func (m *mesh) firstAnswering(now time.Time, hosts []relay.Member) relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range hosts {
+		if !now.Before(m.silent[h.Addr]) {
+			return h
+		}
+	}
+	return hosts[len(hosts)-1]
 }
 
 func (g *Gateway) askPeerAt(ctx context.Context, addr string) {
--- a/pkg/gateway/passing_test.go
+++ b/pkg/gateway/passing_test.go
@@ -36,6 +36,7 @@
 		mesh:      newMesh("b", peer.Fingerprint{}),
 		listNow:   make(chan struct{}, 1),
 		noticeNow: make(chan struct{}, 1),
+		children:  newChildren(),
 	}
 	g.settings.Timing.Drain = drain
 	g.board = fleet.NewBoard(g.directory)
--- /dev/null
+++ b/pkg/gateway/pull.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/wait"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/relay"
+)
+
+const (
+	// reportPeriod is the longest pause between two reports of demand, and
+	// reportPause the shortest: requests that come together make one report.
+	reportPeriod = 250 * time.Millisecond
+	reportPause  = 20 * time.Millisecond
+	// maxPulls bounds the questions of this host that are under way: one that waits for a
+	// change, and those that tell of new demand meanwhile.
+	maxPulls = 3
+	// pullTimeout bounds a question: it is held for a while, and a host that gives no
+	// answer after that is passed over.
+	pullTimeout = relay.MaxHold + 250*time.Millisecond
+	// maxNewsAge is how old what another host tells may be: after that it is cut off
+	// itself, and the next one is asked.
+	maxNewsAge = 900 * time.Millisecond
+)
+
+// errStaleNews means that another host has not heard the controller itself for long.
+var errStaleNews = errors.New("the host that was asked is cut off itself")
+
+// errNotKnown means that another host does not know this one yet.
+var errNotKnown = errors.New("the host that was asked does not know this one yet")
+
+// follow asks for what the controller tells, and tells what this host's requests need.
+func (g *Gateway) followController(ctx context.Context) {
+	free := make(chan struct{}, maxPulls)
+	for ctx.Err() == nil {
+		if g.election.Held() != 0 {
+			g.controller.Report(g.Now(), g.report(g.Now()))
+			signal(g.noticeNow)
+			wait.Or(ctx, reportPeriod, g.reportNow)
+			wait.For(ctx, reportPause)
+			continue
+		}
+		select {
+		case free <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			defer func() { <-free }()
+			g.pull(ctx)
+		}()
+		select {
+		case <-done:
+		case <-g.reportNow:
+		case <-ctx.Done():
+			return
+		}
+		wait.For(ctx, reportPause)
+	}
+}
+
+// pull asks the best host that answers. A report goes out once: one whose answer is
+// lost may have been counted, and a second copy would count its arrivals twice.
+func (g *Gateway) pull(ctx context.Context) {
+	now := g.Now()
+	upstreams := g.upstreams()
+	if len(upstreams) == 0 {
+		wait.For(ctx, reportPeriod)
+		return
+	}
+	to := g.mesh.firstAnswering(now, upstreams)
+	p := fleet.Pull{
+		Demand:   g.sums.Sum(now, g.report(now)),
+		ListNext: g.directory.Offset(),
+		Heard:    g.heard(now),
+	}
+	p.Source, p.Token, p.Version = g.news.known()
+	if !g.settings.Orders.EndpointsCheckTokens {
+		p.Below = g.sums.Heard(now)
+	}
+	err := g.ask(ctx, to, p)
+	if err == nil {
+		g.mesh.noteAnswer(to.Addr)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	g.metrics.count("pulls_failed", nil)
+	g.mesh.noteSilent(g.Now(), to.Addr)
+	g.log.Info("no news from the host that was asked", "asked", to.Name, "error", err.Error())
+	wait.For(ctx, wait.Jitter(reportPause))
+}
+
+func (g *Gateway) ask(ctx context.Context, to relay.Member, p fleet.Pull) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	answer, err := g.mesh.send(ctx, to.Addr, peer.Request{Pull: &p})
+	if err != nil {
+		return err
+	}
+	now := g.Now()
+	if answer.Claim == nil {
+		return errNotKnown
+	}
+	if answer.Claim.Token > g.election.Newest().Token {
+		g.election.Observe(now, *answer.Claim)
+	}
+	g.compareConfig(to.Addr, answer.ConfigVersion)
+	if answer.Notice == nil {
+		return nil // A newer question of this host is answered in its place.
+	}
+	g.takeNotice(now, *answer.Notice)
+	if !answer.Controlling && milliseconds(answer.Notice.HeardAgo) > maxNewsAge {
+		return errStaleNews
+	}
+	return nil
+}
+
+// upstreams are the hosts that this one asks, best first.
+func (g *Gateway) upstreams() []relay.Member {
+	claim := g.election.Newest()
+	controller := relay.Member{Name: claim.Holder.Host, Addr: claim.Holder.Addr}
+	if claim.Token == 0 || claim.Holder.Released || claim.Holder.Addr == "" {
+		controller = relay.Member{}
+	}
+	return g.mesh.upstreams(controller)
+}
+
+// heard is this host's last sign of life of the controller.
+func (g *Gateway) heard(now time.Time) fleet.Heard {
+	return fleet.Heard{
+		Host:     g.self.Host,
+		Token:    g.election.Newest().Token,
+		Stamp:    g.heardStamp.Load(),
+		StoreAge: min(g.listAge(now), time.Hour).Milliseconds(),
+	}
+}
+
+// report is the demand of this host's own requests.
+func (g *Gateway) report(now time.Time) fleet.DemandReport {
+	report := fleet.DemandReport{
+		Host:          g.self.Host,
+		Incarnation:   g.self.Incarnation,
+		Seq:           g.reports.Add(1),
+		ConfigVersion: g.configVersion(),
+		Addr:          g.self.Addr,
+		Unreachable:   g.health.AllUnreachable(now),
+	}
+	for _, d := range g.dispatcher.Demand() {
+		n := fleet.NeedReport{
+			Service:  d.Service,
+			Model:    d.Model,
+			Adapter:  d.Adapter,
+			Waiting:  d.Waiting,
+			InTime:   d.InTime,
+			Inflight: d.Inflight,
+			Arrived:  d.Arrived,
+			Starting: d.Starting.Milliseconds(),
+			Priority: d.Priority,
+		}
+		if d.Waiting > 0 {
+			n.DueIn = d.Due.Sub(now).Milliseconds()
+		}
+		report.Needs = append(report.Needs, n)
+	}
+	return report
+}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -32,8 +32,10 @@
 	// OTLP is the base URL of a trace collector; empty exports no traces.
 	OTLP   string `yaml:"otlp"`
 	Limits struct {
-		Cores    int   `yaml:"cores"`
-		MemoryMB int64 `yaml:"memory_mb"`
+		Cores int `yaml:"cores"`
+		// CPUShare is the part of each core that the host gets; 0 if it is not stated.
+		CPUShare float64 `yaml:"cpu_share"`
+		MemoryMB int64   `yaml:"memory_mb"`
 		// LinkMbps is the bandwidth of the host's link; 0 if it is not stated.
 		LinkMbps float64 `yaml:"link_mbps"`
 	} `yaml:"limits"`
@@ -58,6 +60,9 @@
 	} `yaml:"orders"`
 }
 
+// cores is the processor that the host gets, 0 if it is not stated.
+func (s Settings) cores() float64 { return float64(s.Limits.Cores) * s.Limits.CPUShare }
+
 func (s Settings) retryLimits() retry.Limits {
 	return retry.Limits{Ratio: s.Retry.Ratio, Extra: s.Retry.Extra, Window: s.Retry.Window}
 }
@@ -90,6 +95,9 @@
 	if s.Limits.LinkMbps < 0 {
 		c.add("limits.link_mbps", "must not be negative")
 	}
+	if s.Limits.CPUShare < 0 || s.Limits.CPUShare > 1 {
+		c.add("limits.cpu_share", "must be a part between 0 and 1")
+	}
 	c.positive("timing.lease", s.Timing.Lease)
 	c.positive("timing.drain", s.Timing.Drain)
 	c.positive("timing.shutdown", s.Timing.Shutdown)
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -63,8 +63,10 @@
 }
 
 type hostDemand struct {
-	at    time.Time
-	needs []fleet.NeedReport
+	at          time.Time
+	incarnation string
+	seq         int64
+	needs       []fleet.NeedReport
 }
 
 // NewDemand returns a demand that begins to listen now.
@@ -74,7 +76,10 @@
 
 // Take takes in a host's report.
 func (d *Demand) Take(now time.Time, r fleet.DemandReport) {
-	d.hosts[r.Host] = hostDemand{at: now, needs: r.Needs}
+	// A report that comes after a newer one tells of arrivals alone.
+	if old := d.hosts[r.Host]; old.incarnation != r.Incarnation || r.Seq >= old.seq {
+		d.hosts[r.Host] = hostDemand{at: now, incarnation: r.Incarnation, seq: r.Seq, needs: r.Needs}
+	}
 	for _, n := range r.Needs {
 		key := need{n.Service, n.Model, n.Adapter}
 		x := d.rates[key]
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -28,9 +28,8 @@
 	Tail     *TailRequest `cbor:"3,keyasint,omitempty"`
 	Snapshot bool         `cbor:"4,keyasint,omitempty"`
 	Leave    *LeaveNotice `cbor:"5,keyasint,omitempty"`
-	// Demand goes to the controller, Notice comes from it.
-	Demand *fleet.DemandReport `cbor:"6,keyasint,omitempty"`
-	Notice *fleet.Notice       `cbor:"7,keyasint,omitempty"`
+	// Pull tells demand on its way to the controller, and asks for what comes from it.
+	Pull *fleet.Pull `cbor:"9,keyasint,omitempty"`
 	// State asks for what the other host has read from the platform's store.
 	State *StateRequest `cbor:"8,keyasint,omitempty"`
 	// Known is set by the receiving node: the sender is a known host.
@@ -91,6 +90,8 @@
 	HolderHeard int64 `cbor:"9,keyasint,omitempty"`
 	// StoreAge is how many milliseconds ago the store answered that host.
 	StoreAge int64 `cbor:"10,keyasint,omitempty"`
+	// Notice answers a Pull; none comes where a newer one of the same host is answered.
+	Notice *fleet.Notice `cbor:"11,keyasint,omitempty"`
 }
 
 // Handler answers the requests of other hosts.
