Hosts learn topics from the hosts that they ask; few read the store

Each of n hosts read each topic itself, so that each entry of a host, claim and change of the configuration woke n reads, and a start of n hosts made n times n.

An answer to a question carries the entries of hosts since an offset, the newest claim and the version of the configuration; hosts that nobody asks rest their reads while what they are told is fresh, and read each topic once a minute as a safeguard. The relays of a zone and the two that would take their place read on. Entries of hosts are gathered for longer where hosts are many. Calls are counted by topic.

Found by a property test meanwhile: a copy of a report that came a second after the last one was counted again; the number of the last report is kept for 10 s.

--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -40,6 +40,10 @@
 	// Stamp is the newest of the controller's own time stamps that it has heard.
 	HeardAgo int64 `cbor:"17,keyasint,omitempty"`
 	Stamp    int64 `cbor:"18,keyasint,omitempty"`
+	// Hosts are the newest entries of hosts since the offset that the question named,
+	// complete up to HostsNext.
+	Hosts     []Entry `cbor:"19,keyasint,omitempty"`
+	HostsNext int64   `cbor:"20,keyasint,omitempty"`
 }
 
 // Pull is a host's question for what has changed, with what its requests need.
@@ -51,7 +55,9 @@
 	Token   int64  `cbor:"3,keyasint,omitempty"`
 	Version int64  `cbor:"4,keyasint,omitempty"`
 	// ListNext is the offset up to which the host knows the list of endpoints.
-	ListNext int64 `cbor:"5,keyasint,omitempty"`
+	// HostsNext is the same for the entries of hosts.
+	ListNext  int64 `cbor:"5,keyasint,omitempty"`
+	HostsNext int64 `cbor:"8,keyasint,omitempty"`
 	// Heard is what the asking host has heard of the controller, Below what those
 	// have that ask it, where endpoints do not check fencing tokens.
 	Heard Heard   `cbor:"6,keyasint"`
--- a/pkg/follow/calls.go
+++ b/pkg/follow/calls.go
@@ -25,6 +25,8 @@
 // wait. It implements fleet.Store and is safe for concurrent use.
 type Calls struct {
 	Store fleet.Store
+	// Count is told of each call; it may be nil.
+	Count func(fleet.Topic)
 
 	mu sync.Mutex
 	// left is how many calls may be made now, as of at.
@@ -40,6 +42,7 @@
 	if err := c.wait(ctx, reserved); err != nil {
 		return fleet.Batch{}, err
 	}
+	c.count(t)
 	return c.Store.Newest(ctx, t)
 }
 
@@ -48,6 +51,7 @@
 	if err := c.wait(ctx, reserved); err != nil {
 		return fleet.Batch{}, err
 	}
+	c.count(t)
 	return c.Store.Read(ctx, t, from, wait)
 }
 
@@ -56,9 +60,16 @@
 	if err := c.wait(ctx, 0); err != nil {
 		return 0, err
 	}
+	c.count(t)
 	return c.Store.Put(ctx, t, key, value, at)
 }
 
+func (c *Calls) count(t fleet.Topic) {
+	if c.Count != nil {
+		c.Count(t)
+	}
+}
+
 // wait takes a call, once more than some are left.
 func (c *Calls) wait(ctx context.Context, keep float64) error {
 	for {
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -201,7 +201,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f := follower(s, follow.NewState(), fleet.TopicHosts)
 		f.Wait = 15 * time.Second
-		f.Gather = 250 * time.Millisecond
+		f.Gather = func() time.Duration { return 250 * time.Millisecond }
 		go f.Run(ctx)
 		time.Sleep(2 * time.Second)
 		is.True(s.count() <= 4) // the newest, two with entries, the one that waits
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -27,6 +27,8 @@
 	// recheck is how often a pause is looked at again: what it depends on changes
 	// with time alone, as when the word of another host gets too old.
 	recheck = 250 * time.Millisecond
+	// toldPoll is how often a topic is read that another host passes on.
+	toldPoll = time.Minute
 )
 
 // Follower reads one topic to its end again and again.
@@ -41,10 +43,14 @@
 	// endpoints cannot be read. Wake ends the pause early.
 	Pause func() time.Duration
 	Wake  <-chan struct{}
+	// Told tells whether another host passes on what the topic brings, so that it need
+	// not be read: only every toldPoll, lest a mistake in what is passed on stays. It may
+	// be nil.
+	Told func() bool
 	// Gather is how long to rest after a read that brought entries, so that those
 	// which come one after the other are read together: sixty hosts that start
 	// together write as many entries, and each host was woken by nearly every one.
-	Gather time.Duration
+	Gather func() time.Duration
 	// Reset takes in the newest entries of all keys, Apply those that follow.
 	Reset func(fleet.Batch)
 	Apply func(fleet.Batch)
@@ -62,6 +68,9 @@
 	backoff := retryMin
 	for ctx.Err() == nil {
 		fresh := next < 0
+		if !fresh {
+			f.restWhileTold(ctx)
+		}
 		batch, err := f.read(ctx, next)
 		var compacted *fleet.CompactedError
 		switch {
@@ -90,13 +99,21 @@
 			f.Apply(batch)
 		}
 		next = batch.Next
-		if len(batch.Entries) > 0 {
-			wait.For(ctx, f.Gather)
+		if len(batch.Entries) > 0 && f.Gather != nil {
+			wait.For(ctx, f.Gather())
 		}
 		f.rest(ctx)
 	}
 }
 
+// restWhileTold rests while another host passes on what the topic brings.
+func (f *Follower) restWhileTold(ctx context.Context) {
+	start := time.Now()
+	for f.Told != nil && f.Told() && time.Since(start) < toldPoll && ctx.Err() == nil {
+		wait.For(ctx, recheck)
+	}
+}
+
 func (f *Follower) read(ctx context.Context, next int64) (fleet.Batch, error) {
 	if next < 0 {
 		return f.Store.Newest(ctx, f.Topic)
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -31,11 +31,13 @@
 	// list is the offset of the newest change of the list of endpoints, claim the token
 	// of the newest claim and config the version of the configuration.
 	list, claim, config int64
+	// hosts is the offset up to which the entries of hosts were told.
+	hosts int64
 }
 
 // newerThan tells whether something has come since.
 func (t told) newerThan(o told) bool {
-	return t.list > o.list || t.claim > o.claim || t.config > o.config
+	return t.list > o.list || t.claim > o.claim || t.config > o.config || t.hosts > o.hosts
 }
 
 func newChildren() *children { return &children{byHost: map[string]*asker{}} }
@@ -124,12 +126,14 @@
 	g.children.answered(a, now, g.telling())
 	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
 	n.Stamp = g.stamp(now)
+	hosts := g.feed.hostsFrom(p.HostsNext)
+	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
 	return &n
 }
 
 // telling is what this host tells now of all that others must know at once.
 func (g *Gateway) telling() told {
-	return told{list: g.directory.Material(), claim: g.election.Newest().Token, config: g.configVersion()}
+	return told{list: g.directory.Material(), claim: g.election.Newest().Token, config: g.configVersion(), hosts: g.feed.hostsKnown()}
 }
 
 // takeDemand takes in a report for the controller, which is this host or the one that
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -38,9 +38,13 @@
 	// controllerListPoll is the period while this host gives orders: what endpoints
 	// say of themselves corrects what it believes.
 	controllerListPoll = 350 * time.Millisecond
+	// toldListPoll is the period of a host that learns all topics from others.
+	toldListPoll = time.Minute
 	// gatherHosts is for how long entries of hosts are gathered, about the time in which
-	// hosts start that are started together.
+	// hosts start that are started together, and gatherHost how much longer for each
+	// host: each of many that start in turn woke all others.
 	gatherHosts = 300 * time.Millisecond
+	gatherHost  = 3 * time.Millisecond
 	// storeRetry is the pause after a write that failed.
 	storeRetry = 250 * time.Millisecond
 )
@@ -51,9 +55,46 @@
 	mu        sync.Mutex
 	config    fleet.Entry
 	endpoints map[string]fleet.Entry
+	// hosts are the entries of hosts up to the offset hostsNext.
+	hosts     map[string]fleet.Entry
+	hostsNext int64
 }
 
-func newFeed() *feed { return &feed{endpoints: map[string]fleet.Entry{}} }
+func newFeed() *feed {
+	return &feed{endpoints: map[string]fleet.Entry{}, hosts: map[string]fleet.Entry{}}
+}
+
+// takeHosts keeps entries of hosts that are complete up to an offset.
+func (f *feed) takeHosts(b fleet.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range b.Entries {
+		if old, ok := f.hosts[e.Key]; !ok || old.Offset < e.Offset {
+			f.hosts[e.Key] = e
+		}
+	}
+	f.hostsNext = max(f.hostsNext, b.Next)
+}
+
+// hostsKnown is the offset up to which the entries of hosts are known.
+func (f *feed) hostsKnown() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hostsNext
+}
+
+// hostsFrom returns the entries of hosts from an offset on, the newest of each.
+func (f *feed) hostsFrom(from int64) fleet.Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := fleet.Batch{Next: f.hostsNext}
+	for _, e := range f.hosts {
+		if e.Offset >= from {
+			b.Entries = append(b.Entries, e)
+		}
+	}
+	return b
+}
 
 // drop forgets the entries of endpoints that are gone for long.
 func (f *feed) drop(ids []fleet.EndpointID) {
@@ -85,6 +126,7 @@
 		Log:    g.log,
 		Topic:  t,
 		Wait:   longPoll,
+		Told:   g.isTold,
 		Reset:  reset,
 		Apply:  apply,
 		Result: func(err error) { g.noteStore(t, err) },
@@ -145,6 +187,7 @@
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := g.follower(fleet.TopicEndpoints, g.resetEndpoints, g.takeEndpoints)
 	f.Wait = 0
+	f.Told = nil
 	f.Pause = g.listPause
 	f.Wake = g.listNow
 	f.Failed = g.askPeer
@@ -156,12 +199,20 @@
 	if g.election.Held() != 0 {
 		return controllerListPoll
 	}
+	if g.isTold() {
+		return toldListPoll
+	}
 	if g.listConfirmed() {
 		return confirmedListPoll
 	}
 	return min(listPoll, g.settings.Timing.Drain/listReads)
 }
 
+// isTold tells whether this host learns all topics from others. A few hosts of each zone
+// read them in any case, so that what is passed on does not hang on one host: those that
+// others ask, or would ask next.
+func (g *Gateway) isTold() bool { return !g.mesh.relaying() && g.listConfirmed() }
+
 // listConfirmed tells whether the controller passes on what changes in the list.
 func (g *Gateway) listConfirmed() bool {
 	return g.mesh.confirmedAge(g.Now()) < min(confirmedFor, g.settings.Timing.Drain/confirmedParts)
@@ -257,16 +308,23 @@
 
 func (g *Gateway) followHosts(ctx context.Context) {
 	take := func(b fleet.Batch) {
-		for _, e := range b.Entries {
-			g.takeHost(e)
-		}
-		g.budget.SetHosts(g.mesh.hosts())
+		g.takeHosts(b)
 	}
 	f := g.follower(fleet.TopicHosts, take, take)
-	f.Gather = gatherHosts
+	f.Gather = func() time.Duration { return gatherHosts + time.Duration(g.mesh.hosts())*gatherHost }
 	f.Run(ctx)
 }
 
+// takeHosts takes in entries of hosts that are complete up to an offset.
+func (g *Gateway) takeHosts(b fleet.Batch) {
+	for _, e := range b.Entries {
+		g.takeHost(e)
+	}
+	g.feed.takeHosts(b)
+	g.budget.SetHosts(g.mesh.hosts())
+	g.children.wake()
+}
+
 func (g *Gateway) takeHost(e fleet.Entry) {
 	var h hostEntry
 	if err := record.Unmarshal(e.Value, &h); err != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -117,7 +117,6 @@
 	s := cfg.Settings
 	g := &Gateway{
 		settings:  s,
-		store:     follow.NewCalls(cfg.Store),
 		codec:     cfg.Codec,
 		metrics:   newMetrics(),
 		directory: fleet.NewDirectory(),
@@ -132,6 +131,9 @@
 		sums:      relay.NewSums(),
 	}
 	g.started = g.Now()
+	calls := follow.NewCalls(cfg.Store)
+	calls.Count = func(t fleet.Topic) { g.metrics.count("store_calls", map[string]string{"topic": t.String()}) }
+	g.store = calls
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.board = fleet.NewBoard(g.directory)
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -43,6 +43,8 @@
 	failures map[string]int
 	// tree holds the hosts to ask for what the controller tells, until hosts change.
 	tree map[string][]relay.Member
+	// relay tells whether this host is one of those, nil until that is looked at.
+	relay *bool
 	// asked is when a peer was last asked for the state.
 	asked time.Time
 	// confirmed is as of when the controller has last told all changes of the list of
@@ -100,6 +102,7 @@
 	}
 	m.peers[host] = e
 	clear(m.tree)
+	m.relay = nil
 	delete(m.silent, e.Addr)
 	delete(m.failures, e.Addr)
 	m.pinned[e.Fingerprint] = true
@@ -336,6 +339,17 @@
 	return list
 }
 
+// relaying tells whether this host is one that others ask, or would ask next.
+func (m *mesh) relaying() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.relay == nil {
+		is := relay.Relaying(m.member, m.members())
+		m.relay = &is
+	}
+	return *m.relay
+}
+
 // fanOut is how many hosts at most ask a host with some cores.
 func (m *mesh) fanOut(cores float64) int { return min(m.hosts(), relay.Children(cores)) }
 
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -76,9 +76,10 @@
 	}
 	to := g.mesh.firstAnswering(now, upstreams)
 	p := fleet.Pull{
-		Demand:   g.sums.Sum(now, g.report(now)),
-		ListNext: g.directory.Offset(),
-		Heard:    g.heard(now),
+		Demand:    g.sums.Sum(now, g.report(now)),
+		ListNext:  g.directory.Offset(),
+		HostsNext: g.feed.hostsKnown(),
+		Heard:     g.heard(now),
 	}
 	p.Source, p.Token, p.Version = g.news.known()
 	if !g.settings.Orders.EndpointsCheckTokens {
@@ -111,11 +112,16 @@
 	}
 	if answer.Claim.Token > g.election.Newest().Token {
 		g.election.Observe(now, *answer.Claim)
+		g.mesh.setClaimsNext(answer.Claim.Token) // It stands at the end of the topic.
+		g.children.wake()
 	}
 	g.compareConfig(to.Addr, answer.ConfigVersion)
 	if answer.Notice == nil {
 		return nil // A newer question of this host is answered in its place.
 	}
+	if len(answer.Notice.Hosts) > 0 {
+		g.takeHosts(fleet.Batch{Entries: answer.Notice.Hosts, Next: answer.Notice.HostsNext})
+	}
 	g.takeNotice(now, *answer.Notice)
 	if !answer.Controlling && milliseconds(answer.Notice.HeardAgo) > maxNewsAge {
 		return errStaleNews
--- a/pkg/relay/sums.go
+++ b/pkg/relay/sums.go
@@ -9,9 +9,14 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
-// childLife is how long a host's last report counts: three times the longest pause
-// between two.
-const childLife = 800 * time.Millisecond
+const (
+	// childLife is how long a host's last report counts: three times the longest pause
+	// between two.
+	childLife = 800 * time.Millisecond
+	// seqLife is how long the number of that report is kept. A copy that comes after
+	// it would be counted again; questions are given up after half a second.
+	seqLife = 10 * time.Second
+)
 
 // need names what a report is about.
 type need struct{ service, model, adapter string }
@@ -35,7 +40,7 @@
 	at          time.Time
 	needs       []fleet.NeedReport
 	unreachable []fleet.EndpointID
-	heard       fleet.Heard
+	heard       []fleet.Heard
 }
 
 // NewSums returns sums of no host.
@@ -66,7 +71,7 @@
 		at:          now,
 		needs:       r.Needs,
 		unreachable: r.Unreachable,
-		heard:       h,
+		heard:       []fleet.Heard{h},
 	}
 	return true
 }
@@ -125,11 +130,18 @@
 	s.expire(now)
 	var out []fleet.Heard
 	for _, c := range s.children {
-		out = append(out, c.heard)
+		out = append(out, c.heard...)
 	}
 	return out
 }
 
 func (s *Sums) expire(now time.Time) {
-	maps.DeleteFunc(s.children, func(_ string, c *child) bool { return now.Sub(c.at) > childLife })
+	for host, c := range s.children {
+		if now.Sub(c.at) > childLife {
+			c.needs, c.unreachable, c.heard = nil, nil, nil
+		}
+		if now.Sub(c.at) > seqLife {
+			delete(s.children, host)
+		}
+	}
 }
