How many loads the weight store does at full speed is learned

Four loads at once were assumed. The large site's store does one: each of four takes 53 s in place of 13 s and ends after all requests for it were refused; loads counted as over after their stated time, so that further ones were begun beside them.

One load is begun at first. As often as loads end at full speed beside the most that are allowed, one more is; a slow one tells how many there are, by the mean number that ran beside it. Notices carry the figure, so that a new controller begins with it. Loads count until they end, are abandoned, or take eight times the stated time.

Learning from the endpoints' reports: they do not state what is left of a load (looked at in a trial).

--- a/pkg/fleet/board.go
+++ b/pkg/fleet/board.go
@@ -72,7 +72,7 @@
 	if n.Token > b.holder.Token || n.Full {
 		b.dropOthers(n)
 	}
-	b.holder = Notice{Holder: n.Holder, Token: n.Token, Incarnation: n.Incarnation, Addr: n.Addr}
+	b.holder = Notice{Holder: n.Holder, Token: n.Token, Incarnation: n.Incarnation, Addr: n.Addr, StoreLoads: n.StoreLoads}
 	b.heard = now.Add(-time.Duration(n.HeardAgo) * time.Millisecond)
 	for _, p := range n.Endpoints {
 		b.place(p.Endpoint, residences(now, p))
@@ -169,6 +169,14 @@
 	return models
 }
 
+// StoreLoads is how many loads from the weight store run at full speed, as the last
+// controller heard has learned; 0 if none was heard.
+func (b *Board) StoreLoads() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.StoreLoads
+}
+
 // Token returns the newest claim that a notice has named.
 func (b *Board) Token() int64 {
 	b.mu.Lock()
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -32,6 +32,9 @@
 	// left out where it is what the host knows (FarKnown).
 	Far      []FarModel `cbor:"10,keyasint,omitempty"`
 	FarKnown bool       `cbor:"14,keyasint,omitempty"`
+	// StoreLoads is how many loads from the weight store run at full speed, as far as
+	// the controller has learned.
+	StoreLoads int `cbor:"21,keyasint,omitempty"`
 	// Source is the incarnation of the host that answers and Version that of what it
 	// tells, so that the next question names what is known.
 	Source  string `cbor:"15,keyasint,omitempty"`
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -160,6 +160,8 @@
 		Config:    g.config.Load,
 		Endpoints: g.directory.Live,
 		MayOrder:  g.mayOrder,
+
+		LearnedStoreLoads: g.board.StoreLoads,
 	}
 	g.handler = cfg.Door(g)
 	return g, nil
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -33,9 +33,6 @@
 	// failurePause is how long an endpoint is left alone after a failed swap, two
 	// lags of its report.
 	failurePause = 500 * time.Millisecond
-	// storeSlots is how many loads the weight store does at full speed. More at
-	// once take as long as one after the other.
-	storeSlots = 4
 	// loadMargin is added to the stated time of a load before requests are sent;
 	// a request that comes too early is rejected and counts as a retry.
 	loadMargin = 15 * time.Millisecond
@@ -69,6 +66,9 @@
 	Endpoints func(now time.Time) []fleet.View
 	// MayOrder is asked before each order, for what this package does not know.
 	MayOrder func() bool
+	// LearnedStoreLoads returns how many loads from the weight store a former
+	// controller has found to run at full speed, 0 if that is not known. It may be nil.
+	LearnedStoreLoads func() int
 
 	mu     sync.Mutex
 	token  int64
@@ -76,8 +76,8 @@
 	demand *Demand
 	// far names the models without a copy that are asked for.
 	far []fleet.FarModel
-	// loads holds the times at which loads from the weight store began.
-	loads  []time.Time
+	// store learns how many loads the weight store does at full speed.
+	store  storeLoads
 	strays strays
 	work   sync.WaitGroup
 }
@@ -108,6 +108,9 @@
 		g.token = held
 		g.tracks = map[fleet.EndpointID]*track{}
 		g.demand = NewDemand(now)
+		if g.LearnedStoreLoads != nil {
+			g.store.assume(g.LearnedStoreLoads())
+		}
 	}
 	cfg := g.Config()
 	if held == 0 || cfg == nil {
@@ -169,7 +172,7 @@
 }
 
 func (g *Controller) notice(now time.Time, token, version int64, full bool) *fleet.Notice {
-	n := &fleet.Notice{Far: g.far, Holder: g.Election.self.Host, Token: token, Full: full, ConfigVersion: version}
+	n := &fleet.Notice{StoreLoads: g.store.allowed(), Far: g.far, Holder: g.Election.self.Host, Token: token, Full: full, ConfigVersion: version}
 	for _, t := range g.tracks {
 		if t.takeChanged() || full {
 			n.Endpoints = append(n.Endpoints, t.placement(now))
@@ -235,9 +238,10 @@
 		byID[e.ID] = t
 		snap.Endpoints = append(snap.Endpoints, e)
 	}
-	slots := residency.StoreSlots(snap.Endpoints, min(storeSlots, max(1, int(engine.LoadsPerSecond))))
-	snap.Limits.StoreLoads = slots - g.storeLoads(now, engine)
-	for _, f := range residency.Far(snap, len(g.loads), slots) {
+	slots := residency.StoreSlots(snap.Endpoints, min(g.store.allowed(), max(1, int(engine.LoadsPerSecond))))
+	loading := g.store.underWay(now)
+	snap.Limits.StoreLoads = slots - loading
+	for _, f := range residency.Far(snap, loading, slots) {
 		g.far = append(g.far, fleet.FarModel{Service: service.Name, Model: f.Model, ReadyIn: f.ReadyIn.Milliseconds()})
 	}
 	for _, s := range residency.Decide(snap) {
@@ -250,10 +254,11 @@
 		}
 		t.changed = true
 		t.mu.Unlock()
+		var load *storeLoad
 		if s.From == residency.InStore {
-			g.loads = append(g.loads, now)
+			load = g.store.begin(now, engine.Models[s.Load])
 		}
-		g.work.Go(func() { g.carryOut(ctx, t, token, engine, s) })
+		g.work.Go(func() { g.carryOut(ctx, t, token, engine, s, load) })
 	}
 }
 
@@ -288,16 +293,6 @@
 	return out
 }
 
-// storeLoads is how many loads from the weight store are under way.
-func (g *Controller) storeLoads(now time.Time, engine *fleet.Engine) int {
-	longest := time.Duration(0)
-	for _, m := range engine.Models {
-		longest = max(longest, m.StoreLoad)
-	}
-	g.loads = slices.DeleteFunc(g.loads, func(at time.Time) bool { return now.Sub(at) > longest })
-	return len(g.loads)
-}
-
 // Wait returns when no order is under way.
 func (g *Controller) Wait() { g.work.Wait() }
 
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -10,8 +10,9 @@
 	"github.com/tealvane/tealvane/pkg/residency"
 )
 
-// carryOut unloads what leaves and loads the new model.
-func (g *Controller) carryOut(ctx context.Context, t *track, token int64, engine *fleet.Engine, s residency.Swap) {
+// carryOut unloads what leaves and loads the new model; load is set if it comes from the
+// weight store.
+func (g *Controller) carryOut(ctx context.Context, t *track, token int64, engine *fleet.Engine, s residency.Swap, load *storeLoad) {
 	start := g.Now()
 	ok := true
 	for _, v := range s.Evict {
@@ -31,6 +32,7 @@
 	t.coming = ""
 	t.changed = true
 	if !ok {
+		g.store.abandon(load)
 		t.known = false
 		t.pause = now.Add(failurePause)
 		for _, r := range t.models {
@@ -44,13 +46,19 @@
 	t.busyUntil = readyAt
 	t.copies[s.Load] = residency.InMemory
 	g.Log.Info("model is loading", "endpoint", t.endpoint.ID, "model", s.Load, "evicted", s.Evict, "from", s.From.String(), "ordered_in_ms", now.Sub(start).Milliseconds(), "token", token)
-	g.work.Go(func() { g.confirm(ctx, t, s.Load, r) })
+	g.work.Go(func() {
+		if g.confirm(ctx, t, s.Load, r) {
+			g.store.done(g.Now().Add(-reportLag), load)
+		} else {
+			g.store.abandon(load)
+		}
+	})
 }
 
-// confirm asks the endpoint whether a load has ended. Loads from the weight
+// confirm asks the endpoint whether a load has ended, and tells whether it has. Loads from the weight
 // store take longer while others run, and a copy that was believed to be near
 // may be gone; requests sent too early would be rejected.
-func (g *Controller) confirm(ctx context.Context, t *track, model string, r *resident) {
+func (g *Controller) confirm(ctx context.Context, t *track, model string, r *resident) bool {
 	for {
 		t.mu.Lock()
 		due := r.readyAt.Sub(g.Now())
@@ -59,14 +67,14 @@
 		}
 		t.mu.Unlock()
 		if !wait.For(ctx, max(due, confirmPause)) {
-			return
+			return false
 		}
 		t.mu.Lock()
 		current := t.models[model] == r && !r.leaving
 		e := t.endpoint
 		t.mu.Unlock()
 		if !current || g.Election.Held() == 0 {
-			return
+			return false
 		}
 		report, err := g.report(ctx, e)
 		if err != nil {
@@ -76,14 +84,18 @@
 			t.mu.Lock()
 			t.known = false
 			t.mu.Unlock()
-			return
+			return false
 		}
 		if t.confirmed(g.Now(), model, r, report) {
-			return
+			return holds(report, model)
 		}
 	}
 }
 
+func holds(r fleet.Report, model string) bool {
+	return slices.ContainsFunc(r.Holds, func(h fleet.Held) bool { return h.Model == model })
+}
+
 func (g *Controller) report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -95,7 +107,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.changed = true
-	if slices.ContainsFunc(report.Holds, func(h fleet.Held) bool { return h.Model == model }) {
+	if holds(report, model) {
 		if r.unsure {
 			r.unsure = false
 			r.readyAt = now
