--- /dev/null
+++ b/pkg/gateway/relay_test.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/relay"
+	"pgregory.net/rapid"
+)
+
+// relayHost returns a host that can be asked.
+func relayHost() *Gateway {
+	g := listHost(time.Minute)
+	g.self = orders.Holder{Host: "relay", Incarnation: "relay-1"}
+	g.sums = relay.NewSums()
+	g.started = g.Now()
+	g.reportNow = make(chan struct{}, 1)
+	g.election = orders.NewElection(g.self, time.Second, 0, g.Now())
+	g.lease = orders.NewHolderLease(time.Second)
+	return g
+}
+
+func question(host string, seq int64, model string) fleet.Pull {
+	p := fleet.Pull{Source: "relay-1", Token: 1, Version: 1}
+	p.Demand = fleet.DemandReport{Host: host, Incarnation: "i", Seq: seq}
+	if model != "" {
+		p.Demand.Needs = []fleet.NeedReport{{Service: "s", Model: model, Waiting: 1}}
+	}
+	return p
+}
+
+func placed(model string) fleet.Notice {
+	return fleet.Notice{Token: 1, FarKnown: true, Endpoints: []fleet.Placement{{
+		Endpoint: "e",
+		Models:   []fleet.ModelPlacement{{Model: model, ReadyIn: 700}},
+	}}}
+}
+
+// A model that two hosts' requests wait for is loaded. The host that asked for it has to know
+// at once: each moment is one in which its requests wait for nothing. Hosts that
+// were told of each change at once had no time for their own requests.
+func TestQuestionIsAnsweredWhenItsModelComes(t *testing.T) {
+	for _, c := range []struct {
+		name, waits, comes string
+		after              time.Duration
+	}{
+		{"the model that is waited for", "m", "m", 100 * time.Millisecond},
+		{"another model, which may wait", "m", "n", 108 * time.Millisecond},
+		{"nothing comes", "m", "", relay.MaxHold},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := relayHost()
+				g.directory.Apply(g.Now(), 0, fleet.Endpoint{ID: "e", Service: "s"})
+				g.board.Notice(g.Now(), placed("old"))
+				p := question("h", 1, c.waits)
+				p.ListNext = 1
+				g.children.answered(g.children.enter(p.Demand), g.Now().Add(100*time.Millisecond), g.telling())
+				start := time.Now()
+				done := make(chan time.Duration)
+				go func() {
+					g.answerPull(p)
+					done <- time.Since(start)
+				}()
+				time.Sleep(100 * time.Millisecond)
+				if c.comes != "" {
+					g.board.Notice(g.Now(), placed(c.comes))
+					g.children.wake()
+				}
+				is.Equal(<-done, c.after)
+			})
+		})
+	}
+}
+
+// A host has new demand while its question waits, and asks again. The former question was
+// held on, and each host that waited for models kept more and more of them open.
+func TestNewerQuestionEndsTheFormer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := relayHost()
+		g.board.Notice(g.Now(), placed("old"))
+		g.children.answered(g.children.enter(fleet.DemandReport{Host: "h"}), g.Now(), g.telling())
+		former := make(chan *fleet.Notice)
+		go func() { former <- g.answerPull(question("h", 1, "")) }()
+		synctest.Wait()
+		newer := make(chan *fleet.Notice)
+		go func() { newer <- g.answerPull(question("h", 2, "m")) }()
+		is.Equal(<-former, nil)
+		is.True(<-newer != nil)
+	})
+}
+
+// A relay dies. Its hosts lost a second with each question until they forgot it, and when
+// it had started again they went on to ask the one that had taken its place.
+func TestSilentRelayIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	m := newMesh("self", peer.Fingerprint{})
+	list := []relay.Member{{Name: "r", Addr: "r:1"}, {Name: "b", Addr: "b:1"}, {Name: "c", Addr: "c:1"}}
+	now := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+	is.Equal(m.firstAnswering(now, list).Name, "r")
+	m.noteSilent(now, "r:1")
+	is.Equal(m.firstAnswering(at(1), list).Name, "b")
+	is.Equal(m.firstAnswering(at(2.1), list).Name, "r") // it is tried again
+	m.noteSilent(at(2.1), "r:1")
+	is.Equal(m.firstAnswering(at(5), list).Name, "b") // more seldom each time
+	m.noteSilent(at(5), "b:1")
+	is.Equal(m.firstAnswering(at(5), list).Name, "c")
+	m.noteSilent(at(5), "c:1")
+	is.Equal(m.firstAnswering(at(5), list).Name, "c") // the controller, in the end
+	m.learn("r", hostEntry{Addr: "r:1", Fingerprint: peer.Fingerprint{1}})
+	is.Equal(m.firstAnswering(at(5), list).Name, "r") // it has started again
+}
+
+// Two questions of a host are under way, and the older answer comes last. It put back what
+// the newer one had told: a model that had left was taken for ready again.
+func TestOlderAnswerDoesNotUndoANewerOne(t *testing.T) {
+	is := is.New(t)
+	var s news
+	is.True(!s.fresh(fleet.Notice{Source: "a", Token: 1, Version: 4})) // changes since what?
+	is.True(s.fresh(fleet.Notice{Source: "a", Token: 1, Version: 5, Full: true}))
+	is.True(s.fresh(fleet.Notice{Source: "a", Token: 1, Version: 7}))
+	is.True(!s.fresh(fleet.Notice{Source: "a", Token: 1, Version: 6}))
+	is.True(!s.fresh(fleet.Notice{Source: "b", Token: 1, Version: 9})) // another host's changes
+	is.True(s.fresh(fleet.Notice{Source: "b", Token: 1, Version: 2, Full: true}))
+}
+
+// The list of endpoints reaches a host by way of a relay, while answers at both hops are
+// lost, late and out of order. Whatever is confirmed as of a time has to be the
+// controller's list of that time or newer, as with an answer of the controller itself.
+func TestConfirmedListThroughARelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hops := []*Gateway{listHost(time.Minute), listHost(time.Minute), listHost(time.Minute)}
+		w := &passing{controller: hops[0], host: hops[2], now: time.Unix(1000, 0), left: map[string]bool{}}
+		var sent [2][]sentNotice
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+			hop := rapid.IntRange(0, 1).Draw(t, "hop")
+			from, to := hops[hop], hops[hop+1]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				w.change(t)
+			case 2, 3: // a question is answered; the answer may come later, or never
+				hops[0].reads.Answered(fleet.TopicEndpoints, w.now, nil)
+				n := from.withList(w.now, fleet.Notice{}, to.directory.Offset()-1, from.directory.Material())
+				sent[hop] = append(sent[hop], sentNotice{n, w.now})
+			case 4:
+				if i := rapid.IntRange(0, 3).Draw(t, "which"); i < len(sent[hop]) {
+					n := sent[hop][len(sent[hop])-1-i]
+					if w.now.Sub(n.at) <= pullTimeout {
+						to.takeListNotice(w.now, n.Notice)
+					}
+				}
+			}
+			w.check(t)
+		}
+	})
+}
+
+// Three hundred hosts lose the controller. Each asked all others whether they had heard
+// it: ninety thousand connections at the same moment, in which no request was served.
+func TestFewHostsAreAskedBeforeAClaim(t *testing.T) {
+	is := is.New(t)
+	m := newMesh("self", peer.Fingerprint{})
+	for i := range 300 {
+		m.learn("h"+strconv.Itoa(i), hostEntry{Addr: "h" + strconv.Itoa(i)})
+	}
+	asked := map[string]bool{}
+	for range 20 {
+		some := m.some(time.Now(), maxOpinions)
+		is.Equal(len(some), maxOpinions)
+		for _, addr := range some {
+			asked[addr] = true
+		}
+	}
+	is.True(len(asked) > 50) // not the same ones each time
+}
+
+// The controller stops. Its weakest neighbour was the first to claim, and decided for
+// all hosts with a fifth of a core while strong ones had nothing to do.
+func TestStrongHostsClaimFirst(t *testing.T) {
+	is := is.New(t)
+	m := newMesh("self", peer.Fingerprint{})
+	m.member = relay.Member{Name: "self", Cores: 0.2}
+	is.Equal(m.modesty(), time.Duration(0)) // it knows of no stronger one
+	m.learn("strong", hostEntry{Addr: "s", Cores: 0.8})
+	is.Equal(m.modesty(), weakClaimDelay)
+	m.member.Cores = 0.8
+	is.Equal(m.modesty(), time.Duration(0))
+}
