An answer about the list names all changes before its newest entry

A relay looked up which endpoints had changed and took their newest raw entries a moment later, while it took in a batch of the list. One of these was newer than another endpoint's leaving, which the answer did not name; the hosts took their lists for complete up to it and never asked for what came before.

Batches and answers exclude each other, also the answers to hosts that cannot read the store, where the same gap was open.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -85,6 +85,9 @@
 
 // withList adds what has changed in the list of endpoints since what a host was told.
 func (g *Gateway) withList(now time.Time, n fleet.Notice, told, change int64) fleet.Notice {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	change = max(change, g.directory.Material())
 	n.ListSince = told
 	n.ListChange = change
 	n.ListAge = min(g.viewAge(now), time.Hour).Milliseconds()
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -250,6 +250,13 @@
 }
 
 func (g *Gateway) resetEndpoints(b fleet.Batch) {
+	g.replaceList(b)
+	g.endpointsChanged()
+}
+
+func (g *Gateway) replaceList(b fleet.Batch) {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
 	list := make(map[int64]fleet.Endpoint, len(b.Entries))
 	raw := make(map[string]fleet.Entry, len(b.Entries))
 	for _, entry := range b.Entries {
@@ -260,7 +267,6 @@
 	g.feed.endpoints = raw
 	g.feed.mu.Unlock()
 	g.directory.Replace(g.Now(), b.Next, list)
-	g.endpointsChanged()
 }
 
 func (g *Gateway) endpoint(entry fleet.Entry) fleet.Endpoint {
@@ -273,6 +279,16 @@
 }
 
 func (g *Gateway) takeEndpoints(b fleet.Batch) {
+	if len(b.Entries) == 0 {
+		return
+	}
+	g.applyList(b)
+	g.endpointsChanged()
+}
+
+func (g *Gateway) applyList(b fleet.Batch) {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
 	now := g.Now()
 	for _, entry := range b.Entries {
 		g.feed.mu.Lock()
@@ -287,9 +303,6 @@
 		}
 		g.directory.Apply(now, entry.Offset, g.endpoint(entry))
 	}
-	if len(b.Entries) > 0 {
-		g.endpointsChanged()
-	}
 }
 
 func (g *Gateway) endpointsChanged() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,7 +70,11 @@
 	metrics   *metrics
 	endpoints Endpoints
 
-	config    atomic.Pointer[fleet.Config]
+	config atomic.Pointer[fleet.Config]
+	// listMu is held while a batch of the list of endpoints is taken in, and while an
+	// answer is made of it. An answer that names an entry has to name all changes
+	// before it, or its host takes its list for complete and never hears of them.
+	listMu    sync.Mutex
 	feed      *feed
 	reads     *follow.State
 	directory *fleet.Directory
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -284,6 +284,8 @@
 
 // state answers a host that cannot read the store.
 func (g *Gateway) state(r peer.StateRequest) *peer.StateAnswer {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
 	g.feed.mu.Lock()
 	defer g.feed.mu.Unlock()
 	out := &peer.StateAnswer{EndpointsNext: g.directory.Offset()}
