--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -22,8 +22,9 @@
 	// endpoint that leaves must get no requests soon after it has said so, and a
 	// read of the store may hang.
 	maxListAge = 1100 * time.Millisecond
-	// firstNews is how long a new controller may take until all hosts hear of it.
-	firstNews = time.Second
+	// firstNews is how long a new controller may take until all hosts hear of it: after a
+	// start, relays read the entries of all hosts first, for more than a second.
+	firstNews = 3 * time.Second
 	// weakClaimDelay is longer than the random pause of the stronger hosts before a claim.
 	weakClaimDelay = 400 * time.Millisecond
 	// stateFrom is the offset at which all entries of the list are asked for.
