A told host lets lapsed entries end

Hosts of the third that was turned away earlier have a failed read of their own behind them and are told since; they wait for their next read, a minute later, before they let the entry end.

A confirmed answer shows that the store is not away.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -80,6 +80,16 @@
 	d.storeAway = !answers
 }
 
+// Confirmed takes in that another host has just read the list and told what changed. The
+// store is not away then, even if it does not answer this host: entries that lapsed end
+// when they have not come back. A host that waited for a read of its own, which it makes
+// once a minute while it is told, sent requests to an endpoint that had left.
+func (d *Directory) Confirmed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeAway = false
+}
+
 // Apply takes in one entry of the list. An older one than is known has no effect.
 func (d *Directory) Apply(now time.Time, offset int64, e Endpoint) {
 	d.mu.Lock()
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -279,6 +279,9 @@
 		return // Else the next answers bring it, or the confirmation ends.
 	}
 	g.mesh.confirm(now.Add(-milliseconds(n.ListAge)))
+	if g.listConfirmed() {
+		g.directory.Confirmed()
+	}
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
