--- /dev/null
+++ b/pkg/gateway/state.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/peer"
+)
+
+// state answers a host that cannot read the store.
+func (g *Gateway) state(r peer.StateRequest) *peer.StateAnswer {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	g.feed.mu.Lock()
+	defer g.feed.mu.Unlock()
+	out := &peer.StateAnswer{EndpointsNext: g.directory.Offset()}
+	if c := g.config.Load(); c != nil && c.Version > r.ConfigVersion {
+		config := g.feed.config
+		out.Config = &config
+	}
+	for _, e := range g.feed.endpoints {
+		if e.Offset >= r.EndpointsFrom {
+			out.Endpoints = append(out.Endpoints, e)
+		}
+	}
+	return out
+}
+
+// askPause separates two questions to peers for what the store does not tell.
+const askPause = 150 * time.Millisecond
+
+// askPeer asks some other host for what this one cannot read from the store.
+func (g *Gateway) askPeer(ctx context.Context) {
+	if addrs := g.mesh.answering(g.Now()); len(addrs) > 0 {
+		g.askPeerAt(ctx, addrs[rand.IntN(len(addrs))])
+	}
+}
+
+func (g *Gateway) askPeerAt(ctx context.Context, addr string) {
+	if !g.mesh.mayAsk(g.Now()) {
+		return
+	}
+	request := peer.StateRequest{EndpointsFrom: stateFrom, ConfigVersion: g.configVersion()}
+	if g.reads.Loaded(fleet.TopicEndpoints) {
+		request.EndpointsFrom = g.directory.Offset()
+	}
+	answer, err := g.mesh.send(ctx, addr, peer.Request{State: &request})
+	if err != nil {
+		g.mesh.noteSilent(g.Now(), addr)
+		g.log.Info("peer did not answer", "peer", addr, "error", err.Error())
+		return
+	}
+	if answer.State == nil {
+		return
+	}
+	if answer.State.Config != nil {
+		g.takeConfig(*answer.State.Config)
+	}
+	if len(answer.State.Endpoints) > 0 {
+		g.takeEndpoints(fleet.Batch{Entries: answer.State.Endpoints, Next: answer.State.EndpointsNext})
+		g.reads.SetLoaded(fleet.TopicEndpoints)
+	}
+}
+
+// mayAsk keeps questions to peers apart.
+func (m *mesh) mayAsk(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.asked) < askPause {
+		return false
+	}
+	m.asked = now
+	return true
+}
--- /dev/null
+++ b/pkg/gateway/upstream.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/relay"
+)
+
+const (
+	// silentFor is how long a host that gave no answer is not asked again; it doubles
+	// with each further time up to silentMost. Hosts that are gone for good stay in
+	// the store, and each question to one costs its timeout.
+	silentFor  = 2 * time.Second
+	silentMost = 32 * time.Second
+)
+
+// answering returns the hosts that have not failed to answer lately, or all.
+func (m *mesh) answering(now time.Time) []string {
+	all := m.addrs()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := slices.DeleteFunc(slices.Clone(all), func(addr string) bool { return now.Before(m.silent[addr]) })
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
+// some returns a few of the hosts that have not failed to answer lately, at random.
+func (m *mesh) some(now time.Time, most int) []string {
+	all := m.answering(now)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(most, len(all))]
+}
+
+func (m *mesh) noteSilent(now time.Time, addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent[addr] = now.Add(min(silentMost, silentFor<<min(m.failures[addr], 4)))
+	m.failures[addr]++
+}
+
+// noteAnswer takes in that a host has answered.
+func (m *mesh) noteAnswer(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.silent, addr)
+	delete(m.failures, addr)
+}
+
+// members returns all hosts, this one included, as the tree sees them. It is called with
+// the lock held.
+func (m *mesh) members() []relay.Member {
+	out := []relay.Member{m.member}
+	for name, e := range m.peers {
+		out = append(out, relay.Member{Name: name, Addr: e.Addr, Zone: e.Zone, Cores: e.Cores})
+	}
+	return out
+}
+
+// upstreams returns the hosts that this one asks, best first. The controller is left
+// out while its address is not known.
+func (m *mesh) upstreams(controller relay.Member) []relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := controller.Name + " " + controller.Addr
+	if list, ok := m.tree[key]; ok {
+		return list
+	}
+	controller.Cores = m.peers[controller.Name].Cores
+	list := relay.Upstreams(m.member, controller, m.members())
+	list = slices.DeleteFunc(list, func(u relay.Member) bool { return u.Addr == "" || u.Name == m.self })
+	m.tree[key] = list
+	return list
+}
+
+// relaying tells whether this host is one that others ask, or would ask next.
+func (m *mesh) relaying() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.relay == nil {
+		is := relay.Relaying(m.member, m.members())
+		m.relay = &is
+	}
+	return *m.relay
+}
+
+// fanOut is how many hosts at most ask a host with some cores.
+func (m *mesh) fanOut(cores float64) int { return min(m.hosts(), relay.Children(cores)) }
+
+// firstAnswering returns the first host that has not failed to answer lately; the last
+// one, which is the controller, if all have.
+func (m *mesh) firstAnswering(now time.Time, hosts []relay.Member) relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range hosts {
+		if !now.Before(m.silent[h.Addr]) {
+			return h
+		}
+	}
+	return hosts[len(hosts)-1]
+}
