A relay that does not know its host yet is asked again soon; the controller is the last resort

After a start relays do not know their hosts for about a second, and each refusal doubled the time for which a relay was passed over, up to 32 s: hosts asked the controller.

A host that answers and cannot help is passed over for 0.4 s; relays gather entries of hosts for 0.3 s, as all did on small sites; a host that has just started reads the entries of hosts until it is told something; the controller is asked in place of a relay once in 0.6 s.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -44,11 +44,11 @@
 	leafListPoll = 50 * time.Millisecond
 	// toldListPoll is the period of a host that learns all topics from others.
 	toldListPoll = time.Minute
-	// gatherHosts is for how long entries of hosts are gathered, about the time in which
+	// gatherTime is for how long entries of hosts are gathered, about the time in which
 	// hosts start that are started together, and gatherHost how much longer for each
 	// host: each of many that start in turn woke all others.
-	gatherHosts = 300 * time.Millisecond
-	gatherHost  = 3 * time.Millisecond
+	gatherTime = 300 * time.Millisecond
+	gatherHost = 3 * time.Millisecond
 	// storeRetry is the pause after a write that failed.
 	storeRetry = 250 * time.Millisecond
 )
@@ -279,10 +279,22 @@
 		g.takeHosts(b)
 	}
 	f := g.follower(fleet.TopicHosts, take, take)
-	f.Gather = func() time.Duration { return gatherHosts + time.Duration(g.mesh.hosts())*gatherHost }
+	f.Gather = g.gatherHosts
+	// A host that has just started has to know its relay's new key before it can be told
+	// anything: it does not rest on the word of a controller that it cannot hear yet.
+	f.Told = func() bool { return !g.mesh.relaying() && g.news.recent(g.Now()) }
 	f.Run(ctx)
 }
 
+// gatherHosts is for how long entries of hosts are gathered. Relays read them sooner: they
+// are few, and have to know a host before they tell it anything.
+func (g *Gateway) gatherHosts() time.Duration {
+	if g.mesh.relaying() {
+		return gatherTime
+	}
+	return gatherTime + time.Duration(g.mesh.hosts())*gatherHost
+}
+
 // takeHosts takes in entries of hosts that are complete up to an offset.
 func (g *Gateway) takeHosts(b fleet.Batch) {
 	for _, e := range b.Entries {
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -20,6 +20,9 @@
 	// for a model that is missing. A relay asks up to fifty times a second, and its
 	// report names some hundred models.
 	samePause = 100 * time.Millisecond
+	// lastResortPause separates two questions to the controller itself while all relays
+	// of the zone are gone: half of the time after which its silence is noticed.
+	lastResortPause = 600 * time.Millisecond
 	// maxPulls bounds the questions of this host that are under way: one that waits for a
 	// change, and those that tell of new demand meanwhile.
 	maxPulls = 3
@@ -37,7 +40,7 @@
 // errNotKnown means that another host does not know this one yet.
 var errNotKnown = errors.New("the host that was asked does not know this one yet")
 
-// follow asks for what the controller tells, and tells what this host's requests need.
+// followController asks for what the controller tells, and tells what this host's requests need.
 func (g *Gateway) followController(ctx context.Context) {
 	free := make(chan struct{}, maxPulls)
 	urgent := true
@@ -54,32 +57,43 @@
 		case <-ctx.Done():
 			return
 		}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
+		rest := make(chan time.Duration, 1)
+		go func(urgent bool) {
 			defer func() { <-free }()
-			g.pull(ctx, urgent)
-		}()
+			rest <- g.pull(ctx, urgent)
+		}(urgent)
+		pause := reportPause
 		select {
-		case <-done:
+		case d := <-rest:
 			urgent = false
-		case <-g.reportNow:
+			pause = max(pause, d)
+		case <-g.urgentReports():
 			urgent = true
 		case <-ctx.Done():
 			return
 		}
-		wait.For(ctx, reportPause)
+		wait.For(ctx, pause)
 	}
 }
 
-// pull asks the best host that answers. A report goes out once: one whose answer is
-// lost may have been counted, and a second copy would count its arrivals twice.
-func (g *Gateway) pull(ctx context.Context, urgent bool) {
+// urgentReports brings the wish to tell new demand at once, never while the controller is
+// asked in place of a relay.
+func (g *Gateway) urgentReports() <-chan struct{} {
+	upstreams := g.upstreams()
+	if len(upstreams) > 0 && inPlaceOfRelay(upstreams, g.mesh.firstAnswering(g.Now(), upstreams)) {
+		return nil
+	}
+	return g.reportNow
+}
+
+// pull asks the best host that answers, and returns how long to rest. A report goes out
+// once: one whose answer is lost may have been counted, and a second copy would count its
+// arrivals twice.
+func (g *Gateway) pull(ctx context.Context, urgent bool) time.Duration {
 	now := g.Now()
 	upstreams := g.upstreams()
 	if len(upstreams) == 0 {
-		wait.For(ctx, reportPeriod)
-		return
+		return reportPeriod
 	}
 	to := g.mesh.firstAnswering(now, upstreams)
 	p := fleet.Pull{
@@ -95,19 +109,32 @@
 	err := g.ask(ctx, to, p)
 	if err == nil {
 		g.mesh.noteAnswer(to.Addr)
-		return
+		if inPlaceOfRelay(upstreams, to) {
+			return lastResortPause
+		}
+		return 0
 	}
 	if ctx.Err() != nil {
-		return
+		return 0
 	}
 	g.metrics.count("pulls_failed", nil)
-	g.mesh.noteSilent(g.Now(), to.Addr)
+	if errors.Is(err, errNotKnown) || errors.Is(err, errStaleNews) {
+		g.mesh.passOver(g.Now(), to.Addr)
+	} else {
+		g.mesh.noteSilent(g.Now(), to.Addr)
+	}
 	g.log.Info("no news from the host that was asked", "asked", to.Name, "error", err.Error())
-	rest := reportPause
 	if errors.Is(err, errNotKnown) {
-		rest = reportPeriod // It has to read this host's entry first.
+		return wait.Jitter(reportPeriod) // It has to read this host's entry first.
 	}
-	wait.For(ctx, wait.Jitter(rest))
+	return wait.Jitter(reportPause)
+}
+
+// inPlaceOfRelay tells whether a host that has a relay asks the controller itself. All hosts
+// do where all relays are gone, and each question takes a third of a millisecond of the
+// time in which the controller decides.
+func inPlaceOfRelay(upstreams []relay.Member, to relay.Member) bool {
+	return len(upstreams) > 1 && to == upstreams[len(upstreams)-1]
 }
 
 func (g *Gateway) ask(ctx context.Context, to relay.Member, p fleet.Pull) error {
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -120,6 +120,25 @@
 	is.Equal(m.firstAnswering(at(5), list).Name, "r") // it has started again
 }
 
+// All hosts lose power and start again. Relays did not know their hosts for a second, and
+// each refusal doubled the time for which they were not asked: hosts went to the controller
+// for half a minute, and it had no time to decide.
+func TestRelayThatDoesNotKnowItsHostYetIsAskedAgainSoon(t *testing.T) {
+	is := is.New(t)
+	m := newMesh("self", peer.Fingerprint{})
+	list := []relay.Member{{Name: "r", Addr: "r:1"}, {Name: "c", Addr: "c:1"}}
+	now := time.Unix(1000, 0)
+	for range 5 {
+		m.passOver(now, "r:1")
+		is.Equal(m.firstAnswering(now.Add(passOverFor/2), list).Name, "c")
+		now = now.Add(passOverFor)
+		is.Equal(m.firstAnswering(now, list).Name, "r")
+	}
+	is.True(!inPlaceOfRelay(list, list[0]))
+	is.True(inPlaceOfRelay(list, list[1]))
+	is.True(!inPlaceOfRelay(list[1:], list[1])) // hosts are few
+}
+
 // Two questions of a host are under way, and the older answer comes last. It put back what
 // the newer one had told: a model that had left was taken for ready again.
 func TestOlderAnswerDoesNotUndoANewerOne(t *testing.T) {
--- a/pkg/gateway/upstream.go
+++ b/pkg/gateway/upstream.go
@@ -14,6 +14,9 @@
 	// the store, and each question to one costs its timeout.
 	silentFor  = 2 * time.Second
 	silentMost = 32 * time.Second
+	// passOverFor is how long a host that answers but cannot help is not asked again:
+	// about as long as it takes to read the entries of hosts.
+	passOverFor = 400 * time.Millisecond
 )
 
 // answering returns the hosts that have not failed to answer lately, or all.
@@ -35,6 +38,17 @@
 	return all[:min(most, len(all))]
 }
 
+// passOver takes in that a host answers and cannot help: it does not know this one yet, or
+// is cut off itself. Both pass soon. Counted as silence, they kept hosts away from
+// their relays for up to half a minute after all had lost power, and all of them asked the
+// controller, which had no time left to decide.
+func (m *mesh) passOver(now time.Time, addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent[addr] = now.Add(passOverFor)
+}
+
+// noteSilent takes in that a host gave no answer.
 func (m *mesh) noteSilent(now time.Time, addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
