--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -66,7 +66,7 @@
 			Token:  n.Token,
 		})
 		g.election.Heard(now.Add(-milliseconds(n.HeardAgo)), n.Token)
-		g.heardStamp.Store(n.Stamp)
+		g.heardStamp.Store(&stamp{token: n.Token, at: n.Stamp})
 	}
 	g.takeListNotice(now, n)
 	g.dispatcher.Kick()
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -130,7 +130,7 @@
 	now = g.Now()
 	g.children.answered(a, now, g.telling())
 	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
-	n.Stamp = g.stamp(now)
+	n.Stamp = g.stampFor(now, n.Token)
 	hosts := g.feed.hostsFrom(p.HostsNext)
 	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
 	return &n
@@ -154,6 +154,9 @@
 	g.controller.Report(now, p.Demand)
 	signal(g.noticeNow)
 	for _, h := range append(p.Below, p.Heard) {
+		if h.Stamp <= 0 {
+			continue
+		}
 		g.lease.Heard(held, orders.NoticeAnswer{
 			Host:     h.Host,
 			Sent:     g.stampTime(h.Stamp),
@@ -177,16 +180,3 @@
 	}
 	return false
 }
-
-// stamp is the newest of the controller's own times that this host has heard, in
-// milliseconds since the controller's start. Hosts pass it on as it is, so that the
-// controller knows by its own clock since when each has certainly heard it.
-func (g *Gateway) stamp(now time.Time) int64 {
-	if g.election.Held() != 0 {
-		return now.Sub(g.started).Milliseconds()
-	}
-	return g.heardStamp.Load()
-}
-
-// stampTime is the time of a stamp of this host.
-func (g *Gateway) stampTime(stamp int64) time.Time { return g.started.Add(milliseconds(stamp)) }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -94,10 +94,10 @@
 	children *children
 	sums     *relay.Sums
 	news     news
-	// reports counts the demand reports, heardStamp is the newest time stamp of the
-	// controller that was heard, and started the zero of this host's own.
+	// reports counts the demand reports, heardStamp is the last time stamp of a controller
+	// that was heard, and started the zero of this host's own.
 	reports    atomic.Int64
-	heardStamp atomic.Int64
+	heardStamp atomic.Pointer[stamp]
 	started    time.Time
 	// reportNow asks for a demand report at once.
 	reportNow chan struct{}
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -195,10 +195,11 @@
 
 // heard is this host's last sign of life of the controller.
 func (g *Gateway) heard(now time.Time) fleet.Heard {
+	token := g.election.Newest().Token
 	return fleet.Heard{
 		Host:     g.self.Host,
-		Token:    g.election.Newest().Token,
-		Stamp:    g.heardStamp.Load(),
+		Token:    token,
+		Stamp:    g.stampOf(token),
 		StoreAge: min(g.listAge(now), time.Hour).Milliseconds(),
 	}
 }
--- a/pkg/gateway/stamp_test.go
+++ b/pkg/gateway/stamp_test.go
@@ -35,7 +35,7 @@
 				time.Sleep(2 * time.Second)
 				now := g.Now()
 				heard := func(host string, ago time.Duration, token int64) fleet.Heard {
-					return fleet.Heard{Host: host, Token: token, Stamp: g.stamp(now.Add(-ago)), StoreAge: time.Hour.Milliseconds()}
+					return fleet.Heard{Host: host, Token: token, Stamp: g.stampFor(now.Add(-ago), 1), StoreAge: time.Hour.Milliseconds()}
 				}
 				p := question("relay", 1, "")
 				p.Heard = heard("relay", 50*time.Millisecond, 1)
@@ -48,3 +48,23 @@
 		})
 	}
 }
+
+// The claim changes hands. Hosts know the new claim from the store before they hear its
+// holder, and told it the last stamp of the former, whose clock had run for longer: the
+// new controller took them to hear it for as long as that was ahead.
+func TestStampOfAFormerControllerGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	g := relayHost()
+	g.heardStamp.Store(&stamp{token: 1, at: time.Hour.Milliseconds()})
+	is.Equal(g.stampOf(1), time.Hour.Milliseconds())
+	is.Equal(g.stampOf(2), int64(0))
+	g.election.Observe(g.Now(), orders.Claim{Holder: orders.Holder{Host: "other"}, Token: 2})
+	is.Equal(g.heard(g.Now()).Stamp, int64(0))
+
+	g.controller = &orders.Controller{Election: g.election}
+	g.election.Won(g.Now(), 3)
+	p := question("h", 1, "")
+	p.Heard = fleet.Heard{Host: "h", Token: 3}
+	g.takeDemand(g.Now(), p)
+	is.True(!g.lease.May(g.Now(), 3, time.Hour, []string{"h"})) // it has not heard this one
+}
