Answers on the list to any host name only what has changed, and stay in the zone mostly

While nobody confirms the list, each host asks a random other one every 0.9 s, and the answer named every endpoint that had written a heartbeat since: all, 2.7 MB.

Such answers name what came, announced its leaving or went, unless the asker knows nothing yet, and three of four questions stay in the zone.

--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -20,9 +21,22 @@
 		config := g.feed.config
 		out.Config = &config
 	}
-	for _, e := range g.feed.endpoints {
-		if e.Offset >= r.EndpointsFrom {
-			out.Endpoints = append(out.Endpoints, e)
+	out.Endpoints = g.listFrom(r.EndpointsFrom)
+	return out
+}
+
+// listFrom returns what has changed in the list from an offset on, or all of it. It is
+// called with the feed locked. Heartbeats change nothing that a host needs which knew the
+// endpoints before: with 3,000 of them each answer was 2.7 MB, and while the controller
+// changes, three hundred hosts ask.
+func (g *Gateway) listFrom(from int64) []fleet.Entry {
+	var out []fleet.Entry
+	if from == stateFrom {
+		return slices.Collect(maps.Values(g.feed.endpoints))
+	}
+	for _, id := range g.directory.MaterialSince(from - 1) {
+		if e, ok := g.feed.endpoints[id.Name()]; ok {
+			out = append(out, e)
 		}
 	}
 	return out
@@ -33,8 +47,8 @@
 
 // askPeer asks some other host for what this one cannot read from the store.
 func (g *Gateway) askPeer(ctx context.Context) {
-	if addrs := g.mesh.answering(g.Now()); len(addrs) > 0 {
-		g.askPeerAt(ctx, addrs[rand.IntN(len(addrs))])
+	if addr := g.mesh.anyNear(g.Now()); addr != "" {
+		g.askPeerAt(ctx, addr)
 	}
 }
 
--- a/pkg/gateway/upstream.go
+++ b/pkg/gateway/upstream.go
@@ -38,6 +38,41 @@
 	return all[:min(most, len(all))]
 }
 
+// farQuestions is how often, as one in so many, a question to any host goes to another
+// zone: a zone that is cut off from the store as a whole learns from others.
+const farQuestions = 4
+
+// anyNear returns a host that has not failed to answer lately, mostly one of this host's
+// zone: bytes between zones have a price. It is empty if no other host is known.
+func (m *mesh) anyNear(now time.Time) string {
+	all := m.answering(now)
+	if len(all) == 0 {
+		return ""
+	}
+	near := m.nearOf(all)
+	if len(near) == 0 || rand.IntN(farQuestions) == 0 {
+		near = all
+	}
+	return near[rand.IntN(len(near))]
+}
+
+// nearOf returns those of some addresses that are of this host's zone.
+func (m *mesh) nearOf(addrs []string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	zones := make(map[string]string, len(m.peers))
+	for _, e := range m.peers {
+		zones[e.Addr] = e.Zone
+	}
+	var out []string
+	for _, addr := range addrs {
+		if zones[addr] == m.member.Zone {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 // passOver takes in that a host answers and cannot help: it does not know this one yet, or
 // is cut off itself. Both pass soon. Counted as silence, they kept hosts away from
 // their relays for up to half a minute after all had lost power, and all of them asked the
