Only relays read the list for others

Found by reading: a host that nobody asks and that is told nothing, since the controller and all relays are gone, read the list every 0.35 s as relays do, twice as often as before relays. The test fails without the change.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -143,7 +143,7 @@
 		return g.leafListPause()
 	case confirmed:
 		return confirmedListPoll
-	case g.mesh.hosts() > relay.Children(g.settings.cores()):
+	case g.mesh.relaying() && g.mesh.hosts() > relay.Children(g.settings.cores()):
 		// The controller does not confirm the list: it is cut off from the store. All hosts
 		// behind this one rest on its reads.
 		return controllerListPoll
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -184,6 +184,22 @@
 	})
 }
 
+// The controller and all relays of three hundred hosts are gone. Every host read the list three
+// times a second, as only relays have to while the controller cannot read it.
+func TestOnlyRelaysReadTheListForOthers(t *testing.T) {
+	is := is.New(t)
+	g := relayHost()
+	g.settings.Timing.Drain = time.Minute
+	for i := range 300 {
+		g.mesh.learn("h"+strconv.Itoa(i), hostEntry{Addr: "h" + strconv.Itoa(i), Cores: 0.2})
+	}
+	g.mesh.member = relay.Member{Name: "relay", Cores: 0.1} // the weakest of its zone
+	is.Equal(g.listPause(), listPoll)
+	g.mesh.member.Cores = 0.8
+	g.mesh.learn("h0", hostEntry{Addr: "h0", Cores: 0.2}) // what is known of relays is looked at anew
+	is.Equal(g.listPause(), controllerListPoll)
+}
+
 // Three hundred hosts lose the controller. Each asked all others whether they had heard
 // it: ninety thousand connections at the same moment, in which no request was served.
 func TestFewHostsAreAskedBeforeAClaim(t *testing.T) {
