--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -30,8 +30,8 @@
 }
 
 const (
-	// challengeAfter is how long a holder may be silent before others claim. It
-	// sends a notice at least every 0.3 s; three may be lost.
+	// challengeAfter is how long a holder may be silent before others claim. A host that
+	// asks a relay hears of it at least every half second; one question may time out.
 	challengeAfter = 1200 * time.Millisecond
 	// claimPause separates two tries, so that hosts don't fill the store.
 	claimPause = 400 * time.Millisecond
