The test of spans waits for the span that ends after the answer

Cause, traced: the answer's last byte reaches the caller before the goroutine that serves it ends the span of the endpoint, and the test read the spans in between. With 2,000 yields before the span's end the test fails each time without the wait and never with it; the program is as it was. The assertion stays.

--- a/pkg/entryhost/http_test.go
+++ b/pkg/entryhost/http_test.go
@@ -91,6 +91,7 @@
 			map[string]string{"Traceparent": "00-" + traceID + "-b7ad6b7169203331-01"})
 		is.Equal(w.Code, 200)
 		is.True(strings.HasSuffix(w.Body.String(), openai.StreamEnd))
+		synctest.Wait() // The span of the endpoint ends after the last byte of the answer.
 		names := map[string]bool{}
 		for _, s := range spans.GetSpans() {
 			if s.SpanContext.TraceID().String() == traceID {
