Sight: requests are logged with digests of content and caller; ends of endpoints under requests show

Cause of the change: the logs could not tell whether one request or something else ends endpoints, nor link two attempts of one request. Change: a fingerprint of each request (caller; method, host, target and body), both digests in the request line; a run that broke off has its endpoint looked at (refused connection, or another incarnation at the address, twice 120 ms apart), and a line names the contents that ran there. No request is treated otherwise.

--- a/pkg/external/httpadapter/client.go
+++ b/pkg/external/httpadapter/client.go
@@ -79,7 +79,7 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if !connected.Load() {
-			return nil, errors.Wrapf(external.ErrRejected, "%v", err)
+			return nil, errors.Mark(err, external.ErrRejected)
 		}
 		return nil, errors.Wrapf(external.ErrUnavailable, "%v", err)
 	}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -344,6 +344,14 @@
 	return list
 }
 
+// Announced tells whether an endpoint has said that it leaves, or was taken off the list.
+func (d *Directory) Announced(id EndpointID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	return e != nil && (e.Draining || e.gone)
+}
+
 // Prune drops the endpoints that have been gone for long. Otherwise each one that
 // is replaced would take about a kilobyte for the life of the process. Endpoints
 // that live have newer entries than those dropped: they write one each second. It
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -152,6 +152,7 @@
 		Now:     g.Now,
 		Tracer:  cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
 	}
+	g.server.Guard = g.newChecker()
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/quarantine/runs.go
@@ -0,0 +1,93 @@
+// Package quarantine finds requests that crash the endpoints which run them (queries of
+// death), and keeps them from further endpoints.
+//
+// The load pattern: one request ends each endpoint that begins to run it. Its client sends it
+// again and again, at any host, under new attempt IDs. Each end breaks off up to a
+// whole batch of other requests, and a few such requests a second keep all replicas of a busy
+// model down. No host sees more than a part of the ends, and beside the request that
+// is to blame others have run at each of them.
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// brokenFor is how long before the end of an endpoint shows a run may have broken off there
+// because of it: connections break together, and a client may have left just before.
+const brokenFor = 300 * time.Millisecond
+
+// endedFor is how long runs may break off after the end of their endpoint has shown.
+const endedFor = 10 * time.Second
+
+// Runs are this host's runs that broke off, by endpoint, until it shows whether the endpoint
+// has ended. It is safe for concurrent use.
+type Runs struct {
+	mu        sync.Mutex
+	endpoints map[fleet.EndpointID]*brokenRuns
+}
+
+type brokenRuns struct {
+	// broken is when the last run of each request broke off.
+	broken map[fleet.Fingerprint]time.Time
+	last   time.Time
+	// ended is when the endpoint ended, zero while it may live.
+	ended time.Time
+}
+
+// NewRuns returns no runs.
+func NewRuns() *Runs { return &Runs{endpoints: map[fleet.EndpointID]*brokenRuns{}} }
+
+// Broke notes a run that broke off. It returns a crash if the endpoint is known to have ended.
+func (r *Runs) Broke(now time.Time, id fleet.EndpointID, f fleet.Fingerprint) []fleet.Crash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.endpoints[id]
+	if b == nil {
+		b = &brokenRuns{broken: map[fleet.Fingerprint]time.Time{}}
+		r.endpoints[id] = b
+	}
+	b.last = now
+	if b.ended.IsZero() {
+		b.broken[f] = now
+		return nil
+	}
+	return []fleet.Crash{crash(now, id, f, b.ended)}
+}
+
+// Ended takes in that an endpoint has ended at a time, and returns which requests ran there.
+func (r *Runs) Ended(now, at time.Time, id fleet.EndpointID) []fleet.Crash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.endpoints[id]
+	if b == nil || !b.ended.IsZero() {
+		return nil
+	}
+	b.ended = at
+	b.last = now
+	var out []fleet.Crash
+	for f, broke := range b.broken {
+		if at.Sub(broke) <= brokenFor {
+			out = append(out, crash(now, id, f, at))
+		}
+	}
+	clear(b.broken)
+	return out
+}
+
+// Prune forgets endpoints at which nothing has broken off lately.
+func (r *Runs) Prune(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, b := range r.endpoints {
+		if now.Sub(b.last) > endedFor {
+			delete(r.endpoints, id)
+		}
+	}
+}
+
+func crash(now time.Time, id fleet.EndpointID, f fleet.Fingerprint, at time.Time) fleet.Crash {
+	return fleet.Crash{Request: f, Endpoint: id, Ago: now.Sub(at).Milliseconds()}
+}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -31,6 +31,8 @@
 	// Model is empty for plain services; Adapter is empty for the model itself.
 	Model   string
 	Adapter string
+	// Fingerprint is the same each time that the request comes.
+	Fingerprint fleet.Fingerprint
 	// Affinity names what the request shares with others, empty for nothing: an endpoint
 	// that has read it for another request begins sooner.
 	Affinity string
@@ -125,6 +127,9 @@
 	Send(ctx context.Context, r *Request, s Send) (*Answer, error)
 	// Run asks an endpoint what has become of a request that was sent to it.
 	Run(ctx context.Context, r *Request, e fleet.Endpoint) (Run, error)
+	// Ended tells whether an incarnation of an endpoint has ended. An error says that
+	// this is not known.
+	Ended(ctx context.Context, e fleet.Endpoint) (bool, error)
 }
 
 // Run is what an endpoint says of a request, as of a few hundred milliseconds ago.
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -1,6 +1,10 @@
 package serve
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
 
 // Outcome names how a request ended: a status, a cause, or both.
 func (r Result) Outcome() string {
@@ -18,6 +22,8 @@
 func (r Result) LogAttrs() []any {
 	return []any{
 		"id", r.Request.ID,
+		"content", fleet.Hex(r.Request.Fingerprint.Content),
+		"caller", fleet.Hex(r.Request.Fingerprint.Caller),
 		"route", r.Request.Route.Name,
 		"service", r.Request.Service,
 		"model", r.Request.Model,
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -74,6 +74,8 @@
 	Health  *Health
 	Budget  *retry.Budget
 	Now     func() time.Time
+	// Guard may be nil.
+	Guard Guard
 	// Tracer makes a span for each wait and each send.
 	Tracer trace.Tracer
 }
@@ -335,6 +337,7 @@
 	if failed {
 		s.Health.Result(e.ID, x.request.Service, true)
 	}
+	x.broke(e, failed && !errors.Is(context.Cause(ctx), errGivenUp))
 	s.Queue.Release(x.request, e.ID, Use{Failed: failed})
 }
 
