--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -54,6 +54,8 @@
 	// Events is the number of events of a stream and Pace the pause between them.
 	Events int
 	Pace   time.Duration
+	// CrashOn is the body of a request that ends the endpoint as soon as it runs.
+	CrashOn string
 	// Behave chooses what happens to a request; nil serves all.
 	Behave func(id, model string, n int) Behavior
 }
@@ -324,6 +326,10 @@
 	if b.Lose {
 		panic(http.ErrAbortHandler)
 	}
+	if e.config.CrashOn != "" && string(body) == e.config.CrashOn {
+		e.Close()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Server-Signature", "sig-"+id)
 	if b.Status != 0 {
 		w.WriteHeader(b.Status)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -181,12 +181,21 @@
 
 // ask sends one request to a host.
 func (d *deployment) ask(h *host, path, model string) reply {
+	d.t.Helper()
+	return d.askWith(h, path, model, "")
+}
+
+// askWith sends one request with a body, one of its own if that is empty.
+func (d *deployment) askWith(h *host, path, model, body string) reply {
 	d.t.Helper()
 	ids.Lock()
 	ids.n++
 	id := fmt.Sprint("attempt-", ids.n)
 	ids.Unlock()
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.Addr()+path, strings.NewReader("body of "+id))
+	if body == "" {
+		body = "body of " + id
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.Addr()+path, strings.NewReader(body))
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -201,11 +210,11 @@
 		return reply{body: err.Error()}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return reply{status: resp.StatusCode, body: err.Error()}
 	}
-	return reply{resp.StatusCode, string(body), resp.Header}
+	return reply{resp.StatusCode, string(answer), resp.Header}
 }
 
 const threeEvents = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
