A request under which three endpoints have ended reaches no more, at any host

Cause: what a host knew of a request ended with its attempt. Endpoints were judged by their results, requests never, and no host told another of what it had seen. Ruled out: a cause beside the request (the test ends endpoints by nothing else). Change: pkg/quarantine. Each host notes runs that break off, looks whether their endpoint has ended (twice refused, or another incarnation), and tells the requests that ran there up the way of the demand reports. The controller blocks a request after three ends that no other request explains better; ends that come together with others, or were announced, count little or not. Blocks go down with the answers, and to the store where they have to outlive the hosts or reach one that is cut from the others; a host that is told nothing decides by what it knows. A request that was served is never blamed.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -190,6 +190,13 @@
 	return r.offset
 }
 
+// Size is the number of keys of a topic.
+func (s *Store) Size(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topic(name).newest)
+}
+
 // Compact drops the history of a topic; the newest records stay.
 func (s *Store) Compact(name string) {
 	s.mu.Lock()
--- a/pkg/fleet/crash.go
+++ b/pkg/fleet/crash.go
@@ -51,8 +51,15 @@
 
 // Block keeps a request from all endpoints, since it crashes those that run it.
 type Block struct {
+	Request BlockedRequest `cbor:"1,keyasint"`
+	// Since is when that was found, in Unix seconds.
+	Since int64 `cbor:"2,keyasint"`
+}
+
+// BlockedRequest names the requests that a block is for.
+type BlockedRequest struct {
 	Content uint64 `cbor:"1,keyasint"`
-	// Caller is whose request it is, AnyCaller if it came from several.
+	// Caller is whose requests they are, AnyCaller if they came from several.
 	Caller uint64 `cbor:"2,keyasint,omitempty"`
 }
 
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -47,6 +47,10 @@
 	// complete up to HostsNext.
 	Hosts     []Entry `cbor:"19,keyasint,omitempty"`
 	HostsNext int64   `cbor:"20,keyasint,omitempty"`
+	// BlocksSum is the sum over all blocks that the answering host knows; Blocks are these, if
+	// the asker does not know the same.
+	BlocksSum uint64  `cbor:"22,keyasint,omitempty"`
+	Blocks    []Block `cbor:"23,keyasint,omitempty"`
 }
 
 // Pull is a host's question for what has changed, with what its requests need.
@@ -65,6 +69,13 @@
 	// have that ask it, where endpoints do not check fencing tokens.
 	Heard Heard   `cbor:"6,keyasint"`
 	Below []Heard `cbor:"7,keyasint,omitempty"`
+	// Crashes are those that the host that is asked has not been told yet, of the asking
+	// host and of those that ask it.
+	Crashes []Crash `cbor:"9,keyasint,omitempty"`
+	// BlocksSum is the sum over all blocks that the asking host knows; Blocks are these, if
+	// the host that is asked did not know the same.
+	BlocksSum uint64  `cbor:"10,keyasint,omitempty"`
+	Blocks    []Block `cbor:"11,keyasint,omitempty"`
 }
 
 // Heard is a host's last sign of life of a controller.
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -20,7 +20,7 @@
 // Topic is one keyed topic of the platform's store.
 type Topic int
 
-// The topics that a host reads; it writes only to the last two.
+// The topics that a host reads; it writes only to the last three.
 const (
 	// TopicConfig holds the operator's configuration.
 	TopicConfig Topic = iota
@@ -30,11 +30,13 @@
 	TopicHosts
 	// TopicClaims holds the claims to give orders.
 	TopicClaims
+	// TopicCrashes holds the requests that crash endpoints.
+	TopicCrashes
 )
 
 // String implements fmt.Stringer, for logs.
 func (t Topic) String() string {
-	return [...]string{"config", "endpoints", "hosts", "claims"}[t]
+	return [...]string{"config", "endpoints", "hosts", "claims", "crashes"}[t]
 }
 
 // Entry is a record of a keyed topic. An entry without a value removes the key.
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -33,13 +33,14 @@
 	// list is the offset of the newest change of the list of endpoints, claim the token
 	// of the newest claim and config the version of the configuration.
 	list, claim, config int64
-	// hosts is the offset up to which the entries of hosts were told.
-	hosts int64
+	// hosts is the offset up to which the entries of hosts were told, blocks the version of
+	// the blocked requests.
+	hosts, blocks int64
 }
 
 // newerThan tells whether something has come since.
 func (t told) newerThan(o told) bool {
-	return t.list > o.list || t.claim > o.claim || t.config > o.config || t.hosts > o.hosts
+	return t.list > o.list || t.claim > o.claim || t.config > o.config || t.hosts > o.hosts || t.blocks > o.blocks
 }
 
 func newChildren() *children { return &children{byHost: map[string]*asker{}} }
@@ -105,6 +106,7 @@
 func (g *Gateway) answerPull(p fleet.Pull) *fleet.Notice {
 	now := g.Now()
 	g.takeDemand(now, p)
+	g.takeCrashes(now, p)
 	a := g.children.enter(p.Demand)
 	spacing := relay.Spacing(g.children.count(), g.settings.cores())
 	question := relay.Question{Asked: now, Answered: a.answered}
@@ -131,6 +133,7 @@
 	g.children.answered(a, now, g.telling())
 	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
 	n.Stamp = g.stampFor(now, n.Token)
+	g.withBlocks(&n, p.BlocksSum)
 	hosts := g.feed.hostsFrom(p.HostsNext)
 	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
 	return &n
@@ -138,7 +141,13 @@
 
 // telling is what this host tells now of all that others must know at once.
 func (g *Gateway) telling() told {
-	return told{list: g.directory.Material(), claim: g.election.Newest().Token, config: g.configVersion(), hosts: g.feed.hostsKnown()}
+	return told{
+		list:   g.directory.Material(),
+		claim:  g.election.Newest().Token,
+		config: g.configVersion(),
+		hosts:  g.feed.hostsKnown(),
+		blocks: g.guard.Blocks.Version(),
+	}
 }
 
 // takeDemand takes in a report for the controller, which is this host or the one that
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -142,6 +142,7 @@
 	every(ctx, kickPeriod, func() {
 		g.dispatcher.Kick()
 		now := g.Now()
+		g.guardRequests(now)
 		due := now.Sub(asked) >= time.Duration(g.mesh.hosts())*gossipPause
 		if due && g.reads.Loaded(fleet.TopicEndpoints) && g.viewAge(now) > maxListAge {
 			asked = now
@@ -152,6 +153,7 @@
 		}
 		last = now
 		g.children.drop(now)
+		g.guard.Prune(now)
 		g.feed.drop(g.directory.Prune(now))
 		live := map[fleet.EndpointID]bool{}
 		for _, v := range g.directory.Live(now) {
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,38 @@
 	return out
 }
 
+// crashUntil sends the crashing request to hosts in turn until so many endpoints have ended.
+func (d *deployment) crashUntil(n int, endpoints []*site.Endpoint, hosts ...*host) {
+	d.t.Helper()
+	for i := 0; crashed(endpoints) < n; i++ {
+		d.askWith(hosts[i%len(hosts)], "/chat/", "warm", crashing)
+	}
+}
+
+// keptFrom checks that the crashing request reaches no more endpoints than it may.
+func (d *deployment) keptFrom(endpoints []*site.Endpoint, hosts ...*host) {
+	d.t.Helper()
+	before := crashed(endpoints)
+	for range 3 {
+		for _, h := range hosts {
+			if got := d.askWith(h, "/chat/", "warm", crashing); got.status == http.StatusOK {
+				d.t.Errorf("%d to the crashing request", got.status)
+			}
+		}
+	}
+	if n := crashed(endpoints) - before; n > strayRuns {
+		d.t.Errorf("a request that had ended three endpoints reached %d more, %d are allowed", n, strayRuns)
+	}
+}
+
+// meet waits until hosts know one another.
+func (d *deployment) meet(hosts ...*host) {
+	d.t.Helper()
+	d.until("the hosts know each other", func() bool {
+		return !slices.ContainsFunc(hosts, func(h *host) bool { return h.Peers() < len(hosts)-1 })
+	})
+}
+
 // crashed counts the endpoints that ran the crashing request.
 func crashed(endpoints []*site.Endpoint) int {
 	n := 0
@@ -56,25 +89,68 @@
 	d.publish(config(1))
 	endpoints := d.crashers(24)
 	hosts := []*host{d.startHost("a"), d.startHost("b"), d.startHost("c")}
-	d.until("the hosts know each other", func() bool {
-		return hosts[0].Peers() == 2 && hosts[1].Peers() == 2 && hosts[2].Peers() == 2
-	})
-	for i := 0; crashed(endpoints) < 3; i++ {
-		d.askWith(hosts[i%2], "/chat/", "warm", crashing)
-	}
+	d.meet(hosts...)
+	d.crashUntil(3, endpoints, hosts[0], hosts[1])
 	<-time.After(spread)
-	before := crashed(endpoints)
-	for range 3 {
-		for _, h := range hosts {
-			got := d.askWith(h, "/chat/", "warm", crashing)
-			is.True(got.status != http.StatusOK)
-		}
-	}
-	if n := crashed(endpoints) - before; n > strayRuns {
-		t.Errorf("a request that had ended three endpoints reached %d more, %d are allowed", n, strayRuns)
-	}
+	d.keptFrom(endpoints, hosts...)
 	// Other requests of the model are served.
 	for _, h := range hosts {
 		is.Equal(d.ask(h, "/chat/", "warm").status, http.StatusOK)
 	}
 }
+
+// A host is cut off from all others, and each of the two sides sees only a part of the ends.
+// Both reach the store, and callers both sides; neither may wait for the other's word.
+func TestCrashingRequestAtAHostCutFromTheOthers(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish(config(1))
+	endpoints := d.crashers(24)
+	a, b, c := d.startHost("a"), d.startHost("b"), d.startHost("c")
+	d.meet(a, b, c)
+	d.until("somebody gives orders", func() bool { return a.Controls() || b.Controls() || c.Controls() })
+	cut := a
+	if a.Controls() {
+		cut = b
+	}
+	cut.CutPeers()
+	d.until("the host is told nothing", func() bool { return cut.Silence() > spread })
+	d.crashUntil(3, endpoints, cut, c)
+	<-time.After(spread)
+	d.keptFrom(endpoints, a, b, c)
+}
+
+// All hosts lose power after a request was blocked, and the client goes on. The new
+// incarnations had seen none of the ends and sent it to three endpoints more each.
+func TestBlockOutlivesAllHosts(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish(config(1))
+	endpoints := d.crashers(24)
+	a, b := d.startHost("a"), d.startHost("b")
+	d.meet(a, b)
+	d.crashUntil(3, endpoints, a, b)
+	d.until("the block is kept", func() bool { return d.store.Size("keyed.crashes") > 0 && a.Blocks() > 0 })
+	<-time.After(spread)
+	a.Kill()
+	b.Kill()
+	a, b = d.startHost("a"), d.startHost("b")
+	<-time.After(spread)
+	d.keptFrom(endpoints, a, b)
+}
+
+// A host starts while the store answers nobody. It hears of the block from the others.
+func TestFreshHostHearsOfABlock(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish(config(1))
+	endpoints := d.crashers(24)
+	a, b := d.startHost("a"), d.startHost("b")
+	d.meet(a, b)
+	d.crashUntil(3, endpoints, a, b)
+	d.until("the request is blocked", func() bool { return a.Blocks() > 0 && b.Blocks() > 0 })
+	c := d.startHost("c")
+	c.door.Set(site.Silent)
+	d.until("the fresh host knows it", func() bool { return c.Blocks() > 0 })
+	d.keptFrom(endpoints, c)
+}
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -58,3 +58,9 @@
 
 // LiveEndpoints is the number of endpoints that the host takes for alive.
 func (g *Gateway) LiveEndpoints() int { return len(g.directory.Live(g.Now())) }
+
+// Silence is for how long this host has not been told what happens.
+func (g *Gateway) Silence() time.Duration { return g.news.silence(g.Now()) }
+
+// Blocks is the number of requests that this host keeps from endpoints.
+func (g *Gateway) Blocks() int { return len(g.guard.Blocks.All()) }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/relay"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
@@ -94,6 +95,13 @@
 	children *children
 	sums     *relay.Sums
 	news     news
+	// guard keeps requests that crash endpoints from them; crashesTold is which crashes other
+	// hosts were told, crashesKept what the store holds, and blocksDiffer whether the host
+	// that was asked last lacks a block that this one knows.
+	guard        *quarantine.Guard
+	crashesTold  *crashesTold
+	crashesKept  *keptCrashes
+	blocksDiffer atomic.Bool
 	// reports counts the demand reports, heardStamp is the last time stamp of a controller
 	// that was heard, and started the zero of this host's own.
 	reports    atomic.Int64
@@ -134,6 +142,9 @@
 		reads:     follow.NewState(),
 		children:  newChildren(),
 		sums:      relay.NewSums(),
+
+		crashesTold: newCrashesTold(),
+		crashesKept: newKeptCrashes(),
 	}
 	g.started = g.Now()
 	calls := follow.NewCalls(cfg.Store)
@@ -152,7 +163,8 @@
 		Now:     g.Now,
 		Tracer:  cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
 	}
-	g.server.Guard = g.newChecker()
+	g.guard = g.newGuard()
+	g.server.Guard = g.guard
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -326,6 +338,8 @@
 		g.followEndpoints,
 		g.followHosts,
 		g.followClaims,
+		g.followCrashes,
+		g.keepCrashes,
 		g.announce,
 		g.mesh.serve,
 		g.followController,
--- a/pkg/gateway/news.go
+++ b/pkg/gateway/news.go
@@ -26,10 +26,13 @@
 const newsLife = time.Second
 
 // recent tells whether this host is told what happens.
-func (s *news) recent(now time.Time) bool {
+func (s *news) recent(now time.Time) bool { return s.silence(now) < newsLife }
+
+// silence is for how long this host has not been told what happens.
+func (s *news) silence(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.answered) < newsLife
+	return now.Sub(s.answered)
 }
 
 // note takes in that a host has answered.
--- a/pkg/gateway/passing_test.go
+++ b/pkg/gateway/passing_test.go
@@ -12,6 +12,7 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/serve"
 	"pgregory.net/rapid"
 )
@@ -38,6 +39,14 @@
 		noticeNow: make(chan struct{}, 1),
 		children:  newChildren(),
 	}
+	g.crashesTold = newCrashesTold()
+	g.crashesKept = newKeptCrashes()
+	g.guard = quarantine.NewGuard(quarantine.Config{
+		Announced: g.directory.Announced,
+		Crashed:   func() {},
+		Now:       g.Now,
+		Log:       g.log,
+	})
 	g.settings.Timing.Drain = drain
 	g.board = fleet.NewBoard(g.directory)
 	g.dispatcher = serve.NewDispatcher("z", locator{g.board, g.config.Load}, serve.NewHealth(), g.Now, func() {})
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -106,7 +106,8 @@
 	if !g.settings.Orders.EndpointsCheckTokens {
 		p.Below = g.sums.Heard(now)
 	}
-	err := g.ask(ctx, to, p)
+	crashesNext := g.addCrashes(now, to.Addr, &p)
+	err := g.ask(ctx, to, p, crashesNext)
 	if err == nil {
 		g.mesh.noteAnswer(to.Addr)
 		if inPlaceOfRelay(upstreams, to) {
@@ -137,7 +138,8 @@
 	return len(upstreams) > 1 && to == upstreams[len(upstreams)-1]
 }
 
-func (g *Gateway) ask(ctx context.Context, to relay.Member, p fleet.Pull) error {
+// ask asks another host. Its answer confirms the crashes before the number crashesNext.
+func (g *Gateway) ask(ctx context.Context, to relay.Member, p fleet.Pull, crashesNext int64) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	answer, err := g.mesh.send(ctx, to.Addr, peer.Request{Pull: &p})
@@ -157,6 +159,8 @@
 	if answer.Notice == nil {
 		return nil // A newer question of this host is answered in its place.
 	}
+	g.crashesTold.answered(to.Addr, answer.Notice.Source, crashesNext)
+	g.takeAnsweredBlocks(now, *answer.Notice)
 	if len(answer.Notice.Hosts) > 0 {
 		g.takeHosts(fleet.Batch{Entries: answer.Notice.Hosts, Next: answer.Notice.HostsNext})
 	}
--- /dev/null
+++ b/pkg/quarantine/guard.go
@@ -0,0 +1,89 @@
+package quarantine
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// Config is what a guard needs of its host.
+type Config struct {
+	// Ended tells whether an incarnation of an endpoint has ended; an error says that this
+	// is not known.
+	Ended func(ctx context.Context, e fleet.Endpoint) (bool, error)
+	// Announced tells whether an endpoint has said that it leaves.
+	Announced func(id fleet.EndpointID) bool
+	// Crashed is called when crashes were found here that others have to hear of.
+	Crashed func()
+	Now     func() time.Time
+	Log     *slog.Logger
+}
+
+// Guard keeps requests that crash endpoints from them, at one host. It implements
+// serve.Guard.
+type Guard struct {
+	Ledger  *Ledger
+	Blocks  *Blocks
+	cfg     Config
+	checker *Checker
+}
+
+// NewGuard returns a guard that blocks nothing.
+func NewGuard(cfg Config) *Guard {
+	g := &Guard{Ledger: NewLedger(), Blocks: NewBlocks(), cfg: cfg}
+	g.checker = &Checker{
+		Ended:     cfg.Ended,
+		Announced: cfg.Announced,
+		Found:     g.found,
+		Now:       cfg.Now,
+		Log:       cfg.Log,
+		Runs:      NewRuns(),
+	}
+	return g
+}
+
+// Broke implements serve.Guard.
+func (g *Guard) Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool) {
+	g.checker.Broke(e, f, suspected)
+}
+
+// Served implements serve.Guard.
+func (g *Guard) Served(f fleet.Fingerprint) { g.Blocks.Serve(f) }
+
+// Blocked implements serve.Guard.
+func (g *Guard) Blocked(f fleet.Fingerprint) bool { return g.Blocks.Blocked(f) }
+
+// found takes in crashes that this host has seen itself. A request that was served before
+// is not to blame: it ran where another did the harm.
+func (g *Guard) found(crashes []fleet.Crash) {
+	crashes = slices.DeleteFunc(crashes, func(c fleet.Crash) bool { return g.Blocks.Served(c.Request) })
+	if g.Ledger.Add(g.cfg.Now(), crashes) {
+		g.cfg.Crashed()
+	}
+}
+
+// Decide blocks the requests that are to blame for the ends of endpoints, and tells whether
+// there are any new ones.
+func (g *Guard) Decide(now time.Time) bool {
+	blocked := false
+	for _, v := range g.Ledger.Decide(now) {
+		if g.Blocks.Has(v.Request) {
+			continue
+		}
+		blocked = true
+		g.Blocks.Add(now, []fleet.Block{{Request: v.Request, Since: now.Unix()}})
+		g.cfg.Log.Warn("request is blocked: endpoints have ended under it",
+			"content", fleet.Hex(v.Request.Content), "caller", fleet.Hex(v.Request.Caller), "endpoints", v.Endpoints)
+	}
+	return blocked
+}
+
+// Prune forgets what is old.
+func (g *Guard) Prune(now time.Time) {
+	g.checker.Runs.Prune(now)
+	g.Ledger.Expire(now)
+	g.Blocks.Expire(now)
+}
--- /dev/null
+++ b/pkg/quarantine/guard_test.go
@@ -0,0 +1,141 @@
+package quarantine_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/quarantine"
+)
+
+// errTimeout is how an endpoint behind a cut shows.
+var errTimeout = errors.New("no answer")
+
+// look is what one look at an endpoint finds.
+type look struct {
+	ended bool
+	err   error
+}
+
+// watched returns a guard whose looks at endpoints find what is listed, the last one for
+// ever, and the number of times that it has told of crashes.
+func watched(announced bool, looks ...look) (g *quarantine.Guard, told *atomic.Int32) {
+	told = new(atomic.Int32)
+	g = quarantine.NewGuard(quarantine.Config{
+		Ended: func(context.Context, fleet.Endpoint) (bool, error) {
+			l := looks[0]
+			if len(looks) > 1 {
+				looks = looks[1:]
+			}
+			return l.ended, l.err
+		},
+		Announced: func(fleet.EndpointID) bool { return announced },
+		Crashed:   func() { told.Add(1) },
+		Now:       time.Now,
+		Log:       slog.New(slog.DiscardHandler),
+	})
+	return g, told
+}
+
+// A run breaks off. Most often its endpoint lives (an answer is lost, a connection is reset, a
+// link is cut), or it had said that it leaves; then no request is to blame. Where each broken
+// answer counted, a client whose answers were lost three times was never served again.
+func TestOnlyEndsOfEndpointsCount(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		announced bool
+		looks     []look
+		want      int
+	}{
+		{"it has crashed", false, []look{{ended: true}}, 1},
+		{"its process takes a moment to end", false, []look{{}, {ended: true}}, 1},
+		{"packets are lost", false, []look{{err: errTimeout}, {ended: true}}, 1},
+		{"it lives", false, []look{{}}, 0},
+		{"it refuses one connection too many", false, []look{{ended: true}, {}}, 0},
+		{"it is cut off", false, []look{{err: errTimeout}}, 0},
+		{"it has announced its end", true, []look{{ended: true}}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g, told := watched(c.announced, c.looks...)
+				e := fleet.Endpoint{ID: "e"}
+				g.Broke(e, by(client, harmful)[0], true)
+				g.Broke(e, by(client, harmful)[0], true) // one look at a time
+				time.Sleep(2 * time.Second)
+				crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
+				is.Equal(len(crashes), c.want)
+				is.Equal(int(told.Load()), c.want)
+			})
+		})
+	}
+}
+
+// An endpoint ends under a batch. Some connections break a little later than the first one,
+// and a client may have left just before; each of these requests may be to blame. One whose
+// answer broke off long before is not.
+func TestAllThatRanAtTheEndAreNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := watched(false, look{ended: true})
+		e := fleet.Endpoint{ID: "e"}
+		g.Broke(e, by(client, 4)[0], false)
+		time.Sleep(time.Second)
+		g.Broke(e, by(client, 5)[0], false) // its client leaves
+		time.Sleep(100 * time.Millisecond)
+		g.Broke(e, by(client, harmful)[0], true)
+		time.Sleep(50 * time.Millisecond)
+		g.Broke(e, by(client, innocent)[0], true)
+		time.Sleep(time.Second)
+		g.Broke(e, by(client, other)[0], true) // after the end was found
+		synctest.Wait()
+		crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
+		ran := map[uint64]bool{}
+		for _, c := range crashes {
+			ran[c.Request.Content] = true
+		}
+		is.Equal(ran, map[uint64]bool{5: true, harmful: true, innocent: true, other: true})
+	})
+}
+
+// Many clients send the same popular request, and it runs at each endpoint that a harmful
+// one ends. It is served elsewhere all the time, so that it cannot be to blame, whatever
+// another host has decided.
+func TestServedRequestIsNotBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, told := watched(false, look{ended: true})
+		popular := by(client, innocent)[0]
+		g.Served(popular)
+		g.Broke(fleet.Endpoint{ID: "e"}, popular, true)
+		time.Sleep(time.Second)
+		is.Equal(told.Load(), int32(0))
+		g.Blocks.Add(time.Now(), []fleet.Block{{Request: fleet.BlockedRequest{Content: innocent}, Since: time.Now().Unix()}})
+		is.True(!g.Blocked(popular))
+		is.True(g.Blocked(by(elsewhere, innocent)[0]))
+	})
+}
+
+// A request is blocked for an hour. Hosts end the block at slightly different times; one that
+// was told it again by a host whose clock is behind kept it for ever.
+func TestBlockEndsEverywhere(t *testing.T) {
+	is := is.New(t)
+	b := quarantine.NewBlocks()
+	block := fleet.Block{Request: fleet.BlockedRequest{Content: harmful, Caller: client}, Since: start().Unix()}
+	is.Equal(len(b.Add(start(), []fleet.Block{block})), 1)
+	is.Equal(len(b.Add(start(), []fleet.Block{block})), 0)
+	is.True(b.Blocked(by(client, harmful)[0]))
+	is.True(!b.Blocked(by(elsewhere, harmful)[0]))
+	is.True(b.Sum() != 0)
+	later := start().Add(time.Hour + 2*time.Second)
+	b.Expire(later)
+	is.Equal(len(b.Add(later, []fleet.Block{block})), 0)
+	is.True(!b.Blocked(by(client, harmful)[0]))
+	is.Equal(b.Sum(), uint64(0))
+}
--- /dev/null
+++ b/pkg/quarantine/ledger.go
@@ -0,0 +1,307 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+const (
+	// limit is how many endpoints may end under a request before it is blocked. With fewer, a
+	// request that ran twice beside another's crash would be taken for its cause.
+	limit = 3
+	// gatherTime is for how long the ends of endpoints are left to be told by all hosts before
+	// they count: the request to blame may have run there by way of another host. Two
+	// hops of up to a quarter of a second each.
+	gatherTime = 400 * time.Millisecond
+	// tieTime is how long a request waits whose ends another explains as well: the one to
+	// blame ends a further endpoint meanwhile, or all are blocked. It leaves two of the three
+	// seconds in which all hosts have to know for the way to them.
+	tieTime = 900 * time.Millisecond
+	// togetherTime is within what time endpoints end together, as when a rack loses power;
+	// a request ends one at a time.
+	togetherTime = 100 * time.Millisecond
+	// lookPause separates two looks for requests to blame: one takes up to a millisecond.
+	lookPause = 50 * time.Millisecond
+	// crashLife is how long an end counts: clients that send a request again do so within
+	// seconds to minutes.
+	crashLife = 10 * time.Minute
+	// maxEnds bounds the ends that are kept, the newest ones. With a batch of some tens of
+	// requests each they take less than a megabyte.
+	maxEnds = 512
+)
+
+// Verdict is a request that was found to crash endpoints.
+type Verdict struct {
+	Request fleet.BlockedRequest
+	// Endpoints have ended under it.
+	Endpoints []fleet.EndpointID
+}
+
+// Ledger holds which requests ran at endpoints that ended, as all hosts tell it, and finds
+// those to blame. It does no I/O; copies of what it knows change nothing. It is safe for
+// concurrent use.
+type Ledger struct {
+	mu   sync.Mutex
+	ends map[fleet.EndpointID]*end
+	// log holds all crashes in the order in which they came, from the number first on.
+	log   []fleet.Crash
+	first int64
+	// open tells that something has come that may lead to a verdict, looked is when a
+	// verdict was last looked for.
+	open   bool
+	looked time.Time
+}
+
+// end is the end of an endpoint.
+type end struct {
+	id fleet.EndpointID
+	// at is when it ended, heard when this host first heard of it.
+	at, heard time.Time
+	// ran holds the callers of each content that ran there.
+	ran map[uint64]map[uint64]bool
+}
+
+// NewLedger returns a ledger without any end.
+func NewLedger() *Ledger { return &Ledger{ends: map[fleet.EndpointID]*end{}} }
+
+// Add takes in crashes and tells whether any is new.
+func (l *Ledger) Add(now time.Time, crashes []fleet.Crash) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	added := false
+	for _, c := range crashes {
+		added = l.add(now, c) || added
+	}
+	l.open = l.open || added
+	return added
+}
+
+func (l *Ledger) add(now time.Time, c fleet.Crash) bool {
+	at := c.At(now)
+	if now.Sub(at) > crashLife {
+		return false
+	}
+	e := l.ends[c.Endpoint]
+	if e == nil {
+		e = &end{id: c.Endpoint, at: at, heard: now, ran: map[uint64]map[uint64]bool{}}
+		l.ends[c.Endpoint] = e
+	}
+	if at.Before(e.at) {
+		e.at = at
+	}
+	callers := e.ran[c.Request.Content]
+	if callers[c.Request.Caller] {
+		return false
+	}
+	if callers == nil {
+		callers = map[uint64]bool{}
+		e.ran[c.Request.Content] = callers
+	}
+	callers[c.Request.Caller] = true
+	l.log = append(l.log, c)
+	return true
+}
+
+// Expire forgets ends that count no more.
+func (l *Ledger) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, e := range l.ends {
+		if now.Sub(e.at) > crashLife {
+			delete(l.ends, id)
+		}
+	}
+	if len(l.ends) > maxEnds {
+		for _, e := range l.sorted()[:len(l.ends)-maxEnds] {
+			delete(l.ends, e.id)
+		}
+	}
+	kept := slices.IndexFunc(l.log, func(c fleet.Crash) bool { return l.ends[c.Endpoint] != nil })
+	if kept < 0 {
+		kept = len(l.log)
+	}
+	l.first += int64(kept)
+	l.log = slices.Delete(l.log, 0, kept)
+}
+
+// Version grows with each crash that is new.
+func (l *Ledger) Version() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first + int64(len(l.log))
+}
+
+// Since returns up to most crashes from a number on, and the number after the last one.
+func (l *Ledger) Since(now time.Time, from int64, most int) ([]fleet.Crash, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from = max(from, l.first)
+	rest := l.log[from-l.first:]
+	rest = rest[:min(len(rest), most)]
+	var out []fleet.Crash
+	for _, c := range rest {
+		if e := l.ends[c.Endpoint]; e != nil {
+			c.Ago = now.Sub(e.at).Milliseconds()
+			out = append(out, c)
+		}
+	}
+	return out, from + int64(len(rest))
+}
+
+// Decide returns the requests that are to blame for the ends of endpoints.
+//
+// A request is to blame for an end if none ran there under which more endpoints have ended:
+// whatever runs beside a request that crashes endpoints is broken off again and again, and
+// would be taken for the cause itself. Endpoints that end together count as one unless the
+// request ran at all of them.
+func (l *Ledger) Decide(now time.Time) []Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.open || now.Sub(l.looked) < lookPause {
+		return nil
+	}
+	l.looked = now
+	ends := l.sorted()
+	l.open = slices.ContainsFunc(ends, func(e *end) bool { return now.Sub(e.heard) < tieTime })
+	counts := counts(ends)
+	var out []Verdict
+	for content, n := range counts {
+		if n < limit {
+			continue
+		}
+		if v, ok := judge(now, content, ends, counts); ok {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Suspects returns the contents under which at least so many endpoints have ended without
+// another that explains it, with all crashes of each.
+func (l *Ledger) Suspects(now time.Time, least int) map[uint64][]fleet.Crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := l.sorted()
+	counts := counts(ends)
+	out := map[uint64][]fleet.Crash{}
+	for content, n := range counts {
+		if n < least {
+			continue
+		}
+		if mine := blamed(content, ends, counts); len(mine) >= least {
+			out[content] = crashes(now, content, mine)
+		}
+	}
+	return out
+}
+
+// crashes are those of one content at some ends.
+func crashes(now time.Time, content uint64, ends []*end) []fleet.Crash {
+	var out []fleet.Crash
+	for _, e := range ends {
+		for caller := range e.ran[content] {
+			out = append(out, crash(now, e.id, fleet.Fingerprint{Content: content, Caller: caller}, e.at))
+		}
+	}
+	return out
+}
+
+// sorted returns all ends, the first one first. The ledger is locked.
+func (l *Ledger) sorted() []*end {
+	return slices.SortedFunc(maps.Values(l.ends), func(a, b *end) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+	})
+}
+
+// counts returns under how many ends each content ran.
+func counts(ends []*end) map[uint64]int {
+	out := map[uint64]int{}
+	for _, e := range ends {
+		for content := range e.ran {
+			out[content]++
+		}
+	}
+	return out
+}
+
+// judge tells whether a content is to blame for enough ends that all hosts have told.
+func judge(now time.Time, content uint64, ends []*end, counts map[uint64]int) (Verdict, bool) {
+	told := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return now.Sub(e.heard) < gatherTime })
+	mine := blamed(content, told, counts)
+	if tied(content, mine, counts) {
+		mine = slices.DeleteFunc(mine, func(e *end) bool { return now.Sub(e.heard) < tieTime })
+	}
+	if len(mine) < limit {
+		return Verdict{}, false
+	}
+	v := Verdict{Request: fleet.BlockedRequest{Content: content}}
+	callers := map[uint64]bool{}
+	for _, e := range mine {
+		v.Endpoints = append(v.Endpoints, e.id)
+		maps.Copy(callers, e.ran[content])
+	}
+	if len(callers) == 1 {
+		// Others may send the same content and be served; one that crashes endpoints as
+		// well shows by its own ends.
+		v.Request.Caller = slices.Collect(maps.Keys(callers))[0]
+	}
+	return v, true
+}
+
+// blamed returns the ends that a content is to blame for. Of some that came together with
+// the end of an endpoint that did not run it, it returns one.
+func blamed(content uint64, ends []*end, counts map[uint64]int) []*end {
+	var out []*end
+	for _, group := range together(ends) {
+		mine := slices.DeleteFunc(slices.Clone(group), func(e *end) bool {
+			return e.ran[content] == nil || explained(content, e, counts)
+		})
+		ranAtAll := !slices.ContainsFunc(group, func(e *end) bool { return e.ran[content] == nil })
+		if !ranAtAll && len(mine) > 1 {
+			mine = mine[:1]
+		}
+		out = append(out, mine...)
+	}
+	return out
+}
+
+// together groups ends that came within a short time of one another.
+func together(ends []*end) [][]*end {
+	var groups [][]*end
+	for i, e := range ends {
+		if i > 0 && e.at.Sub(ends[i-1].at) <= togetherTime {
+			last := len(groups) - 1
+			groups[last] = append(groups[last], e)
+			continue
+		}
+		groups = append(groups, []*end{e})
+	}
+	return groups
+}
+
+// explained tells whether another content that ran at an end ran at more ends.
+func explained(content uint64, e *end, counts map[uint64]int) bool {
+	for other := range e.ran {
+		if counts[other] > counts[content] {
+			return true
+		}
+	}
+	return false
+}
+
+// tied tells whether another content ran at as many ends, and at one of these.
+func tied(content uint64, ends []*end, counts map[uint64]int) bool {
+	for _, e := range ends {
+		for other := range e.ran {
+			if other != content && counts[other] == counts[content] {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -1,20 +1,49 @@
 package serve
 
-import "github.com/tealvane/tealvane/pkg/fleet"
+import (
+	"context"
 
-// Guard finds requests that crash endpoints. Implementations are safe for concurrent use
-// and return at once.
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// Guard keeps requests that crash endpoints from them. Implementations are safe for concurrent
+// use and return at once.
 type Guard interface {
+	// Blocked tells whether a request must not reach any endpoint.
+	Blocked(f fleet.Fingerprint) bool
 	// Broke notes that a run at an endpoint broke off. The end of the endpoint is
 	// suspected where nothing else explains it.
 	Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool)
+	// Served notes that an endpoint has answered a request to the end.
+	Served(f fleet.Fingerprint)
+}
+
+// guarded tells whether a guard knows the request when it comes again.
+func (x *exchange) guarded() bool {
+	return x.server.Guard != nil && x.request.Fingerprint.Content != 0
+}
+
+// blocked tells whether the request must not reach any endpoint, and ends it if so. What it
+// ends with is a promise unless it has run: nobody will run it. It tells clients to come
+// back as late as they obey, since nothing will have changed.
+func (x *exchange) blocked(ctx context.Context) bool {
+	if !x.guarded() || !x.server.Guard.Blocked(x.request.Fingerprint) {
+		return false
+	}
+	x.giveUp(ctx, Refusal{Cause: CauseCrashes, NotRun: true, RetryAfter: maxRetryAfter})
+	return true
 }
 
 // broke tells the guard of a run without a complete answer.
 func (x *exchange) broke(e fleet.Endpoint, suspected bool) {
-	f := x.request.Fingerprint
-	if x.server.Guard == nil || f.Content == 0 {
-		return
+	if x.guarded() {
+		x.server.Guard.Broke(e, x.request.Fingerprint, suspected)
+	}
+}
+
+// served tells the guard of a run with a complete answer.
+func (x *exchange) served() {
+	if x.guarded() {
+		x.server.Guard.Served(x.request.Fingerprint)
 	}
-	x.server.Guard.Broke(e, f, suspected)
 }
--- /dev/null
+++ b/pkg/serve/guard_test.go
@@ -0,0 +1,120 @@
+package serve_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/serve"
+)
+
+// watchful is a guard that blocks all once it is told to.
+type watchful struct {
+	mu      sync.Mutex
+	blocks  bool
+	onBreak bool
+	broke   []bool
+	served  int
+}
+
+func (g *watchful) Blocked(fleet.Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.blocks
+}
+
+func (g *watchful) Broke(_ fleet.Endpoint, _ fleet.Fingerprint, suspected bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.broke = append(g.broke, suspected)
+	g.blocks = g.blocks || g.onBreak
+}
+
+func (g *watchful) Served(fleet.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.served++
+}
+
+func (g *watchful) block() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.blocks = true
+}
+
+// guarded returns a server with a guard, and a request that it knows again.
+func guarded(w *world, g *watchful, r *serve.Request) *serve.Server {
+	s := newServer(w)
+	s.Guard = g
+	r.Fingerprint = fleet.NewFingerprint("client", "body")
+	return s
+}
+
+// A request is blocked for the endpoints that it has ended. Its client is told so at once, and
+// that it has not run where that is true. One that waited for its model, or whose first
+// try had just ended an endpoint, went on to the next.
+func TestBlockedRequestReachesNoEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// blocked is set from the start; else after a wait, or by the first try's end.
+		blocked, waits, tried bool
+		promise               bool
+		sends                 int
+	}{
+		{"it comes again", true, false, false, true, 0},
+		{"it waits for its model meanwhile", false, true, false, true, 0},
+		{"its first try ends an endpoint", false, false, true, false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld("e1", "e2")
+				w.does("e1", script{lost: true})
+				w.does("e2", script{lost: true})
+				if c.waits {
+					w.setReady()
+				}
+				g := &watchful{blocks: c.blocked, onBreak: c.tried}
+				r := request("r", fleet.Stream, true)
+				s := guarded(w, g, r)
+				out := &sink{}
+				done := make(chan serve.Result)
+				go func() { done <- s.Serve(context.Background(), r, out) }()
+				if c.waits {
+					time.Sleep(time.Second)
+					g.block()
+					w.setReady("e1", "e2")
+					dispatcher(s).Kick()
+				}
+				result := <-done
+				is.Equal(result.Refusal.Cause, serve.CauseCrashes)
+				is.Equal(out.promises(), c.promise)
+				is.Equal(len(w.sends), c.sends)
+			})
+		})
+	}
+}
+
+// Runs break off because an endpoint fails, or because their clients leave. The latter tell
+// nothing of the endpoint, and each look at it is a call. A whole answer clears the request.
+func TestGuardHearsHowRunsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("e1")
+		w.does("e1", script{lost: true}, script{hang: true})
+		g := &watchful{}
+		r := request("r", fleet.Once, false)
+		s := guarded(w, g, r)
+		s.Serve(context.Background(), r, &sink{})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		s.Serve(ctx, r, &sink{})
+		s.Serve(context.Background(), r, &sink{})
+		is.Equal(g.broke, []bool{true, false})
+		is.Equal(g.served, 1)
+	})
+}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -155,6 +155,8 @@
 	CauseBroken     Cause = "endpoint_failed"
 	CauseBudget     Cause = "retry_budget"
 	CauseStopping   Cause = "stopping"
+	// CauseCrashes is that endpoints have ended under the request each time.
+	CauseCrashes Cause = "crashes_endpoints"
 )
 
 // Refusal is a final answer of this host itself.
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -135,6 +135,9 @@
 
 func (x *exchange) run(ctx context.Context) {
 	for {
+		if x.blocked(ctx) {
+			return
+		}
 		if x.result.Sent > 0 && !x.mayRetry() && !x.awaitRetry(ctx) {
 			x.giveUp(ctx, Refusal{Cause: CauseBudget, NotRun: true, RetryAfter: minRetryAfter})
 			return
@@ -144,6 +147,11 @@
 			x.giveUp(ctx, *refusal)
 			return
 		}
+		// It may have waited for seconds, and endpoints have ended under it meanwhile.
+		if x.blocked(ctx) {
+			x.server.Queue.Release(x.request, e.ID, Use{})
+			return
+		}
 		switch x.try(ctx, e) {
 		case finished:
 			return
@@ -362,6 +370,7 @@
 	if err == nil {
 		x.result.Complete = true
 		x.result.Status = a.Status
+		x.served()
 		s.Queue.Release(x.request, e.ID, Use{Took: s.Now().Sub(start)})
 		return finished
 	}
