--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -56,10 +56,17 @@
 		return
 	}
 	if g.guard.Decide(now) {
-		g.children.wake()
+		g.tellBlocks()
 	}
 }
 
+// tellBlocks lets the hosts that ask this one, and the one that it asks, hear of new blocks.
+func (g *Gateway) tellBlocks() {
+	g.blocksDiffer.Store(true)
+	g.wantReport()
+	g.children.wake()
+}
+
 // told is which crashes each host that was asked has been told.
 type crashesTold struct {
 	mu     sync.Mutex
@@ -120,7 +127,7 @@
 		g.log.Info("block", "content", fleet.Hex(b.Request.Content), "caller", fleet.Hex(b.Request.Caller), "age_s", now.Unix()-b.Since)
 	}
 	if len(added) > 0 {
-		g.children.wake()
+		g.tellBlocks()
 	}
 }
 
