Our own interface keeps crashing calls from endpoints, too

Cause: the same as on the platform; besides, a deferred request that crashes engines was run again every five seconds for as long as it is kept. A deferred request that is blocked ends with an error. Serving path: what tells that an endpoint has ended is the guard's, not the backend's. Figures: the lookup that ended all twelve services ends at most 6 (3 and 3 allowed), other lookups are served; the deferred request had no answer after two minutes, now it has.

--- a/pkg/completion/backend.go
+++ b/pkg/completion/backend.go
@@ -5,8 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/external"
@@ -102,20 +100,6 @@
 	return answer(io.NopCloser(bytes.NewReader(got.Body))), nil
 }
 
-// Ended implements serve.Backend. An engine that was started again holds none of its former
-// replicas.
-func (b backend) Ended(ctx context.Context, e fleet.Endpoint) (bool, error) {
-	status, err := b.runner.cfg.Engine.Status(ctx, e.Addr)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return true, nil
-	}
-	if err != nil {
-		return false, err
-	}
-	held := func(r external.EngineReplica) bool { return fleet.EndpointID(r.ID) == e.ID }
-	return len(status.Replicas) > 0 && !slices.ContainsFunc(status.Replicas, held), nil
-}
-
 // Run implements serve.Backend. The engines of this path do not tell of single calls.
 func (b backend) Run(context.Context, *serve.Request, fleet.Endpoint) (serve.Run, error) {
 	return serve.Run{Held: true}, nil
--- a/pkg/completion/call.go
+++ b/pkg/completion/call.go
@@ -59,6 +59,7 @@
 func (c Call) request(now time.Time, wire *run) *serve.Request {
 	r := &serve.Request{
 		ID:             c.RequestID,
+		Fingerprint:    fleet.NewFingerprint(c.Customer, c.Model.Name, c.Prompt, string(c.Body)),
 		Route:          fleet.Route{Name: c.Model.Name, Kind: fleet.Stream, Resumable: !c.Model.NonIdempotent, Attempts: maxAttempts},
 		Service:        c.Model.Pool,
 		Model:          c.Model.Name,
@@ -109,6 +110,8 @@
 	Engine external.Engine
 	Queue  serve.Queue
 	Health *serve.Health
+	// Guard may be nil.
+	Guard  serve.Guard
 	Keys   Keys
 	Meter  Meter
 	Logger *slog.Logger
@@ -133,6 +136,7 @@
 		Backend: backend{r},
 		Queue:   cfg.Queue,
 		Health:  cfg.Health,
+		Guard:   cfg.Guard,
 		Budget:  retry.NewBudget(retry.Limits{Ratio: retryRatio, Extra: retryExtra, Window: retryWindow}, 1),
 		Now:     cfg.Now,
 		Tracer:  cfg.Tracer,
--- a/pkg/completion/refusal.go
+++ b/pkg/completion/refusal.go
@@ -86,6 +86,8 @@
 		return OutcomeUnknown("the caller has gone")
 	case !r.NotRun:
 		return OutcomeUnknown("the endpoint did not answer: %v", r.Detail)
+	case r.Cause == serve.CauseCrashes:
+		return NotRun(string(r.Cause), r.RetryAfter, "endpoints have ended each time that they ran this request")
 	case r.Cause == serve.CauseNoRoom:
 		return NotRun("endpoints_failed", r.RetryAfter, "%d endpoints did not take the request", maxAttempts)
 	default:
--- a/pkg/entryhost/crash_test.go
+++ b/pkg/entryhost/crash_test.go
@@ -1,12 +1,16 @@
 package entryhost
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/completion"
+	"github.com/tealvane/tealvane/pkg/record"
 )
 
 // A lookup crashes each service that runs it, and its desk sends it again and again, at any
@@ -15,42 +19,61 @@
 func TestCrashingCallIsKeptFromServices(t *testing.T) {
 	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
 		const body = `"a number that no register holds"`
-		var services []*fakeEngine
 		for i := range 12 {
 			e := f.joinService(fmt.Sprint("s", i), "lookup")
 			f.mu.Lock()
 			e.crashOn = body
 			f.mu.Unlock()
-			services = append(services, e)
 		}
 		time.Sleep(settleTime)
-		crashed := func() int {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			n := 0
-			for _, e := range services {
-				if e.dead {
-					n++
-				}
-			}
-			return n
-		}
 		call := func(h *fakeHost) *completion.Refusal {
 			c := &testCall{id: completion.NewRequestID(), model: "lookup", key: "", body: body}
 			c.do(h)
 			return c.refusal
 		}
-		for i := 0; crashed() < 3; i++ {
+		for i := 0; f.allCrashes() < 3; i++ {
 			is.True(call(hosts[i%2]) != nil)
 		}
 		time.Sleep(3 * time.Second)
-		before := crashed()
+		before := f.allCrashes()
 		for _, h := range hosts {
 			is.True(call(h) != nil)
 		}
-		is.True(crashed()-before <= 3)
+		is.True(f.allCrashes()-before <= strayRuns)
 		c := &testCall{id: "another", model: "lookup"}
 		c.do(hosts[0])
 		is.Equal(c.refusal, nil)
 	})
 }
+
+// A deferred request crashes each engine that runs it. Its host ran it again every five
+// seconds, for as long as deferred requests are kept, which is a day. It ends with an
+// error that says so.
+func TestCrashingDeferredRequestEnds(t *testing.T) {
+	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
+		const prompt = "a dossier that no engine survives"
+		f.mu.Lock()
+		for _, e := range f.engines {
+			e.crashOn = prompt
+		}
+		f.mu.Unlock()
+		time.Sleep(settleTime)
+		body, err := json.Marshal(completion.DeferredBody{Prompt: prompt})
+		is.NoErr(err)
+		id := completion.NewRequestID()
+		deferred := record.Deferred{ID: id, Customer: "c", Model: "m0", Body: body}
+		is.NoErr(hosts[0].appendSoon(context.Background(), record.Record{ID: record.NewID(), Defer: &deferred}))
+		time.Sleep(2 * time.Minute)
+		r, ok := hosts[1].state.Deferred.Get(id)
+		is.True(ok)
+		if r.Answer == nil {
+			t.Error("the request is still run again and again")
+			return
+		}
+		is.True(r.Answer.Status != http.StatusOK)
+		is.True(f.allCrashes() <= 3+strayRuns)
+	})
+}
+
+// strayRuns is how many more endpoints a call may reach after it has ended three.
+const strayRuns = 3
--- a/pkg/entryhost/deferred.go
+++ b/pkg/entryhost/deferred.go
@@ -10,6 +10,7 @@
 	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/pkg/lease"
 	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/serve"
 	"github.com/tealvane/tealvane/pkg/state"
 )
 
@@ -125,6 +126,10 @@
 	if refusal == nil {
 		return answer, http.StatusOK, false
 	}
+	if refusal.Reason == string(serve.CauseCrashes) {
+		// It would end further engines each time that the block is over, for a day.
+		return completion.DeferredAnswer{Error: refusal.Message}, http.StatusBadGateway, false
+	}
 	if refusal.RetryAfter > 0 || !m.NonIdempotent {
 		return completion.DeferredAnswer{}, 0, true
 	}
--- a/pkg/entryhost/fake_engine_test.go
+++ b/pkg/entryhost/fake_engine_test.go
@@ -30,8 +30,9 @@
 	cutAfter    int
 	cross       bool
 	loseAnswers int
-	// crashOn is the body of a call that ends the engine.
+	// crashOn is the body or prompt of a call that ends the engine.
 	crashOn string
+	crashes int
 	started []time.Time
 }
 
@@ -46,6 +47,41 @@
 	e.replicas = map[record.ReplicaID]*fakeReplica{}
 }
 
+// crashIf ends the engine if that is what a call does; it is back after some seconds. The
+// fakes are locked.
+func (e *fakeEngine) crashIf(body string) {
+	if e.crashOn == "" || body != e.crashOn {
+		return
+	}
+	e.dead = true
+	e.crashes++
+	time.AfterFunc(crashTime, func() {
+		e.fakes.mu.Lock()
+		defer e.fakes.mu.Unlock()
+		e.dead = false
+		e.restart()
+		for i, listed := range e.fakes.list {
+			if listed.Name == e.name {
+				e.fakes.list[i].Incarnation = e.incarnation
+			}
+		}
+	})
+}
+
+// crashTime is how long a crashed engine is away.
+const crashTime = 3 * time.Second
+
+// allCrashes counts the crashes of all engines.
+func (f *fakes) allCrashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.engines {
+		n += e.crashes
+	}
+	return n
+}
+
 // fakeEngines is the engine adapter of one host.
 type fakeEngines struct{ host *fakeHost }
 
@@ -56,7 +92,7 @@
 	e := a.host.fakes.engines[addr]
 	if e == nil || e.dead || a.host.dead.Load() {
 		a.host.fakes.mu.Unlock()
-		return nil, external.ErrRejected
+		return nil, external.ErrRefused
 	}
 	return e, nil
 }
@@ -130,6 +166,7 @@
 		return nil, external.ErrNotLoaded
 	}
 	e.ran = append(e.ran, r.RequestID)
+	e.crashIf(r.Prompt)
 	e.started = append(e.started, time.Now())
 	if e.loseAnswers > 0 {
 		e.loseAnswers--
@@ -195,9 +232,7 @@
 	}
 	e.ran = append(e.ran, c.RequestID)
 	run := len(e.ran)
-	if e.crashOn != "" && string(c.Body) == e.crashOn {
-		e.dead = true
-	}
+	e.crashIf(string(c.Body))
 	lose := e.loseAnswers > 0 || e.dead
 	if lose && !e.dead {
 		e.loseAnswers--
--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -77,6 +77,7 @@
 
 	health *serve.Health
 	queues *shares.Queues
+	guard  *guard
 	runner *completion.Runner
 
 	ownersMu sync.Mutex
@@ -138,10 +139,12 @@
 		Wanted:   h.reportSoon,
 		Refused:  h.metrics.refusal,
 	})
+	h.guard = newGuard(h)
 	h.runner = completion.NewRunner(completion.Config{
 		Engine: h.engine,
 		Queue:  h.queues,
 		Health: h.health,
+		Guard:  h.guard,
 		Keys:   keys{h},
 		Meter:  h.metrics,
 		Logger: h.logger,
@@ -169,7 +172,7 @@
 func (h *Host) loops() []func(context.Context) {
 	return []func(context.Context){
 		h.journal.Run, h.ledger.Run, h.runSession, h.runClaims, h.runMembers, h.runOwners,
-		h.runUsage, h.runPump, h.runUpkeep, h.deferred.run,
+		h.runUsage, h.runPump, h.runUpkeep, h.deferred.run, h.guard.runDecisions, h.guard.runTold,
 	}
 }
 
--- a/pkg/external/external.go
+++ b/pkg/external/external.go
@@ -19,6 +19,8 @@
 	ErrUnavailable = errors.New("no answer")
 	// ErrRejected means that the call certainly had no effect.
 	ErrRejected = errors.New("rejected")
+	// ErrRefused means that no process listens at the address; the call had no effect.
+	ErrRefused = errors.Wrap(ErrRejected, "connection refused")
 	// ErrInvalid means that a repeat of the same call would be rejected again.
 	ErrInvalid = errors.Wrap(ErrRejected, "invalid call")
 	// ErrNotLoaded means that the endpoint does not serve the model; nothing ran.
--- a/pkg/external/httpadapter/client.go
+++ b/pkg/external/httpadapter/client.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/external"
@@ -78,8 +79,11 @@
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	resp, err := c.http.Do(req)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, errors.Wrapf(external.ErrRefused, "%v", err)
+		}
 		if !connected.Load() {
-			return nil, errors.Mark(err, external.ErrRejected)
+			return nil, errors.Wrapf(external.ErrRejected, "%v", err)
 		}
 		return nil, errors.Wrapf(external.ErrUnavailable, "%v", err)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -42,6 +42,9 @@
 type Endpoints interface {
 	serve.Backend
 	orders.Orderer
+	// Ended tells whether an incarnation of an endpoint has ended. An error says that
+	// this is not known.
+	Ended(ctx context.Context, e fleet.Endpoint) (bool, error)
 	// Retain closes the connections to endpoints that are gone.
 	Retain(live map[fleet.EndpointID]bool)
 	// Opened is the number of connections made to the endpoints in use.
--- a/pkg/gateway/passing_test.go
+++ b/pkg/gateway/passing_test.go
@@ -43,7 +43,7 @@
 	g.crashesKept = newKeptCrashes()
 	g.guard = quarantine.NewGuard(quarantine.Config{
 		Announced: g.directory.Announced,
-		Crashed:   func() {},
+		Crashed:   func([]fleet.Crash) {},
 		Now:       g.Now,
 		Log:       g.log,
 	})
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -40,7 +40,7 @@
 	return quarantine.NewGuard(quarantine.Config{
 		Ended:     g.endpoints.Ended,
 		Announced: g.directory.Announced,
-		Crashed: func() {
+		Crashed: func([]fleet.Crash) {
 			g.metrics.count("endpoints_crashed", nil)
 			g.wantReport()
 		},
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -165,6 +165,18 @@
 	return m.status, true
 }
 
+// Incarnation returns which run of a plain service is at work under a name, empty for others.
+func (t *Tracker) Incarnation(name string) record.Incarnation {
+	m := t.members[name]
+	switch {
+	case m == nil || m.host.Service == "":
+		return ""
+	case m.status.Incarnation != "":
+		return m.status.Incarnation
+	}
+	return m.host.Incarnation
+}
+
 // Service returns the endpoints of a plain service that may get new work.
 func (t *Tracker) Service(name string) []external.ListedHost {
 	var hosts []external.ListedHost
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -16,8 +16,8 @@
 	Ended func(ctx context.Context, e fleet.Endpoint) (bool, error)
 	// Announced tells whether an endpoint has said that it leaves.
 	Announced func(id fleet.EndpointID) bool
-	// Crashed is called when crashes were found here that others have to hear of.
-	Crashed func()
+	// Crashed is told of crashes at one endpoint that were found here.
+	Crashed func([]fleet.Crash)
 	Now     func() time.Time
 	Log     *slog.Logger
 }
@@ -61,7 +61,7 @@
 func (g *Guard) found(crashes []fleet.Crash) {
 	crashes = slices.DeleteFunc(crashes, func(c fleet.Crash) bool { return g.Blocks.Served(c.Request) })
 	if g.Ledger.Add(g.cfg.Now(), crashes) {
-		g.cfg.Crashed()
+		g.cfg.Crashed(crashes)
 	}
 }
 
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -36,7 +36,7 @@
 			return l.ended, l.err
 		},
 		Announced: func(fleet.EndpointID) bool { return announced },
-		Crashed:   func() { told.Add(1) },
+		Crashed:   func([]fleet.Crash) { told.Add(1) },
 		Now:       time.Now,
 		Log:       slog.New(slog.DiscardHandler),
 	})
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -53,6 +53,7 @@
 	Snapshot *Snapshot    `cbor:"13,keyasint,omitempty"`
 	Defer    *Deferred    `cbor:"14,keyasint,omitempty"`
 	Finish   *DeferFinish `cbor:"15,keyasint,omitempty"`
+	Crashed  *Crashed     `cbor:"16,keyasint,omitempty"`
 }
 
 // Contract publishes a customer's contract. It takes effect when Base is the
@@ -238,6 +239,21 @@
 	Body   []byte `cbor:"3,keyasint"`
 }
 
+// Crashed states that an endpoint has ended while requests ran there. Hosts that saw the same
+// end each tell what ran there on their account.
+type Crashed struct {
+	// Endpoint is the ID of a replica, or of an incarnation of a plain service.
+	Endpoint string           `cbor:"1,keyasint"`
+	Requests []CrashedRequest `cbor:"2,keyasint"`
+	At       time.Time        `cbor:"3,keyasint"`
+}
+
+// CrashedRequest names a request by digests of what it asks for and of who asks.
+type CrashedRequest struct {
+	Content uint64 `cbor:"1,keyasint"`
+	Caller  uint64 `cbor:"2,keyasint"`
+}
+
 // Snapshot is one chunk of the folded state after offset AsOf. Chunks with the
 // same AsOf and Digest are interchangeable, whoever wrote them.
 type Snapshot struct {
--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -124,9 +124,6 @@
 	return w.told, nil
 }
 
-// Ended implements serve.Backend.
-func (w *world) Ended(context.Context, fleet.Endpoint) (bool, error) { return false, nil }
-
 // body is an event stream from the event after the last one on, or plain text.
 func body(r *serve.Request, s serve.Send, act script) io.Reader {
 	if r.Route.Kind != fleet.Stream {
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -127,9 +127,6 @@
 	Send(ctx context.Context, r *Request, s Send) (*Answer, error)
 	// Run asks an endpoint what has become of a request that was sent to it.
 	Run(ctx context.Context, r *Request, e fleet.Endpoint) (Run, error)
-	// Ended tells whether an incarnation of an endpoint has ended. An error says that
-	// this is not known.
-	Ended(ctx context.Context, e fleet.Endpoint) (bool, error)
 }
 
 // Run is what an endpoint says of a request, as of a few hundred milliseconds ago.
--- a/pkg/state/pools.go
+++ b/pkg/state/pools.go
@@ -193,6 +193,20 @@
 	return targets
 }
 
+// EndpointOf returns the endpoint of a replica.
+func (ps *Pools) EndpointOf(id record.ReplicaID) (string, bool) {
+	for _, name := range ps.Names() {
+		p := ps.find(name)
+		p.mu.RLock()
+		r, ok := p.Replicas[id]
+		p.mu.RUnlock()
+		if ok {
+			return r.Endpoint, true
+		}
+	}
+	return "", false
+}
+
 // Loading tells whether a load of a model was decided and not yet confirmed.
 func (ps *Pools) Loading(pool, model string) bool {
 	p := ps.find(pool)
--- a/pkg/state/snapshot.go
+++ b/pkg/state/snapshot.go
@@ -32,6 +32,7 @@
 	Pools     []Pool
 	Keys      []keyPair
 	Deferred  []DeferredRequest
+	Crashes   []EndpointCrash
 }
 
 type contractImage struct {
@@ -49,6 +50,7 @@
 		Sessions: s.Hosts.Sessions(),
 		Keys:     s.Keys.sorted(),
 		Deferred: s.Deferred.sorted(),
+		Crashes:  s.Crashes.After(0),
 	}
 	for _, customer := range s.Contracts.Customers() {
 		e, _ := s.Contracts.Get(customer)
@@ -112,6 +114,7 @@
 	for _, r := range img.Deferred {
 		s.Deferred.requests[r.ID] = r
 	}
+	s.Crashes.list = img.Crashes
 	return s, nil
 }
 
@@ -168,6 +171,9 @@
 	s.Deferred.mu.Lock()
 	s.Deferred.requests = from.Deferred.requests
 	s.Deferred.mu.Unlock()
+	s.Crashes.mu.Lock()
+	s.Crashes.list = from.Crashes.list
+	s.Crashes.mu.Unlock()
 	s.applied.Store(uint64(from.Applied()))
 	return nil
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -53,6 +53,7 @@
 	Pools     *Pools
 	Keys      *Keys
 	Deferred  *DeferredRequests
+	Crashes   *Crashes
 	Snapshots *Snapshots
 }
 
@@ -64,6 +65,7 @@
 		Pools:     newPools(),
 		Keys:      newKeys(),
 		Deferred:  newDeferredRequests(),
+		Crashes:   newCrashes(),
 		Snapshots: newSnapshots(),
 	}
 }
@@ -121,6 +123,8 @@
 		out.Void = s.Deferred.accept(*r.Defer, s.Keys.Horizon())
 	case r.Finish != nil:
 		out.Void = s.Deferred.finish(*r.Finish)
+	case r.Crashed != nil:
+		s.Crashes.add(off, *r.Crashed)
 	}
 	return out
 }
