An end just after the last look at an endpoint is seen; announced ends blame nobody

Cause: a run that broke off while its endpoint was looked at for another's began no look of its own, and the one under way could be just over. Late breaks at an endpoint that had announced its end were told as crashes. Found by reading; the test failed before. Change: a further break renews the suspicion.

--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -18,8 +18,8 @@
 	// checkLives is how many looks that find an endpoint alive end the search: answers that
 	// break off at live endpoints are the usual case, and each look is a call.
 	checkLives = 3
-	// checkTime bounds the looks at one endpoint: it may take a moment until its
-	// process has ended, and packets may be lost. Crashed ones come back after some seconds.
+	// checkTime bounds a look, and the looks after one suspicion: it may take a moment until
+	// the process has ended, and packets may be lost. Crashed ones come back after some seconds.
 	checkTime = 1500 * time.Millisecond
 )
 
@@ -39,71 +39,118 @@
 	Runs  *Runs
 
 	mu      sync.Mutex
-	looking map[fleet.EndpointID]bool
+	looking map[fleet.EndpointID]*suspicion
+}
+
+// suspicion is that an endpoint has ended.
+type suspicion struct {
+	// at is when the first run broke off since the endpoint last showed that it lives.
+	at time.Time
+	// lives counts the looks since a run broke off that found it alive.
+	lives int
 }
 
 // Broke takes in that a run broke off. A suspected end of its endpoint is looked into.
 func (c *Checker) Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool) {
 	now := c.Now()
 	if late := c.Runs.Broke(now, e.ID, f); len(late) > 0 {
-		c.Found(late)
+		c.found(e.ID, late)
 		return
 	}
-	if suspected && c.begin(e.ID) {
-		go c.look(e, now)
+	if suspected && c.suspect(now, e.ID) {
+		go c.look(e)
 	}
 }
 
-func (c *Checker) begin(id fleet.EndpointID) bool {
+// suspect notes a suspicion and tells whether it is the first one of its endpoint. Another run
+// that breaks off renews it: the endpoint may have ended just after the last look at it.
+func (c *Checker) suspect(now time.Time, id fleet.EndpointID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.looking[id] {
+	if s := c.looking[id]; s != nil {
+		if s.lives > 0 {
+			*s = suspicion{at: now}
+		}
 		return false
 	}
 	if c.looking == nil {
-		c.looking = map[fleet.EndpointID]bool{}
+		c.looking = map[fleet.EndpointID]*suspicion{}
 	}
-	c.looking[id] = true
+	c.looking[id] = &suspicion{at: now}
 	return true
 }
 
-func (c *Checker) done(id fleet.EndpointID) {
+// since is when a suspected endpoint may have ended.
+func (c *Checker) since(id fleet.EndpointID) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.looking[id].at
+}
+
+// alive notes that an endpoint was found alive, and tells whether that ends the suspicion.
+func (c *Checker) alive(id fleet.EndpointID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.looking[id]
+	s.lives++
+	if s.lives < checkLives {
+		return false
+	}
 	delete(c.looking, id)
+	return true
 }
 
-// look looks at an endpoint at which a run broke off at a time.
-func (c *Checker) look(e fleet.Endpoint, at time.Time) {
-	defer c.done(e.ID)
-	ctx, cancel := context.WithTimeout(context.Background(), checkTime)
-	defer cancel()
-	for hits, lives := 0, 0; ctx.Err() == nil && lives < checkLives; wait.For(ctx, checkPause) {
-		ended, err := c.Ended(ctx, e)
+// over ends a suspicion.
+func (c *Checker) over(id fleet.EndpointID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.looking, id)
+}
+
+// look looks at a suspected endpoint until it is clear what has become of it.
+func (c *Checker) look(e fleet.Endpoint) {
+	ctx := context.Background()
+	for hits := 0; c.Now().Sub(c.since(e.ID)) < checkTime; wait.For(ctx, checkPause) {
+		ended, err := c.askOnce(ctx, e)
 		switch {
 		case err != nil:
-			continue
+			continue // Nothing is known; the next look may tell more.
 		case !ended:
 			hits = 0
-			lives++ // It may still be about to end.
+			if c.alive(e.ID) {
+				return
+			}
 			continue
 		}
 		if hits++; hits == checkHits {
-			c.ended(e, at)
-			return
+			c.ended(e, c.since(e.ID))
+			break
 		}
 	}
+	c.over(e.ID)
 }
 
+// askOnce looks at an endpoint once.
+func (c *Checker) askOnce(ctx context.Context, e fleet.Endpoint) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, checkTime)
+	defer cancel()
+	return c.Ended(ctx, e)
+}
+
+// ended takes in that an endpoint has ended at a time.
 func (c *Checker) ended(e fleet.Endpoint, at time.Time) {
-	announced := c.Announced(e.ID)
 	crashes := c.Runs.Ended(c.Now(), at, e.ID)
 	contents := make([]string, len(crashes))
 	for i, x := range crashes {
 		contents[i] = fleet.Hex(x.Request.Content)
 	}
-	c.Log.Info("endpoint has ended under requests", "endpoint", e.ID, "announced", announced, "contents", contents)
-	if !announced && len(crashes) > 0 {
+	c.Log.Info("endpoint has ended under requests", "endpoint", e.ID, "announced", c.Announced(e.ID), "contents", contents)
+	c.found(e.ID, crashes)
+}
+
+// found passes crashes on, unless the endpoint had announced its end.
+func (c *Checker) found(id fleet.EndpointID, crashes []fleet.Crash) {
+	if len(crashes) > 0 && !c.Announced(id) {
 		c.Found(crashes)
 	}
 }
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -77,6 +77,31 @@
 	}
 }
 
+// An answer is lost at a live endpoint, which is looked at a few times. Another request ends
+// it just after the last look; the end was missed, and with it one of the three that count.
+func TestEndJustAfterALookIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var ended atomic.Bool
+		g := quarantine.NewGuard(quarantine.Config{
+			Ended:     func(context.Context, fleet.Endpoint) (bool, error) { return ended.Load(), nil },
+			Announced: func(fleet.EndpointID) bool { return false },
+			Crashed:   func([]fleet.Crash) {},
+			Now:       time.Now,
+			Log:       slog.New(slog.DiscardHandler),
+		})
+		e := fleet.Endpoint{ID: "e"}
+		g.Broke(e, by(client, innocent)[0], true)
+		time.Sleep(350 * time.Millisecond)
+		ended.Store(true)
+		g.Broke(e, by(client, harmful)[0], true)
+		time.Sleep(time.Second)
+		crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
+		is.Equal(len(crashes), 1)
+		is.Equal(crashes[0].Request.Content, harmful)
+	})
+}
+
 // An endpoint ends under a batch. Some connections break a little later than the first one,
 // and a client may have left just before; each of these requests may be to blame. One whose
 // answer broke off long before is not.
