A block names the caller whose request does the harm; what was served is told by relays too

Cause: one run of another caller's same content beside the harmful one blocked it for all callers. Change: callers under which three endpoints have ended are blocked, all callers only where ends show without them. Relays and the controller drop crashes of requests that they have served.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -114,7 +114,7 @@
 
 // takeCrashes takes in what the question of another host tells of crashes and blocks.
 func (g *Gateway) takeCrashes(now time.Time, p fleet.Pull) {
-	if g.guard.Ledger.Add(now, p.Crashes) && g.election.Held() == 0 {
+	if g.guard.Told(now, p.Crashes) && g.election.Held() == 0 {
 		g.wantReport()
 	}
 	g.takeBlocks(now, p.Blocks)
@@ -238,7 +238,7 @@
 	for i := range r.Crashes {
 		r.Crashes[i].Ago += max(0, age)
 	}
-	if g.guard.Ledger.Add(now, r.Crashes) {
+	if g.guard.Told(now, r.Crashes) {
 		g.wantReport()
 	}
 	g.takeBlocks(now, r.Blocks)
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -56,15 +56,20 @@
 // Blocked implements serve.Guard.
 func (g *Guard) Blocked(f fleet.Fingerprint) bool { return g.Blocks.Blocked(f) }
 
-// found takes in crashes that this host has seen itself. A request that was served before
-// is not to blame: it ran where another did the harm.
+// found takes in crashes that this host has seen itself.
 func (g *Guard) found(crashes []fleet.Crash) {
-	crashes = slices.DeleteFunc(crashes, func(c fleet.Crash) bool { return g.Blocks.Served(c.Request) })
-	if g.Ledger.Add(g.cfg.Now(), crashes) {
+	if g.Told(g.cfg.Now(), crashes) {
 		g.cfg.Crashed(crashes)
 	}
 }
 
+// Told takes in crashes that any host has seen, and tells whether any is new. A request that
+// was served here is not to blame: it ran where another did the harm.
+func (g *Guard) Told(now time.Time, crashes []fleet.Crash) bool {
+	harmful := slices.DeleteFunc(slices.Clone(crashes), func(c fleet.Crash) bool { return g.Blocks.Served(c.Request) })
+	return g.Ledger.Add(now, harmful)
+}
+
 // Decide blocks the requests that are to blame for the ends of endpoints, and tells whether
 // there are any new ones.
 func (g *Guard) Decide(now time.Time) bool {
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -171,11 +171,8 @@
 	counts := counts(ends)
 	var out []Verdict
 	for content, n := range counts {
-		if n < limit {
-			continue
-		}
-		if v, ok := judge(now, content, ends, counts); ok {
-			out = append(out, v)
+		if n >= limit {
+			out = append(out, judge(now, content, ends, counts)...)
 		}
 	}
 	return out
@@ -229,28 +226,51 @@
 	return out
 }
 
-// judge tells whether a content is to blame for enough ends that all hosts have told.
-func judge(now time.Time, content uint64, ends []*end, counts map[uint64]int) (Verdict, bool) {
+// judge returns whose requests of a content to block, if it is to blame for enough ends that
+// all hosts have told.
+func judge(now time.Time, content uint64, ends []*end, counts map[uint64]int) []Verdict {
 	told := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return now.Sub(e.heard) < gatherTime })
 	mine := blamed(content, told, counts)
 	if tied(content, mine, counts) {
 		mine = slices.DeleteFunc(mine, func(e *end) bool { return now.Sub(e.heard) < tieTime })
 	}
 	if len(mine) < limit {
-		return Verdict{}, false
+		return nil
 	}
-	v := Verdict{Request: fleet.BlockedRequest{Content: content}}
-	callers := map[uint64]bool{}
+	var ids []fleet.EndpointID
 	for _, e := range mine {
-		v.Endpoints = append(v.Endpoints, e.id)
-		maps.Copy(callers, e.ran[content])
+		ids = append(ids, e.id)
+	}
+	var out []Verdict
+	for _, caller := range callersToBlame(content, mine) {
+		r := fleet.BlockedRequest{Content: content, Caller: caller}
+		out = append(out, Verdict{Request: r, Endpoints: ids})
+	}
+	return out
+}
+
+// callersToBlame returns whose requests of a content to block: those under which enough
+// endpoints have ended, if they explain all ends. Another's request that ran beside one of
+// these may be served. A client that comes by several addresses shows by ends at which none
+// of them ran; then it is the content that does the harm, whoever sends it.
+func callersToBlame(content uint64, ends []*end) []uint64 {
+	count := map[uint64]int{}
+	for _, e := range ends {
+		for caller := range e.ran[content] {
+			count[caller]++
+		}
 	}
-	if len(callers) == 1 {
-		// Others may send the same content and be served; one that crashes endpoints as
-		// well shows by its own ends.
-		v.Request.Caller = slices.Collect(maps.Keys(callers))[0]
+	maps.DeleteFunc(count, func(_ uint64, n int) bool { return n < limit })
+	for _, e := range ends {
+		explained := false
+		for caller := range e.ran[content] {
+			explained = explained || count[caller] > 0
+		}
+		if !explained {
+			return []uint64{fleet.AnyCaller}
+		}
 	}
-	return v, true
+	return slices.Collect(maps.Keys(count))
 }
 
 // blamed returns the ends that a content is to blame for. Of some that came together with
