--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -63,4 +63,4 @@
 func (g *Gateway) Silence() time.Duration { return g.news.silence(g.Now()) }
 
 // Blocks is the number of requests that this host keeps from endpoints.
-func (g *Gateway) Blocks() int { return len(g.guard.Blocks.All()) }
+func (g *Gateway) Blocks() int { return g.guard.Blocks.Count() }
--- a/pkg/quarantine/blocks.go
+++ b/pkg/quarantine/blocks.go
@@ -99,6 +99,13 @@
 	return out
 }
 
+// Count returns how many requests are blocked.
+func (b *Blocks) Count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.since)
+}
+
 // Has tells whether a block holds.
 func (b *Blocks) Has(r fleet.BlockedRequest) bool {
 	b.mu.Lock()
