The end of an endpoint shows when nobody listens there any more

Cause: a client that leaves just before its request ends the endpoint left no broken answer, and its host never looked. Found by reading; TestEndAfterTheClientHasLeft did not compile before (there was no such word). Change: a refused connection to an endpoint at which a run broke off within a second begins a look; what broke off well before an endpoint was found alive is forgotten.

--- a/pkg/completion/backend.go
+++ b/pkg/completion/backend.go
@@ -72,6 +72,8 @@
 	switch {
 	case errors.Is(err, external.ErrNotLoaded):
 		return &serve.Answer{Verdict: serve.NotHeld, Body: http.NoBody}, nil
+	case errors.Is(err, external.ErrRefused):
+		return nil, errors.Mark(errors.Mark(err, serve.ErrNotSent), serve.ErrUnreachable)
 	case errors.Is(err, external.ErrRejected):
 		return nil, errors.Mark(err, serve.ErrNotSent)
 	default:
--- a/pkg/entryhost/guard.go
+++ b/pkg/entryhost/guard.go
@@ -52,6 +52,12 @@
 	g.Guard.Broke(e, f, suspected)
 }
 
+// Refused implements serve.Guard.
+func (g *guard) Refused(e fleet.Endpoint) {
+	e.ID = g.host.incarnationOf(e.ID)
+	g.Guard.Refused(e)
+}
+
 func (g *guard) tell(crashes []fleet.Crash) {
 	select {
 	case g.found <- crashes:
--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// Refused takes in that nobody listens at an endpoint.
+func (c *Checker) Refused(e fleet.Endpoint) {
+	now := c.Now()
+	if c.Runs.Any(now, e.ID) && c.suspect(now, e.ID) {
+		go c.look(e)
+	}
+}
+
 // suspect notes a suspicion and tells whether it is the first one of its endpoint. Another run
 // that breaks off renews it: the endpoint may have ended just after the last look at it.
 func (c *Checker) suspect(now time.Time, id fleet.EndpointID) bool {
@@ -117,6 +125,7 @@
 			continue // Nothing is known; the next look may tell more.
 		case !ended:
 			hits = 0
+			c.Runs.Lives(c.Now(), e.ID)
 			if c.alive(e.ID) {
 				return
 			}
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -50,6 +50,9 @@
 	g.checker.Broke(e, f, suspected)
 }
 
+// Refused implements serve.Guard.
+func (g *Guard) Refused(e fleet.Endpoint) { g.checker.Refused(e) }
+
 // Served implements serve.Guard.
 func (g *Guard) Served(f fleet.Fingerprint) { g.Blocks.Serve(f) }
 
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -133,6 +133,30 @@
 	})
 }
 
+// The client of a harmful request leaves just before the request ends its endpoint. Nothing
+// else of this host runs there, so that no answer breaks off. The next request finds that
+// nobody listens; without it the end was seen by other hosts only, which had sent others.
+func TestEndAfterTheClientHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, told := watched(false, look{ended: true})
+		e := fleet.Endpoint{ID: "e"}
+		g.Refused(e) // nothing has run there
+		time.Sleep(time.Second)
+		is.Equal(told.Load(), int32(0))
+		g.Broke(e, by(client, harmful)[0], false)
+		time.Sleep(700 * time.Millisecond)
+		g.Refused(e)
+		time.Sleep(time.Second)
+		is.Equal(told.Load(), int32(1))
+		g.Broke(fleet.Endpoint{ID: "e2"}, by(client, harmful)[0], false)
+		time.Sleep(5 * time.Second)
+		g.Refused(fleet.Endpoint{ID: "e2"}) // its end is another's
+		time.Sleep(time.Second)
+		is.Equal(told.Load(), int32(1))
+	})
+}
+
 // Many clients send the same popular request, and it runs at each endpoint that a harmful
 // one ends. It is served elsewhere all the time, so that it cannot be to blame, whatever
 // another host has decided.
--- a/pkg/quarantine/runs.go
+++ b/pkg/quarantine/runs.go
@@ -9,15 +9,22 @@
 package quarantine
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
-// brokenFor is how long before the end of an endpoint shows a run may have broken off there
-// because of it: connections break together, and a client may have left just before.
-const brokenFor = 300 * time.Millisecond
+const (
+	// brokenFor is how long before the end of an endpoint shows a run may have broken off
+	// there because of it: its client may have left just before the end, and the end
+	// shows when the next request finds that nobody listens.
+	brokenFor = time.Second
+	// livedFor is how long before an endpoint was found alive a run must have broken off to
+	// have done no harm: a process takes a moment to end.
+	livedFor = 200 * time.Millisecond
+)
 
 // endedFor is how long runs may break off after the end of their endpoint has shown.
 const endedFor = 10 * time.Second
@@ -77,6 +84,25 @@
 	return out
 }
 
+// Lives takes in that an endpoint was found alive: what broke off there before did no harm.
+func (r *Runs) Lives(now time.Time, id fleet.EndpointID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.endpoints[id]
+	if b == nil {
+		return
+	}
+	maps.DeleteFunc(b.broken, func(_ fleet.Fingerprint, broke time.Time) bool { return now.Sub(broke) > livedFor })
+}
+
+// Any tells whether a run broke off at an endpoint so lately that it may have ended it.
+func (r *Runs) Any(now time.Time, id fleet.EndpointID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.endpoints[id]
+	return b != nil && b.ended.IsZero() && now.Sub(b.last) <= brokenFor
+}
+
 // Prune forgets endpoints at which nothing has broken off lately.
 func (r *Runs) Prune(now time.Time) {
 	r.mu.Lock()
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -14,6 +14,8 @@
 	// Broke notes that a run at an endpoint broke off. The end of the endpoint is
 	// suspected where nothing else explains it.
 	Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool)
+	// Refused notes that no connection could be made to an endpoint.
+	Refused(e fleet.Endpoint)
 	// Served notes that an endpoint has answered a request to the end.
 	Served(f fleet.Fingerprint)
 }
@@ -41,6 +43,13 @@
 	}
 }
 
+// refused tells the guard that no connection could be made.
+func (x *exchange) refused(e fleet.Endpoint) {
+	if x.server.Guard != nil {
+		x.server.Guard.Refused(e)
+	}
+}
+
 // served tells the guard of a run with a complete answer.
 func (x *exchange) served() {
 	if x.guarded() {
--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -34,6 +34,8 @@
 	g.blocks = g.blocks || g.onBreak
 }
 
+func (g *watchful) Refused(fleet.Endpoint) {}
+
 func (g *watchful) Served(fleet.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -288,7 +288,11 @@
 		span.RecordError(err)
 		x.result.Note = err.Error()
 		s.Health.Suspect(s.Now(), e.ID)
-		s.Queue.Release(x.request, e.ID, Use{Failed: true, Unreachable: errors.Is(err, ErrUnreachable)})
+		unreachable := errors.Is(err, ErrUnreachable)
+		if unreachable {
+			x.refused(e)
+		}
+		s.Queue.Release(x.request, e.ID, Use{Failed: true, Unreachable: unreachable})
 		return notRun
 	}
 	x.result.Sent++
