--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -70,6 +70,8 @@
 	fault Fault
 	// silences counts how often the listener fell silent.
 	silences int
+	// calls counts the calls, by topic.
+	calls map[string]int
 }
 
 // Listen opens a listener on a free port of the loopback address.
@@ -78,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Door{Addr: l.Addr().String()}
+	d := &Door{Addr: l.Addr().String(), calls: map[string]int{}}
 	d.server = &http.Server{Handler: d.guard(s.handler()), ReadHeaderTimeout: time.Second}
 	go func() { _ = d.server.Serve(l) }() // It ends with Close.
 	return d, nil
@@ -101,11 +103,25 @@
 	return d.fault, d.silences
 }
 
+// Calls returns how many calls came, by topic.
+func (d *Door) Calls() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.calls)
+}
+
+func (d *Door) count(topic string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls[topic]++
+}
+
 // Close ends the listener and its connections.
 func (d *Door) Close() { _ = d.server.Close() }
 
 func (d *Door) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.count(r.URL.Query().Get("topic"))
 		fault, before := d.state()
 		if fault == ReadOnly && r.Method == http.MethodPost {
 			fault = Busy
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -43,6 +43,9 @@
 	// endpoints cannot be read. Wake ends the pause early.
 	Pause func() time.Duration
 	Wake  <-chan struct{}
+	// WakePause is the least pause before Wake ends it: many things may wake a host that
+	// has just read.
+	WakePause time.Duration
 	// FailedPause is the least pause after a read that failed; nil is none.
 	FailedPause func() time.Duration
 	// Told tells whether another host passes on what the topic brings, so that it need
@@ -168,6 +171,7 @@
 		return
 	}
 	start := time.Now()
+	wait.For(ctx, f.WakePause)
 	spread := wait.Jitter(time.Second).Seconds() // One factor for the whole rest.
 	for {
 		left := time.Duration(spread*float64(f.Pause())) - time.Since(start)
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -49,6 +49,16 @@
 	// host: each of many that start in turn woke all others.
 	gatherTime = 300 * time.Millisecond
 	gatherHost = 3 * time.Millisecond
+	// listWakeParts is the part, as a divisor, of the time in which a leaving endpoint must have
+	// been noticed that separates two reads of the list which were asked for by what another
+	// host has told: at a start each of its answers asked for one, five reads in a quarter
+	// of a second.
+	listWakeParts = 4
+	// startGrace is for how long a host that has just started rests its reads, since others
+	// will tell it: a relay has read the entries of hosts and the claim by then.
+	startGrace = 1500 * time.Millisecond
+	// startLook is how often a host that rests its first reads looks whether others tell it.
+	startLook = 50 * time.Millisecond
 	// storeRetry is the pause after a write that failed.
 	storeRetry = 250 * time.Millisecond
 )
@@ -61,7 +71,7 @@
 		Log:    g.log,
 		Topic:  t,
 		Wait:   longPoll,
-		Told:   g.isTold,
+		Told:   func() bool { return g.isTold() || g.expectsNews() },
 		Reset:  reset,
 		Apply:  apply,
 		Result: func(err error) { g.noteStore(t, err) },
@@ -126,6 +136,7 @@
 	f.Pause = g.listPause
 	f.FailedPause = g.leafListPause
 	f.Wake = g.listNow
+	f.WakePause = g.settings.Timing.Drain / listWakeParts
 	f.Failed = g.askPeer
 	f.Run(ctx)
 }
@@ -168,6 +179,15 @@
 	return !g.mesh.relaying() && (g.news.recent(now) || g.mesh.claimedLately(now))
 }
 
+// expectsNews tells whether this host has just started and others will tell it what the
+// store holds. As long as it does not know the others it cannot know that.
+func (g *Gateway) expectsNews() bool {
+	if g.Now().Sub(g.started) > startGrace {
+		return false
+	}
+	return !g.reads.Loaded(fleet.TopicHosts) || !g.mesh.relaying()
+}
+
 // listConfirmed tells whether the controller passes on what changes in the list.
 func (g *Gateway) listConfirmed() bool {
 	return g.mesh.confirmedAge(g.Now()) < min(confirmedFor, g.settings.Timing.Drain/confirmedParts)
@@ -280,9 +300,12 @@
 	}
 	f := g.follower(fleet.TopicHosts, take, take)
 	f.Gather = g.gatherHosts
+	// Of hosts that start together, one that read at once would find few of the others, and
+	// read again.
+	wait.For(ctx, gatherTime)
 	// A host that has just started has to know its relay's new key before it can be told
 	// anything: it does not rest on the word of a controller that it cannot hear yet.
-	f.Told = func() bool { return !g.mesh.relaying() && g.news.recent(g.Now()) }
+	f.Told = func() bool { return !g.mesh.relaying() && g.news.recent(g.Now()) || g.expectsNews() }
 	f.Run(ctx)
 }
 
@@ -315,7 +338,19 @@
 	g.election.Restarted(e.Key, h.Incarnation)
 }
 
+// restAtStart rests as long as others tell this host what it needs, or will soon, before it
+// reads a topic for the first time: a minute at most, as between two reads.
+func (g *Gateway) restAtStart(ctx context.Context) {
+	for g.Now().Sub(g.started) < toldListPoll && (g.isTold() || g.expectsNews()) {
+		if !wait.For(ctx, startLook) {
+			return
+		}
+	}
+}
+
 func (g *Gateway) followClaims(ctx context.Context) {
+	// A host that others ask is among the first to claim; the rest learns from it who has.
+	g.restAtStart(ctx)
 	take := func(b fleet.Batch) {
 		for _, e := range b.Entries {
 			g.takeClaim(e)
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -92,9 +92,10 @@
 func (g *Gateway) Addr() string { return g.callers.Addr().String() }
 
 // Ready tells whether the balancer should send clients here. A host whose entry
-// is not in the store is not told of anything by other hosts.
+// is not in the store is not told of anything by other hosts, and one that has not read
+// theirs cannot ask them.
 func (g *Gateway) Ready() bool {
-	return g.serving.Load() && g.announced.Load() && !g.leaving.Load()
+	return g.serving.Load() && g.announced.Load() && g.reads.Loaded(fleet.TopicHosts) && !g.leaving.Load()
 }
 
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/record"
@@ -31,8 +30,6 @@
 	cutOffFor = 2 * time.Second
 	// maxKept bounds the records that a host writes at a time: calls to the store are few.
 	maxKept = 4
-	// newsWait is for how long a starting host waits to be told before it reads the store.
-	newsWait = time.Second
 )
 
 // newGuard returns what keeps requests that crash endpoints from them.
@@ -206,10 +203,7 @@
 // followCrashes reads what the store keeps of crashes: at relays, and at hosts that are
 // told nothing by others.
 func (g *Gateway) followCrashes(ctx context.Context) {
-	wait.For(ctx, newsWait)
-	for g.isTold() && ctx.Err() == nil {
-		wait.For(ctx, keepPeriod)
-	}
+	g.restAtStart(ctx)
 	g.follower(fleet.TopicCrashes, g.takeCrashRecords, g.takeCrashRecords).Run(ctx)
 }
 
--- a/pkg/relay/tree.go
+++ b/pkg/relay/tree.go
@@ -47,9 +47,10 @@
 
 // Upstreams returns the hosts that a host asks, best first; the controller is the last.
 // Each host finds them by itself from the list of hosts: one that is asked stands
-// before the asker in the order of their zone, so that no two ask each other.
+// before the asker in the order of their zone, so that no two ask each other. Without a
+// controller relays are asked also where hosts are few: they know first who it is.
 func Upstreams(self Member, controller Member, hosts []Member) []Member {
-	if len(hosts) <= Children(controller.Cores) {
+	if controller.Name != "" && len(hosts) <= Children(controller.Cores) {
 		return []Member{controller}
 	}
 	zone := inOrder(self.Zone, controller.Name, hosts)
