A blocked request does not count as demand for its model

Cause: it was counted as an arrival before it was refused, so that its repeats kept replicas of their model. Change: it is looked at before it enters the queue; TestBlockedRequestReachesNoEndpoint asks for the demand, which it left before.

--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -96,6 +96,7 @@
 				is.Equal(result.Refusal.Cause, serve.CauseCrashes)
 				is.Equal(out.promises(), c.promise)
 				is.Equal(len(w.sends), c.sends)
+				is.Equal(len(dispatcher(s).Demand()) > 0, !c.blocked) // it asks for its model
 			})
 		})
 	}
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -97,9 +97,12 @@
 		lastEvent: r.LastEvent,
 		result:    Result{Request: r},
 	}
-	s.Queue.Arrive(r)
 	defer x.dropKept()
-	x.run(ctx)
+	// A blocked request asks for no place, and its model is not loaded for it.
+	if !x.blocked(ctx) {
+		s.Queue.Arrive(r)
+		x.run(ctx)
+	}
 	x.result.Total = s.Now().Sub(r.Arrived)
 	return x.result
 }
