Records of crashes end in the store after an hour; what the store keeps in a file of its own

Cause: a record was found old only where it was read, at a start; a controller that runs on removed none.

--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -165,3 +165,17 @@
 	is.Equal(len(g.recordsToKeep(later, false)), 0) // the controller writes it
 	is.Equal(len(g.recordsToKeep(later, true)), 1)  // it has not
 }
+
+// A controller runs for weeks. Records of requests that ended endpoints an hour ago stood in the
+// store for ever, and each host read all of them at its start.
+func TestOldRecordsAreRemoved(t *testing.T) {
+	is := is.New(t)
+	k := newKeptCrashes()
+	now := time.Unix(10_000, 0)
+	k.set(1, crashRecord{Written: now.Add(-recordLife - time.Second).UnixMilli()})
+	k.set(2, crashRecord{Written: now.UnixMilli()})
+	k.prune(now)
+	is.Equal(k.takeStale(), []string{"1"})
+	is.Equal(len(k.takeStale()), 0)
+	is.Equal(len(k.byContent), 1)
+}
