Reads of the list keep their own pace; several harmful requests at once are told apart

Cause: the least pause of a woken reader held for its usual pause too, so that the controller read the list every 0.5 s in place of 0.35 s. Ends by two harmful requests 80 ms apart were taken for one group, in which none ran at all ends. Change: the least pause only keeps from waking; a group is what comes within 60 ms of its first end.

--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -171,11 +171,16 @@
 		return
 	}
 	start := time.Now()
-	wait.For(ctx, f.WakePause)
 	spread := wait.Jitter(time.Second).Seconds() // One factor for the whole rest.
 	for {
-		left := time.Duration(spread*float64(f.Pause())) - time.Since(start)
-		if left <= 0 || !wait.Or(ctx, min(left, recheck), f.Wake) {
+		rested := time.Since(start)
+		left := time.Duration(spread*float64(f.Pause())) - rested
+		wake := f.Wake
+		if rested < f.WakePause {
+			wake = nil
+			left = min(left, f.WakePause-rested)
+		}
+		if left <= 0 || !wait.Or(ctx, min(left, recheck), wake) {
 			return
 		}
 	}
--- /dev/null
+++ b/pkg/follow/rest_test.go
@@ -0,0 +1,74 @@
+package follow_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/follow"
+)
+
+// countingStore counts reads.
+type countingStore struct{ reads int }
+
+// Newest implements fleet.Store.
+func (s *countingStore) Newest(context.Context, fleet.Topic) (fleet.Batch, error) {
+	s.reads++
+	return fleet.Batch{}, nil
+}
+
+// Read implements fleet.Store.
+func (s *countingStore) Read(context.Context, fleet.Topic, int64, time.Duration) (fleet.Batch, error) {
+	s.reads++
+	return fleet.Batch{}, nil
+}
+
+// Put implements fleet.Store.
+func (s *countingStore) Put(context.Context, fleet.Topic, string, []byte, int64) (int64, error) {
+	return 0, nil
+}
+
+// Another host tells of changes again and again, and each wakes the reader of the list. Woken
+// at once each time it reads twenty times a second; kept from waking for longer than its
+// pause it reads less often than it has to, and a controller decides by an old list.
+func TestWakingReadsKeepApart(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pause time.Duration
+		want  int
+	}{
+		{"a long pause is cut short, not below the least", time.Minute, 4},
+		{"a pause shorter than the least holds", 100 * time.Millisecond, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &countingStore{}
+				wake := make(chan struct{}, 1)
+				f := follow.Follower{
+					Store: store, State: follow.NewState(), Log: slog.New(slog.DiscardHandler), Topic: fleet.TopicEndpoints,
+					Pause: func() time.Duration { return c.pause }, Wake: wake, WakePause: 500 * time.Millisecond,
+					Reset: func(fleet.Batch) {}, Apply: func(fleet.Batch) {}, Result: func(error) {},
+				}
+				ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+				defer stop()
+				go func() {
+					for ctx.Err() == nil {
+						select {
+						case wake <- struct{}{}:
+						default:
+						}
+						time.Sleep(50 * time.Millisecond)
+					}
+				}()
+				f.Run(ctx)
+				time.Sleep(100 * time.Millisecond) // the waker ends
+				is.True(store.reads >= c.want*3/4 && store.reads <= c.want*4/3)
+			})
+		})
+	}
+}
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -22,9 +22,9 @@
 	// blame ends a further endpoint meanwhile, or all are blocked. It leaves two of the three
 	// seconds in which all hosts have to know for the way to them.
 	tieTime = 900 * time.Millisecond
-	// togetherTime is within what time endpoints end together, as when a rack loses power;
-	// a request ends one at a time.
-	togetherTime = 100 * time.Millisecond
+	// togetherTime is within what time endpoints end together, as when a rack loses power; a
+	// request ends one at a time. Hosts see and tell ends some tens of milliseconds apart.
+	togetherTime = 60 * time.Millisecond
 	// lookPause separates two looks for requests to blame: one takes up to a millisecond.
 	lookPause = 50 * time.Millisecond
 	// crashLife is how long an end counts: clients that send a request again do so within
@@ -290,12 +290,13 @@
 	return out
 }
 
-// together groups ends that came within a short time of one another.
+// together groups ends that came within a short time of the first of them. Ends by several
+// harmful requests that follow one another closely make no group of their own accord.
 func together(ends []*end) [][]*end {
 	var groups [][]*end
-	for i, e := range ends {
-		if i > 0 && e.at.Sub(ends[i-1].at) <= togetherTime {
-			last := len(groups) - 1
+	for _, e := range ends {
+		last := len(groups) - 1
+		if last >= 0 && e.at.Sub(groups[last][0].at) <= togetherTime {
 			groups[last] = append(groups[last], e)
 			continue
 		}
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -126,6 +126,14 @@
 			[]ending{{0, by(client, harmful)}, {300, by(elsewhere, harmful)}, {600, by(client, harmful)}},
 			5000, []fleet.BlockedRequest{harmfulOf(fleet.AnyCaller)},
 		},
+		{
+			"two harmful requests end endpoints in turn",
+			[]ending{
+				{0, by(client, harmful)}, {80, by(client, other)}, {160, by(client, harmful)}, {240, by(client, other)},
+				{320, by(client, harmful)}, {400, by(client, other)},
+			},
+			1000, []fleet.BlockedRequest{harmfulOf(client), {Content: other, Caller: client}},
+		},
 		{
 			"the same content of another caller ran beside it",
 			[]ending{{0, by(client, harmful)}, {300, append(by(client, harmful), by(elsewhere, harmful)...)}, {600, by(client, harmful)}},
