Hosts that start together wait until all are known before they take themselves for relays

Cause: TestCallsAtTheStart failed under load (7 of about 300 runs with eight at a time, machine load 19 to 24). Traced by topic: a host found a part of the others 0.3 s after the start and read as relays do (hosts: 2, op: 2, claims: 2, crashes: 1); the controller was none of the three relays (readers were four); a host that was told nothing in time read for itself, as it should. Change: no entry of another host may have come for 0.3 s before a host reads as a relay.

--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -64,3 +64,11 @@
 
 // Blocks is the number of requests that this host keeps from endpoints.
 func (g *Gateway) Blocks() int { return g.guard.Blocks.Count() }
+
+// ToldInTime tells whether other hosts have told this one what happens while it waited for
+// that after its start.
+func (g *Gateway) ToldInTime() bool {
+	g.news.mu.Lock()
+	defer g.news.mu.Unlock()
+	return !g.news.first.IsZero() && g.news.first.Sub(g.started) < startGrace*4/5
+}
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -180,12 +180,14 @@
 }
 
 // expectsNews tells whether this host has just started and others will tell it what the
-// store holds. As long as it does not know the others it cannot know that.
+// store holds. As long as it does not know the others it cannot know that: of hosts that
+// start together the first ones find few entries, and would take themselves for relays.
 func (g *Gateway) expectsNews() bool {
-	if g.Now().Sub(g.started) > startGrace {
+	now := g.Now()
+	if now.Sub(g.started) > startGrace {
 		return false
 	}
-	return !g.reads.Loaded(fleet.TopicHosts) || !g.mesh.relaying()
+	return !g.reads.Loaded(fleet.TopicHosts) || !g.mesh.settled(now) || !g.mesh.relaying()
 }
 
 // listConfirmed tells whether the controller passes on what changes in the list.
@@ -305,7 +307,10 @@
 	wait.For(ctx, gatherTime)
 	// A host that has just started has to know its relay's new key before it can be told
 	// anything: it does not rest on the word of a controller that it cannot hear yet.
-	f.Told = func() bool { return !g.mesh.relaying() && g.news.recent(g.Now()) || g.expectsNews() }
+	f.Told = func() bool {
+		now := g.Now()
+		return !g.mesh.relaying() && (g.news.recent(now) || g.mesh.settled(now) && g.expectsNews())
+	}
 	f.Run(ctx)
 }
 
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -51,6 +51,8 @@
 	asked time.Time
 	// claimSeen is when the newest claim was first seen.
 	claimSeen time.Time
+	// learned is when the entry of another host last came or changed.
+	learned time.Time
 	// confirmed is as of when the controller has last told all changes of the list of
 	// endpoints that this host had not read itself.
 	confirmed time.Time
@@ -100,7 +102,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if old, ok := m.peers[host]; ok && old.Fingerprint != e.Fingerprint {
+	old, ok := m.peers[host]
+	if !ok || old.Fingerprint != e.Fingerprint {
+		m.learned = time.Now()
+	}
+	if ok && old.Fingerprint != e.Fingerprint {
 		delete(m.pinned, old.Fingerprint)
 		m.node.Forget(old.Addr)
 	}
@@ -112,6 +118,14 @@
 	m.pinned[e.Fingerprint] = true
 }
 
+// settled tells whether no entry of another host has come for a while: hosts that start
+// together are known then.
+func (m *mesh) settled(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.learned) >= gatherTime
+}
+
 // hosts is the number of hosts known, this one included.
 func (m *mesh) hosts() int {
 	m.mu.Lock()
--- a/pkg/gateway/news.go
+++ b/pkg/gateway/news.go
@@ -17,8 +17,10 @@
 	// toldTo is whom this host told its needs last, and toldAt when.
 	toldTo string
 	toldAt time.Time
-	// answered is when a host last answered that hears the controller itself.
+	// answered is when a host last answered that hears the controller itself, first when
+	// one did so first.
 	answered time.Time
+	first    time.Time
 }
 
 // newsLife is how long an answer shows that this host is told what happens: four times
@@ -40,6 +42,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answered = now
+	if s.first.IsZero() {
+		s.first = now
+	}
 }
 
 // toldLately tells whether a host was told all needs a moment ago; if not, it is taken to
