--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -191,12 +191,12 @@
 	return now.Sub(k.changed) < keepLooking
 }
 
-// dropStaleRecords removes records that count no more.
+// dropStaleRecords removes records that count no more. Those that the store does not take
+// away now are tried again with the next look.
 func (g *Gateway) dropStaleRecords(ctx context.Context) {
 	for _, key := range g.crashesKept.takeStale() {
 		if _, err := g.store.Put(ctx, fleet.TopicCrashes, key, nil, fleet.AnyOffset); err != nil {
-			g.crashesKept.markStale(key) // The next controller's look tries again.
-			return
+			g.crashesKept.markStale(key)
 		}
 	}
 }
@@ -239,7 +239,7 @@
 	}
 	content := contentOf(r)
 	if _, err := g.store.Put(ctx, fleet.TopicCrashes, fleet.Hex(content), value, fleet.AnyOffset); err != nil {
-		return // The next look tries again.
+		return // The next look tries again; reads of the topic log that the store is away.
 	}
 	g.crashesKept.set(content, r)
 }
