--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -259,13 +259,13 @@
 }
 
 // Two requests that crash endpoints come together and run side by side at three that end. The
-// one that ended a fourth explains these ends and is blocked; the other comes back later, and
+// one that ended others as well explains these ends and is blocked; the other comes back later, and
 // went to four further endpoints ("sent to servers 4 times more; 7 ended in all"), as its
 // first three ends counted for nothing. Its fourth has to be its last.
 func TestHarmfulRequestBesideAnother(t *testing.T) {
 	is := is.New(t)
 	endings := []ending{
-		{0, by(client, harmful)},
+		{0, by(client, harmful)}, {100, by(client, harmful)}, {200, by(client, harmful)},
 		{300, by(client, harmful, other)}, {600, by(client, harmful, other)}, {900, by(client, harmful, other)},
 		{6000, by(client, other)},
 	}
