Four ends block a request in any case, two make it suspect; an answer proves nothing by itself

Change: certain = 4 ends, without gathering; requests with two ends run once an attempt, told like blocks; a served request is cleared when its endpoint still answers a second later, and is named if that ends within 0.3 s.

--- a/pkg/entryhost/guard.go
+++ b/pkg/entryhost/guard.go
@@ -58,6 +58,12 @@
 	g.Guard.Refused(e)
 }
 
+// Served implements serve.Guard.
+func (g *guard) Served(e fleet.Endpoint, f fleet.Fingerprint) {
+	e.ID = g.host.incarnationOf(e.ID)
+	g.Guard.Served(e, f)
+}
+
 func (g *guard) tell(crashes []fleet.Crash) {
 	select {
 	case g.found <- crashes:
--- a/pkg/fleet/crash.go
+++ b/pkg/fleet/crash.go
@@ -54,6 +54,8 @@
 	Request BlockedRequest `cbor:"1,keyasint"`
 	// Since is when that was found, in Unix seconds.
 	Since int64 `cbor:"2,keyasint"`
+	// Suspect requests may still run, once for each attempt of a client.
+	Suspect bool `cbor:"3,keyasint,omitempty"`
 }
 
 // BlockedRequest names the requests that a block is for.
--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -216,6 +216,9 @@
 	}
 	if controls || cutOff || backup && g.mesh.relaying() {
 		for _, b := range g.guard.Blocks.All() {
+			if b.Suspect {
+				continue // The ends in the record tell that.
+			}
 			r := byContent[b.Request.Content]
 			r.Written = now.UnixMilli()
 			r.Blocks = append(r.Blocks, b)
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -101,13 +101,18 @@
 
 // takeBlocks takes in blocks that were decided elsewhere, and lets others hear of them.
 func (g *Gateway) takeBlocks(now time.Time, blocks []fleet.Block) {
+	if g.addBlocks(now, blocks) {
+		g.tellBlocks()
+	}
+}
+
+// addBlocks takes in blocks and tells whether any is new.
+func (g *Gateway) addBlocks(now time.Time, blocks []fleet.Block) bool {
 	added := g.guard.Blocks.Add(now, blocks)
 	for _, b := range added {
-		g.log.Info("block", "content", fleet.Hex(b.Request.Content), "caller", fleet.Hex(b.Request.Caller), "age_s", now.Unix()-b.Since)
-	}
-	if len(added) > 0 {
-		g.tellBlocks()
+		g.log.Info("block", "content", fleet.Hex(b.Request.Content), "caller", fleet.Hex(b.Request.Caller), "suspect", b.Suspect, "age_s", now.Unix()-b.Since)
 	}
+	return len(added) > 0
 }
 
 // withBlocks adds all blocks to an answer if the asker does not know the same.
@@ -121,6 +126,8 @@
 // takeAnsweredBlocks takes in the blocks of an answer. If the host that gave it still lacks
 // some, the next question tells it.
 func (g *Gateway) takeAnsweredBlocks(now time.Time, n fleet.Notice) {
-	g.takeBlocks(now, n.Blocks)
+	if g.addBlocks(now, n.Blocks) {
+		g.children.wake()
+	}
 	g.blocksDiffer.Store(g.guard.Blocks.Sum() != n.BlocksSum)
 }
--- a/pkg/quarantine/blocks.go
+++ b/pkg/quarantine/blocks.go
@@ -11,8 +11,10 @@
 	// blockLife is how long a block holds. Clients have given up long before, and an
 	// engine that was mended meanwhile gets the request again.
 	blockLife = time.Hour
-	// maxBlocks bounds the blocks that are kept, some 50 bytes each: every one has cost
-	// three endpoints within the hour. Beyond it no new ones are taken.
+	// suspectLife is how long a request is suspect, as long as an end of an endpoint counts.
+	suspectLife = crashLife
+	// maxBlocks bounds the blocks that are kept, and the suspects, some 50 bytes each:
+	// every one has cost endpoints within the hour. Beyond it no new ones are taken.
 	maxBlocks = 512
 	// maxServed is how many requests that were served are remembered, some 50 bytes each:
 	// about a minute of a busy host.
@@ -23,12 +25,12 @@
 // harm. It is safe for concurrent use.
 type Blocks struct {
 	mu sync.Mutex
-	// since is when each request was found, in Unix seconds.
-	since map[fleet.BlockedRequest]int64
+	// since is when each request was found, in Unix seconds, by whether it is suspect only.
+	since map[bool]map[fleet.BlockedRequest]int64
 	// version counts the changes, sum is the same wherever the same requests are blocked.
 	version int64
 	sum     uint64
-	// served are requests that endpoints have answered to the end; next is the place of
+	// served are requests that endpoints have answered to the end and survived; next is the place of
 	// the oldest in ring once that is full.
 	served map[fleet.Fingerprint]bool
 	ring   []fleet.Fingerprint
@@ -37,7 +39,8 @@
 
 // NewBlocks returns no blocks.
 func NewBlocks() *Blocks {
-	return &Blocks{since: map[fleet.BlockedRequest]int64{}, served: map[fleet.Fingerprint]bool{}}
+	since := map[bool]map[fleet.BlockedRequest]int64{false: {}, true: {}}
+	return &Blocks{since: since, served: map[fleet.Fingerprint]bool{}}
 }
 
 // Add takes in blocks and returns those that are new. One that has ended here may come
@@ -47,70 +50,95 @@
 	defer b.mu.Unlock()
 	var added []fleet.Block
 	for _, x := range blocks {
-		since, known := b.since[x.Request]
-		if over(now, x.Since) || !known && len(b.since) >= maxBlocks {
+		known := b.since[x.Suspect]
+		since, ok := known[x.Request]
+		if over(now, x) || !ok && len(known) >= maxBlocks {
 			continue
 		}
-		b.since[x.Request] = max(since, x.Since)
-		if !known {
-			b.changed(x.Request)
+		known[x.Request] = max(since, x.Since)
+		if !ok {
+			b.changed(x)
 			added = append(added, x)
 		}
 	}
 	return added
 }
 
-// changed notes that a request is blocked, or is so no longer. The blocks are locked.
-func (b *Blocks) changed(r fleet.BlockedRequest) {
+// changed notes that a block has come, or has ended. The blocks are locked.
+func (b *Blocks) changed(x fleet.Block) {
 	b.version++
-	b.sum ^= mix(r)
+	b.sum ^= mix(x)
 }
 
-// mix spreads a request over all bits, so that sums of different blocks differ.
-func mix(r fleet.BlockedRequest) uint64 {
-	const odd1, odd2 = 0x9e3779b97f4a7c15, 0xbf58476d1ce4e5b9
-	return (r.Content*odd1 ^ r.Caller) * odd2
+// mix spreads a block over all bits, so that sums of different blocks differ.
+func mix(x fleet.Block) uint64 {
+	const odd1, odd2, odd3 = 0x9e3779b97f4a7c15, 0xbf58476d1ce4e5b9, 0x94d049bb133111eb
+	sum := (x.Request.Content*odd1 ^ x.Request.Caller) * odd2
+	if x.Suspect {
+		sum *= odd3
+	}
+	return sum
 }
 
-func over(now time.Time, since int64) bool {
-	return now.Unix()-since > int64(blockLife/time.Second)
+// over tells whether a block has ended.
+func over(now time.Time, x fleet.Block) bool {
+	life := blockLife
+	if x.Suspect {
+		life = suspectLife
+	}
+	return now.Unix()-x.Since > int64(life/time.Second)
 }
 
 // Expire ends blocks that are old.
 func (b *Blocks) Expire(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for r, since := range b.since {
-		if over(now, since) {
-			delete(b.since, r)
-			b.changed(r)
+	for _, x := range b.all() {
+		if over(now, x) {
+			delete(b.since[x.Suspect], x.Request)
+			b.changed(x)
 		}
 	}
 }
 
-// All returns all blocks.
+// all returns all blocks. They are locked.
+func (b *Blocks) all() []fleet.Block {
+	var out []fleet.Block
+	for suspect, known := range b.since {
+		for r, since := range known {
+			out = append(out, fleet.Block{Request: r, Since: since, Suspect: suspect})
+		}
+	}
+	return out
+}
+
+// All returns all blocks, those of suspects too.
 func (b *Blocks) All() []fleet.Block {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]fleet.Block, 0, len(b.since))
-	for r, since := range b.since {
-		out = append(out, fleet.Block{Request: r, Since: since})
-	}
-	return out
+	return b.all()
 }
 
 // Count returns how many requests are blocked.
 func (b *Blocks) Count() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.since)
+	return len(b.since[false])
+}
+
+// Has tells whether a block holds, or a request is suspect.
+func (b *Blocks) Has(r fleet.BlockedRequest, suspect bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.since[suspect][r]
+	return ok
 }
 
-// Has tells whether a block holds.
-func (b *Blocks) Has(r fleet.BlockedRequest) bool {
+// Suspected tells whether a request may run only once for each attempt of its client.
+func (b *Blocks) Suspected(f fleet.Fingerprint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, ok := b.since[r]
+	_, ok := b.since[true][fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
 	return ok
 }
 
@@ -133,15 +161,16 @@
 func (b *Blocks) Blocked(f fleet.Fingerprint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.since) == 0 || b.served[f] {
+	blocked := b.since[false]
+	if len(blocked) == 0 || b.served[f] {
 		return false
 	}
-	_, own := b.since[fleet.BlockedRequest(f)]
-	_, any := b.since[fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
+	_, own := blocked[fleet.BlockedRequest(f)]
+	_, any := blocked[fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
 	return own || any
 }
 
-// Serve notes that an endpoint has answered a request to the end.
+// Serve notes that an endpoint has answered a request to the end and has lived on.
 func (b *Blocks) Serve(f fleet.Fingerprint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -158,7 +187,7 @@
 	b.next = (b.next + 1) % maxServed
 }
 
-// Served tells whether an endpoint has answered a request to the end.
+// Served tells whether an endpoint has answered a request to the end and has lived on.
 func (b *Blocks) Served(f fleet.Fingerprint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -54,7 +54,14 @@
 func (g *Guard) Refused(e fleet.Endpoint) { g.checker.Refused(e) }
 
 // Served implements serve.Guard.
-func (g *Guard) Served(f fleet.Fingerprint) { g.Blocks.Serve(f) }
+func (g *Guard) Served(e fleet.Endpoint, f fleet.Fingerprint) {
+	for _, harmless := range g.checker.Runs.Served(g.cfg.Now(), e.ID, f) {
+		g.Blocks.Serve(harmless)
+	}
+}
+
+// Suspected implements serve.Guard.
+func (g *Guard) Suspected(f fleet.Fingerprint) bool { return g.Blocks.Suspected(f) }
 
 // Blocked implements serve.Guard.
 func (g *Guard) Blocked(f fleet.Fingerprint) bool { return g.Blocks.Blocked(f) }
@@ -73,18 +80,21 @@
 	return g.Ledger.Add(now, harmful)
 }
 
-// Decide blocks the requests that are to blame for the ends of endpoints, and tells whether
-// there are any new ones.
+// Decide blocks the requests that are to blame for the ends of endpoints, and names suspects.
+// It tells whether there are any new ones.
 func (g *Guard) Decide(now time.Time) bool {
 	blocked := false
 	for _, v := range g.Ledger.Decide(now) {
-		if g.Blocks.Has(v.Request) {
+		if g.Blocks.Has(v.Request, v.Suspect) {
 			continue
 		}
 		blocked = true
-		g.Blocks.Add(now, []fleet.Block{{Request: v.Request, Since: now.Unix()}})
-		g.cfg.Log.Warn("request is blocked: endpoints have ended under it",
-			"content", fleet.Hex(v.Request.Content), "caller", fleet.Hex(v.Request.Caller), "endpoints", v.Endpoints)
+		g.Blocks.Add(now, []fleet.Block{{Request: v.Request, Since: now.Unix(), Suspect: v.Suspect}})
+		msg := "request is blocked: endpoints have ended under it"
+		if v.Suspect {
+			msg = "request is suspect: endpoints have ended under it"
+		}
+		g.cfg.Log.Warn(msg, "content", fleet.Hex(v.Request.Content), "caller", fleet.Hex(v.Request.Caller), "endpoints", v.Endpoints)
 	}
 	return blocked
 }
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -14,6 +14,13 @@
 	// limit is how many endpoints may end under a request before it is blocked. With fewer, a
 	// request that ran twice beside another's crash would be taken for its cause.
 	limit = 3
+	// certain is under how many ends a request is blocked whatever else ran there: hosts and
+	// clients together run an innocent one four times at most. Without this limit a harmful one
+	// that had run beside another went to four further endpoints.
+	certain = 4
+	// suspectEnds is under how many ends a request may run only once for each attempt of a
+	// client: a second try by its host doubles what it does until it is blocked.
+	suspectEnds = 2
 	// gatherTime is for how long the ends of endpoints are left to be told by all hosts before
 	// they count: the request to blame may have run there by way of another host. Two
 	// hops of up to a quarter of a second each.
@@ -38,6 +45,8 @@
 // Verdict is a request that was found to crash endpoints.
 type Verdict struct {
 	Request fleet.BlockedRequest
+	// Suspect requests are not blocked yet.
+	Suspect bool
 	// Endpoints have ended under it.
 	Endpoints []fleet.EndpointID
 }
@@ -171,7 +180,7 @@
 	counts := counts(ends)
 	var out []Verdict
 	for content, n := range counts {
-		if n >= limit {
+		if n >= suspectEnds {
 			out = append(out, judge(now, content, ends, counts)...)
 		}
 	}
@@ -226,25 +235,42 @@
 	return out
 }
 
-// judge returns whose requests of a content to block, if it is to blame for enough ends that
-// all hosts have told.
+// judge returns whose requests of a content to block, and that the content is suspect.
 func judge(now time.Time, content uint64, ends []*end, counts map[uint64]int) []Verdict {
-	told := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return now.Sub(e.heard) < gatherTime })
-	mine := blamed(content, told, counts)
-	if tied(content, mine, counts) {
-		mine = slices.DeleteFunc(mine, func(e *end) bool { return now.Sub(e.heard) < tieTime })
-	}
-	if len(mine) < limit {
+	all := ranAt(content, ends)
+	if len(all) < suspectEnds {
 		return nil
 	}
-	var ids []fleet.EndpointID
-	for _, e := range mine {
-		ids = append(ids, e.id)
+	any := fleet.BlockedRequest{Content: content, Caller: fleet.AnyCaller}
+	out := []Verdict{{Request: any, Suspect: true, Endpoints: ids(all)}}
+	mine := all
+	if len(all) < certain {
+		mine = proven(now, content, ends, counts)
+	}
+	if len(mine) < limit {
+		return out
 	}
-	var out []Verdict
 	for _, caller := range callersToBlame(content, mine) {
 		r := fleet.BlockedRequest{Content: content, Caller: caller}
-		out = append(out, Verdict{Request: r, Endpoints: ids})
+		out = append(out, Verdict{Request: r, Endpoints: ids(mine)})
+	}
+	return out
+}
+
+// proven returns the ends that a content is to blame for and that all hosts have told.
+func proven(now time.Time, content uint64, ends []*end, counts map[uint64]int) []*end {
+	told := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return now.Sub(e.heard) < gatherTime })
+	mine := blamed(content, told, counts)
+	if tied(content, mine, counts) {
+		mine = slices.DeleteFunc(mine, func(e *end) bool { return now.Sub(e.heard) < tieTime })
+	}
+	return mine
+}
+
+func ids(ends []*end) []fleet.EndpointID {
+	var out []fleet.EndpointID
+	for _, e := range ends {
+		out = append(out, e.id)
 	}
 	return out
 }
@@ -273,16 +299,18 @@
 	return slices.Collect(maps.Keys(count))
 }
 
-// blamed returns the ends that a content is to blame for. Of some that came together with
-// the end of an endpoint that did not run it, it returns one.
+// blamed returns the ends that a content is to blame for: no other explains them better.
 func blamed(content uint64, ends []*end, counts map[uint64]int) []*end {
+	return slices.DeleteFunc(ranAt(content, ends), func(e *end) bool { return explained(content, e, counts) })
+}
+
+// ranAt returns the ends at which a content ran. Of some that came together with the end of
+// an endpoint that did not run it, it returns one.
+func ranAt(content uint64, ends []*end) []*end {
 	var out []*end
 	for _, group := range together(ends) {
-		mine := slices.DeleteFunc(slices.Clone(group), func(e *end) bool {
-			return e.ran[content] == nil || explained(content, e, counts)
-		})
-		ranAtAll := !slices.ContainsFunc(group, func(e *end) bool { return e.ran[content] == nil })
-		if !ranAtAll && len(mine) > 1 {
+		mine := slices.DeleteFunc(slices.Clone(group), func(e *end) bool { return e.ran[content] == nil })
+		if len(mine) > 1 && len(mine) < len(group) {
 			mine = mine[:1]
 		}
 		out = append(out, mine...)
--- a/pkg/quarantine/runs.go
+++ b/pkg/quarantine/runs.go
@@ -21,6 +21,12 @@
 	// there because of it: its client may have left just before the end, and the end
 	// shows when the next request finds that nobody listens.
 	brokenFor = time.Second
+	// servedFor is how long before the end of an endpoint a request may have been answered
+	// to the end there and still be the cause: the answer may be shorter than the harm takes.
+	servedFor = 300 * time.Millisecond
+	// survivedFor is how long after an answer an endpoint must still answer others to show that
+	// the request did no harm.
+	survivedFor = time.Second
 	// livedFor is how long before an endpoint was found alive a run must have broken off to
 	// have done no harm: a process takes a moment to end.
 	livedFor = 200 * time.Millisecond
@@ -39,6 +45,8 @@
 type brokenRuns struct {
 	// broken is when the last run of each request broke off.
 	broken map[fleet.Fingerprint]time.Time
+	// served is when the last run of each request ended with its whole answer.
+	served map[fleet.Fingerprint]time.Time
 	last   time.Time
 	// ended is when the endpoint ended, zero while it may live.
 	ended time.Time
@@ -51,11 +59,7 @@
 func (r *Runs) Broke(now time.Time, id fleet.EndpointID, f fleet.Fingerprint) []fleet.Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.endpoints[id]
-	if b == nil {
-		b = &brokenRuns{broken: map[fleet.Fingerprint]time.Time{}}
-		r.endpoints[id] = b
-	}
+	b := r.of(id)
 	b.last = now
 	if b.ended.IsZero() {
 		b.broken[f] = now
@@ -64,6 +68,36 @@
 	return []fleet.Crash{crash(now, id, f, b.ended)}
 }
 
+// of returns the runs at an endpoint. The runs are locked.
+func (r *Runs) of(id fleet.EndpointID) *brokenRuns {
+	b := r.endpoints[id]
+	if b == nil {
+		b = &brokenRuns{broken: map[fleet.Fingerprint]time.Time{}, served: map[fleet.Fingerprint]time.Time{}}
+		r.endpoints[id] = b
+	}
+	return b
+}
+
+// Served notes a run with a whole answer. It returns the requests which that shows to do no
+// harm: the endpoint has answered them a while ago and goes on to answer others.
+func (r *Runs) Served(now time.Time, id fleet.EndpointID, f fleet.Fingerprint) []fleet.Fingerprint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.of(id)
+	b.last = now
+	var harmless []fleet.Fingerprint
+	for other, at := range b.served {
+		if now.Sub(at) >= survivedFor {
+			harmless = append(harmless, other)
+			delete(b.served, other)
+		}
+	}
+	if _, ok := b.served[f]; !ok {
+		b.served[f] = now
+	}
+	return harmless
+}
+
 // Ended takes in that an endpoint has ended at a time, and returns which requests ran there.
 func (r *Runs) Ended(now, at time.Time, id fleet.EndpointID) []fleet.Crash {
 	r.mu.Lock()
@@ -80,7 +114,13 @@
 			out = append(out, crash(now, id, f, at))
 		}
 	}
+	for f, served := range b.served {
+		if at.Sub(served) <= servedFor {
+			out = append(out, crash(now, id, f, at))
+		}
+	}
 	clear(b.broken)
+	clear(b.served)
 	return out
 }
 
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -17,7 +17,9 @@
 	// Refused notes that no connection could be made to an endpoint.
 	Refused(e fleet.Endpoint)
 	// Served notes that an endpoint has answered a request to the end.
-	Served(f fleet.Fingerprint)
+	Served(e fleet.Endpoint, f fleet.Fingerprint)
+	// Suspected tells whether a request must not be sent to a second endpoint.
+	Suspected(f fleet.Fingerprint) bool
 }
 
 // guarded tells whether a guard knows the request when it comes again.
@@ -51,8 +53,13 @@
 }
 
 // served tells the guard of a run with a complete answer.
-func (x *exchange) served() {
+func (x *exchange) served(e fleet.Endpoint) {
 	if x.guarded() {
-		x.server.Guard.Served(x.request.Fingerprint)
+		x.server.Guard.Served(e, x.request.Fingerprint)
 	}
 }
+
+// suspected tells whether the request must not be sent to a second endpoint.
+func (x *exchange) suspected() bool {
+	return x.guarded() && x.server.Guard.Suspected(x.request.Fingerprint)
+}
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -227,6 +227,7 @@
 func (x *exchange) mayRunAgain(ctx context.Context) bool {
 	return x.request.Route.Repeatable() &&
 		x.result.Runs < x.request.Route.Attempts &&
+		!x.suspected() &&
 		ctx.Err() == nil &&
 		(x.begun && x.request.StartOnly || x.request.Deadline.Sub(x.server.Now()) > minRepeat)
 }
@@ -377,7 +378,7 @@
 	if err == nil {
 		x.result.Complete = true
 		x.result.Status = a.Status
-		x.served()
+		x.served(e)
 		s.Queue.Release(x.request, e.ID, Use{Took: s.Now().Sub(start)})
 		return finished
 	}
