Service clears a request of the ends before it only, and never lifts a block

Cause: a host that had served a request once let it through for good, and dropped what other hosts told of it; a request may turn harmful after it was served. Change: no list of served requests; a run that does no harm clears the request's ends in the ledger of that host.

--- a/pkg/entryhost/guard.go
+++ b/pkg/entryhost/guard.go
@@ -78,7 +78,7 @@
 		now := g.host.now()
 		for _, c := range g.host.state.Crashes.After(g.folded) {
 			g.folded = c.Offset
-			g.Told(now, crashesOf(now, c.Crashed))
+			g.Ledger.Add(now, crashesOf(now, c.Crashed))
 		}
 		g.Decide(now)
 		g.Prune(now)
--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -138,7 +138,7 @@
 	for i := range r.Crashes {
 		r.Crashes[i].Ago += max(0, age)
 	}
-	if g.guard.Told(now, r.Crashes) {
+	if g.guard.Ledger.Add(now, r.Crashes) {
 		g.wantReport()
 	}
 	g.takeBlocks(now, r.Blocks)
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -93,7 +93,7 @@
 
 // takeCrashes takes in what the question of another host tells of crashes and blocks.
 func (g *Gateway) takeCrashes(now time.Time, p fleet.Pull) {
-	if g.guard.Told(now, p.Crashes) && g.election.Held() == 0 {
+	if g.guard.Ledger.Add(now, p.Crashes) && g.election.Held() == 0 {
 		g.wantReport()
 	}
 	g.takeBlocks(now, p.Blocks)
--- a/pkg/quarantine/blocks.go
+++ b/pkg/quarantine/blocks.go
@@ -16,13 +16,10 @@
 	// maxBlocks bounds the blocks that are kept, and the suspects, some 50 bytes each:
 	// every one has cost endpoints within the hour. Beyond it no new ones are taken.
 	maxBlocks = 512
-	// maxServed is how many requests that were served are remembered, some 50 bytes each:
-	// about a minute of a busy host.
-	maxServed = 8192
 )
 
-// Blocks are the requests that are kept from endpoints, and those that are known to do no
-// harm. It is safe for concurrent use.
+// Blocks are the requests that are kept from endpoints, and suspects. It is safe for concurrent
+// use.
 type Blocks struct {
 	mu sync.Mutex
 	// since is when each request was found, in Unix seconds, by whether it is suspect only.
@@ -30,17 +27,12 @@
 	// version counts the changes, sum is the same wherever the same requests are blocked.
 	version int64
 	sum     uint64
-	// served are requests that endpoints have answered to the end and survived; next is the place of
-	// the oldest in ring once that is full.
-	served map[fleet.Fingerprint]bool
-	ring   []fleet.Fingerprint
-	next   int
 }
 
 // NewBlocks returns no blocks.
 func NewBlocks() *Blocks {
 	since := map[bool]map[fleet.BlockedRequest]int64{false: {}, true: {}}
-	return &Blocks{since: since, served: map[fleet.Fingerprint]bool{}}
+	return &Blocks{since: since}
 }
 
 // Add takes in blocks and returns those that are new. One that has ended here may come
@@ -156,40 +148,12 @@
 	return b.sum
 }
 
-// Blocked tells whether a request is kept from endpoints. One that was served here crashes
-// none, whatever ended beside it.
+// Blocked tells whether a request is kept from endpoints.
 func (b *Blocks) Blocked(f fleet.Fingerprint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	blocked := b.since[false]
-	if len(blocked) == 0 || b.served[f] {
-		return false
-	}
 	_, own := blocked[fleet.BlockedRequest(f)]
 	_, any := blocked[fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
 	return own || any
 }
-
-// Serve notes that an endpoint has answered a request to the end and has lived on.
-func (b *Blocks) Serve(f fleet.Fingerprint) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.served[f] {
-		return
-	}
-	b.served[f] = true
-	if len(b.ring) < maxServed {
-		b.ring = append(b.ring, f)
-		return
-	}
-	delete(b.served, b.ring[b.next])
-	b.ring[b.next] = f
-	b.next = (b.next + 1) % maxServed
-}
-
-// Served tells whether an endpoint has answered a request to the end and has lived on.
-func (b *Blocks) Served(f fleet.Fingerprint) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.served[f]
-}
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -56,7 +55,7 @@
 // Served implements serve.Guard.
 func (g *Guard) Served(e fleet.Endpoint, f fleet.Fingerprint) {
 	for _, harmless := range g.checker.Runs.Served(g.cfg.Now(), e.ID, f) {
-		g.Blocks.Serve(harmless)
+		g.Ledger.Clear(harmless)
 	}
 }
 
@@ -68,18 +67,11 @@
 
 // found takes in crashes that this host has seen itself.
 func (g *Guard) found(crashes []fleet.Crash) {
-	if g.Told(g.cfg.Now(), crashes) {
+	if g.Ledger.Add(g.cfg.Now(), crashes) {
 		g.cfg.Crashed(crashes)
 	}
 }
 
-// Told takes in crashes that any host has seen, and tells whether any is new. A request that
-// was served here is not to blame: it ran where another did the harm.
-func (g *Guard) Told(now time.Time, crashes []fleet.Crash) bool {
-	harmful := slices.DeleteFunc(slices.Clone(crashes), func(c fleet.Crash) bool { return g.Blocks.Served(c.Request) })
-	return g.Ledger.Add(now, harmful)
-}
-
 // Decide blocks the requests that are to blame for the ends of endpoints, and names suspects.
 // It tells whether there are any new ones.
 func (g *Guard) Decide(now time.Time) bool {
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -116,6 +116,20 @@
 	return true
 }
 
+// Clear takes in that a request has just done no harm: an endpoint that ran it lives on. It
+// is not to blame for the ends before; one that turns harmful counts anew.
+func (l *Ledger) Clear(f fleet.Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.ends {
+		callers := e.ran[f.Content]
+		delete(callers, f.Caller)
+		if len(callers) == 0 {
+			delete(e.ran, f.Content)
+		}
+	}
+}
+
 // Expire forgets ends that count no more.
 func (l *Ledger) Expire(now time.Time) {
 	l.mu.Lock()
@@ -154,7 +168,7 @@
 	rest = rest[:min(len(rest), most)]
 	var out []fleet.Crash
 	for _, c := range rest {
-		if e := l.ends[c.Endpoint]; e != nil {
+		if e := l.ends[c.Endpoint]; e != nil && e.ran[c.Request.Content][c.Request.Caller] {
 			c.Ago = now.Sub(e.at).Milliseconds()
 			out = append(out, c)
 		}
