--- a/pkg/quarantine/runs.go
+++ b/pkg/quarantine/runs.go
@@ -30,30 +30,31 @@
 	// livedFor is how long before an endpoint was found alive a run must have broken off to
 	// have done no harm: a process takes a moment to end.
 	livedFor = 200 * time.Millisecond
+	// endedFor is how long runs may break off after the end of their endpoint has shown.
+	endedFor = 10 * time.Second
 )
 
-// endedFor is how long runs may break off after the end of their endpoint has shown.
-const endedFor = 10 * time.Second
-
-// Runs are this host's runs that broke off, by endpoint, until it shows whether the endpoint
-// has ended. It is safe for concurrent use.
+// Runs are this host's runs that have just ended, by endpoint, until it shows whether the
+// endpoint has ended too. It is safe for concurrent use.
 type Runs struct {
 	mu        sync.Mutex
-	endpoints map[fleet.EndpointID]*brokenRuns
+	endpoints map[fleet.EndpointID]*endedRuns
 }
 
-type brokenRuns struct {
+// endedRuns are the runs at one endpoint.
+type endedRuns struct {
 	// broken is when the last run of each request broke off.
 	broken map[fleet.Fingerprint]time.Time
 	// served is when the last run of each request ended with its whole answer.
 	served map[fleet.Fingerprint]time.Time
-	last   time.Time
+	// last is when the last run of any request ended.
+	last time.Time
 	// ended is when the endpoint ended, zero while it may live.
 	ended time.Time
 }
 
 // NewRuns returns no runs.
-func NewRuns() *Runs { return &Runs{endpoints: map[fleet.EndpointID]*brokenRuns{}} }
+func NewRuns() *Runs { return &Runs{endpoints: map[fleet.EndpointID]*endedRuns{}} }
 
 // Broke notes a run that broke off. It returns a crash if the endpoint is known to have ended.
 func (r *Runs) Broke(now time.Time, id fleet.EndpointID, f fleet.Fingerprint) []fleet.Crash {
@@ -69,10 +70,10 @@
 }
 
 // of returns the runs at an endpoint. The runs are locked.
-func (r *Runs) of(id fleet.EndpointID) *brokenRuns {
+func (r *Runs) of(id fleet.EndpointID) *endedRuns {
 	b := r.endpoints[id]
 	if b == nil {
-		b = &brokenRuns{broken: map[fleet.Fingerprint]time.Time{}, served: map[fleet.Fingerprint]time.Time{}}
+		b = &endedRuns{broken: map[fleet.Fingerprint]time.Time{}, served: map[fleet.Fingerprint]time.Time{}}
 		r.endpoints[id] = b
 	}
 	return b
