A late copy of a crash does not undo a clearance

Cause: a request that was cleared by later service was taken out of the ledger, and a copy of its crash, by way of another relay, was taken for new. Found by reading the change once more. Change: cleared requests stay known and count for nothing. TestCopyDoesNotUndoAClearance failed before (the copy was new).

--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -71,10 +71,25 @@
 	id fleet.EndpointID
 	// at is when it ended, heard when this host first heard of it.
 	at, heard time.Time
-	// ran holds the callers of each content that ran there.
+	// ran holds the callers of each content that ran there, with whether the request may be
+	// to blame. Cleared ones stay, so that a late copy of their crash is known.
 	ran map[uint64]map[uint64]bool
 }
 
+// callers returns whose requests of a content may be to blame for the end.
+func (e *end) callers(content uint64) []uint64 {
+	var out []uint64
+	for caller, counts := range e.ran[content] {
+		if counts {
+			out = append(out, caller)
+		}
+	}
+	return out
+}
+
+// mayBlame tells whether a request of a content may be to blame for the end.
+func (e *end) mayBlame(content uint64) bool { return len(e.callers(content)) > 0 }
+
 // NewLedger returns a ledger without any end.
 func NewLedger() *Ledger { return &Ledger{ends: map[fleet.EndpointID]*end{}} }
 
@@ -104,7 +119,7 @@
 		e.at = at
 	}
 	callers := e.ran[c.Request.Content]
-	if callers[c.Request.Caller] {
+	if _, known := callers[c.Request.Caller]; known {
 		return false
 	}
 	if callers == nil {
@@ -117,15 +132,14 @@
 }
 
 // Clear takes in that a request has just done no harm: an endpoint that ran it lives on. It
-// is not to blame for the ends before; one that turns harmful counts anew.
+// is not to blame for the ends before, whoever tells of them again; one that turns harmful
+// counts anew.
 func (l *Ledger) Clear(f fleet.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.ends {
-		callers := e.ran[f.Content]
-		delete(callers, f.Caller)
-		if len(callers) == 0 {
-			delete(e.ran, f.Content)
+		if e.ran[f.Content][f.Caller] {
+			e.ran[f.Content][f.Caller] = false
 		}
 	}
 }
@@ -224,7 +238,7 @@
 func crashes(now time.Time, content uint64, ends []*end) []fleet.Crash {
 	var out []fleet.Crash
 	for _, e := range ends {
-		for caller := range e.ran[content] {
+		for _, caller := range e.callers(content) {
 			out = append(out, crash(now, e.id, fleet.Fingerprint{Content: content, Caller: caller}, e.at))
 		}
 	}
@@ -243,7 +257,9 @@
 	out := map[uint64]int{}
 	for _, e := range ends {
 		for content := range e.ran {
-			out[content]++
+			if e.mayBlame(content) {
+				out[content]++
+			}
 		}
 	}
 	return out
@@ -296,14 +312,14 @@
 func callersToBlame(content uint64, ends []*end) []uint64 {
 	count := map[uint64]int{}
 	for _, e := range ends {
-		for caller := range e.ran[content] {
+		for _, caller := range e.callers(content) {
 			count[caller]++
 		}
 	}
 	maps.DeleteFunc(count, func(_ uint64, n int) bool { return n < limit })
 	for _, e := range ends {
 		explained := false
-		for caller := range e.ran[content] {
+		for _, caller := range e.callers(content) {
 			explained = explained || count[caller] > 0
 		}
 		if !explained {
@@ -323,7 +339,7 @@
 func ranAt(content uint64, ends []*end) []*end {
 	var out []*end
 	for _, group := range together(ends) {
-		mine := slices.DeleteFunc(slices.Clone(group), func(e *end) bool { return e.ran[content] == nil })
+		mine := slices.DeleteFunc(slices.Clone(group), func(e *end) bool { return !e.mayBlame(content) })
 		if len(mine) > 1 && len(mine) < len(group) {
 			mine = mine[:1]
 		}
@@ -350,7 +366,7 @@
 // explained tells whether another content that ran at an end ran at more ends.
 func explained(content uint64, e *end, counts map[uint64]int) bool {
 	for other := range e.ran {
-		if counts[other] > counts[content] {
+		if counts[other] > counts[content] && e.mayBlame(other) {
 			return true
 		}
 	}
@@ -361,7 +377,7 @@
 func tied(content uint64, ends []*end, counts map[uint64]int) bool {
 	for _, e := range ends {
 		for other := range e.ran {
-			if other != content && counts[other] == counts[content] {
+			if other != content && counts[other] == counts[content] && e.mayBlame(other) {
 				return true
 			}
 		}
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -241,6 +241,24 @@
 	})
 }
 
+// A popular request ran at an endpoint that ended, and is served elsewhere after that. A copy
+// of the crash comes late, by way of another relay; it brought back what service had cleared,
+// and the request was blocked after three such ends.
+func TestCopyDoesNotUndoAClearance(t *testing.T) {
+	is := is.New(t)
+	l := quarantine.NewLedger()
+	for i := range 4 {
+		crashes := crashesOf(i, ending{ran: by(client, innocent)})
+		at := start().Add(time.Duration(i) * time.Second)
+		is.True(l.Add(at, crashes))
+		l.Clear(by(client, innocent)[0])
+		is.True(!l.Add(at.Add(ms(100)), crashes))
+	}
+	is.Equal(len(l.Decide(start().Add(10*time.Second))), 0)
+	told, _ := l.Since(start().Add(10*time.Second), 0, 10)
+	is.Equal(len(told), 0)
+}
+
 // Ends are kept for ten minutes at most and for so many endpoints: a day on which endpoints
 // flap would otherwise take the host's memory.
 func TestLedgerIsBounded(t *testing.T) {
