A record of crashes that was written anew is not removed for the age of the former

Cause: a host that gives no orders keeps the mark of an old record, and a controller removes all that it has marked; so it removed a new record under the same key, and the block in it would have been lost with the next loss of power of all hosts. Found by reading the change once more. Change: a newer record, or its removal by another host, takes the mark away. TestRecordWrittenAnewIsNotRemoved failed before (one key to remove, none expected).

--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -60,10 +60,20 @@
 	return &keptCrashes{byContent: map[uint64]crashRecord{}, stale: map[string]bool{}}
 }
 
+// set notes what the store holds of a content. A record that was written anew is not removed
+// for the age of the one before.
 func (k *keptCrashes) set(content uint64, r crashRecord) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.byContent[content] = r
+	delete(k.stale, fleet.Hex(content))
+}
+
+// removed notes that another host has removed the record under a key.
+func (k *keptCrashes) removed(key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.stale, key)
 }
 
 // lacks tells whether a record says more than the store's: more ends while they can
@@ -115,9 +125,11 @@
 
 func (g *Gateway) takeCrashRecords(b fleet.Batch) {
 	for _, e := range b.Entries {
-		if len(e.Value) > 0 {
-			g.takeCrashRecord(e)
+		if len(e.Value) == 0 {
+			g.crashesKept.removed(e.Key)
+			continue
 		}
+		g.takeCrashRecord(e)
 	}
 }
 
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
+	"github.com/tealvane/tealvane/pkg/record"
 	"pgregory.net/rapid"
 )
 
@@ -179,3 +180,24 @@
 	is.Equal(len(k.takeStale()), 0)
 	is.Equal(len(k.byContent), 1)
 }
+
+// A record grew old and was marked for removal at a host that does not give orders. The request
+// came back, its record was written anew, and the host took over: it removed the new record,
+// and the block was lost with the next loss of power of all hosts.
+func TestRecordWrittenAnewIsNotRemoved(t *testing.T) {
+	is := is.New(t)
+	g := relayHost()
+	now := g.Now()
+	entry := func(written time.Time) fleet.Entry {
+		value, err := record.Marshal(crashRecord{Written: written.UnixMilli(), Crashes: crashOf("e")})
+		is.NoErr(err)
+		return fleet.Entry{Key: fleet.Hex(1), Value: value}
+	}
+	old := now.Add(-2 * recordLife)
+	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{entry(old)}})
+	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{entry(now)}})
+	is.Equal(len(g.crashesKept.takeStale()), 0)
+	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{entry(old)}})
+	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{{Key: fleet.Hex(1)}}}) // another host has removed it
+	is.Equal(len(g.crashesKept.takeStale()), 0)
+}
