What another host has removed from the store is written again if it still counts

Cause: a host went on to believe that the store holds a record after it had read its removal, so that a block which still holds would not be kept. Found by reading the change once more. Change: the removal is taken in. The test of records asks for it; without the line it fails (the record was not lacking).

--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -69,11 +70,13 @@
 	delete(k.stale, fleet.Hex(content))
 }
 
-// removed notes that another host has removed the record under a key.
+// removed notes that another host has removed the record under a key. What still counts of
+// it is written again.
 func (k *keptCrashes) removed(key string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.stale, key)
+	maps.DeleteFunc(k.byContent, func(content uint64, _ crashRecord) bool { return fleet.Hex(content) == key })
 }
 
 // lacks tells whether a record says more than the store's: more ends while they can
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -200,4 +200,5 @@
 	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{entry(old)}})
 	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{{Key: fleet.Hex(1)}}}) // another host has removed it
 	is.Equal(len(g.crashesKept.takeStale()), 0)
+	is.True(g.crashesKept.lacks(1, crashRecord{Crashes: crashOf("e")})) // and what counts is written again
 }
