One life of a block, and names that say what they count

The life of a block stood twice (blocks, records of the store). limit, certain, Suspects and Any said too little: blockEnds, certainEnds, Unexplained, EndedLately. The reason of certainEnds says what an innocent request loses. No behaviour changes; the tests of both packages pass.

--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -30,8 +31,6 @@
 	// keepLooking is for how long after something new a host looks whether it has to be
 	// written: it may take over meanwhile, or find the store away.
 	keepLooking = 30 * time.Second
-	// recordLife is how long a record of the store counts, as long as a block.
-	recordLife = time.Hour
 )
 
 // crashRecord is what the store keeps of one content. It outlives a loss of power of all
@@ -43,9 +42,9 @@
 	Blocks  []fleet.Block `cbor:"3,keyasint,omitempty"`
 }
 
-// over tells whether a record counts no more.
+// over tells whether a record counts no more: a block that it holds has ended.
 func (r crashRecord) over(now time.Time) bool {
-	return now.UnixMilli()-r.Written > recordLife.Milliseconds()
+	return now.UnixMilli()-r.Written > quarantine.BlockLife.Milliseconds()
 }
 
 // keptCrashes is what of each content the store is known to hold. It is safe for concurrent
@@ -225,7 +224,7 @@
 		if cutOff && !controls {
 			least = untoldEnds
 		}
-		for content, crashes := range g.guard.Ledger.Suspects(now, least) {
+		for content, crashes := range g.guard.Ledger.Unexplained(now, least) {
 			byContent[content] = crashRecord{Written: now.UnixMilli(), Crashes: crashes}
 		}
 	}
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
+	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/record"
 	"pgregory.net/rapid"
 )
@@ -173,7 +174,7 @@
 	is := is.New(t)
 	k := newKeptCrashes()
 	now := time.Unix(10_000, 0)
-	k.set(1, crashRecord{Written: now.Add(-recordLife - time.Second).UnixMilli()})
+	k.set(1, crashRecord{Written: now.Add(-quarantine.BlockLife - time.Second).UnixMilli()})
 	k.set(2, crashRecord{Written: now.UnixMilli()})
 	k.prune(now)
 	is.Equal(k.takeStale(), []string{"1"})
@@ -193,7 +194,7 @@
 		is.NoErr(err)
 		return fleet.Entry{Key: fleet.Hex(1), Value: value}
 	}
-	old := now.Add(-2 * recordLife)
+	old := now.Add(-2 * quarantine.BlockLife)
 	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{entry(old)}})
 	g.takeCrashRecords(fleet.Batch{Entries: []fleet.Entry{entry(now)}})
 	is.Equal(len(g.crashesKept.takeStale()), 0)
--- a/pkg/quarantine/blocks.go
+++ b/pkg/quarantine/blocks.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// blockLife is how long a block holds. Clients have given up long before, and an
+	// BlockLife is how long a block holds. Clients have given up long before, and an
 	// engine that was mended meanwhile gets the request again.
-	blockLife = time.Hour
+	BlockLife = time.Hour
 	// suspectLife is how long a request is suspect, as long as an end of an endpoint counts.
 	suspectLife = crashLife
 	// maxBlocks bounds the blocks that are kept, and the suspects, some 50 bytes each:
@@ -74,7 +74,7 @@
 
 // over tells whether a block has ended.
 func over(now time.Time, x fleet.Block) bool {
-	life := blockLife
+	life := BlockLife
 	if x.Suspect {
 		life = suspectLife
 	}
--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -38,7 +38,8 @@
 	Log   *slog.Logger
 	Runs  *Runs
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// looking holds the endpoints that are looked at; each look reads its own entry.
 	looking map[fleet.EndpointID]*suspicion
 }
 
@@ -65,7 +66,7 @@
 // Refused takes in that nobody listens at an endpoint.
 func (c *Checker) Refused(e fleet.Endpoint) {
 	now := c.Now()
-	if c.Runs.Any(now, e.ID) && c.suspect(now, e.ID) {
+	if c.Runs.EndedLately(now, e.ID) && c.suspect(now, e.ID) {
 		go c.look(e)
 	}
 }
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -11,13 +11,14 @@
 )
 
 const (
-	// limit is how many endpoints may end under a request before it is blocked. With fewer, a
-	// request that ran twice beside another's crash would be taken for its cause.
-	limit = 3
-	// certain is under how many ends a request is blocked whatever else ran there: hosts and
-	// clients together run an innocent one four times at most. Without this limit a harmful one
-	// that had run beside another went to four further endpoints.
-	certain = 4
+	// blockEnds is under how many ends a request is blocked if no other explains them. With
+	// fewer, one that ran twice beside another's crash would be taken for its cause.
+	blockEnds = 3
+	// certainEnds is under how many ends a request is blocked whatever else ran there: hosts
+	// and clients together run most requests four times at most, so that an innocent one has
+	// no try left to lose. Without this limit a harmful one that had run beside another
+	// went to four further endpoints.
+	certainEnds = 4
 	// suspectEnds is under how many ends a request may run only once for each attempt of a
 	// client: a second try by its host doubles what it does until it is blocked.
 	suspectEnds = 2
@@ -215,9 +216,9 @@
 	return out
 }
 
-// Suspects returns the contents under which at least so many endpoints have ended without
+// Unexplained returns the contents under which at least so many endpoints have ended without
 // another that explains it, with all crashes of each.
-func (l *Ledger) Suspects(now time.Time, least int) map[uint64][]fleet.Crash {
+func (l *Ledger) Unexplained(now time.Time, least int) map[uint64][]fleet.Crash {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ends := l.sorted()
@@ -274,10 +275,10 @@
 	any := fleet.BlockedRequest{Content: content, Caller: fleet.AnyCaller}
 	out := []Verdict{{Request: any, Suspect: true, Endpoints: ids(all)}}
 	mine := all
-	if len(all) < certain {
+	if len(all) < certainEnds {
 		mine = proven(now, content, ends, counts)
 	}
-	if len(mine) < limit {
+	if len(mine) < blockEnds {
 		return out
 	}
 	for _, caller := range callersToBlame(content, mine) {
@@ -316,7 +317,7 @@
 			count[caller]++
 		}
 	}
-	maps.DeleteFunc(count, func(_ uint64, n int) bool { return n < limit })
+	maps.DeleteFunc(count, func(_ uint64, n int) bool { return n < blockEnds })
 	for _, e := range ends {
 		explained := false
 		for _, caller := range e.callers(content) {
--- a/pkg/quarantine/runs.go
+++ b/pkg/quarantine/runs.go
@@ -136,15 +136,16 @@
 	maps.DeleteFunc(b.broken, func(_ fleet.Fingerprint, broke time.Time) bool { return now.Sub(broke) > livedFor })
 }
 
-// Any tells whether a run broke off at an endpoint so lately that it may have ended it.
-func (r *Runs) Any(now time.Time, id fleet.EndpointID) bool {
+// EndedLately tells whether a run has ended at an endpoint so lately that it may be to blame
+// if nobody listens there any more.
+func (r *Runs) EndedLately(now time.Time, id fleet.EndpointID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.endpoints[id]
 	return b != nil && b.ended.IsZero() && now.Sub(b.last) <= brokenFor
 }
 
-// Prune forgets endpoints at which nothing has broken off lately.
+// Prune forgets endpoints at which no run has ended lately.
 func (r *Runs) Prune(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
