The checker takes its host's functions from the guard's settings; one way to take an ID apart

The fields of Checker repeated those of Config, and two places cut IDs of plain services at the first mark, where a name may hold one. No behaviour changes but for names with that mark; the tests of both packages pass with -race.

--- a/pkg/entryhost/guard.go
+++ b/pkg/entryhost/guard.go
@@ -130,16 +130,25 @@
 	if errors.Is(err, external.ErrRefused) {
 		return true, nil
 	}
-	_, incarnation, ok := strings.Cut(string(e.ID), incarnationMark)
-	return err == nil && ok && string(status.Incarnation) != incarnation, err
+	_, incarnation := splitIncarnation(e.ID)
+	return err == nil && incarnation != "" && status.Incarnation != incarnation, err
 }
 
 // incarnationMark separates the name of a plain service from its incarnation.
 const incarnationMark = "@"
 
+// splitIncarnation takes apart what incarnationOf has made; other IDs have no incarnation.
+func splitIncarnation(id fleet.EndpointID) (name string, incarnation record.Incarnation) {
+	i := strings.LastIndex(string(id), incarnationMark)
+	if i < 0 {
+		return string(id), ""
+	}
+	return string(id[:i]), record.Incarnation(id[i+len(incarnationMark):])
+}
+
 // announced implements quarantine.Config.Announced.
 func (h *Host) announced(id fleet.EndpointID) bool {
-	name, _, _ := strings.Cut(string(id), incarnationMark)
+	name, _ := splitIncarnation(id)
 	if e, ok := h.state.Pools.EndpointOf(record.ReplicaID(id)); ok {
 		name = e
 	}
--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -23,26 +22,23 @@
 	checkTime = 1500 * time.Millisecond
 )
 
-// Checker looks whether an endpoint has ended at which runs broke off: a run may break off for
+// checker looks whether an endpoint has ended at which runs broke off: a run may break off for
 // many other reasons. It is safe for concurrent use.
-type Checker struct {
-	// Ended tells whether an incarnation of an endpoint has ended; an error says that this
-	// is not known.
-	Ended func(ctx context.Context, e fleet.Endpoint) (bool, error)
-	// Announced tells whether the endpoint has announced its leaving. Its end is then
-	// no request's fault.
-	Announced func(id fleet.EndpointID) bool
-	// Found is told which requests ran at an endpoint when it ended.
-	Found func([]fleet.Crash)
-	Now   func() time.Time
-	Log   *slog.Logger
-	Runs  *Runs
+type checker struct {
+	cfg  Config
+	runs *Runs
+	// found is told which requests ran at an endpoint when it ended.
+	found func([]fleet.Crash)
 
 	mu sync.Mutex
 	// looking holds the endpoints that are looked at; each look reads its own entry.
 	looking map[fleet.EndpointID]*suspicion
 }
 
+func newChecker(cfg Config, found func([]fleet.Crash)) *checker {
+	return &checker{cfg: cfg, runs: NewRuns(), found: found, looking: map[fleet.EndpointID]*suspicion{}}
+}
+
 // suspicion is that an endpoint has ended.
 type suspicion struct {
 	// at is when the first run broke off since the endpoint last showed that it lives.
@@ -52,10 +48,10 @@
 }
 
 // Broke takes in that a run broke off. A suspected end of its endpoint is looked into.
-func (c *Checker) Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool) {
-	now := c.Now()
-	if late := c.Runs.Broke(now, e.ID, f); len(late) > 0 {
-		c.found(e.ID, late)
+func (c *checker) Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool) {
+	now := c.cfg.Now()
+	if late := c.runs.Broke(now, e.ID, f); len(late) > 0 {
+		c.tell(e.ID, late)
 		return
 	}
 	if suspected && c.suspect(now, e.ID) {
@@ -64,16 +60,16 @@
 }
 
 // Refused takes in that nobody listens at an endpoint.
-func (c *Checker) Refused(e fleet.Endpoint) {
-	now := c.Now()
-	if c.Runs.EndedLately(now, e.ID) && c.suspect(now, e.ID) {
+func (c *checker) Refused(e fleet.Endpoint) {
+	now := c.cfg.Now()
+	if c.runs.EndedLately(now, e.ID) && c.suspect(now, e.ID) {
 		go c.look(e)
 	}
 }
 
 // suspect notes a suspicion and tells whether it is the first one of its endpoint. Another run
 // that breaks off renews it: the endpoint may have ended just after the last look at it.
-func (c *Checker) suspect(now time.Time, id fleet.EndpointID) bool {
+func (c *checker) suspect(now time.Time, id fleet.EndpointID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s := c.looking[id]; s != nil {
@@ -82,22 +78,19 @@
 		}
 		return false
 	}
-	if c.looking == nil {
-		c.looking = map[fleet.EndpointID]*suspicion{}
-	}
 	c.looking[id] = &suspicion{at: now}
 	return true
 }
 
 // since is when a suspected endpoint may have ended.
-func (c *Checker) since(id fleet.EndpointID) time.Time {
+func (c *checker) since(id fleet.EndpointID) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.looking[id].at
 }
 
 // alive notes that an endpoint was found alive, and tells whether that ends the suspicion.
-func (c *Checker) alive(id fleet.EndpointID) bool {
+func (c *checker) alive(id fleet.EndpointID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.looking[id]
@@ -110,23 +103,23 @@
 }
 
 // over ends a suspicion.
-func (c *Checker) over(id fleet.EndpointID) {
+func (c *checker) over(id fleet.EndpointID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.looking, id)
 }
 
 // look looks at a suspected endpoint until it is clear what has become of it.
-func (c *Checker) look(e fleet.Endpoint) {
+func (c *checker) look(e fleet.Endpoint) {
 	ctx := context.Background()
-	for hits := 0; c.Now().Sub(c.since(e.ID)) < checkTime; wait.For(ctx, checkPause) {
+	for hits := 0; c.cfg.Now().Sub(c.since(e.ID)) < checkTime; wait.For(ctx, checkPause) {
 		ended, err := c.askOnce(ctx, e)
 		switch {
 		case err != nil:
 			continue // Nothing is known; the next look may tell more.
 		case !ended:
 			hits = 0
-			c.Runs.Lives(c.Now(), e.ID)
+			c.runs.Lives(c.cfg.Now(), e.ID)
 			if c.alive(e.ID) {
 				return
 			}
@@ -141,26 +134,26 @@
 }
 
 // askOnce looks at an endpoint once.
-func (c *Checker) askOnce(ctx context.Context, e fleet.Endpoint) (bool, error) {
+func (c *checker) askOnce(ctx context.Context, e fleet.Endpoint) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, checkTime)
 	defer cancel()
-	return c.Ended(ctx, e)
+	return c.cfg.Ended(ctx, e)
 }
 
 // ended takes in that an endpoint has ended at a time.
-func (c *Checker) ended(e fleet.Endpoint, at time.Time) {
-	crashes := c.Runs.Ended(c.Now(), at, e.ID)
+func (c *checker) ended(e fleet.Endpoint, at time.Time) {
+	crashes := c.runs.Ended(c.cfg.Now(), at, e.ID)
 	contents := make([]string, len(crashes))
 	for i, x := range crashes {
 		contents[i] = fleet.Hex(x.Request.Content)
 	}
-	c.Log.Info("endpoint has ended under requests", "endpoint", e.ID, "announced", c.Announced(e.ID), "contents", contents)
-	c.found(e.ID, crashes)
+	c.cfg.Log.Info("endpoint has ended under requests", "endpoint", e.ID, "announced", c.cfg.Announced(e.ID), "contents", contents)
+	c.tell(e.ID, crashes)
 }
 
-// found passes crashes on, unless the endpoint had announced its end.
-func (c *Checker) found(id fleet.EndpointID, crashes []fleet.Crash) {
-	if len(crashes) > 0 && !c.Announced(id) {
-		c.Found(crashes)
+// tell passes crashes on, unless the endpoint had announced its end.
+func (c *checker) tell(id fleet.EndpointID, crashes []fleet.Crash) {
+	if len(crashes) > 0 && !c.cfg.Announced(id) {
+		c.found(crashes)
 	}
 }
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -27,20 +27,13 @@
 	Ledger  *Ledger
 	Blocks  *Blocks
 	cfg     Config
-	checker *Checker
+	checker *checker
 }
 
 // NewGuard returns a guard that blocks nothing.
 func NewGuard(cfg Config) *Guard {
 	g := &Guard{Ledger: NewLedger(), Blocks: NewBlocks(), cfg: cfg}
-	g.checker = &Checker{
-		Ended:     cfg.Ended,
-		Announced: cfg.Announced,
-		Found:     g.found,
-		Now:       cfg.Now,
-		Log:       cfg.Log,
-		Runs:      NewRuns(),
-	}
+	g.checker = newChecker(cfg, g.found)
 	return g
 }
 
@@ -54,7 +47,7 @@
 
 // Served implements serve.Guard.
 func (g *Guard) Served(e fleet.Endpoint, f fleet.Fingerprint) {
-	for _, harmless := range g.checker.Runs.Served(g.cfg.Now(), e.ID, f) {
+	for _, harmless := range g.checker.runs.Served(g.cfg.Now(), e.ID, f) {
 		g.Ledger.Clear(harmless)
 	}
 }
@@ -93,7 +86,7 @@
 
 // Prune forgets what is old.
 func (g *Guard) Prune(now time.Time) {
-	g.checker.Runs.Prune(now)
+	g.checker.runs.Prune(now)
 	g.Ledger.Expire(now)
 	g.Blocks.Expire(now)
 }
