--- a/pkg/entryhost/crash_test.go
+++ b/pkg/entryhost/crash_test.go
@@ -48,6 +48,26 @@
 	})
 }
 
+// There is one service only. A lookup ends it each time that it runs, and each time it comes back
+// under its name. Its ends were taken for one, and the lookup was never blocked.
+func TestCrashingCallAtASingleService(t *testing.T) {
+	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
+		const body = `"a number that no register holds"`
+		f.mu.Lock()
+		for _, e := range f.engines {
+			e.crashOn = body
+		}
+		f.mu.Unlock()
+		for i := range 30 {
+			c := &testCall{id: completion.NewRequestID(), model: "lookup", body: body, wait: time.Second}
+			c.do(hosts[i%3])
+			is.True(c.refusal != nil)
+			time.Sleep(2 * time.Second)
+		}
+		is.True(f.allCrashes() <= 3+strayRuns)
+	})
+}
+
 // A deferred request crashes each engine that runs it. Its host ran it again every five
 // seconds, for as long as deferred requests are kept, which is a day. It ends with an
 // error that says so.
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -120,6 +120,42 @@
 	d.keptFrom(endpoints, a, b, c)
 }
 
+// All hosts are cut off from one another, and reach the store. Each sees one end under a request
+// that its route lets run once; none would ever see three, and each would send it to three.
+func TestCrashingRequestAtHostsCutFromOneAnother(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish(config(1))
+	var endpoints []*site.Endpoint
+	for i := range 12 {
+		endpoints = append(endpoints, d.endpoint(site.EndpointConfig{ID: fmt.Sprint("p", i), Service: "plain", Zone: "zone-a", Slots: 4, CrashOn: crashing}))
+	}
+	var hosts []*host
+	for _, name := range []string{"a", "b", "c", "d"} {
+		hosts = append(hosts, d.startHost(name))
+	}
+	d.meet(hosts...)
+	for _, h := range hosts {
+		h.CutPeers()
+	}
+	d.until("nobody is told anything", func() bool {
+		return !slices.ContainsFunc(hosts, func(h *host) bool { return h.Silence() < spread })
+	})
+	for _, h := range hosts[:3] {
+		d.askWith(h, "/screen/", "", crashing)
+	}
+	<-time.After(spread)
+	before := crashed(endpoints)
+	for range 3 {
+		for _, h := range hosts {
+			d.askWith(h, "/screen/", "", crashing)
+		}
+	}
+	if n := crashed(endpoints) - before; n > strayRuns {
+		t.Errorf("%d endpoints more have ended, %d are allowed", n, strayRuns)
+	}
+}
+
 // All hosts lose power after a request was blocked, and the client goes on. The new
 // incarnations had seen none of the ends and sent it to three endpoints more each.
 func TestBlockOutlivesAllHosts(t *testing.T) {
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
+	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/record"
 	"pgregory.net/rapid"
@@ -203,3 +205,49 @@
 	is.Equal(len(g.crashesKept.takeStale()), 0)
 	is.True(g.crashesKept.lacks(1, crashRecord{Crashes: crashOf("e")})) // and what counts is written again
 }
+
+// The controller hears of all ends and decides; a host that is told nothing has to go by what
+// it knows, or would send a harmful request to endpoints until somebody speaks to it again.
+func TestWhoDecides(t *testing.T) {
+	is := is.New(t)
+	g := relayHost()
+	start := g.Now()
+	for i := range 3 {
+		g.guard.Ledger.Add(start, crashOf(fmt.Sprint("e", i)))
+	}
+	now := start.Add(2 * time.Second)
+	g.news.note(now)
+	g.guardRequests(now)
+	is.Equal(g.guard.Blocks.Count(), 0)
+	g.guardRequests(now.Add(newsLife))
+	is.Equal(g.guard.Blocks.Count(), 1)
+}
+
+// A suspect is told to all hosts, and is none to write down: its ends are. A record for it would
+// make a call to the store for each request that ran at two ends.
+func TestSuspectsAreNotWritten(t *testing.T) {
+	is := is.New(t)
+	g := relayHost()
+	now := g.Now()
+	g.guard.Blocks.Add(now, []fleet.Block{{Request: fleet.BlockedRequest{Content: 1}, Since: now.Unix(), Suspect: true}})
+	is.Equal(len(g.recordsToKeep(now.Add(2*cutOffFor), true)), 0)
+}
+
+// Hosts start together, and the first ones read the entries of a few others. Each of them took
+// itself for a relay and read all topics.
+func TestHostExpectsNewsWhileOthersStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := relayHost()
+		g.reads.SetLoaded(fleet.TopicHosts)
+		g.mesh.learn("other", hostEntry{Addr: "o:1", Fingerprint: peer.Fingerprint{1}})
+		is.True(g.mesh.relaying())
+		is.True(g.expectsNews()) // more may come
+		time.Sleep(gatherTime)
+		is.True(!g.expectsNews())
+		g.mesh.learn("third", hostEntry{Addr: "t:1", Fingerprint: peer.Fingerprint{2}})
+		is.True(g.expectsNews())
+		time.Sleep(startGrace)
+		is.True(!g.expectsNews())
+	})
+}
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -179,6 +179,83 @@
 	})
 }
 
+// A harmful request has ended three endpoints. At the fourth its answer is whole, and another
+// request is answered there a moment before the endpoint ends. Taken for a sign that the
+// endpoint lives on, that cleared the harmful one of all its ends.
+func TestAnswerAMomentLaterClearsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := watched(false, look{ended: true})
+		f := by(client, harmful)[0]
+		for i := range 3 {
+			g.Ledger.Add(time.Now(), crashesOf(i, ending{ran: []fleet.Fingerprint{f}}))
+			time.Sleep(time.Second)
+		}
+		e := fleet.Endpoint{ID: "fourth"}
+		g.Served(e, f)
+		time.Sleep(50 * time.Millisecond)
+		g.Served(e, by(client, other)[0])
+		g.Decide(time.Now())
+		is.True(g.Blocked(f))
+	})
+}
+
+// An answer is lost at an endpoint that is found alive. A little later another request ends
+// it; the first one's client was lost its answers, and would be blamed for the end as well.
+func TestWhatBrokeOffBeforeASignOfLifeIsNotNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := watched(false, look{}, look{}, look{}, look{ended: true})
+		e := fleet.Endpoint{ID: "e"}
+		g.Broke(e, by(client, innocent)[0], true)
+		time.Sleep(600 * time.Millisecond)
+		g.Broke(e, by(client, harmful)[0], true)
+		time.Sleep(time.Second)
+		crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
+		is.Equal(len(crashes), 1)
+		is.Equal(crashes[0].Request.Content, harmful)
+	})
+}
+
+// Nobody listens at an endpoint that was shut down long ago, and many requests find that. Each
+// looked at it again, twice; the looks would cost more than the requests.
+func TestRefusedConnectionsAloneBeginNoLook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var looks atomic.Int32
+		g := quarantine.NewGuard(quarantine.Config{
+			Ended: func(context.Context, fleet.Endpoint) (bool, error) {
+				looks.Add(1)
+				return true, nil
+			},
+			Announced: func(fleet.EndpointID) bool { return false },
+			Crashed:   func([]fleet.Crash) {},
+			Now:       time.Now,
+			Log:       slog.New(slog.DiscardHandler),
+		})
+		for range 5 {
+			g.Refused(fleet.Endpoint{ID: "e"})
+			time.Sleep(time.Second)
+		}
+		is.Equal(looks.Load(), int32(0))
+	})
+}
+
+// Blocks and suspects are kept in memory at each host and told to all; more than a few hundred
+// are not taken in, and those in force hold.
+func TestBlocksAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := quarantine.NewBlocks()
+	for i := range 2000 {
+		for _, suspect := range []bool{false, true} {
+			b.Add(start(), []fleet.Block{{Request: fleet.BlockedRequest{Content: uint64(i + 1)}, Since: start().Unix(), Suspect: suspect}})
+		}
+	}
+	is.Equal(b.Count(), 512)
+	is.Equal(len(b.All()), 2*512)
+	is.True(b.Blocked(by(client, 1)[0]))
+}
+
 // A request has run at two endpoints that ended. Until more is known it is not sent to a second
 // endpoint for one attempt of its client.
 func TestTwoEndsMakeASuspect(t *testing.T) {
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -134,6 +134,14 @@
 			},
 			1000, []fleet.BlockedRequest{harmfulOf(client), {Content: other, Caller: client}},
 		},
+		{
+			"two harmful requests end endpoints faster than these can be told apart in time",
+			[]ending{
+				{0, by(client, harmful)}, {40, by(client, other)}, {80, by(client, harmful)}, {120, by(client, other)},
+				{160, by(client, harmful)}, {200, by(client, other)},
+			},
+			1000, []fleet.BlockedRequest{harmfulOf(client), {Content: other, Caller: client}},
+		},
 		{
 			"the same content of another caller ran beside it",
 			[]ending{{0, by(client, harmful)}, {300, append(by(client, harmful), by(elsewhere, harmful)...)}, {600, by(client, harmful)}},
--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -26,6 +26,8 @@
 	status  int
 	// notSent fails before anything is sent, lost after the run.
 	notSent, lost bool
+	// unreachable fails as no connection can be made.
+	unreachable bool
 	// hang answers nothing until the request is cancelled.
 	hang bool
 	// events of a stream; a negative broken sends all of them.
@@ -88,7 +90,7 @@
 	if act.status == 0 {
 		act.status = 200
 	}
-	if !act.notSent && act.verdict == serve.Answered {
+	if !act.notSent && !act.unreachable && act.verdict == serve.Answered {
 		w.runs[r.ID] = append(w.runs[r.ID], s.Endpoint.ID)
 	}
 	return act
@@ -97,6 +99,9 @@
 // Send implements serve.Backend.
 func (w *world) Send(ctx context.Context, r *serve.Request, s serve.Send) (*serve.Answer, error) {
 	act := w.next(r, s)
+	if act.unreachable {
+		return nil, fmt.Errorf("%w: %w", serve.ErrNotSent, serve.ErrUnreachable)
+	}
 	if act.notSent {
 		return nil, fmt.Errorf("%w: refused", serve.ErrNotSent)
 	}
--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
 )
 
@@ -19,6 +20,7 @@
 	onBreak bool
 	broke   []bool
 	served  int
+	refused int
 	suspect bool
 }
 
@@ -35,7 +37,11 @@
 	g.blocks = g.blocks || g.onBreak
 }
 
-func (g *watchful) Refused(fleet.Endpoint) {}
+func (g *watchful) Refused(fleet.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refused++
+}
 
 func (g *watchful) Suspected(fleet.Fingerprint) bool { return g.suspect }
 
@@ -122,13 +128,29 @@
 	})
 }
 
+// A request is blocked as its first try ends an endpoint, while no retry is left in the common
+// budget. Its line said that the budget was used up, and the people on call looked there.
+func TestBlockedRequestSaysSoWithoutABudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("e1", "e2")
+		w.does("e1", script{lost: true})
+		w.does("e2", script{lost: true})
+		r := request("r", fleet.Stream, true)
+		s := guarded(w, &watchful{onBreak: true}, r)
+		s.Budget = retry.NewBudget(retry.Limits{Window: 10 * time.Second}, 1)
+		result := s.Serve(context.Background(), r, &sink{})
+		is.Equal(result.Refusal.Cause, serve.CauseCrashes)
+	})
+}
+
 // Runs break off because an endpoint fails, or because their clients leave. The latter tell
 // nothing of the endpoint, and each look at it is a call. A whole answer clears the request.
 func TestGuardHearsHowRunsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld("e1")
-		w.does("e1", script{lost: true}, script{hang: true})
+		w.does("e1", script{lost: true}, script{hang: true}, script{unreachable: true})
 		g := &watchful{}
 		r := request("r", fleet.Once, false)
 		s := guarded(w, g, r)
@@ -139,5 +161,6 @@
 		s.Serve(context.Background(), r, &sink{})
 		is.Equal(g.broke, []bool{true, false})
 		is.Equal(g.served, 1)
+		is.Equal(g.refused, 1)
 	})
 }
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -151,7 +151,7 @@
 	_, epoch := st.Pools.Owner("p")
 	key := rapid.SampledFrom(keys).Draw(t, "key")
 	p := st.Pools.Get("p")
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
 	case 0:
 		e, _ := st.Contracts.Get("c")
 		return contractRecord(e.Version, "c")
@@ -165,6 +165,8 @@
 		return record.Record{Dispatch: &record.Dispatch{Holder: host, Outcomes: []record.KeyOutcome{{Key: key, Status: 200}}}}
 	case 5:
 		return record.Record{Dispatch: &record.Dispatch{Holder: host, Releases: []record.KeyRelease{{Key: key}}}}
+	case 8:
+		return record.Record{Crashed: &record.Crashed{Endpoint: key.Value, Requests: []record.CrashedRequest{{Content: 1}}}}
 	case 6:
 		return record.Record{Defer: &record.Deferred{ID: key.Value, Customer: "c"}}
 	default:
@@ -208,8 +210,23 @@
 	is.True(errors.Is(f.st.Replace(old), state.ErrStale))
 	e, _ := f.st.Contracts.Get("c")
 	is.Equal(e.Version, uint64(2))
+	f.apply(record.Record{Crashed: &record.Crashed{Endpoint: "e"}})
 	newer := restore(t, f.st)
 	is.NoErr(old.Replace(newer))
+	is.Equal(len(old.Crashes.After(0)), 1)
 	e, _ = old.Contracts.Get("c")
 	is.Equal(e.Version, uint64(2))
 }
+
+// Endpoints flap for days, and each end is a record. A host that kept all of them would take more
+// memory each day, and so would its snapshots.
+func TestCrashesAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFolder(t)
+	for range 1000 {
+		f.apply(record.Record{Crashed: &record.Crashed{Endpoint: "e"}})
+	}
+	kept := f.st.Crashes.After(0)
+	is.Equal(len(kept), 256)
+	is.Equal(kept[len(kept)-1].Offset, f.st.Applied())
+}
