A look for requests to blame goes through those only that ran at several ends

Cause: each look counted all requests at all ends, on the controller twenty times a second while ends come; its comment said up to a millisecond, which nobody had measured. Found by reading. Change: counts are kept with each change, groups of ends are made once a look. No decision changes: the table and property tests pass unchanged, with -race. Figures: BenchmarkDecide, 512 ends with 24 requests each, 6.1 ms before, 1.1 ms after (median of three, eight cores).

--- /dev/null
+++ b/pkg/quarantine/bench_test.go
@@ -0,0 +1,39 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/quarantine"
+)
+
+// BenchmarkDecide looks for requests to blame in as many ends as a ledger keeps, with a batch of
+// requests each, a few of which ran at several. A controller looks twenty times a second while
+// ends come.
+func BenchmarkDecide(b *testing.B) {
+	const ends, batch, repeated = 512, 24, 16
+	l := quarantine.NewLedger()
+	for i := range ends {
+		var crashes []fleet.Crash
+		for j := range batch {
+			content := uint64(1000 + i*batch + j)
+			if j < 2 {
+				content = uint64(1 + (i+j)%repeated)
+			}
+			crashes = append(crashes, fleet.Crash{
+				Request:  fleet.Fingerprint{Content: content, Caller: client},
+				Endpoint: fleet.EndpointID(fmt.Sprint("e", i)),
+			})
+		}
+		l.Add(start().Add(ms(i)), crashes)
+	}
+	now := start().Add(ms(ends))
+	for b.Loop() {
+		now = now.Add(100 * time.Millisecond)
+		l.Add(now, []fleet.Crash{{Request: fleet.Fingerprint{Content: uint64(b.N), Caller: client}, Endpoint: fleet.EndpointID(now.String())}})
+		l.Expire(now)
+		l.Decide(now)
+	}
+}
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -33,7 +33,8 @@
 	// togetherTime is within what time endpoints end together, as when a rack loses power; a
 	// request ends one at a time. Hosts see and tell ends some tens of milliseconds apart.
 	togetherTime = 60 * time.Millisecond
-	// lookPause separates two looks for requests to blame: one takes up to a millisecond.
+	// lookPause separates two looks for requests to blame, so that they take a small part of
+	// the controller's processor (BenchmarkDecide).
 	lookPause = 50 * time.Millisecond
 	// crashLife is how long an end counts: clients that send a request again do so within
 	// seconds to minutes.
@@ -61,6 +62,11 @@
 	// log holds all crashes in the order in which they came, from the number first on.
 	log   []fleet.Crash
 	first int64
+	// counts is at how many ends each content may be to blame; repeated holds those that may
+	// be at suspectEnds or more. Kept with each change, they spare a look the thousands of
+	// requests that ran at one end: 6.1 ms before, 1.1 ms after for 512 ends (BenchmarkDecide).
+	counts   map[uint64]int
+	repeated map[uint64]bool
 	// open tells that something has come that may lead to a verdict, looked is when a
 	// verdict was last looked for.
 	open   bool
@@ -77,6 +83,16 @@
 	ran map[uint64]map[uint64]bool
 }
 
+// mayBlame tells whether a request of a content may be to blame for the end.
+func (e *end) mayBlame(content uint64) bool {
+	for _, counts := range e.ran[content] {
+		if counts {
+			return true
+		}
+	}
+	return false
+}
+
 // callers returns whose requests of a content may be to blame for the end.
 func (e *end) callers(content uint64) []uint64 {
 	var out []uint64
@@ -88,11 +104,10 @@
 	return out
 }
 
-// mayBlame tells whether a request of a content may be to blame for the end.
-func (e *end) mayBlame(content uint64) bool { return len(e.callers(content)) > 0 }
-
 // NewLedger returns a ledger without any end.
-func NewLedger() *Ledger { return &Ledger{ends: map[fleet.EndpointID]*end{}} }
+func NewLedger() *Ledger {
+	return &Ledger{ends: map[fleet.EndpointID]*end{}, counts: map[uint64]int{}, repeated: map[uint64]bool{}}
+}
 
 // Add takes in crashes and tells whether any is new.
 func (l *Ledger) Add(now time.Time, crashes []fleet.Crash) bool {
@@ -127,6 +142,9 @@
 		callers = map[uint64]bool{}
 		e.ran[c.Request.Content] = callers
 	}
+	if !e.mayBlame(c.Request.Content) {
+		l.count(c.Request.Content, 1)
+	}
 	callers[c.Request.Caller] = true
 	l.log = append(l.log, c)
 	return true
@@ -139,8 +157,36 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.ends {
-		if e.ran[f.Content][f.Caller] {
-			e.ran[f.Content][f.Caller] = false
+		if !e.ran[f.Content][f.Caller] {
+			continue
+		}
+		e.ran[f.Content][f.Caller] = false
+		if !e.mayBlame(f.Content) {
+			l.count(f.Content, -1)
+		}
+	}
+}
+
+// count notes that a content may be to blame for one end more, or less. The ledger is locked.
+func (l *Ledger) count(content uint64, by int) {
+	n := l.counts[content] + by
+	l.counts[content] = n
+	if n == 0 {
+		delete(l.counts, content)
+	}
+	if n >= suspectEnds {
+		l.repeated[content] = true
+	} else {
+		delete(l.repeated, content)
+	}
+}
+
+// drop forgets an end. The ledger is locked.
+func (l *Ledger) drop(e *end) {
+	delete(l.ends, e.id)
+	for content := range e.ran {
+		if e.mayBlame(content) {
+			l.count(content, -1)
 		}
 	}
 }
@@ -149,14 +195,14 @@
 func (l *Ledger) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, e := range l.ends {
+	for _, e := range l.ends {
 		if now.Sub(e.at) > crashLife {
-			delete(l.ends, id)
+			l.drop(e)
 		}
 	}
 	if len(l.ends) > maxEnds {
 		for _, e := range l.sorted()[:len(l.ends)-maxEnds] {
-			delete(l.ends, e.id)
+			l.drop(e)
 		}
 	}
 	kept := slices.IndexFunc(l.log, func(c fleet.Crash) bool { return l.ends[c.Endpoint] != nil })
@@ -206,12 +252,11 @@
 	l.looked = now
 	ends := l.sorted()
 	l.open = slices.ContainsFunc(ends, func(e *end) bool { return now.Sub(e.heard) < tieTime })
-	counts := counts(ends)
+	told := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return now.Sub(e.heard) < gatherTime })
+	seen := look{now: now, all: together(ends), told: together(told), counts: l.counts}
 	var out []Verdict
-	for content, n := range counts {
-		if n >= suspectEnds {
-			out = append(out, judge(now, content, ends, counts)...)
-		}
+	for content := range l.repeated {
+		out = append(out, seen.judge(content)...)
 	}
 	return out
 }
@@ -221,14 +266,13 @@
 func (l *Ledger) Unexplained(now time.Time, least int) map[uint64][]fleet.Crash {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ends := l.sorted()
-	counts := counts(ends)
+	groups := together(l.sorted())
 	out := map[uint64][]fleet.Crash{}
-	for content, n := range counts {
+	for content, n := range l.counts {
 		if n < least {
 			continue
 		}
-		if mine := blamed(content, ends, counts); len(mine) >= least {
+		if mine := blamed(content, groups, l.counts); len(mine) >= least {
 			out[content] = crashes(now, content, mine)
 		}
 	}
@@ -253,22 +297,17 @@
 	})
 }
 
-// counts returns under how many ends each content ran.
-func counts(ends []*end) map[uint64]int {
-	out := map[uint64]int{}
-	for _, e := range ends {
-		for content := range e.ran {
-			if e.mayBlame(content) {
-				out[content]++
-			}
-		}
-	}
-	return out
+// look is what one look for requests to blame goes by.
+type look struct {
+	now time.Time
+	// all are the ends in groups that came together, told those that all hosts have told.
+	all, told [][]*end
+	counts    map[uint64]int
 }
 
 // judge returns whose requests of a content to block, and that the content is suspect.
-func judge(now time.Time, content uint64, ends []*end, counts map[uint64]int) []Verdict {
-	all := ranAt(content, ends)
+func (l look) judge(content uint64) []Verdict {
+	all := ranAt(content, l.all)
 	if len(all) < suspectEnds {
 		return nil
 	}
@@ -276,7 +315,7 @@
 	out := []Verdict{{Request: any, Suspect: true, Endpoints: ids(all)}}
 	mine := all
 	if len(all) < certainEnds {
-		mine = proven(now, content, ends, counts)
+		mine = l.proven(content)
 	}
 	if len(mine) < blockEnds {
 		return out
@@ -289,11 +328,10 @@
 }
 
 // proven returns the ends that a content is to blame for and that all hosts have told.
-func proven(now time.Time, content uint64, ends []*end, counts map[uint64]int) []*end {
-	told := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return now.Sub(e.heard) < gatherTime })
-	mine := blamed(content, told, counts)
-	if tied(content, mine, counts) {
-		mine = slices.DeleteFunc(mine, func(e *end) bool { return now.Sub(e.heard) < tieTime })
+func (l look) proven(content uint64) []*end {
+	mine := blamed(content, l.told, l.counts)
+	if tied(content, mine, l.counts) {
+		mine = slices.DeleteFunc(mine, func(e *end) bool { return l.now.Sub(e.heard) < tieTime })
 	}
 	return mine
 }
@@ -331,16 +369,21 @@
 }
 
 // blamed returns the ends that a content is to blame for: no other explains them better.
-func blamed(content uint64, ends []*end, counts map[uint64]int) []*end {
-	return slices.DeleteFunc(ranAt(content, ends), func(e *end) bool { return explained(content, e, counts) })
+func blamed(content uint64, groups [][]*end, counts map[uint64]int) []*end {
+	return slices.DeleteFunc(ranAt(content, groups), func(e *end) bool { return explained(content, e, counts) })
 }
 
 // ranAt returns the ends at which a content ran. Of some that came together with the end of
 // an endpoint that did not run it, it returns one.
-func ranAt(content uint64, ends []*end) []*end {
+func ranAt(content uint64, groups [][]*end) []*end {
 	var out []*end
-	for _, group := range together(ends) {
-		mine := slices.DeleteFunc(slices.Clone(group), func(e *end) bool { return !e.mayBlame(content) })
+	for _, group := range groups {
+		var mine []*end
+		for _, e := range group {
+			if e.mayBlame(content) {
+				mine = append(mine, e)
+			}
+		}
 		if len(mine) > 1 && len(mine) < len(group) {
 			mine = mine[:1]
 		}
