A host that is cut off reads what others write of crashes, whatever claims come

Cause: a host that nobody asks rests its reads for three seconds after each claim that it reads, since its holder will speak. Cut off from the others it reads one claim after the other, and never what they had written of crashes: it did not know of a block three seconds after the third end, and ended three endpoints more, the most that is allowed. Found by printing what the test of hosts cut off from one another had only compared with the limit. Ruled out: the records (all three ends stood in the store), the decision (three of four hosts had the block after 0.75 s).

--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -133,6 +133,8 @@
 
 // All hosts are cut off from one another, and reach the store. Each sees one end under a request
 // that its route lets run once; none would ever see three, and each would send it to three.
+// One host that nobody asks did not read what the others had written: claims came one after
+// the other, and each was taken for a sign that its holder would speak soon.
 func TestCrashingRequestAtHostsCutFromOneAnother(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
@@ -156,6 +158,11 @@
 		d.askWith(h, "/screen/", "", crashing)
 	}
 	<-time.After(spread)
+	for i, h := range hosts {
+		if h.Blocks() == 0 {
+			t.Errorf("host %d does not know of the block %v after the third end", i, spread)
+		}
+	}
 	before := crashed(endpoints)
 	for range 3 {
 		for _, h := range hosts {
--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -123,8 +123,17 @@
 // followCrashes reads what the store keeps of crashes: at relays, and at hosts that are
 // told nothing by others.
 func (g *Gateway) followCrashes(ctx context.Context) {
-	g.restAtStart(ctx)
-	g.follower(fleet.TopicCrashes, g.takeCrashRecords, g.takeCrashRecords).Run(ctx)
+	g.restAtStart(ctx, g.toldOfCrashes)
+	f := g.follower(fleet.TopicCrashes, g.takeCrashRecords, g.takeCrashRecords)
+	f.Told = g.toldOfCrashes
+	f.Run(ctx)
+}
+
+// toldOfCrashes tells whether this host learns of crashes from another. A claim that was just
+// read is no sign of that, as for other topics: a host that is cut off from the others reads
+// one after the other, and has to know of a block within seconds.
+func (g *Gateway) toldOfCrashes() bool {
+	return !g.mesh.relaying() && g.news.silence(g.Now()) < cutOffFor || g.expectsNews()
 }
 
 func (g *Gateway) takeCrashRecords(b fleet.Batch) {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -73,7 +73,7 @@
 		Log:    g.log,
 		Topic:  t,
 		Wait:   longPoll,
-		Told:   func() bool { return g.isTold() || g.expectsNews() },
+		Told:   g.isToldOrWillBe,
 		Reset:  reset,
 		Apply:  apply,
 		Result: func(err error) { g.noteStore(t, err) },
@@ -181,6 +181,10 @@
 	return !g.mesh.relaying() && (g.news.recent(now) || g.mesh.claimedLately(now))
 }
 
+// isToldOrWillBe tells whether this host learns all topics from others, or has just started
+// and will.
+func (g *Gateway) isToldOrWillBe() bool { return g.isTold() || g.expectsNews() }
+
 // expectsNews tells whether this host has just started and others will tell it what the
 // store holds. As long as it does not know the others it cannot know that: of hosts that
 // start together the first ones find few entries, and would take themselves for relays.
@@ -345,10 +349,10 @@
 	g.election.Restarted(e.Key, h.Incarnation)
 }
 
-// restAtStart rests as long as others tell this host what it needs, or will soon, before it
-// reads a topic for the first time: a minute at most, as between two reads.
-func (g *Gateway) restAtStart(ctx context.Context) {
-	for g.Now().Sub(g.started) < toldListPoll && (g.isTold() || g.expectsNews()) {
+// restAtStart rests, before a topic is read for the first time, as long as this host is told what
+// stands there, or will be: a minute at most, as between two reads.
+func (g *Gateway) restAtStart(ctx context.Context, told func() bool) {
+	for g.Now().Sub(g.started) < toldListPoll && told() {
 		if !wait.For(ctx, startLook) {
 			return
 		}
@@ -357,7 +361,7 @@
 
 func (g *Gateway) followClaims(ctx context.Context) {
 	// A host that others ask is among the first to claim; the rest learns from it who has.
-	g.restAtStart(ctx)
+	g.restAtStart(ctx, g.isToldOrWillBe)
 	take := func(b fleet.Batch) {
 		for _, e := range b.Entries {
 			g.takeClaim(e)
