Claims alone tell a host nothing: cut off, it reads all topics again

Cause: a host that nobody asks took each claim that it read for a sign that its holder would speak, and rested its reads. Cut off, it reads one claim after the other and hears nobody: a new configuration was not in force there for as long as claims came. Ruled out: the claims themselves (each is a new controller's), the news (rightly old). Change: claims count only where something was heard within twice the time of first news. TestClaimsAloneTellNothing fails without the change and passes with it.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -176,9 +176,17 @@
 // isTold tells whether this host learns all topics from others. A few hosts of each zone
 // read them in any case, so that what is passed on does not hang on one host: those that
 // others ask, or would ask next.
+//
+// A claim that was just seen is a sign that its holder will speak, but not for long: hosts that
+// are cut off read one claim after the other, and nobody speaks to them.
 func (g *Gateway) isTold() bool {
 	now := g.Now()
-	return !g.mesh.relaying() && (g.news.recent(now) || g.mesh.claimedLately(now))
+	if g.mesh.relaying() {
+		return false
+	}
+	// A controller that dies is replaced, and its successor heard, within twice firstNews.
+	silence := min(g.news.silence(now), now.Sub(g.started))
+	return g.news.recent(now) || silence < 2*firstNews && g.mesh.claimedLately(now)
 }
 
 // isToldOrWillBe tells whether this host learns all topics from others, or has just started
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -231,3 +231,30 @@
 	m.member.Cores = 0.8
 	is.Equal(m.modesty(), time.Duration(0))
 }
+
+// A host that nobody asks is cut off from all others, and so are some more; each of them claims
+// in turn. It took each claim for a sign that its holder would speak, and read no topic: a new
+// configuration was not in force there for as long as claims came.
+func TestClaimsAloneTellNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := relayHost()
+		g.mesh.member = relay.Member{Name: "self", Cores: 0.1} // the weakest
+		for i := range 40 {
+			g.mesh.learn(strconv.Itoa(i), hostEntry{Addr: strconv.Itoa(i), Cores: 1, Fingerprint: peer.Fingerprint{byte(i + 1)}})
+		}
+		is.True(!g.mesh.relaying())
+		g.news.note(g.Now())
+		for range 5 {
+			time.Sleep(firstNews / 2)
+			g.mesh.noteClaim(g.Now())
+		}
+		is.True(!g.isTold())
+		g.news.note(g.Now())
+		is.True(g.isTold())
+		time.Sleep(firstNews)
+		is.True(!g.isTold())
+		g.mesh.noteClaim(g.Now())
+		is.True(g.isTold()) // a new controller may take a moment to speak
+	})
+}
