Test that fails: copies of a crashing request reach endpoints of all hosts at once; known red

Cause: an end counts once, however many copies of a request ended with it, and nothing keeps the next copies from further endpoints until the third end has shown and all hosts know of it. The popular request beside it is served on the code as it is, and has to stay so.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -32,6 +32,8 @@
 	Lose bool
 	// Status is answered in place of 200 after a run.
 	Status int
+	// Delay passes from the start of a run until anything comes of it.
+	Delay time.Duration
 	// Reject refuses without running.
 	Reject bool
 }
@@ -323,6 +325,11 @@
 		return
 	}
 	defer e.done()
+	select {
+	case <-time.After(b.Delay):
+	case <-r.Context().Done():
+		return
+	}
 	if b.Lose {
 		panic(http.ErrAbortHandler)
 	}
