A suspect request runs one copy at a time over all hosts until one was answered

Cause: nothing limited the copies of a request between the first end and the block. Ruled out: the way from the third end to the block (0.4 to 0.9 s, within its time); second tries (suspects have none); counting copies as ends, which would block popular requests. Change: crashes tell copies apart; a request with two ends, or one under three copies, goes on trial: hosts let one copy go ahead, the controller gives one host the turn, a copy that was answered clears it everywhere. Popular requests that were answered since are cleared at once.

--- a/pkg/entryhost/guard.go
+++ b/pkg/entryhost/guard.go
@@ -39,6 +39,7 @@
 		Ended:     h.endpointEnded,
 		Announced: h.announced,
 		Crashed:   g.tell,
+		Moved:     func() {},
 		Now:       h.now,
 		Log:       h.logger,
 	})
@@ -47,9 +48,9 @@
 
 // Broke implements serve.Guard. A plain service keeps its name when it starts again; each of
 // its incarnations can end.
-func (g *guard) Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool) {
+func (g *guard) Broke(e fleet.Endpoint, f fleet.Fingerprint, id fleet.CopyID, suspected bool) {
 	e.ID = g.host.incarnationOf(e.ID)
-	g.Guard.Broke(e, f, suspected)
+	g.Guard.Broke(e, f, id, suspected)
 }
 
 // Refused implements serve.Guard.
@@ -59,9 +60,9 @@
 }
 
 // Served implements serve.Guard.
-func (g *guard) Served(e fleet.Endpoint, f fleet.Fingerprint) {
+func (g *guard) Served(e fleet.Endpoint, f fleet.Fingerprint, began time.Time) {
 	e.ID = g.host.incarnationOf(e.ID)
-	g.Guard.Served(e, f)
+	g.Guard.Served(e, f, began)
 }
 
 func (g *guard) tell(crashes []fleet.Crash) {
@@ -81,6 +82,9 @@
 			g.Ledger.Add(now, crashesOf(now, c.Crashed))
 		}
 		g.Decide(now)
+		// Hosts tell one another of ends and not of trials: each tries one copy at a time.
+		g.GrantOwn(now, 0)
+		g.Tend(now)
 		g.Prune(now)
 	})
 }
--- a/pkg/fleet/crash.go
+++ b/pkg/fleet/crash.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
@@ -42,8 +43,16 @@
 	Endpoint EndpointID  `cbor:"2,keyasint"`
 	// Ago is how many milliseconds ago that was.
 	Ago int64 `cbor:"3,keyasint,omitempty"`
+	// Copy tells the copies of a request apart that ran there; 0 if that is not known.
+	Copy CopyID `cbor:"4,keyasint,omitempty"`
 }
 
+// CopyID is a digest of an attempt's ID, never 0.
+type CopyID uint32
+
+// NewCopyID returns the digest of an attempt's ID.
+func NewCopyID(attempt string) CopyID { return CopyID(max(1, uint32(digest(attempt)))) }
+
 // At returns the time that Ago means.
 func (c Crash) At(now time.Time) time.Time {
 	return now.Add(-time.Duration(c.Ago) * time.Millisecond)
@@ -54,8 +63,46 @@
 	Request BlockedRequest `cbor:"1,keyasint"`
 	// Since is when that was found, in Unix seconds.
 	Since int64 `cbor:"2,keyasint"`
-	// Suspect requests may still run, once for each attempt of a client.
-	Suspect bool `cbor:"3,keyasint,omitempty"`
+	// Suspect requests are not blocked: they are on trial, and run one copy at a time.
+	Suspect bool  `cbor:"3,keyasint,omitempty"`
+	Trial   Trial `cbor:"4,keyasint,omitempty"`
+}
+
+// Trial is how far the trial of a suspect has come. Of two that differ the later one holds,
+// by round, stage and host, so that hosts which learn of them in any order agree.
+type Trial struct {
+	// Round counts the copies that were to run.
+	Round int64      `cbor:"1,keyasint"`
+	Stage TrialStage `cbor:"2,keyasint"`
+	// Host is the incarnation that asks for the turn of this round, or has it.
+	Host string `cbor:"3,keyasint,omitempty"`
+	// EndedAgo is how many milliseconds ago the last endpoint ended under the suspect.
+	EndedAgo int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// TrialStage is a stage of one round of a trial.
+type TrialStage int
+
+// The stages, in their order.
+const (
+	// TrialHeld trials let no copy run.
+	TrialHeld TrialStage = iota
+	// TrialAsked trials have a host at which a copy waits.
+	TrialAsked
+	// TrialGranted trials let one copy run at one host.
+	TrialGranted
+	// TrialCleared trials are over: a copy was answered and its endpoint lives on.
+	TrialCleared
+)
+
+// String names the stage as logs show it.
+func (s TrialStage) String() string {
+	return [...]string{"held", "asked", "granted", "cleared"}[min(max(s, TrialHeld), TrialCleared)]
+}
+
+// After tells whether a trial is the later one of two.
+func (t Trial) After(o Trial) bool {
+	return cmp.Or(cmp.Compare(t.Round, o.Round), cmp.Compare(t.Stage, o.Stage), cmp.Compare(t.Host, o.Host)) > 0
 }
 
 // BlockedRequest names the requests that a block is for.
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -133,7 +133,7 @@
 	g.children.answered(a, now, g.telling())
 	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
 	n.Stamp = g.stampFor(now, n.Token)
-	g.withBlocks(&n, p.BlocksSum)
+	g.withBlocks(now, &n, p.BlocksSum)
 	hosts := g.feed.hostsFrom(p.HostsNext)
 	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
 	return &n
--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -21,6 +21,9 @@
 	// keptEnds is under how many ends a request is written to the store, before it is blocked:
 	// what only one end speaks for is lost if all hosts lose power at once.
 	keptEnds = 2
+	// keptTrial is for how long after the last end a request has to be on trial to be written
+	// too: those that harm nobody have most often been cleared.
+	keptTrial = 2 * time.Second
 	// untoldEnds is the same for a host that is told nothing by others. It may be cut off from
 	// them, and the store is the only way to tell the end that it has seen.
 	untoldEnds = 1
@@ -235,12 +238,12 @@
 		if cutOff && !controls {
 			least = untoldEnds
 		}
-		for content, crashes := range g.guard.Ledger.Unexplained(now, least) {
+		for content, crashes := range g.guard.Unexplained(now, least, keptTrial) {
 			byContent[content] = crashRecord{Written: now.UnixMilli(), Crashes: crashes}
 		}
 	}
 	if controls || cutOff || backup && g.mesh.relaying() {
-		for _, b := range g.guard.Blocks.All() {
+		for _, b := range g.guard.Blocks.All(now) {
 			if b.Suspect {
 				continue // The ends in the record tell that.
 			}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -13,29 +13,47 @@
 // which the rest goes.
 const maxCrashesTold = 128
 
+const (
+	// ownSpan is over what time for each host the hosts that hear nobody try copies of a
+	// suspect: longer than one needs to learn from the store what became of another's.
+	ownSpan = time.Second
+	// maxOwnSpan bounds the sum: the requests wait for it, or are refused.
+	maxOwnSpan = 10 * time.Second
+)
+
 // newGuard returns what keeps requests that crash endpoints from them.
 func (g *Gateway) newGuard() *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.Config{
+		Host:      g.self.Incarnation,
 		Ended:     g.endpoints.Ended,
 		Announced: g.directory.Announced,
 		Crashed: func([]fleet.Crash) {
 			g.metrics.count("endpoints_crashed", nil)
 			g.wantReport()
 		},
-		Now: g.Now,
-		Log: g.log,
+		Moved: g.tellBlocks,
+		Now:   g.Now,
+		Log:   g.log,
 	})
 }
 
 // guardRequests blocks requests that are to blame for the ends of endpoints. The controller
 // decides, who hears of all ends; a host that is told nothing decides by what it knows.
 func (g *Gateway) guardRequests(now time.Time) {
-	if g.election.Held() == 0 && g.news.recent(now) {
+	g.guard.Tend(now)
+	controls := g.election.Held() != 0
+	if !controls && g.news.recent(now) {
 		return
 	}
 	if g.guard.Decide(now) {
 		g.tellBlocks()
 	}
+	switch {
+	case controls:
+		g.guard.Grant(now)
+	case g.news.silence(now) > cutOffFor:
+		g.guard.GrantOwn(now, min(maxOwnSpan, time.Duration(g.mesh.hosts())*ownSpan))
+	}
 }
 
 // tellBlocks lets the hosts that ask this one, and the one that it asks, hear of new blocks.
@@ -87,7 +105,7 @@
 	p.Crashes, next = g.guard.Ledger.Since(now, g.crashesTold.next(addr), maxCrashesTold)
 	p.BlocksSum = g.guard.Blocks.Sum()
 	if g.blocksDiffer.Load() {
-		p.Blocks = g.guard.Blocks.All()
+		p.Blocks = g.guard.Blocks.All(now)
 	}
 	return next
 }
@@ -109,18 +127,22 @@
 
 // addBlocks takes in blocks and tells whether any is new.
 func (g *Gateway) addBlocks(now time.Time, blocks []fleet.Block) bool {
-	added := g.guard.Blocks.Add(now, blocks)
+	added := g.guard.Take(now, blocks)
 	for _, b := range added {
-		g.log.Info("block", "content", fleet.Hex(b.Request.Content), "caller", fleet.Hex(b.Request.Caller), "suspect", b.Suspect, "age_s", now.Unix()-b.Since)
+		if b.Suspect {
+			g.log.Info("trial", "content", fleet.Hex(b.Request.Content), "round", b.Trial.Round, "stage", b.Trial.Stage.String(), "host", b.Trial.Host)
+			continue
+		}
+		g.log.Info("block", "content", fleet.Hex(b.Request.Content), "caller", fleet.Hex(b.Request.Caller), "age_s", now.Unix()-b.Since)
 	}
 	return len(added) > 0
 }
 
 // withBlocks adds all blocks to an answer if the asker does not know the same.
-func (g *Gateway) withBlocks(n *fleet.Notice, asked uint64) {
+func (g *Gateway) withBlocks(now time.Time, n *fleet.Notice, asked uint64) {
 	n.BlocksSum = g.guard.Blocks.Sum()
 	if n.BlocksSum != asked {
-		n.Blocks = g.guard.Blocks.All()
+		n.Blocks = g.guard.Blocks.All(now)
 	}
 }
 
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -63,7 +63,7 @@
 		return
 	}
 	var n fleet.Notice
-	to.withBlocks(&n, p.BlocksSum)
+	to.withBlocks(t.now, &n, p.BlocksSum)
 	from.crashesTold.answered(to.self.Host, to.self.Incarnation, next)
 	from.takeAnsweredBlocks(t.now, n)
 }
@@ -140,7 +140,7 @@
 	x.round()
 	x.round()
 	x.round()
-	is.Equal(x.hosts[0].guard.Blocks.All(), []fleet.Block{block})
+	is.Equal(x.hosts[0].guard.Blocks.All(time.Now()), []fleet.Block{block})
 	var p fleet.Pull
 	x.hosts[2].addCrashes(x.now, "1", &p)
 	is.Equal(len(p.Blocks), 0)
--- a/pkg/quarantine/blocks.go
+++ b/pkg/quarantine/blocks.go
@@ -11,68 +11,103 @@
 	// BlockLife is how long a block holds. Clients have given up long before, and an
 	// engine that was mended meanwhile gets the request again.
 	BlockLife = time.Hour
-	// suspectLife is how long a request is suspect, as long as an end of an endpoint counts.
+	// suspectLife is how long a trial is remembered, as long as an end of an endpoint counts.
 	suspectLife = crashLife
-	// maxBlocks bounds the blocks that are kept, and the suspects, some 50 bytes each:
+	// maxBlocks bounds the blocks that are kept, and the trials, some 50 bytes each:
 	// every one has cost endpoints within the hour. Beyond it no new ones are taken.
 	maxBlocks = 512
 )
 
-// Blocks are the requests that are kept from endpoints, and suspects. It is safe for concurrent
-// use.
+// Blocks are the requests that are kept from endpoints, and the trials of suspects. It is
+// safe for concurrent use.
 type Blocks struct {
 	mu sync.Mutex
-	// since is when each request was found, in Unix seconds, by whether it is suspect only.
-	since map[bool]map[fleet.BlockedRequest]int64
-	// version counts the changes, sum is the same wherever the same requests are blocked.
+	// since is when each request was blocked, in Unix seconds.
+	since map[fleet.BlockedRequest]int64
+	// trials are by content.
+	trials map[uint64]trial
+	// version counts the changes, sum is the same wherever the same is known.
 	version int64
 	sum     uint64
+	// changes is closed with the next change.
+	changes chan struct{}
 }
 
 // NewBlocks returns no blocks.
 func NewBlocks() *Blocks {
-	since := map[bool]map[fleet.BlockedRequest]int64{false: {}, true: {}}
-	return &Blocks{since: since}
+	return &Blocks{
+		since:   map[fleet.BlockedRequest]int64{},
+		trials:  map[uint64]trial{},
+		changes: make(chan struct{}),
+	}
 }
 
-// Add takes in blocks and returns those that are new. One that has ended here may come
-// once more from a host whose clock is behind, and is not taken in again.
+// Add takes in blocks and trials and returns those that are new. A block that has ended here
+// may come once more from a host whose clock is behind, and is not taken in again.
 func (b *Blocks) Add(now time.Time, blocks []fleet.Block) []fleet.Block {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var added []fleet.Block
 	for _, x := range blocks {
-		known := b.since[x.Suspect]
-		since, ok := known[x.Request]
-		if over(now, x) || !ok && len(known) >= maxBlocks {
-			continue
-		}
-		known[x.Request] = max(since, x.Since)
-		if !ok {
-			b.changed(x)
+		if !over(now, x) && (x.Suspect && b.addTrial(now, x) || !x.Suspect && b.addBlock(x)) {
 			added = append(added, x)
 		}
 	}
 	return added
 }
 
-// changed notes that a block has come, or has ended. The blocks are locked.
-func (b *Blocks) changed(x fleet.Block) {
+// addBlock tells whether a block is new. The blocks are locked.
+func (b *Blocks) addBlock(x fleet.Block) bool {
+	since, ok := b.since[x.Request]
+	if !ok && len(b.since) >= maxBlocks {
+		return false
+	}
+	b.since[x.Request] = max(since, x.Since)
+	if !ok {
+		b.changed(mix(x))
+	}
+	return !ok
+}
+
+// changed notes that something has come, has gone, or has taken the place of another, by what
+// that does to the sum. The blocks are locked.
+func (b *Blocks) changed(mixed uint64) {
 	b.version++
-	b.sum ^= mix(x)
+	b.sum ^= mixed
+	b.wake()
+}
+
+// wake ends all waits for a change. The blocks are locked.
+func (b *Blocks) wake() {
+	close(b.changes)
+	b.changes = make(chan struct{})
+}
+
+// Wake ends all waits for a change.
+func (b *Blocks) Wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wake()
+}
+
+// Changes is closed with the next change.
+func (b *Blocks) Changes() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changes
 }
 
 // mix spreads a block over all bits, so that sums of different blocks differ.
 func mix(x fleet.Block) uint64 {
 	const odd1, odd2, odd3 = 0x9e3779b97f4a7c15, 0xbf58476d1ce4e5b9, 0x94d049bb133111eb
 	sum := (x.Request.Content*odd1 ^ x.Request.Caller) * odd2
-	if x.Suspect {
-		sum *= odd3
+	if !x.Suspect {
+		return sum
 	}
-	return sum
+	return (sum ^ mixTrial(x.Trial)) * odd3
 }
 
-// over tells whether a block has ended.
+// over tells whether a block or a trial has ended.
 func over(now time.Time, x fleet.Block) bool {
 	life := BlockLife
 	if x.Suspect {
@@ -81,56 +116,54 @@
 	return now.Unix()-x.Since > int64(life/time.Second)
 }
 
-// Expire ends blocks that are old.
+// Expire ends blocks and trials that are old.
 func (b *Blocks) Expire(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, x := range b.all() {
-		if over(now, x) {
-			delete(b.since[x.Suspect], x.Request)
-			b.changed(x)
+	for _, x := range b.all(now) {
+		if !over(now, x) {
+			continue
+		}
+		if x.Suspect {
+			delete(b.trials, x.Request.Content)
+		} else {
+			delete(b.since, x.Request)
 		}
+		b.changed(mix(x))
 	}
 }
 
-// all returns all blocks. They are locked.
-func (b *Blocks) all() []fleet.Block {
+// all returns all blocks and trials. They are locked.
+func (b *Blocks) all(now time.Time) []fleet.Block {
 	var out []fleet.Block
-	for suspect, known := range b.since {
-		for r, since := range known {
-			out = append(out, fleet.Block{Request: r, Since: since, Suspect: suspect})
-		}
+	for r, since := range b.since {
+		out = append(out, fleet.Block{Request: r, Since: since})
+	}
+	for content, t := range b.trials {
+		out = append(out, t.block(now, content))
 	}
 	return out
 }
 
-// All returns all blocks, those of suspects too.
-func (b *Blocks) All() []fleet.Block {
+// All returns all blocks and trials.
+func (b *Blocks) All(now time.Time) []fleet.Block {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.all()
+	return b.all(now)
 }
 
 // Count returns how many requests are blocked.
 func (b *Blocks) Count() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.since[false])
-}
-
-// Has tells whether a block holds, or a request is suspect.
-func (b *Blocks) Has(r fleet.BlockedRequest, suspect bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	_, ok := b.since[suspect][r]
-	return ok
+	return len(b.since)
 }
 
-// Suspected tells whether a request may run only once for each attempt of its client.
-func (b *Blocks) Suspected(f fleet.Fingerprint) bool {
+// Has tells whether a block holds.
+func (b *Blocks) Has(r fleet.BlockedRequest) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, ok := b.since[true][fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
+	_, ok := b.since[r]
 	return ok
 }
 
@@ -141,7 +174,7 @@
 	return b.version
 }
 
-// Sum is the same at hosts that know the same blocks, 0 where there are none.
+// Sum is the same at hosts that know the same blocks and trials, 0 where there are none.
 func (b *Blocks) Sum() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -152,8 +185,7 @@
 func (b *Blocks) Blocked(f fleet.Fingerprint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	blocked := b.since[false]
-	_, own := blocked[fleet.BlockedRequest(f)]
-	_, any := blocked[fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
+	_, own := b.since[fleet.BlockedRequest(f)]
+	_, any := b.since[fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
 	return own || any
 }
--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -49,9 +49,9 @@
 }
 
 // Broke takes in that a run broke off. A suspected end of its endpoint is looked into.
-func (c *checker) Broke(e fleet.Endpoint, f fleet.Fingerprint, suspected bool) {
+func (c *checker) Broke(e fleet.Endpoint, f fleet.Fingerprint, id fleet.CopyID, suspected bool) {
 	now := c.cfg.Now()
-	if late := c.runs.Broke(now, e.ID, f); len(late) > 0 {
+	if late := c.runs.Broke(now, e.ID, f, id); len(late) > 0 {
 		c.tell(e.ID, late)
 		return
 	}
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -67,8 +67,8 @@
 				is := is.New(t)
 				g, told := watched(c.announced, c.looks...)
 				e := fleet.Endpoint{ID: "e"}
-				g.Broke(e, by(client, harmful)[0], true)
-				g.Broke(e, by(client, harmful)[0], true) // one look at a time
+				g.Broke(e, by(client, harmful)[0], 1, true)
+				g.Broke(e, by(client, harmful)[0], 1, true) // one look at a time
 				time.Sleep(2 * time.Second)
 				crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
 				is.Equal(len(crashes), c.want)
@@ -94,9 +94,9 @@
 				Log:       slog.New(slog.DiscardHandler),
 			})
 			e := fleet.Endpoint{ID: "e"}
-			g.Broke(e, by(client, innocent)[0], true)
+			g.Broke(e, by(client, innocent)[0], 1, true)
 			time.Sleep(breaks)
-			g.Broke(e, by(client, harmful)[0], true)
+			g.Broke(e, by(client, harmful)[0], 1, true)
 			time.Sleep(50 * time.Millisecond)
 			ended.Store(true)
 			time.Sleep(2 * time.Second)
@@ -114,15 +114,15 @@
 		is := is.New(t)
 		g, _ := watched(false, look{ended: true})
 		e := fleet.Endpoint{ID: "e"}
-		g.Broke(e, by(client, 4)[0], false)
+		g.Broke(e, by(client, 4)[0], 1, false)
 		time.Sleep(time.Second)
-		g.Broke(e, by(client, 5)[0], false) // its client leaves
+		g.Broke(e, by(client, 5)[0], 1, false) // its client leaves
 		time.Sleep(100 * time.Millisecond)
-		g.Broke(e, by(client, harmful)[0], true)
+		g.Broke(e, by(client, harmful)[0], 1, true)
 		time.Sleep(50 * time.Millisecond)
-		g.Broke(e, by(client, innocent)[0], true)
+		g.Broke(e, by(client, innocent)[0], 1, true)
 		time.Sleep(time.Second)
-		g.Broke(e, by(client, other)[0], true) // after the end was found
+		g.Broke(e, by(client, other)[0], 1, true) // after the end was found
 		synctest.Wait()
 		crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
 		ran := map[uint64]bool{}
@@ -144,12 +144,12 @@
 		g.Refused(e) // nothing has run there
 		time.Sleep(time.Second)
 		is.Equal(told.Load(), int32(0))
-		g.Broke(e, by(client, harmful)[0], false)
+		g.Broke(e, by(client, harmful)[0], 1, false)
 		time.Sleep(700 * time.Millisecond)
 		g.Refused(e)
 		time.Sleep(time.Second)
 		is.Equal(told.Load(), int32(1))
-		g.Broke(fleet.Endpoint{ID: "e2"}, by(client, harmful)[0], false)
+		g.Broke(fleet.Endpoint{ID: "e2"}, by(client, harmful)[0], 1, false)
 		time.Sleep(5 * time.Second)
 		g.Refused(fleet.Endpoint{ID: "e2"}) // its end is another's
 		time.Sleep(time.Second)
@@ -164,16 +164,16 @@
 		is := is.New(t)
 		g, told := watched(false, look{ended: true})
 		e := fleet.Endpoint{ID: "e"}
-		g.Served(e, by(client, 4)[0])
+		g.Served(e, by(client, 4)[0], time.Now())
 		time.Sleep(600 * time.Millisecond)
-		g.Served(e, by(client, harmful)[0])
+		g.Served(e, by(client, harmful)[0], time.Now())
 		time.Sleep(50 * time.Millisecond)
-		g.Broke(e, by(client, innocent)[0], true)
+		g.Broke(e, by(client, innocent)[0], 1, true)
 		time.Sleep(time.Second)
 		is.Equal(told.Load(), int32(1))
 		crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
 		is.Equal(len(crashes), 2) // not the one that was answered long before
-		g.Served(e, by(client, other)[0])
+		g.Served(e, by(client, other)[0], time.Now())
 		crashes, _ = g.Ledger.Since(time.Now(), 0, 10)
 		is.Equal(len(crashes), 2) // nor is it cleared by an answer that comes late
 	})
@@ -192,9 +192,9 @@
 			time.Sleep(time.Second)
 		}
 		e := fleet.Endpoint{ID: "fourth"}
-		g.Served(e, f)
+		g.Served(e, f, time.Now())
 		time.Sleep(50 * time.Millisecond)
-		g.Served(e, by(client, other)[0])
+		g.Served(e, by(client, other)[0], time.Now())
 		g.Decide(time.Now())
 		is.True(g.Blocked(f))
 	})
@@ -207,9 +207,9 @@
 		is := is.New(t)
 		g, _ := watched(false, look{}, look{}, look{}, look{ended: true})
 		e := fleet.Endpoint{ID: "e"}
-		g.Broke(e, by(client, innocent)[0], true)
+		g.Broke(e, by(client, innocent)[0], 1, true)
 		time.Sleep(600 * time.Millisecond)
-		g.Broke(e, by(client, harmful)[0], true)
+		g.Broke(e, by(client, harmful)[0], 1, true)
 		time.Sleep(time.Second)
 		crashes, _ := g.Ledger.Since(time.Now(), 0, 10)
 		is.Equal(len(crashes), 1)
@@ -252,7 +252,7 @@
 		}
 	}
 	is.Equal(b.Count(), 512)
-	is.Equal(len(b.All()), 2*512)
+	is.Equal(len(b.All(time.Now())), 2*512)
 	is.True(b.Blocked(by(client, 1)[0]))
 }
 
@@ -292,13 +292,13 @@
 				f := by(client, innocent)[0]
 				serve := func() {
 					e := fleet.Endpoint{ID: "lives"}
-					g.Served(e, f)
+					g.Served(e, f, time.Now())
 					time.Sleep(1100 * time.Millisecond)
-					g.Served(e, by(client, other)[0])
+					g.Served(e, by(client, other)[0], time.Now())
 				}
 				serve()
 				for _, id := range []fleet.EndpointID{"e1", "e2", "e3", "e4"} {
-					g.Broke(fleet.Endpoint{ID: id}, f, true)
+					g.Broke(fleet.Endpoint{ID: id}, f, 1, true)
 					time.Sleep(time.Second)
 					if c.between {
 						serve()
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -19,9 +19,12 @@
 	// no try left to lose. Without this limit a harmful one that had run beside another
 	// went to four further endpoints.
 	certainEnds = 4
-	// suspectEnds is under how many ends a request may run only once for each attempt of a
-	// client: a second try by its host doubles what it does until it is blocked.
+	// suspectEnds is under how many ends a request is put on trial: it runs one copy at a time
+	// over all hosts until one was answered or it is blocked.
 	suspectEnds = 2
+	// suspectCopies is the same for copies that ended with their endpoints, also with a single
+	// one: as many more would run at as many endpoints before the third end shows.
+	suspectCopies = 3
 	// gatherTime is for how long the ends of endpoints are left to be told by all hosts before
 	// they count: the request to blame may have run there by way of another host. Two
 	// hops of up to a quarter of a second each.
@@ -47,8 +50,9 @@
 // Verdict is a request that was found to crash endpoints.
 type Verdict struct {
 	Request fleet.BlockedRequest
-	// Suspect requests are not blocked yet.
+	// Suspect requests are not blocked yet; Ended is when the last endpoint ended under one.
 	Suspect bool
+	Ended   time.Time
 	// Endpoints have ended under it.
 	Endpoints []fleet.EndpointID
 }
@@ -62,10 +66,11 @@
 	// log holds all crashes in the order in which they came, from the number first on.
 	log   []fleet.Crash
 	first int64
-	// counts is at how many ends each content may be to blame; repeated holds those that may
-	// be at suspectEnds or more. Kept with each change, they spare a look the thousands of
-	// requests that ran at one end: 6.1 ms before, 1.1 ms after for 512 ends (BenchmarkDecide).
+	// counts is at how many ends each content may be to blame, copies how many of its copies
+	// ran there; repeated holds those that may be suspects. Kept with each change, they spare
+	// a look the thousands of requests that ran at one end.
 	counts   map[uint64]int
+	copies   map[uint64]int
 	repeated map[uint64]bool
 	// open tells that something has come that may lead to a verdict, looked is when a
 	// verdict was last looked for.
@@ -78,26 +83,53 @@
 	id fleet.EndpointID
 	// at is when it ended, heard when this host first heard of it.
 	at, heard time.Time
-	// ran holds the callers of each content that ran there, with whether the request may be
-	// to blame. Cleared ones stay, so that a late copy of their crash is known.
-	ran map[uint64]map[uint64]bool
+	// ran holds what ran there by content and caller. What was cleared stays, so that a
+	// crash that is told once more is known.
+	ran map[uint64]map[uint64]*ranThere
+}
+
+// ranThere are one caller's requests of one content that ran at an end.
+type ranThere struct {
+	// counts tells whether they may be to blame.
+	counts bool
+	// copies tells their copies apart.
+	copies map[fleet.CopyID]bool
+}
+
+// number is how many copies ran there. One that is not told apart counts if it is alone.
+func (r *ranThere) number() int {
+	if len(r.copies) > 1 && r.copies[0] {
+		return len(r.copies) - 1
+	}
+	return len(r.copies)
 }
 
 // mayBlame tells whether a request of a content may be to blame for the end.
 func (e *end) mayBlame(content uint64) bool {
-	for _, counts := range e.ran[content] {
-		if counts {
+	for _, r := range e.ran[content] {
+		if r.counts {
 			return true
 		}
 	}
 	return false
 }
 
+// copies is how many copies of a content that may be to blame ran at the end.
+func (e *end) copies(content uint64) int {
+	n := 0
+	for _, r := range e.ran[content] {
+		if r.counts {
+			n += r.number()
+		}
+	}
+	return n
+}
+
 // callers returns whose requests of a content may be to blame for the end.
 func (e *end) callers(content uint64) []uint64 {
 	var out []uint64
-	for caller, counts := range e.ran[content] {
-		if counts {
+	for caller, r := range e.ran[content] {
+		if r.counts {
 			out = append(out, caller)
 		}
 	}
@@ -106,7 +138,12 @@
 
 // NewLedger returns a ledger without any end.
 func NewLedger() *Ledger {
-	return &Ledger{ends: map[fleet.EndpointID]*end{}, counts: map[uint64]int{}, repeated: map[uint64]bool{}}
+	return &Ledger{
+		ends:     map[fleet.EndpointID]*end{},
+		counts:   map[uint64]int{},
+		copies:   map[uint64]int{},
+		repeated: map[uint64]bool{},
+	}
 }
 
 // Add takes in crashes and tells whether any is new.
@@ -128,28 +165,60 @@
 	}
 	e := l.ends[c.Endpoint]
 	if e == nil {
-		e = &end{id: c.Endpoint, at: at, heard: now, ran: map[uint64]map[uint64]bool{}}
+		e = &end{id: c.Endpoint, at: at, heard: now, ran: map[uint64]map[uint64]*ranThere{}}
 		l.ends[c.Endpoint] = e
 	}
 	if at.Before(e.at) {
 		e.at = at
 	}
-	callers := e.ran[c.Request.Content]
-	if _, known := callers[c.Request.Caller]; known {
+	r := e.of(c.Request)
+	if r.copies[c.Copy] {
 		return false
 	}
-	if callers == nil {
-		callers = map[uint64]bool{}
-		e.ran[c.Request.Content] = callers
-	}
-	if !e.mayBlame(c.Request.Content) {
-		l.count(c.Request.Content, 1)
+	if len(r.copies) > 0 && !r.counts {
+		r.copies[c.Copy] = true
+		return false
 	}
-	callers[c.Request.Caller] = true
+	l.change(e, c.Request.Content, func() {
+		r.counts = true
+		r.copies[c.Copy] = true
+	})
 	l.log = append(l.log, c)
 	return true
 }
 
+// of returns what ran of a caller's request at an end.
+func (e *end) of(f fleet.Fingerprint) *ranThere {
+	callers := e.ran[f.Content]
+	if callers == nil {
+		callers = map[uint64]*ranThere{}
+		e.ran[f.Content] = callers
+	}
+	r := callers[f.Caller]
+	if r == nil {
+		r = &ranThere{copies: map[fleet.CopyID]bool{}}
+		callers[f.Caller] = r
+	}
+	return r
+}
+
+// change changes what may be to blame of a content at an end, and keeps the counts. The
+// ledger is locked.
+func (l *Ledger) change(e *end, content uint64, do func()) {
+	ends, copies := e.weigh(content)
+	do()
+	endsNow, copiesNow := e.weigh(content)
+	l.count(content, endsNow-ends, copiesNow-copies)
+}
+
+// weigh is what an end adds to the counts of a content.
+func (e *end) weigh(content uint64) (ends, copies int) {
+	if !e.mayBlame(content) {
+		return 0, 0
+	}
+	return 1, e.copies(content)
+}
+
 // Clear takes in that a request has just done no harm: an endpoint that ran it lives on. It
 // is not to blame for the ends before, whoever tells of them again; one that turns harmful
 // counts anew.
@@ -157,24 +226,49 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.ends {
-		if !e.ran[f.Content][f.Caller] {
-			continue
+		if r := e.ran[f.Content][f.Caller]; r != nil {
+			l.change(e, f.Content, func() { r.counts = false })
 		}
-		e.ran[f.Content][f.Caller] = false
-		if !e.mayBlame(f.Content) {
-			l.count(f.Content, -1)
+	}
+}
+
+// ClearContent does the same for a content, whoever sends it.
+func (l *Ledger) ClearContent(content uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.ends {
+		l.change(e, content, func() {
+			for _, r := range e.ran[content] {
+				r.counts = false
+			}
+		})
+	}
+}
+
+// LastHeard is when this host heard of the last end that a content may be to blame for, zero
+// if there is none.
+func (l *Ledger) LastHeard(content uint64) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var last time.Time
+	for _, e := range l.ends {
+		if e.mayBlame(content) && e.heard.After(last) {
+			last = e.heard
 		}
 	}
+	return last
 }
 
-// count notes that a content may be to blame for one end more, or less. The ledger is locked.
-func (l *Ledger) count(content uint64, by int) {
-	n := l.counts[content] + by
-	l.counts[content] = n
+// count notes that a content may be to blame for some ends more, or less, and that so many
+// of its copies more ran there. The ledger is locked.
+func (l *Ledger) count(content uint64, ends, copies int) {
+	n, c := l.counts[content]+ends, l.copies[content]+copies
+	l.counts[content], l.copies[content] = n, c
 	if n == 0 {
 		delete(l.counts, content)
+		delete(l.copies, content)
 	}
-	if n >= suspectEnds {
+	if n >= suspectEnds || c >= suspectCopies {
 		l.repeated[content] = true
 	} else {
 		delete(l.repeated, content)
@@ -185,9 +279,8 @@
 func (l *Ledger) drop(e *end) {
 	delete(l.ends, e.id)
 	for content := range e.ran {
-		if e.mayBlame(content) {
-			l.count(content, -1)
-		}
+		ends, copies := e.weigh(content)
+		l.count(content, -ends, -copies)
 	}
 }
 
@@ -229,7 +322,7 @@
 	rest = rest[:min(len(rest), most)]
 	var out []fleet.Crash
 	for _, c := range rest {
-		if e := l.ends[c.Endpoint]; e != nil && e.ran[c.Request.Content][c.Request.Caller] {
+		if e := l.ends[c.Endpoint]; e != nil && e.of(c.Request).counts {
 			c.Ago = now.Sub(e.at).Milliseconds()
 			out = append(out, c)
 		}
@@ -261,18 +354,18 @@
 	return out
 }
 
-// Unexplained returns the contents under which at least so many endpoints have ended without
-// another that explains it, with all crashes of each.
-func (l *Ledger) Unexplained(now time.Time, least int) map[uint64][]fleet.Crash {
+// Unexplained returns the contents under which endpoints have ended without another that
+// explains it, if wanted with that many ends, with all crashes of each.
+func (l *Ledger) Unexplained(now time.Time, wanted func(content uint64, ends int) bool) map[uint64][]fleet.Crash {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	groups := together(l.sorted())
 	out := map[uint64][]fleet.Crash{}
 	for content, n := range l.counts {
-		if n < least {
+		if !wanted(content, n) {
 			continue
 		}
-		if mine := blamed(content, groups, l.counts); len(mine) >= least {
+		if mine := blamed(content, groups, l.counts); len(mine) > 0 && wanted(content, len(mine)) {
 			out[content] = crashes(now, content, mine)
 		}
 	}
@@ -284,7 +377,10 @@
 	var out []fleet.Crash
 	for _, e := range ends {
 		for _, caller := range e.callers(content) {
-			out = append(out, crash(now, e.id, fleet.Fingerprint{Content: content, Caller: caller}, e.at))
+			f := fleet.Fingerprint{Content: content, Caller: caller}
+			for id := range e.ran[content][caller].copies {
+				out = append(out, crash(now, e.id, copyOf{f, id}, e.at))
+			}
 		}
 	}
 	return out
@@ -308,11 +404,11 @@
 // judge returns whose requests of a content to block, and that the content is suspect.
 func (l look) judge(content uint64) []Verdict {
 	all := ranAt(content, l.all)
-	if len(all) < suspectEnds {
+	if len(all) < suspectEnds && !l.manyCopies(content) {
 		return nil
 	}
 	any := fleet.BlockedRequest{Content: content, Caller: fleet.AnyCaller}
-	out := []Verdict{{Request: any, Suspect: true, Endpoints: ids(all)}}
+	out := []Verdict{{Request: any, Suspect: true, Endpoints: ids(all), Ended: all[len(all)-1].at}}
 	mine := all
 	if len(all) < certainEnds {
 		mine = l.proven(content)
@@ -327,6 +423,21 @@
 	return out
 }
 
+// manyCopies tells whether so many copies of a content ended with their endpoints that it is
+// put on trial for that alone. Endpoints that ended together, one of them without it, had
+// another cause; that is known once all hosts have told what ran at each.
+func (l look) manyCopies(content uint64) bool {
+	n := 0
+	for _, group := range l.told {
+		if !slices.ContainsFunc(group, func(e *end) bool { return !e.mayBlame(content) }) {
+			for _, e := range group {
+				n += e.copies(content)
+			}
+		}
+	}
+	return n >= suspectCopies
+}
+
 // proven returns the ends that a content is to blame for and that all hosts have told.
 func (l look) proven(content uint64) []*end {
 	mine := blamed(content, l.told, l.counts)
--- a/pkg/quarantine/runs.go
+++ b/pkg/quarantine/runs.go
@@ -45,8 +45,8 @@
 
 // endedRuns are the runs at one endpoint.
 type endedRuns struct {
-	// broken is when the last run of each request broke off.
-	broken map[fleet.Fingerprint]time.Time
+	// broken is when the run of each copy of a request broke off.
+	broken map[copyOf]time.Time
 	// served is when the last run of each request ended with its whole answer.
 	served map[fleet.Fingerprint]time.Time
 	// last is when the last run of any request ended.
@@ -55,27 +55,33 @@
 	ended time.Time
 }
 
+// copyOf is one of the copies of a request.
+type copyOf struct {
+	request fleet.Fingerprint
+	id      fleet.CopyID
+}
+
 // NewRuns returns no runs.
 func NewRuns() *Runs { return &Runs{endpoints: map[fleet.EndpointID]*endedRuns{}} }
 
 // Broke notes a run that broke off. It returns a crash if the endpoint is known to have ended.
-func (r *Runs) Broke(now time.Time, id fleet.EndpointID, f fleet.Fingerprint) []fleet.Crash {
+func (r *Runs) Broke(now time.Time, id fleet.EndpointID, f fleet.Fingerprint, c fleet.CopyID) []fleet.Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.of(id)
 	b.last = now
 	if b.ended.IsZero() {
-		b.broken[f] = now
+		b.broken[copyOf{f, c}] = now
 		return nil
 	}
-	return []fleet.Crash{crash(now, id, f, b.ended)}
+	return []fleet.Crash{crash(now, id, copyOf{f, c}, b.ended)}
 }
 
 // of returns the runs at an endpoint. The runs are locked.
 func (r *Runs) of(id fleet.EndpointID) *endedRuns {
 	b := r.endpoints[id]
 	if b == nil {
-		b = &endedRuns{broken: map[fleet.Fingerprint]time.Time{}, served: map[fleet.Fingerprint]time.Time{}}
+		b = &endedRuns{broken: map[copyOf]time.Time{}, served: map[fleet.Fingerprint]time.Time{}}
 		r.endpoints[id] = b
 	}
 	return b
@@ -112,14 +118,14 @@
 	b.ended = at
 	b.last = now
 	var out []fleet.Crash
-	for f, broke := range b.broken {
+	for c, broke := range b.broken {
 		if at.Sub(broke) <= brokenFor {
-			out = append(out, crash(now, id, f, at))
+			out = append(out, crash(now, id, c, at))
 		}
 	}
 	for f, served := range b.served {
 		if at.Sub(served) <= servedFor {
-			out = append(out, crash(now, id, f, at))
+			out = append(out, crash(now, id, copyOf{request: f}, at))
 		}
 	}
 	clear(b.broken)
@@ -135,7 +141,7 @@
 	if b == nil {
 		return
 	}
-	maps.DeleteFunc(b.broken, func(_ fleet.Fingerprint, broke time.Time) bool { return now.Sub(broke) > livedFor })
+	maps.DeleteFunc(b.broken, func(_ copyOf, broke time.Time) bool { return now.Sub(broke) > livedFor })
 }
 
 // EndedLately tells whether a run has ended at an endpoint so lately that it may be to blame
@@ -158,6 +164,6 @@
 	}
 }
 
-func crash(now time.Time, id fleet.EndpointID, f fleet.Fingerprint, at time.Time) fleet.Crash {
-	return fleet.Crash{Request: f, Endpoint: id, Ago: now.Sub(at).Milliseconds()}
+func crash(now time.Time, id fleet.EndpointID, c copyOf, at time.Time) fleet.Crash {
+	return fleet.Crash{Request: c.request, Endpoint: id, Ago: now.Sub(at).Milliseconds(), Copy: c.id}
 }
--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -22,6 +22,7 @@
 	served  int
 	refused int
 	suspect bool
+	probe   probe
 }
 
 func (g *watchful) Blocked(fleet.Fingerprint) bool {
@@ -30,7 +31,7 @@
 	return g.blocks
 }
 
-func (g *watchful) Broke(_ fleet.Endpoint, _ fleet.Fingerprint, suspected bool) {
+func (g *watchful) Broke(_ fleet.Endpoint, _ fleet.Fingerprint, _ fleet.CopyID, suspected bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.broke = append(g.broke, suspected)
@@ -43,9 +44,26 @@
 	g.refused++
 }
 
+func (g *watchful) Enter(context.Context, fleet.Fingerprint, time.Time) (serve.Probe, bool) {
+	if !g.suspect {
+		return nil, true
+	}
+	return &g.probe, true
+}
+
+// probe always has its turn, unless it is late.
+type probe struct {
+	late     bool
+	outcomes []serve.ProbeOutcome
+}
+
+func (p *probe) Await(context.Context) bool { return !p.late }
+
+func (p *probe) Done(_ fleet.Endpoint, o serve.ProbeOutcome) { p.outcomes = append(p.outcomes, o) }
+
 func (g *watchful) Suspected(fleet.Fingerprint) bool { return g.suspect }
 
-func (g *watchful) Served(fleet.Endpoint, fleet.Fingerprint) {
+func (g *watchful) Served(fleet.Endpoint, fleet.Fingerprint, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.served++
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -18,6 +18,8 @@
 	// configTime is within what time a new configuration is in force everywhere on the
 	// smaller deployments; larger ones state 3 s. It only tells a client when to come back.
 	configTime = 2 * time.Second
+	// trialTime is about how long a request stays on trial that harms nobody.
+	trialTime = 2 * time.Second
 	// leaveMargin is how long before its client leaves a request is refused at the
 	// latest: the refusal has to reach the client, also over a link that has lost a
 	// packet of it (200 ms until it is sent again).
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -154,6 +154,9 @@
 	CauseStopping   Cause = "stopping"
 	// CauseCrashes is that endpoints have ended under the request each time.
 	CauseCrashes Cause = "crashes_endpoints"
+	// CauseOnTrial is that endpoints have ended under the request, and another copy of it is
+	// tried first.
+	CauseOnTrial Cause = "on_trial"
 )
 
 // Refusal is a final answer of this host itself.
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -119,6 +119,8 @@
 	lastEvent string
 	// retryTaken is set while a try that was given up has taken the retry after it.
 	retryTaken atomic.Bool
+	// probe is set while the request goes ahead of other copies of it.
+	probe Probe
 	// kept is a failed answer that is passed on if no other endpoint can do better.
 	kept   *Answer
 	result Result
@@ -145,17 +147,21 @@
 			x.giveUp(ctx, Refusal{Cause: CauseBudget, NotRun: true, RetryAfter: minRetryAfter})
 			return
 		}
-		e, refusal := x.acquire(ctx)
-		if refusal != nil {
-			x.giveUp(ctx, *refusal)
-			return
-		}
+		e, refusal := x.place(ctx)
 		// It may have waited for seconds, and endpoints have ended under it meanwhile.
-		if x.blocked(ctx) {
+		if refusal == nil && x.blocked(ctx) {
 			x.server.Queue.Release(x.request, e.ID, Use{})
+			x.leave(e, ProbeNotRun)
 			return
 		}
-		switch x.try(ctx, e) {
+		if refusal != nil {
+			x.leave(e, ProbeNotRun)
+			x.refuse(ctx, *refusal)
+			return
+		}
+		step := x.try(ctx, e)
+		x.leave(e, x.probed(step))
+		switch step {
 		case finished:
 			return
 		case notRun:
@@ -174,6 +180,24 @@
 	}
 }
 
+// refuse gives the request up, as a blocked one if it was blocked while it waited.
+func (x *exchange) refuse(ctx context.Context, r Refusal) {
+	if !x.blocked(ctx) {
+		x.giveUp(ctx, r)
+	}
+}
+
+// probed is what a try shows of a request on trial.
+func (x *exchange) probed(s step) ProbeOutcome {
+	switch {
+	case s == notRun:
+		return ProbeNotRun
+	case s == finished && x.result.Complete:
+		return ProbeServed
+	}
+	return ProbeBroken
+}
+
 // mayRetry takes a retry from the common budget, unless one was taken already.
 func (x *exchange) mayRetry() bool {
 	return x.retryTaken.Swap(false) || x.server.Budget.Take(x.server.Now(), x.request.Service)
@@ -378,7 +402,7 @@
 	if err == nil {
 		x.result.Complete = true
 		x.result.Status = a.Status
-		x.served(e)
+		x.served(e, start)
 		s.Queue.Release(x.request, e.ID, Use{Took: s.Now().Sub(start)})
 		return finished
 	}
