Client accounts: callers are known by their keys, endpoints by the name of the account

Cause: keys were passed on to endpoints like any header, unknown ones were served, and those that were taken away still worked: a configuration's accounts were not decoded. Change: accounts with keys, priority and allowance in the configuration, checked with all findings at once; route first, since it decides whether a key is needed, then the key; 401 only from a host that is not cut off; the account's name is set on every send and a caller's dropped; an account's requests are one caller for what crashes endpoints. The allowance is decoded and not kept to yet. Ruled out: keys in settings of hosts; a lookup in the store for each unknown key (a call each). Tests: TestKeysDecideWhoIsServed, TestHostThatIsCutOffDeniesNobody, TestEndpointGetsTheAccountAndNoKey, TestCostOfARequest, TestFaultyAccountsAreNamed.

--- a/internal/standin/site/config.go
+++ b/internal/standin/site/config.go
@@ -19,6 +19,18 @@
 	Service     string `json:"service"`
 	Attempts    int    `json:"attempts"`
 	Resumable   bool   `json:"resumable"`
+	Public      bool   `json:"public"`
+}
+
+// Account is a client account of the operator's configuration.
+type Account struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api-keys"`
+	// Unit is requests or tokens.
+	Unit     string  `json:"unit"`
+	Unstated float64 `json:"plain-tokens"`
+	Rate     float64 `json:"rate-per-s"`
+	Burst    float64 `json:"burst"`
 }
 
 // Engine describes a service whose endpoints run models.
@@ -44,6 +56,8 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// Accounts are left out where callers need no key.
+	Accounts []Account `json:"tenants,omitempty"`
 }
 
 // Limits bound what clients may send.
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -14,6 +14,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are nil where callers need no key.
+	Accounts *Accounts
 }
 
 // Limits bound what a client may send and how long a connection may idle.
@@ -56,6 +58,8 @@
 	// Attempts is the number of endpoints on which one request may run.
 	Attempts  int
 	Resumable bool
+	// Public routes need no key.
+	Public bool
 	// Targets are the services that requests are split over, by weight.
 	Targets []Target
 }
@@ -124,6 +128,20 @@
 	return c.Routes[best], true
 }
 
+// Account returns the account of a request on a route by the keys that it states, and whether
+// the request is allowed. Where no key is needed, that of a key that is known still counts.
+func (c *Config) Account(r Route, keys []string) (Account, bool) {
+	if c.Accounts == nil {
+		return Account{}, true
+	}
+	if len(keys) == 1 {
+		if a, ok := c.Accounts.Of(keys[0]); ok {
+			return a, true
+		}
+	}
+	return Account{}, r.Public
+}
+
 // Names tells whether the configuration names a model of a service and, unless it is
 // empty, an adapter of it. A plain service has no models; any is as good as none.
 func (c *Config) Names(service, model, adapter string) bool {
--- a/pkg/gateway/front.go
+++ b/pkg/gateway/front.go
@@ -34,18 +34,36 @@
 	configPoll = 20 * time.Millisecond
 )
 
-// Route implements the door's view of the host.
-func (g *Gateway) Route(host, path string) (fleet.Route, string, error) {
+// Admit implements the door's view of the host. The route comes first: it decides whether a
+// key is needed.
+func (g *Gateway) Admit(host, path string, keys []string) (serve.Admission, error) {
 	c := g.config.Load()
 	if c == nil {
-		return fleet.Route{}, "", serve.ErrNoConfig
+		return serve.Admission{}, serve.ErrNoConfig
 	}
 	r, ok := c.Match(host, path)
 	if !ok {
 		g.metrics.count("unrouted", nil)
-		return fleet.Route{}, "", serve.ErrNoRoute
+		return serve.Admission{}, serve.ErrNoRoute
 	}
-	return r, r.Choose(rand.IntN), nil
+	account, ok := c.Account(r, keys)
+	if !ok {
+		g.metrics.count("unauthenticated", nil)
+		return serve.Admission{}, g.noAccount()
+	}
+	if account.Priority != nil {
+		r.Priority = *account.Priority
+	}
+	return serve.Admission{Route: r, Service: r.Choose(rand.IntN), Account: account}, nil
+}
+
+// noAccount says that no account has a key, or that this host cannot know: cut off, it may
+// lack a configuration that has it, and clients do not come back after a denial.
+func (g *Gateway) noAccount() error {
+	if g.viewAge(g.Now()) > maxListAge {
+		return serve.ErrNoConfig
+	}
+	return serve.ErrNoAccount
 }
 
 // Limits implements the door's view of the host.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -196,6 +196,12 @@
 
 // askWith sends one request with a body, one of its own if that is empty.
 func (d *deployment) askWith(h *host, path, model, body string) reply {
+	d.t.Helper()
+	return d.askAs("", h, path, model, body)
+}
+
+// askAs sends one request with a key, none if that is empty.
+func (d *deployment) askAs(key string, h *host, path, model, body string) reply {
 	d.t.Helper()
 	ids.Lock()
 	ids.n++
@@ -211,6 +217,9 @@
 	req.Host = "h.example"
 	req.Header.Set("X-Request-Attempt-Id", id)
 	req.Header.Set("X-Remaining-Milliseconds", "6000")
+	if key != "" {
+		req.Header.Set("X-Key", key)
+	}
 	if model != "" {
 		req.Header.Set("X-Model-Name", model)
 	}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -28,6 +28,11 @@
 	// FirstBy is when a client that has got no part of the answer leaves, which may
 	// be long before its deadline; zero if only the deadline counts.
 	FirstBy time.Time
+	// Account is the client account, empty where callers need none; Allowance is what it may
+	// ask, and Cost what the request counts of it.
+	Account   string
+	Allowance fleet.Allowance
+	Cost      float64
 	// Model is empty for plain services; Adapter is empty for the model itself.
 	Model   string
 	Adapter string
@@ -98,8 +103,20 @@
 	ErrNoConfig = errors.New("no configuration is known yet")
 	// ErrNoRoute means that the configuration in force has no route for a request.
 	ErrNoRoute = errors.New("no route")
+	// ErrNoAccount means that the configuration in force has no account for a request's key.
+	ErrNoAccount = errors.New("no account has this key")
 )
 
+// Admission is what the configuration in force says of a request.
+type Admission struct {
+	// Route has the priority of the account if that states one.
+	Route fleet.Route
+	// Service is chosen among the targets of the route.
+	Service string
+	// Account has no name where callers need no key.
+	Account fleet.Account
+}
+
 // ErrNotSent marks errors of a Backend after which nothing has been sent.
 var ErrNotSent = errors.New("request was not sent")
 
@@ -154,6 +171,8 @@
 	CauseStopping   Cause = "stopping"
 	// CauseCrashes is that endpoints have ended under the request each time.
 	CauseCrashes Cause = "crashes_endpoints"
+	// CauseAllowance is that the account has used up what it may ask.
+	CauseAllowance Cause = "allowance"
 	// CauseOnTrial is that endpoints have ended under the request, and another copy of it is
 	// tried first.
 	CauseOnTrial Cause = "on_trial"
