Allowances: hosts that move or are cut off count once, part of the tolerance is used all the time

Two guards that no test and no schedule missed went: kept buckets emptied, usual rates of the report before.

--- a/internal/standin/site/config.go
+++ b/internal/standin/site/config.go
@@ -31,6 +31,8 @@
 	Unstated float64 `json:"plain-tokens"`
 	Rate     float64 `json:"rate-per-s"`
 	Burst    float64 `json:"burst"`
+	// Priority is that of the routes where it is left out.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Engine describes a service whose endpoints run models.
--- a/pkg/allowance/local.go
+++ b/pkg/allowance/local.go
@@ -3,11 +3,11 @@
 //
 // The load pattern: callers of one account sit at a few hosts, unevenly, and now and then send
 // many times their usual. An even part for each host would refuse most of what such an account
-// may ask. Here no account has parts as long as all of it asks for clearly less than it may;
-// hosts tell what they see with the reports that they send anyway, and the controller tells
-// all of them which accounts come near their limit. Of these each host lets through what is
-// its part of the account's usual rate. What was let through before that was known is taken
-// off again (Levels).
+// may ask. Here hosts tell what they see with the reports that they send anyway, and the
+// controller tells all of them which accounts come near their limit (Levels). Of these each
+// host lets through its part of the account's usual rate, and what was let through too much
+// before that was known is taken off again. Of all others it lets through more than is usual
+// there, as far as it takes to learn of a jump (Local).
 package allowance
 
 import (
@@ -29,7 +29,7 @@
 	// from its limit, and openKept for how long it keeps what is not asked of that: enough for
 	// what comes unevenly. Until others know of a jump it cannot go far beyond the limit.
 	openSpare = 1.8
-	openKept  = 2000 * time.Millisecond
+	openKept  = 2 * time.Second
 	// newSpare is how many times the whole allowance a host lets through of an account that it
 	// has not seen for long enough to know what is usual.
 	newSpare = 4
@@ -45,9 +45,11 @@
 	// forgottenAfter is how long it does so. Others divide among themselves what it does not
 	// report, so that it has to fall back to an even part.
 	forgottenAfter = 8 * time.Second
-	// freshShare is how many even parts a host has that was never told anything: callers sit
-	// unevenly, and after a loss of power of all hosts some seconds pass until one is.
-	freshShare = 1.5
+	// freshShare is how many even parts a host has that was never told anything, and freshKept
+	// for how long it has them at once: callers sit unevenly, and after a loss of power of all
+	// hosts some seconds pass until one is told.
+	freshShare = 1.2
+	freshKept  = time.Second
 	// spareShare is the part of an allowance that is divided evenly, so that callers who come
 	// to a host where none of their account were before are not all refused.
 	spareShare = 0.05
@@ -91,16 +93,13 @@
 	at                     time.Time
 	// let is what was let through since the last report.
 	let float64
-	// confirmed is the usual rate that the share follows from which this host was told: the
-	// one before the last that it reported, as reports and what is told are under way.
+	// confirmed is the usual rate when this host was last told of shares; the sum that they
+	// follow from holds about that.
 	confirmed float64
-	// reported is the rate that was told last, reportedUsual the last two usual ones.
-	reported      float64
-	reportedUsual [2]float64
-	// bucket is what may be let through at once, below zero what was too much; strict tells
-	// whether its limit was strict when it was last filled.
+	// reported is the rate that was told last.
+	reported float64
+	// bucket is what may be let through at once, below zero what was too much.
 	bucket float64
-	strict bool
 }
 
 // NewLocal returns a view without accounts. rising is called when other hosts should hear of
@@ -152,7 +151,7 @@
 	}
 	u.allowance = a
 	limit := l.limit(now, account, u)
-	if fresh && !limit.strict() {
+	if fresh && !limit.near {
 		u.bucket = limit.kept
 	}
 	u.fill(now, limit)
@@ -165,7 +164,7 @@
 	}
 	u.let += cost
 	u.usualLet += cost / usualMemory.Seconds()
-	u.bucket -= cost
+	u.bucket -= limit.charge(cost)
 	return true, 0, rises
 }
 
@@ -174,14 +173,22 @@
 	// rate is per second; what was not used of it is kept up to kept, and what was let through
 	// beyond it is owed up to owed: nothing where the account is far from its limit.
 	rate, kept, owed float64
+	// near tells that the account is near its allowance.
+	near bool
 }
 
 func newLimit(rate float64, kept, owed time.Duration) limit {
 	return limit{rate: rate, kept: rate * kept.Seconds(), owed: rate * owed.Seconds()}
 }
 
-// strict limits are of accounts near their limits, or that may be.
-func (l limit) strict() bool { return l.owed > 0 }
+// charge is what a request takes off a bucket: not more than it needs there where nothing is
+// owed. What is usual counts all of it.
+func (l limit) charge(cost float64) float64 {
+	if l.owed == 0 {
+		return min(cost, largePart*l.kept)
+	}
+	return cost
+}
 
 // lack is what a bucket lacks to let a request through. One that is larger than what is ever
 // kept needs a part of that only.
@@ -191,11 +198,6 @@
 
 // fill adds to the bucket what may be let through since it was last looked at.
 func (u *use) fill(now time.Time, l limit) {
-	if l.strict() && !u.strict {
-		// What was kept before is not let through at once now, at all hosts together.
-		u.bucket = min(u.bucket, 0)
-	}
-	u.strict = l.strict()
 	u.bucket += l.rate * max(0, now.Sub(u.at).Seconds())
 	u.bucket = min(max(u.bucket, -l.owed), l.kept)
 }
@@ -207,11 +209,13 @@
 	share, near := l.shares[account]
 	switch {
 	case l.heard.IsZero():
-		return newLimit(freshShare*even, keptFor, owedFor)
+		return newLimit(freshShare*even, freshKept, owedFor)
 	case silence >= forgottenAfter:
 		return newLimit(even, keptFor, owedFor)
 	case near:
-		return newLimit((1-spareShare)*share*u.confirmed+spareShare*even, keptFor, owedFor)
+		near := newLimit((1-spareShare)*share*u.confirmed+spareShare*even, keptFor, owedFor)
+		near.near = true
+		return near
 	case silence >= frozenAfter:
 		return newLimit(max(even, frozenSpare*u.served()), keptFor, owedFor)
 	case now.Sub(u.first) < usualMemory:
@@ -261,11 +265,10 @@
 		u.fill(now, l.limit(now, account, u))
 		u.fade(now)
 		u.reported = u.asked
-		u.reportedUsual = [2]float64{u.usual, u.reportedUsual[0]}
 		if u.usual < leastTold*u.allowance.Rate && u.let <= 0 {
 			continue
 		}
-		out = append(out, fleet.AccountUse{Account: account, Usual: u.usual, Let: u.let})
+		out = append(out, fleet.AccountUse{Account: account, Usual: u.usual, Served: u.usualLet, Let: u.let})
 		u.let = 0
 	}
 	return out
@@ -280,17 +283,20 @@
 
 // Hear takes in which accounts are near their limits, as of some time. It tells whether that
 // is newer than what was known.
-func (l *Local) Hear(asOf time.Time, t fleet.AccountLevels) bool {
+func (l *Local) Hear(now, asOf time.Time, t fleet.AccountLevels) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.told.NewerThan(t) {
 		return false
 	}
+	if l.heard.IsZero() && now.Sub(asOf) >= frozenAfter {
+		return false // The host that tells it has heard nothing lately itself.
+	}
 	if asOf.After(l.heard) {
 		l.heard = asOf
 	}
 	for _, u := range l.accounts {
-		u.confirmed = min(u.usual, u.reportedUsual[1])
+		u.confirmed = u.usual
 	}
 	if !t.NewerThan(l.told) {
 		return false
--- a/pkg/fleet/allowance.go
+++ b/pkg/fleet/allowance.go
@@ -4,10 +4,15 @@
 // units of the account's allowance.
 type AccountUse struct {
 	Account string `cbor:"1,keyasint"`
-	// Usual is what was asked for in a second, on the average of the last seconds.
-	Usual float64 `cbor:"2,keyasint,omitempty"`
+	// Usual is what was asked for in a second, on the average of the last seconds, Served the
+	// part of it that was let through.
+	Usual  float64 `cbor:"2,keyasint,omitempty"`
+	Served float64 `cbor:"4,keyasint,omitempty"`
 	// Let is what was let through since the last report.
 	Let float64 `cbor:"3,keyasint,omitempty"`
+	// Unheard is what hosts that are not heard any more are taken to let through in a second;
+	// the controller's own estimate.
+	Unheard float64 `cbor:"-"`
 }
 
 // AccountLevels tell which accounts ask for about as much as they may, or for more. All
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -79,9 +79,11 @@
 	BlocksSum uint64  `cbor:"10,keyasint,omitempty"`
 	Blocks    []Block `cbor:"11,keyasint,omitempty"`
 	// Accounts are what is asked of the asking host and of those that ask it, nil where
-	// that was told a moment ago. Rising tells that one asks for much more than before.
+	// that was told a moment ago. Rising tells that one asks for much more than before, Brief
+	// that the host asks in place of a relay, which will tell for it again.
 	Accounts []AccountUse `cbor:"12,keyasint,omitempty"`
 	Rising   bool         `cbor:"13,keyasint,omitempty"`
+	Brief    bool         `cbor:"14,keyasint,omitempty"`
 }
 
 // Heard is a host's last sign of life of a controller.
--- a/pkg/gateway/account_test.go
+++ b/pkg/gateway/account_test.go
@@ -47,6 +47,21 @@
 	is.Equal(status("k2"), http.StatusOK)
 }
 
+// An account's rank goes before that of the route; its requests were served as the route said.
+func TestAccountHasItsOwnPriority(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	rank := 7
+	d.publish(withAccounts(1, site.Account{Name: "a1", Keys: []string{"k1"}, Priority: &rank}, site.Account{Name: "a2", Keys: []string{"k2"}}))
+	h := d.startHost("a")
+	for key, want := range map[string]int{"k1": rank, "k2": 0} {
+		got, err := h.Admit("h.example", "/chat/", []string{key})
+		is.NoErr(err)
+		is.Equal(got.Route.Priority, want)
+	}
+}
+
 // A host is cut off from the store and alone, and the operator adds a key. It does not know
 // the key and cannot tell that nobody does: it says to come back, no denial.
 func TestHostThatIsCutOffDeniesNobody(t *testing.T) {
--- a/pkg/gateway/allowance.go
+++ b/pkg/gateway/allowance.go
@@ -41,10 +41,9 @@
 	risen  time.Time
 }
 
-// newAccounts returns accounts without use; slack is what may be let through beyond each
-// allowance.
-func newAccounts(slack float64, want func(), now func() time.Time) *accounts {
-	a := &accounts{now: now, want: want, sums: allowance.NewSums(), levels: allowance.NewLevels(slack)}
+// newAccounts returns accounts without use.
+func newAccounts(t allowance.Tolerance, want func(), now func() time.Time) *accounts {
+	a := &accounts{now: now, want: want, sums: allowance.NewSums(), levels: allowance.NewLevels(t)}
 	a.local = allowance.NewLocal(a.rise)
 	return a
 }
@@ -94,15 +93,19 @@
 }
 
 // take takes in what another host tells.
-func (a *accounts) take(now time.Time, host string, uses []fleet.AccountUse) {
+func (a *accounts) take(now time.Time, p fleet.Pull) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.sums.Take(now, host, uses)
+	life := allowance.ControllerLife
+	if p.Brief {
+		life = allowance.RelayLife
+	}
+	a.sums.Take(now, p.Demand.Host, p.Accounts, life)
 }
 
 // hear takes in which accounts are near their limits and tells whether that is news.
-func (a *accounts) hear(asOf time.Time, levels fleet.AccountLevels) bool {
-	if !a.local.Hear(asOf, levels) {
+func (a *accounts) hear(now, asOf time.Time, levels fleet.AccountLevels) bool {
+	if !a.local.Hear(now, asOf, levels) {
 		return false
 	}
 	a.versions.Add(1)
@@ -122,7 +125,7 @@
 	a.rising, a.leveled = false, now
 	levels := a.levels.Decide(now, token, c.Accounts.All(), a.sums.Sum(now, a.local.Uses(now), allowance.ControllerLife))
 	a.mu.Unlock()
-	return a.hear(now, levels)
+	return a.hear(now, now, levels)
 }
 
 // takeAccounts takes in what the question of another host tells of accounts.
@@ -130,7 +133,7 @@
 	if p.Accounts == nil {
 		return
 	}
-	g.accounts.take(now, p.Demand.Host, p.Accounts)
+	g.accounts.take(now, p)
 	if p.Rising {
 		g.accounts.rise()
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -169,7 +169,7 @@
 	}
 	g.guard = g.newGuard()
 	g.server.Guard = g.guard
-	g.accounts = newAccounts(s.Allowances.Slack, g.wantReport, g.Now)
+	g.accounts = newAccounts(s.tolerance(), g.wantReport, g.Now)
 	g.server.Allowances = g.accounts
 	if err := g.listen(); err != nil {
 		return nil, err
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -108,6 +108,7 @@
 	}
 	crashesNext := g.addCrashes(now, to.Addr, &p)
 	p.Accounts, p.Rising = g.accounts.report(now)
+	p.Brief = inPlaceOfRelay(upstreams, to)
 	err := g.ask(ctx, to, p, crashesNext)
 	if err == nil {
 		g.mesh.noteAnswer(to.Addr)
@@ -116,7 +117,9 @@
 		}
 		return 0
 	}
-	g.accounts.unreported(p.Accounts)
+	if !errors.Is(err, errStaleNews) {
+		g.accounts.unreported(p.Accounts)
+	}
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -163,7 +166,7 @@
 	}
 	g.crashesTold.answered(to.Addr, answer.Notice.Source, crashesNext)
 	g.takeAnsweredBlocks(now, *answer.Notice)
-	if g.accounts.hear(now.Add(-milliseconds(answer.Notice.HeardAgo)), answer.Notice.Accounts) {
+	if g.accounts.hear(now, now.Add(-milliseconds(answer.Notice.HeardAgo)), answer.Notice.Accounts) {
 		g.children.wake()
 	}
 	if len(answer.Notice.Hosts) > 0 {
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+	"github.com/tealvane/tealvane/pkg/allowance"
 	"github.com/tealvane/tealvane/pkg/finding"
 	"github.com/tealvane/tealvane/pkg/retry"
 )
@@ -55,9 +56,11 @@
 		Window time.Duration `yaml:"window"`
 	} `yaml:"retry"`
 	Allowances struct {
-		// Slack is what all hosts together may let through of an account beyond its allowance
-		// in the time over which it is judged, in units of the allowance.
-		Slack float64 `yaml:"slack"`
+		// All hosts together may let through of an account the part Over of its allowance and
+		// Slack units more in any span of Window; 0 where nothing is stated.
+		Over   float64       `yaml:"over"`
+		Slack  float64       `yaml:"slack"`
+		Window time.Duration `yaml:"window"`
 	} `yaml:"allowances"`
 	Orders struct {
 		// EndpointsCheckTokens tells whether endpoints refuse old fencing tokens.
@@ -72,6 +75,10 @@
 	return retry.Limits{Ratio: s.Retry.Ratio, Extra: s.Retry.Extra, Window: s.Retry.Window}
 }
 
+func (s Settings) tolerance() allowance.Tolerance {
+	return allowance.Tolerance{Over: s.Allowances.Over, Slack: s.Allowances.Slack, Window: s.Allowances.Window}
+}
+
 // LoadSettings reads and checks a settings file. All findings come at once.
 func LoadSettings(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -110,8 +117,8 @@
 	if s.Retry.Ratio < 0 || s.Retry.Extra < 0 {
 		c.add("retry", "ratio and extra must not be negative")
 	}
-	if s.Allowances.Slack < 0 {
-		c.add("allowances.slack", "must not be negative")
+	if s.Allowances.Over < 0 || s.Allowances.Slack < 0 || s.Allowances.Window < 0 {
+		c.add("allowances", "over, slack and window must not be negative")
 	}
 	return s, c.found.Err()
 }
