--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -65,7 +65,7 @@
 	peerAddr string
 	node     *peer.Node
 
-	callers   net.Listener
+	callers   *drainListener
 	operators net.Listener
 
 	membersMu sync.Mutex
@@ -97,9 +97,11 @@
 		return nil, err
 	}
 	h.node = node
-	if h.callers, err = net.Listen("tcp", cfg.Settings.Callers.Listen); err != nil {
+	callers, err := net.Listen("tcp", cfg.Settings.Callers.Listen)
+	if err != nil {
 		return nil, errors.CombineErrors(errors.Wrap(err, "callers"), node.Close())
 	}
+	h.callers = newDrainListener(callers.(*net.TCPListener))
 	if h.operators, err = net.Listen("tcp", cfg.Settings.Operators.Listen); err != nil {
 		closeErr := errors.CombineErrors(h.callers.Close(), node.Close())
 		return nil, errors.CombineErrors(errors.Wrap(err, "operators"), closeErr)
@@ -207,11 +209,13 @@
 			return nil
 		})
 	}
+	conns := newOpenConns()
+	callers.ConnState = conns.note
 	group.Go(func() error { return serveHTTP(callers, h.callers) })
 	group.Go(func() error { return serveHTTP(operators, h.operators) })
 	h.logger.Info("serving", "callers", h.CallersAddr(), "operators", h.OperatorsAddr(), "peers", h.node.Addr())
 	<-ctx.Done()
-	h.drain(work, callers)
+	h.drain(work, &callersServer{Server: callers, listener: h.callers, conns: conns})
 	stop()
 	closeErr := errors.CombineErrors(operators.Close(), h.node.Close())
 	return errors.CombineErrors(group.Wait(), closeErr)
