--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -145,10 +145,7 @@
 	// are on their way.
 	minStay = 150 * time.Millisecond
 	// drainCost is the weight of running requests, which hold up an unload by up to
-	// three seconds; the endpoint takes no other order meanwhile. Mean worth of the
-	// answers under 40 loads with faults, on two deployments: 0.783 and 0.704 with
-	// 0.35 s, 0.785 and 0.709 with 0.75 s, 0.787 and 0.715 with 1.5 s, 0.784 and
-	// 0.705 with 3 s.
+	// three seconds; the endpoint takes no other order meanwhile.
 	drainCost = 1500 * time.Millisecond
 	// evictCost is the weight, in seconds, of the requests a second that the
 	// evicted model would have served.
@@ -167,12 +164,10 @@
 	busyShare = 0.6
 	// extraUse is the part of its time that a replica reads prompts for, above which
 	// the model gets a further one: at half of the time, requests wait for others for
-	// as long as they are read themselves. Answers of 9,000-token prompts that began in
-	// time, of 1,999 on 60 endpoints under a load with faults: 0.835 without, 0.908 with it.
+	// as long as they are read themselves.
 	extraUse = 0.3
-	// extraLoss is the most that may leave for such a replica, in requests a second. At
-	// any loss rare models lost their places: 0.925 instead of 0.944 of their worth under
-	// 21 loads with faults on nine endpoints.
+	// extraLoss is the most that may leave for such a replica, in requests a second: with more,
+	// rare models lose their places.
 	extraLoss = 0.15
 	// adapterCost keeps swaps away from endpoints that hold adapters: these load
 	// only while no order runs there, and are lost with their model.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -43,11 +43,7 @@
 
 // firstLoad is by how many requests the first choice, which is near or has read what a
 // request shares with others, may be busier than another: reading a shared part again
-// takes about as long as one request waits for another's prompt. Tokens of shared parts
-// read again under three loads with faults: 423,000, 626,000 and 469,000 without an
-// affinity, 398,000, 529,000 and 341,000 with it; bytes between zones on 7 hosts under 24
-// loads, as a part of the worth of all answers: 0.0178 with any first choice, 0.0158
-// with a near one.
+// takes about as long as one request waits for another's prompt.
 const firstLoad = 1.0
 
 // Pick returns the index of the replica to use, or -1 when none has room. pick
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -226,8 +226,8 @@
 }
 
 // takeRetry takes the retry that follows a try which is to be given up. Without one
-// the try goes on: given up, its answer would end without another in its place. A
-// stream was cut 84 ms after its first event, which came as its try was given up.
+// the try goes on: given up, its answer would end without another in its place, also one whose
+// first event comes as its try is given up.
 func (x *exchange) takeRetry() bool {
 	if !x.server.Budget.TakeSpare(x.server.Now(), x.request.Service) {
 		return false
--- a/pkg/serve/urgency.go
+++ b/pkg/serve/urgency.go
@@ -18,11 +18,9 @@
 //
 // The load pattern: more requests come for a model than its replicas can serve, and it can
 // be loaded nowhere else soon. Taken up in the order in which they come, all of them wait
-// for as long, and nearly all are late: with 160 requests a second at six replicas that
-// serve 26 each, 85 of 100. So requests of a rank are taken up in an order that their IDs
+// for as long, and nearly all are late. So requests of a rank are taken up in an order that their IDs
 // decide, the same at each endpoint: those that can be served are served in time, and the
-// lateness falls on the rest. Where nothing waits, the order changes nothing. Answers in time
-// of a busy kind of request at 295 hosts and 128 endpoints: 0.88 before, 0.93 with it.
+// lateness falls on the rest. Where nothing waits, the order changes nothing.
 func Urgency(r *Request, now time.Time) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(r.ID)) // A hash takes all.
