--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/internal/dev"
+	"github.com/tealvane/tealvane/internal/standin/site"
 )
 
 // run returns the exit code and what was printed.
@@ -112,6 +113,13 @@
 	req.Header.Set("X-Model-Name", "rare")
 	resp, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusUnauthorized) // it has no key
+	req.Header.Set("X-Key", site.DevKey)
+	req.Body, err = req.GetBody()
+	is.NoErr(err)
+	resp, err = http.DefaultClient.Do(req)
+	is.NoErr(err)
 	body, err := io.ReadAll(resp.Body)
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close())
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -36,7 +36,9 @@
 
 // The sizes of the development site: two of three models fit into the memory.
 const (
-	devSlots    = 8
+	devSlots = 8
+	// devRate is how many requests a second the account of the development host may send.
+	devRate     = 20
 	devMemoryMB = 130
 	devModelMB  = 60
 	devEvents   = 12
@@ -95,6 +97,9 @@
 			Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, LoadsPerS: 4, Models: models,
 		}}},
 		Limits: site.DefaultLimits,
+		Accounts: []site.Account{{
+			Name: "dev", Keys: []string{site.DevKey}, Unit: "requests", Rate: devRate, Burst: devRate,
+		}},
 	})
 	if err != nil {
 		return nil, err
--- a/internal/standin/site/config.go
+++ b/internal/standin/site/config.go
@@ -3,7 +3,10 @@
 import "encoding/json"
 
 // Hint tells how to ask a development host on the stand-in.
-const Hint = "Host: dev.example, path /summary/, X-Request-Attempt-Id: any, X-Model-Name: warm, rare or idle\n"
+const Hint = "Host: dev.example, path /summary/, X-Key: " + DevKey + ", X-Request-Attempt-Id: any, X-Model-Name: warm, rare or idle\n"
+
+// DevKey is the key of the account of a development host.
+const DevKey = "dev-key"
 
 // Route is a route of the operator's configuration.
 type Route struct {
