--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -279,6 +279,51 @@
 	}
 }
 
+// A relay dies, and its hosts ask the controller until they know the next one, which tells for
+// them again. Each was then counted twice for eight seconds, and set aside as one that is cut
+// off: an account near its limit was held far below it.
+func TestHostThatAsksInPlaceOfARelayCountsBriefly(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		life  time.Duration
+		aside bool
+	}{
+		{"in place of a relay", allowance.RelayLife, false},
+		{"always, and is cut off", allowance.ControllerLife, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := allowance.NewSums()
+			now := time.Unix(1000, 0)
+			s.Take(now, "h", []fleet.AccountUse{{Account: "a", Usual: 100, Served: 100, Let: 10}}, c.life)
+			now = now.Add(2 * time.Second)
+			uses := s.Sum(now, nil, allowance.ControllerLife)
+			is.Equal(len(uses), 1)
+			is.Equal(uses[0].Usual, 0.0) // it is not heard
+			is.Equal(uses[0].Let, 10.0)  // told once, and counted
+			is.Equal(uses[0].Unheard > 0, c.aside)
+		})
+	}
+}
+
+// All hosts start anew, and one that has heard nothing itself answers another. That took the
+// age of what it was told for its own silence, and fell back to an even part, as one
+// does that was cut off for long.
+func TestFreshHostIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := allowance.NewLocal(func() {})
+	is.True(!l.Hear(now, now.Add(-time.Minute), fleet.AccountLevels{}))
+	let := 0
+	for range 2000 {
+		if ok, _ := l.Allow(now, "a", fleet.Allowance{Rate: 100, Burst: 100}, 1); ok {
+			let++
+		}
+		now = now.Add(5 * time.Millisecond)
+	}
+	is.True(let > 1250) // more than ten seconds of an even part and what is kept of it
+}
+
 // A request that was let through and has not run costs nothing; one that is refused is told
 // when there is room, and not all the same.
 func TestRefundAndRetryAfter(t *testing.T) {
--- a/pkg/allowance/local.go
+++ b/pkg/allowance/local.go
@@ -213,9 +213,9 @@
 	case silence >= forgottenAfter:
 		return newLimit(even, keptFor, owedFor)
 	case near:
-		near := newLimit((1-spareShare)*share*u.confirmed+spareShare*even, keptFor, owedFor)
-		near.near = true
-		return near
+		part := newLimit((1-spareShare)*share*u.confirmed+spareShare*even, keptFor, owedFor)
+		part.near = true
+		return part
 	case silence >= frozenAfter:
 		return newLimit(max(even, frozenSpare*u.served()), keptFor, owedFor)
 	case now.Sub(u.first) < usualMemory:
--- a/pkg/fleet/allowance.go
+++ b/pkg/fleet/allowance.go
@@ -15,8 +15,8 @@
 	Unheard float64 `cbor:"-"`
 }
 
-// AccountLevels tell which accounts ask for about as much as they may, or for more. All
-// others ask for less, and need no limit.
+// AccountLevels tell which accounts ask for about as much as they may, or for more. Hosts go by
+// what is usual at each for all others.
 type AccountLevels struct {
 	// Token is that of the controller's claim, Seq counts what it has told since.
 	Token int64 `cbor:"1,keyasint"`
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -117,7 +117,7 @@
 		}
 		return 0
 	}
-	if !errors.Is(err, errStaleNews) {
+	if !takenIn(err) {
 		g.accounts.unreported(p.Accounts)
 	}
 	if ctx.Err() != nil {
@@ -136,6 +136,11 @@
 	return wait.Jitter(reportPause)
 }
 
+// takenIn tells whether a question with this error was taken in all the same: the host that was
+// asked has answered, and only what it tells is old. What such a question told of accounts
+// must not be told again, or it adds up at each hop.
+func takenIn(err error) bool { return errors.Is(err, errStaleNews) }
+
 // inPlaceOfRelay tells whether a host that has a relay asks the controller itself. All hosts
 // do where all relays are gone, and each question takes a third of a millisecond of the
 // time in which the controller decides.
