--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -157,7 +157,8 @@
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.board = fleet.NewBoard(g.directory)
-	g.endpoints = cfg.Endpoints(g.Now, g.connectionLimit)
+	g.health.Limits.Changed = g.limitChanged
+	g.endpoints = countedEndpoints{cfg.Endpoints(g.Now, g.connectionLimit), g.countCall}
 	g.dispatcher = serve.NewDispatcher(s.Zone, locator{g.board, g.config.Load}, g.health, g.Now, g.wantReport)
 	g.server = &serve.Server{
 		Backend: g.endpoints,
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/ratelimit"
 )
 
 const (
@@ -30,6 +31,9 @@
 
 // Health is what a host has seen of endpoints. It is safe for concurrent use.
 type Health struct {
+	// Limits are the request rates that endpoints state.
+	Limits *ratelimit.Limits
+
 	mu        sync.Mutex
 	endpoints map[fleet.EndpointID]*condition
 	services  map[string]float64
@@ -51,7 +55,11 @@
 
 // NewHealth returns the state of a host that has seen nothing.
 func NewHealth() *Health {
-	return &Health{endpoints: map[fleet.EndpointID]*condition{}, services: map[string]float64{}}
+	return &Health{
+		Limits:    ratelimit.New(),
+		endpoints: map[fleet.EndpointID]*condition{},
+		services:  map[string]float64{},
+	}
 }
 
 func (h *Health) of(id fleet.EndpointID) *condition {
@@ -194,6 +202,7 @@
 
 // Prune drops what is known of endpoints that are gone.
 func (h *Health) Prune(live map[fleet.EndpointID]bool) {
+	h.Limits.Retain(live)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, c := range h.endpoints {
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -89,6 +89,9 @@
 	Status  int
 	// Load is the endpoint's load if the answer states it.
 	Load *fleet.Load
+	// Rate is how many requests a second the endpoint takes from all hosts together, nil if
+	// the answer states no such limit.
+	Rate *float64
 	// Body ends with io.EOF after the whole body and with any other error before.
 	Body io.ReadCloser
 	// Head is what door and backend share of the answer.
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -336,6 +336,9 @@
 	if answer.Load != nil {
 		s.Health.Load(s.Now(), e.ID, *answer.Load)
 	}
+	if answer.Verdict != Elsewhere {
+		s.Health.Limits.Observe(s.Now(), e.ID, answer.Rate, start, answer.Verdict == Answered)
+	}
 	if answer.Verdict != Answered {
 		x.reject(e, answer)
 		return notRun
