--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -89,6 +89,10 @@
 	faults   []string
 	beats    int64
 	draining bool
+	// rate is the request rate that answers state, empty for none.
+	rate string
+	// arrivals are when requests came, calls of hosts among them.
+	arrivals []time.Time
 }
 
 // topicEndpoints is the topic of the endpoints' entries.
@@ -112,7 +116,7 @@
 	mux.HandleFunc("POST /order", e.order)
 	mux.HandleFunc("GET /report", e.report)
 	mux.HandleFunc("/", e.serve)
-	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	e.server = &http.Server{Handler: e.arrive(mux), ReadHeaderTimeout: time.Second}
 	go func() { _ = e.server.Serve(l) }() // It ends with Close.
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -131,6 +135,34 @@
 	e.beat()
 }
 
+// StateRate makes all answers state how many requests a second the endpoint takes; an empty text
+// makes them state none.
+func (e *Endpoint) StateRate(rate string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rate = rate
+}
+
+// Arrivals returns when requests came, orders and questions of hosts among them.
+func (e *Endpoint) Arrivals() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrivals)
+}
+
+// arrive notes a request and states what all answers state.
+func (e *Endpoint) arrive(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, time.Now())
+		if e.rate != "" {
+			w.Header().Set("Server-Limit", e.rate)
+		}
+		e.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Runs returns what the endpoint has run.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
