--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -38,12 +38,14 @@
 	hosts, blocks int64
 	// accounts is the version of the accounts near their limits.
 	accounts int64
+	// limits is the version of the request rates that endpoints state.
+	limits int64
 }
 
 // newerThan tells whether something has come since.
 func (t told) newerThan(o told) bool {
 	return t.list > o.list || t.claim > o.claim || t.config > o.config || t.hosts > o.hosts || t.blocks > o.blocks ||
-		t.accounts > o.accounts
+		t.accounts > o.accounts || t.limits > o.limits
 }
 
 func newChildren() *children { return &children{byHost: map[string]*asker{}} }
@@ -111,6 +113,7 @@
 	g.takeDemand(now, p)
 	g.takeCrashes(now, p)
 	g.takeAccounts(now, p)
+	g.takeLimits(now, p.Limits)
 	a := g.children.enter(p.Demand)
 	spacing := relay.Spacing(g.children.count(), g.settings.cores())
 	question := relay.Question{Asked: now, Answered: a.answered}
@@ -138,6 +141,7 @@
 	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
 	n.Stamp = g.stampFor(now, n.Token)
 	g.withBlocks(now, &n, p.BlocksSum)
+	g.withLimits(&n, p.LimitsSum)
 	n.Accounts = g.accounts.local.Told()
 	hosts := g.feed.hostsFrom(p.HostsNext)
 	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
@@ -154,6 +158,7 @@
 		blocks: g.guard.Blocks.Version(),
 
 		accounts: g.accounts.version(),
+		limits:   g.health.Limits.Version(),
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -105,6 +105,8 @@
 	crashesTold  *crashesTold
 	crashesKept  *keptCrashes
 	blocksDiffer atomic.Bool
+	// limitsDiffer is the same for the request rates of endpoints.
+	limitsDiffer atomic.Bool
 	// accounts keeps client accounts within what they may ask.
 	accounts *accounts
 	// reports counts the demand reports, heardStamp is the last time stamp of a controller
@@ -158,7 +160,7 @@
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.board = fleet.NewBoard(g.directory)
 	g.health.Limits.Changed = g.limitChanged
-	g.endpoints = countedEndpoints{cfg.Endpoints(g.Now, g.connectionLimit), g.countCall}
+	g.endpoints = limitedEndpoints{cfg.Endpoints(g.Now, g.connectionLimit), g.mayCall}
 	g.dispatcher = serve.NewDispatcher(s.Zone, locator{g.board, g.config.Load}, g.health, g.Now, g.wantReport)
 	g.server = &serve.Server{
 		Backend: g.endpoints,
@@ -186,6 +188,8 @@
 		Endpoints: g.directory.Live,
 		MayOrder:  g.mayOrder,
 
+		Limited: func(id fleet.EndpointID) bool { return g.health.Limits.Limited(g.Now(), id) },
+
 		LearnedStoreLoads: g.board.StoreLoads,
 	}
 	g.handler = cfg.Door(g)
--- a/pkg/gateway/passing_test.go
+++ b/pkg/gateway/passing_test.go
@@ -49,7 +49,8 @@
 	})
 	g.settings.Timing.Drain = drain
 	g.board = fleet.NewBoard(g.directory)
-	g.dispatcher = serve.NewDispatcher("z", locator{g.board, g.config.Load}, serve.NewHealth(), g.Now, func() {})
+	g.health = serve.NewHealth()
+	g.dispatcher = serve.NewDispatcher("z", locator{g.board, g.config.Load}, g.health, g.Now, func() {})
 	return g
 }
 
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -66,6 +66,9 @@
 	Endpoints func(now time.Time) []fleet.View
 	// MayOrder is asked before each order, for what this package does not know.
 	MayOrder func() bool
+	// Limited tells whether an endpoint states how many requests a second it takes: it is given
+	// no models, and what it holds does not count as a replica. It may be nil.
+	Limited func(id fleet.EndpointID) bool
 	// LearnedStoreLoads returns how many loads from the weight store a former
 	// controller has found to run at full speed, 0 if that is not known. It may be nil.
 	LearnedStoreLoads func() int
@@ -126,7 +129,7 @@
 			if now.Sub(g.demand.since) < learnTime {
 				continue
 			}
-			reachable := slices.DeleteFunc(byService[name], (*track).lost)
+			reachable := slices.DeleteFunc(byService[name], g.unfit)
 			g.swap(ctx, now, token, service, reachable, totals)
 			g.adapters(ctx, now, token, service, reachable, totals)
 		}
@@ -220,6 +223,14 @@
 	t.settle(now, r)
 }
 
+// unfit endpoints get no models, and others have to hold what they do.
+func (g *Controller) unfit(t *track) bool {
+	t.mu.Lock()
+	id, lost := t.endpoint.ID, t.reach.lost
+	t.mu.Unlock()
+	return lost || g.Limited != nil && g.Limited(id)
+}
+
 // swap starts the swaps that the decision asks for.
 func (g *Controller) swap(ctx context.Context, now time.Time, token int64, service fleet.Service, tracks []*track, totals map[need]*total) {
 	engine := service.Engine
--- a/pkg/orders/orderer.go
+++ b/pkg/orders/orderer.go
@@ -55,6 +55,10 @@
 // of its former incarnation has no answer.
 var ErrRestarted = errors.New("endpoint has started again")
 
+// ErrLimited means that nothing was sent, since the endpoint states a request rate of which this
+// host has nothing left.
+var ErrLimited = errors.New("endpoint states a request rate that is used up")
+
 // Orderer reaches endpoints.
 type Orderer interface {
 	// Order sends an order once. An error means that its outcome is unknown.
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -55,6 +55,8 @@
 	case errors.Is(err, ErrUnreachable):
 		t.markUnreachable(g.Now())
 		return unknown
+	case errors.Is(err, ErrLimited):
+		return unknown
 	case err != nil:
 		s.unanswered = true
 		g.strays.note(g.Now(), e.ID, o, g.weightsMB(e.Service, o.Model))
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -113,13 +113,6 @@
 	}
 }
 
-// lost tells whether nobody reaches the endpoint.
-func (t *track) lost() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.reach.lost
-}
-
 // adopt takes over what the endpoint says it holds.
 func (t *track) adopt(now time.Time, holds []fleet.Held) {
 	old := t.models
--- /dev/null
+++ b/pkg/ratelimit/limits_test.go
@@ -0,0 +1,140 @@
+package ratelimit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/proptest"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/ratelimit"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, 40, 20) }
+
+const endpoint fleet.EndpointID = "i-1"
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// host returns one host of several that know one another.
+func host(self int, all int) *ratelimit.Limits {
+	var others []string
+	for i := range all {
+		if i != self {
+			others = append(others, fmt.Sprint("host-", i))
+		}
+	}
+	l := ratelimit.New()
+	l.SetHosts(fmt.Sprint("host-", self), others)
+	return l
+}
+
+func rate(r float64) *float64 { return &r }
+
+// All hosts have many requests for an endpoint that states a rate. Together they exceed what it
+// allows, each by a little.
+func TestAllHostsTogetherKeepToTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 300).Draw(t, "hosts")
+		stated := rapid.Float64Range(0, 60).Draw(t, "rate")
+		steady := rapid.Bool().Draw(t, "steady")
+		const step, span, window = 20 * time.Millisecond, 12 * time.Second, 4 * time.Second
+		var all []*ratelimit.Limits
+		for i := range hosts {
+			l := host(i, hosts)
+			l.Observe(start, endpoint, rate(stated), start, true)
+			all = append(all, l)
+		}
+		var sent []time.Duration
+		for d := time.Duration(0); d < span; d += step {
+			for i, l := range all {
+				// A host with nothing to send for some time has its part left.
+				if wants := steady || int(d/time.Second)%3 == i%3; wants {
+					for l.Use(at(d), endpoint) {
+						sent = append(sent, d)
+					}
+				}
+			}
+			if d%time.Second == 0 {
+				for _, l := range all {
+					l.Observe(at(d), endpoint, rate(stated), start, true)
+				}
+			}
+		}
+		allowed := 1.5*stated*window.Seconds() + 5
+		first := 0
+		for last, d := range sent {
+			for d-sent[first] > window {
+				first++
+			}
+			if n := last - first + 1; float64(n) > allowed {
+				t.Fatalf("%d requests in %v of %d hosts, %.1f are allowed", n, window, hosts, allowed)
+			}
+		}
+		if steady && stated >= 2 && hosts <= 8 && float64(len(sent)) < 0.5*stated*span.Seconds() {
+			t.Fatalf("%d requests in %v at %.1f a second: the endpoint could do more", len(sent), span, stated)
+		}
+	})
+}
+
+// An answer from before the endpoint stated its rate arrives late, or is one to a request that
+// was not run. Taken for the end of the limit, all hosts would send as before.
+func TestLimitEndsOnlyByALaterAnswer(t *testing.T) {
+	is := is.New(t)
+	l := host(0, 9)
+	l.Observe(at(time.Second), endpoint, rate(1), at(0), true)
+	l.Observe(at(2*time.Second), endpoint, nil, at(500*time.Millisecond), true)
+	l.Observe(at(2*time.Second), endpoint, nil, at(1500*time.Millisecond), false)
+	is.True(l.Limited(at(2*time.Second), endpoint))
+	l.Observe(at(2*time.Second), endpoint, nil, at(1500*time.Millisecond), true)
+	is.True(!l.Limited(at(2*time.Second), endpoint))
+}
+
+// Nobody sends to an endpoint that has stated a rate, so that no answer can show that it does no
+// more. It was left alone for good.
+func TestLimitEndsWhereNobodySeesIt(t *testing.T) {
+	is := is.New(t)
+	l := host(0, 9)
+	l.Observe(at(0), endpoint, rate(1), at(0), true)
+	is.True(l.Limited(at(5*time.Second), endpoint))
+	l.Observe(at(5*time.Second), endpoint, rate(1), at(0), true)
+	is.True(l.Limited(at(12*time.Second), endpoint))
+	is.True(!l.Limited(at(16*time.Second), endpoint))
+}
+
+// Hosts see changes at the same time and tell one another in any order. One that kept another
+// limit than the others would exceed theirs.
+func TestHostsAgreeOnLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []*ratelimit.Limits{host(0, 3), host(1, 3), host(2, 3)}
+		steps := rapid.IntRange(1, 30).Draw(t, "steps")
+		for i := range steps {
+			now := at(time.Duration(i) * time.Second)
+			from := hosts[rapid.IntRange(0, 2).Draw(t, "from")]
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				from.Observe(now, endpoint, rate(rapid.Float64Range(0, 5).Draw(t, "rate")), now, true)
+			case 1:
+				from.Observe(now, endpoint, nil, now, true)
+			default:
+				hosts[rapid.IntRange(0, 2).Draw(t, "to")].Take(now, from.All())
+			}
+		}
+		for range 2 {
+			for _, a := range hosts {
+				for _, b := range hosts {
+					a.Take(at(time.Minute), b.All())
+				}
+			}
+		}
+		for _, h := range hosts {
+			if h.Sum() != hosts[0].Sum() || len(h.All()) > 0 && h.All()[0] != hosts[0].All()[0] {
+				t.Fatalf("%v, %v", h.All(), hosts[0].All())
+			}
+		}
+	})
+}
--- a/pkg/serve/choose.go
+++ b/pkg/serve/choose.go
@@ -20,7 +20,7 @@
 	var sound, suspect []option
 	for _, e := range d.placement.Find(now, w.need).Ready {
 		c := d.health.Condition(now, e.ID, w.need.Service, w.need.What())
-		if c.Closed || w.avoid[e.ID] == Never {
+		if c.Closed || c.Limited || w.avoid[e.ID] == Never {
 			continue
 		}
 		o := option{e, candidate(e, c, s.service)}
@@ -35,7 +35,7 @@
 	if !ok {
 		e, ok = d.choose(suspect, s.service, key)
 	}
-	if !ok {
+	if !ok || !d.health.Limits.Use(now, e.ID) {
 		return fleet.Endpoint{}, false
 	}
 	d.health.Begin(now, e.ID)
@@ -67,13 +67,28 @@
 	now := d.now()
 	for _, e := range d.placement.Find(now, n).Ready {
 		c := d.health.Condition(now, e.ID, n.Service, n.What())
-		if e.ID != id && !c.Closed && !c.Suspect && c.Own < candidate(e, c, startService).Limit {
+		if e.ID != id && !c.Closed && !c.Limited && !c.Suspect && c.Own < candidate(e, c, startService).Limit {
 			return true
 		}
 	}
 	return false
 }
 
+// freed tells whether all of some endpoints state request rates of which this host has nothing
+// left, and when it will have at the first of them, zero if that is not known.
+func (d *Dispatcher) freed(now time.Time, n Need, ready []fleet.Endpoint) (at time.Time, limited bool) {
+	for _, e := range ready {
+		c := d.health.Condition(now, e.ID, n.Service, n.What())
+		if !c.Limited {
+			return time.Time{}, false
+		}
+		if !c.FreeAt.IsZero() && (at.IsZero() || c.FreeAt.Before(at)) {
+			at = c.FreeAt
+		}
+	}
+	return at, len(ready) > 0
+}
+
 // candidate bounds this host's requests by what the endpoint's last stated load
 // leaves of its places. The statement fades with the service time.
 func candidate(e fleet.Endpoint, c Condition, service time.Duration) routing.Candidate {
--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -199,6 +199,8 @@
 		cause = CauseNoEndpoint
 	case s.Ready:
 		cause = CauseNoRoom
+	case s.Limited:
+		cause = CauseLimited
 	}
 	return &Refusal{Cause: cause, NotRun: true, RetryAfter: retryAfter}
 }
@@ -241,7 +243,11 @@
 // situation tells also whether a model is missing that should be loaded.
 func (d *Dispatcher) situation(now time.Time, w *waiter) (s Situation, cold bool) {
 	f := d.placement.Find(now, w.need)
-	s = Situation{Now: now, Ready: len(f.Ready) > 0, ComingAt: f.ComingAt, FarUntil: f.FarUntil, Known: f.Known, Unnamed: f.Unnamed}
+	freeAt, limited := d.freed(now, w.need, f.Ready)
+	s = Situation{Now: now, Ready: len(f.Ready) > 0 && !limited, ComingAt: f.ComingAt, FarUntil: f.FarUntil, Known: f.Known, Unnamed: f.Unnamed, Limited: limited}
+	if s.ComingAt.IsZero() || !freeAt.IsZero() && freeAt.Before(s.ComingAt) {
+		s.ComingAt = freeAt
+	}
 	return s, !s.Ready && !s.Unnamed && w.need.Model != ""
 }
 
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -181,17 +181,24 @@
 	Suspect bool
 	// Closed endpoints are not asked now.
 	Closed bool
+	// Limited endpoints state a request rate of which this host has nothing left now;
+	// FreeAt is when it will, zero if that is not known.
+	Limited bool
+	FreeAt  time.Time
 }
 
 // Condition returns what is known of an endpoint that has to hold what is named.
 func (h *Health) Condition(now time.Time, id fleet.EndpointID, service, what string) Condition {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	freeAt, limited := h.Limits.Next(now, id)
 	c := h.endpoints[id]
 	if c == nil {
-		return Condition{LoadAge: time.Hour}
+		return Condition{LoadAge: time.Hour, Limited: limited, FreeAt: freeAt}
 	}
 	return Condition{
+		Limited: limited,
+		FreeAt:  freeAt,
 		Own:     c.running,
 		Load:    c.load,
 		LoadAge: now.Sub(c.loadAt),
--- /dev/null
+++ b/pkg/serve/limited_test.go
@@ -0,0 +1,56 @@
+package serve_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// The only endpoint with a model states a request rate, and this host has no part of it. Its
+// request waited in vain until its client had gone; now it is refused in time to come back, and
+// the model counts as missing, so that another endpoint loads it.
+func TestRequestForALimitedEndpointOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a")
+		s := newServer(w)
+		others := []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}
+		s.Health.Limits.SetHosts("h0", others)
+		slow := 0.0
+		s.Health.Limits.Observe(time.Now(), "a", &slow, time.Now(), true)
+		var out sink
+		got := s.Serve(context.Background(), request("r", fleet.Idempotent, false), &out)
+		is.Equal(got.Outcome(), "refused_endpoint_limit")
+		is.Equal(len(w.runs["r"]), 0)
+		is.True(got.Total < 4*time.Second)
+		is.True(out.refusal.RetryAfter > 0)
+	})
+}
+
+// One of two endpoints states a rate: the other takes what is beyond it.
+func TestRequestsGoToEndpointsWithoutALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		s := newServer(w)
+		rate := 2.0
+		for i := range 100 {
+			s.Health.Limits.Observe(time.Now(), "a", &rate, time.Now(), true)
+			var out sink
+			s.Serve(context.Background(), request(string(rune('a'+i)), fleet.Idempotent, false), &out)
+			is.Equal(out.status, 200)
+			time.Sleep(50 * time.Millisecond)
+		}
+		atLimited := 0
+		for _, send := range w.sends {
+			if send.Endpoint.ID == "a" {
+				atLimited++
+			}
+		}
+		is.True(atLimited > 0 && atLimited <= 12) // 2 a second for 5 s
+	})
+}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -167,6 +167,9 @@
 	CauseNoRoom     Cause = "no_room"
 	CauseNotLoaded  Cause = "not_loaded"
 	CauseNoModel    Cause = "no_such_model"
+	// CauseLimited is that the endpoints which hold the model state request rates that are
+	// used up.
+	CauseLimited    Cause = "endpoint_limit"
 	CauseDeadline   Cause = "deadline"
 	CauseClientGone Cause = "client_gone"
 	CauseBroken     Cause = "endpoint_failed"
