What endpoints say in answers stands in one table: rates, leaving, pauses; logged, not decided by yet

Leaving is told to all hosts with the rates and has a line (endpoint signals), a pause stands in the note of the request. pkg/ratelimit becomes pkg/signals for it, with the same rules for rates.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -36,6 +36,8 @@
 	Delay time.Duration
 	// Reject refuses without running.
 	Reject bool
+	// Pause is stated in a rejection, in seconds, unless it is empty.
+	Pause string
 }
 
 // EndpointConfig describes one endpoint.
@@ -91,6 +93,8 @@
 	draining bool
 	// rate is the request rate that answers state, empty for none.
 	rate string
+	// leaving makes answers state that the endpoint leaves.
+	leaving bool
 	// arrivals are when requests came, calls of hosts among them.
 	arrivals []time.Time
 }
@@ -143,6 +147,13 @@
 	e.rate = rate
 }
 
+// StateLeaving makes all answers state that the endpoint leaves; its entry does not.
+func (e *Endpoint) StateLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
 // Arrivals returns when requests came, orders and questions of hosts among them.
 func (e *Endpoint) Arrivals() []time.Time {
 	e.mu.Lock()
@@ -158,6 +169,9 @@
 		if e.rate != "" {
 			w.Header().Set("Server-Limit", e.rate)
 		}
+		if e.leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		e.mu.Unlock()
 		next.ServeHTTP(w, r)
 	})
@@ -353,6 +367,9 @@
 		if status != http.StatusMisdirectedRequest {
 			w.Header().Set("X-Request-Not-Run", "1")
 		}
+		if b.Pause != "" {
+			w.Header().Set("Retry-After", b.Pause)
+		}
 		w.WriteHeader(status)
 		return
 	}
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -53,10 +53,10 @@
 	Blocks    []Block `cbor:"23,keyasint,omitempty"`
 	// Accounts are the client accounts near their limits, as of HeardAgo.
 	Accounts AccountLevels `cbor:"24,keyasint"`
-	// LimitsSum is the sum over all request rates of endpoints that the answering host knows;
-	// Limits are these, if the asker does not know the same.
-	LimitsSum uint64          `cbor:"25,keyasint,omitempty"`
-	Limits    []EndpointLimit `cbor:"26,keyasint,omitempty"`
+	// SignalsSum is the sum over all signals of endpoints that the answering host knows;
+	// Signals are these, if the asker does not know the same.
+	SignalsSum uint64           `cbor:"25,keyasint,omitempty"`
+	Signals    []EndpointSignal `cbor:"26,keyasint,omitempty"`
 }
 
 // Pull is a host's question for what has changed, with what its requests need.
@@ -88,10 +88,10 @@
 	Accounts []AccountUse `cbor:"12,keyasint,omitempty"`
 	Rising   bool         `cbor:"13,keyasint,omitempty"`
 	Brief    bool         `cbor:"14,keyasint,omitempty"`
-	// LimitsSum is the sum over all request rates of endpoints that the asking host knows;
-	// Limits are these, if the host that is asked did not know the same.
-	LimitsSum uint64          `cbor:"15,keyasint,omitempty"`
-	Limits    []EndpointLimit `cbor:"16,keyasint,omitempty"`
+	// SignalsSum is the sum over all signals of endpoints that the asking host knows; Signals
+	// are these, if the host that is asked did not know the same.
+	SignalsSum uint64           `cbor:"15,keyasint,omitempty"`
+	Signals    []EndpointSignal `cbor:"16,keyasint,omitempty"`
 }
 
 // Heard is a host's last sign of life of a controller.
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -38,14 +38,14 @@
 	hosts, blocks int64
 	// accounts is the version of the accounts near their limits.
 	accounts int64
-	// limits is the version of the request rates that endpoints state.
-	limits int64
+	// signals is the version of what endpoints say of themselves.
+	signals int64
 }
 
 // newerThan tells whether something has come since.
 func (t told) newerThan(o told) bool {
 	return t.list > o.list || t.claim > o.claim || t.config > o.config || t.hosts > o.hosts || t.blocks > o.blocks ||
-		t.accounts > o.accounts || t.limits > o.limits
+		t.accounts > o.accounts || t.signals > o.signals
 }
 
 func newChildren() *children { return &children{byHost: map[string]*asker{}} }
@@ -113,7 +113,7 @@
 	g.takeDemand(now, p)
 	g.takeCrashes(now, p)
 	g.takeAccounts(now, p)
-	g.takeLimits(now, p.Limits)
+	g.takeSignals(now, p.Signals)
 	a := g.children.enter(p.Demand)
 	spacing := relay.Spacing(g.children.count(), g.settings.cores())
 	question := relay.Question{Asked: now, Answered: a.answered}
@@ -141,7 +141,7 @@
 	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
 	n.Stamp = g.stampFor(now, n.Token)
 	g.withBlocks(now, &n, p.BlocksSum)
-	g.withLimits(&n, p.LimitsSum)
+	g.withSignals(&n, p.SignalsSum)
 	n.Accounts = g.accounts.local.Told()
 	hosts := g.feed.hostsFrom(p.HostsNext)
 	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
@@ -158,7 +158,7 @@
 		blocks: g.guard.Blocks.Version(),
 
 		accounts: g.accounts.version(),
-		limits:   g.health.Limits.Version(),
+		signals:  g.health.Signals.Version(),
 	}
 }
 
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -344,7 +344,7 @@
 	}
 	g.feed.takeHosts(b)
 	g.budget.SetHosts(g.mesh.hosts())
-	g.health.Limits.SetHosts(g.self.Host, g.mesh.names())
+	g.health.Signals.SetHosts(g.self.Host, g.mesh.names())
 	g.children.wake()
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -105,8 +105,8 @@
 	crashesTold  *crashesTold
 	crashesKept  *keptCrashes
 	blocksDiffer atomic.Bool
-	// limitsDiffer is the same for the request rates of endpoints.
-	limitsDiffer atomic.Bool
+	// signalsDiffer is the same for what endpoints say of themselves.
+	signalsDiffer atomic.Bool
 	// accounts keeps client accounts within what they may ask.
 	accounts *accounts
 	// reports counts the demand reports, heardStamp is the last time stamp of a controller
@@ -159,7 +159,7 @@
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.board = fleet.NewBoard(g.directory)
-	g.health.Limits.Changed = g.limitChanged
+	g.health.Signals.Changed = g.signalChanged
 	g.endpoints = limitedEndpoints{cfg.Endpoints(g.Now, g.connectionLimit), g.mayCall}
 	g.dispatcher = serve.NewDispatcher(s.Zone, locator{g.board, g.config.Load}, g.health, g.Now, g.wantReport)
 	g.server = &serve.Server{
@@ -188,7 +188,7 @@
 		Endpoints: g.directory.Live,
 		MayOrder:  g.mayOrder,
 
-		Limited: func(id fleet.EndpointID) bool { return g.health.Limits.Limited(g.Now(), id) },
+		Limited: func(id fleet.EndpointID) bool { return g.health.Signals.Limited(g.Now(), id) },
 
 		LearnedStoreLoads: g.board.StoreLoads,
 	}
--- a/pkg/gateway/ratelimit.go
+++ b/pkg/gateway/signals.go
@@ -9,55 +9,55 @@
 	"github.com/tealvane/tealvane/pkg/serve"
 )
 
-// limitChanged lets other hosts hear what an endpoint has stated to this one.
-func (g *Gateway) limitChanged(l fleet.EndpointLimit) {
-	g.logLimit(l, "answer")
-	g.tellLimits()
+// signalChanged lets other hosts hear what an endpoint has told this one.
+func (g *Gateway) signalChanged(l fleet.EndpointSignal) {
+	g.logSignal(l, "answer")
+	g.tellSignals()
 }
 
-func (g *Gateway) logLimit(l fleet.EndpointLimit, from string) {
-	g.log.Info("endpoint states its request rate", "endpoint", l.Endpoint, "limited", l.Stated, "rate", l.Rate, "version", l.Version, "from", from)
+func (g *Gateway) logSignal(l fleet.EndpointSignal, from string) {
+	g.log.Info("endpoint signals", "endpoint", l.Endpoint, "limited", l.Limited, "rate", l.Rate, "leaving", l.Leaving, "version", l.Version, "from", from)
 }
 
-// tellLimits lets the hosts that ask this one, and the one that it asks, hear of request rates.
-func (g *Gateway) tellLimits() {
-	g.limitsDiffer.Store(true)
+// tellSignals lets the hosts that ask this one, and the one that it asks, hear of signals.
+func (g *Gateway) tellSignals() {
+	g.signalsDiffer.Store(true)
 	g.wantReport()
 	g.children.wake()
 }
 
-// addLimits adds to a question what the host that is asked may not know.
-func (g *Gateway) addLimits(p *fleet.Pull) {
-	p.LimitsSum = g.health.Limits.Sum()
-	if g.limitsDiffer.Load() {
-		p.Limits = g.health.Limits.All()
+// addSignals adds to a question what the host that is asked may not know.
+func (g *Gateway) addSignals(p *fleet.Pull) {
+	p.SignalsSum = g.health.Signals.Sum()
+	if g.signalsDiffer.Load() {
+		p.Signals = g.health.Signals.All()
 	}
 }
 
-// takeLimits takes in what another host tells, and lets others hear of it.
-func (g *Gateway) takeLimits(now time.Time, told []fleet.EndpointLimit) {
-	news := g.health.Limits.Take(now, told)
+// takeSignals takes in what another host tells, and lets others hear of it.
+func (g *Gateway) takeSignals(now time.Time, told []fleet.EndpointSignal) {
+	news := g.health.Signals.Take(now, told)
 	for _, l := range news {
-		g.logLimit(l, "host")
+		g.logSignal(l, "host")
 	}
 	if len(news) > 0 {
-		g.tellLimits()
+		g.tellSignals()
 	}
 }
 
-// withLimits adds all request rates to an answer if the asker does not know the same.
-func (g *Gateway) withLimits(n *fleet.Notice, asked uint64) {
-	n.LimitsSum = g.health.Limits.Sum()
-	if n.LimitsSum != asked {
-		n.Limits = g.health.Limits.All()
+// withSignals adds all signals to an answer if the asker does not know the same.
+func (g *Gateway) withSignals(n *fleet.Notice, asked uint64) {
+	n.SignalsSum = g.health.Signals.Sum()
+	if n.SignalsSum != asked {
+		n.Signals = g.health.Signals.All()
 	}
 }
 
-// takeAnsweredLimits takes in the request rates of an answer. If the host that gave it still
+// takeAnsweredSignals takes in the signals of an answer. If the host that gave it still
 // lacks some, the next question tells it.
-func (g *Gateway) takeAnsweredLimits(now time.Time, n fleet.Notice) {
-	g.takeLimits(now, n.Limits)
-	g.limitsDiffer.Store(g.health.Limits.Sum() != n.LimitsSum)
+func (g *Gateway) takeAnsweredSignals(now time.Time, n fleet.Notice) {
+	g.takeSignals(now, n.Signals)
+	g.signalsDiffer.Store(g.health.Signals.Sum() != n.SignalsSum)
 }
 
 // call is a kind of calls to endpoints beside clients' requests.
@@ -73,7 +73,7 @@
 // mayCall counts a call and returns an error where the endpoint's request rate leaves no room
 // for it.
 func (g *Gateway) mayCall(c call, e fleet.Endpoint) error {
-	if !g.health.Limits.Use(g.Now(), e.ID) {
+	if !g.health.Signals.Use(g.Now(), e.ID) {
 		g.metrics.count("endpoint_calls_limited", map[string]string{"call": string(c)})
 		return orders.ErrLimited
 	}
--- a/pkg/gateway/ratelimit_inner_test.go
+++ b/pkg/gateway/signals_inner_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/signals"
 )
 
 // An endpoint states its request rate to one host. The others went on as before until each had
@@ -13,27 +14,27 @@
 	is := is.New(t)
 	seen, asked, other := relayHost(), relayHost(), relayHost()
 	now := seen.Now()
-	seen.health.Limits.Changed = seen.limitChanged
+	seen.health.Signals.Changed = seen.signalChanged
 	rate := 2.5
-	seen.health.Limits.Observe(now, "e", &rate, now, true)
+	seen.health.Signals.Observe(now, "e", signals.Answer{Rate: &rate}, now, true)
 	var up fleet.Pull
-	seen.addLimits(&up)
+	seen.addSignals(&up)
 	told := asked.telling()
-	asked.takeLimits(now, up.Limits)
+	asked.takeSignals(now, up.Signals)
 	is.True(asked.telling().newerThan(told)) // the hosts that ask it are answered at once
 	var down fleet.Notice
-	asked.withLimits(&down, other.health.Limits.Sum())
-	other.takeAnsweredLimits(now, down)
+	asked.withSignals(&down, other.health.Signals.Sum())
+	other.takeAnsweredSignals(now, down)
 	for _, g := range []*Gateway{seen, asked, other} {
-		is.True(g.health.Limits.Limited(now, "e"))
+		is.True(g.health.Signals.Limited(now, "e"))
 	}
 	// Nothing is told twice.
 	var again fleet.Notice
-	asked.withLimits(&again, other.health.Limits.Sum())
-	is.Equal(len(again.Limits), 0)
-	seen.takeAnsweredLimits(now, again)
-	seen.addLimits(&up)
+	asked.withSignals(&again, other.health.Signals.Sum())
+	is.Equal(len(again.Signals), 0)
+	seen.takeAnsweredSignals(now, again)
+	seen.addSignals(&up)
 	var next fleet.Pull
-	seen.addLimits(&next)
-	is.Equal(len(next.Limits), 0)
+	seen.addSignals(&next)
+	is.Equal(len(next.Signals), 0)
 }
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
-	"github.com/tealvane/tealvane/pkg/ratelimit"
+	"github.com/tealvane/tealvane/pkg/signals"
 )
 
 const (
@@ -31,8 +31,8 @@
 
 // Health is what a host has seen of endpoints. It is safe for concurrent use.
 type Health struct {
-	// Limits are the request rates that endpoints state.
-	Limits *ratelimit.Limits
+	// Signals are what endpoints say of themselves in their answers.
+	Signals *signals.Table
 
 	mu        sync.Mutex
 	endpoints map[fleet.EndpointID]*condition
@@ -56,7 +56,7 @@
 // NewHealth returns the state of a host that has seen nothing.
 func NewHealth() *Health {
 	return &Health{
-		Limits:    ratelimit.New(),
+		Signals:   signals.New(),
 		endpoints: map[fleet.EndpointID]*condition{},
 		services:  map[string]float64{},
 	}
@@ -191,7 +191,7 @@
 func (h *Health) Condition(now time.Time, id fleet.EndpointID, service, what string) Condition {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	freeAt, limited := h.Limits.Next(now, id)
+	freeAt, limited := h.Signals.Next(now, id)
 	c := h.endpoints[id]
 	if c == nil {
 		return Condition{LoadAge: time.Hour, Limited: limited, FreeAt: freeAt}
@@ -209,7 +209,7 @@
 
 // Prune drops what is known of endpoints that are gone.
 func (h *Health) Prune(live map[fleet.EndpointID]bool) {
-	h.Limits.Retain(live)
+	h.Signals.Retain(live)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, c := range h.endpoints {
--- a/pkg/serve/limited_test.go
+++ b/pkg/serve/limited_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/signals"
 )
 
 // The only endpoint with a model states a request rate, and this host has no part of it. Its
@@ -19,9 +20,9 @@
 		w := newWorld("a")
 		s := newServer(w)
 		others := []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}
-		s.Health.Limits.SetHosts("h0", others)
+		s.Health.Signals.SetHosts("h0", others)
 		slow := 0.0
-		s.Health.Limits.Observe(time.Now(), "a", &slow, time.Now(), true)
+		s.Health.Signals.Observe(time.Now(), "a", signals.Answer{Rate: &slow}, time.Now(), true)
 		var out sink
 		got := s.Serve(context.Background(), request("r", fleet.Idempotent, false), &out)
 		is.Equal(got.Outcome(), "refused_endpoint_limit")
@@ -39,7 +40,7 @@
 		s := newServer(w)
 		rate := 2.0
 		for i := range 100 {
-			s.Health.Limits.Observe(time.Now(), "a", &rate, time.Now(), true)
+			s.Health.Signals.Observe(time.Now(), "a", signals.Answer{Rate: &rate}, time.Now(), true)
 			var out sink
 			s.Serve(context.Background(), request(string(rune('a'+i)), fleet.Idempotent, false), &out)
 			is.Equal(out.status, 200)
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/signals"
 )
 
 // Request is one request of a client, sent once.
@@ -89,9 +90,8 @@
 	Status  int
 	// Load is the endpoint's load if the answer states it.
 	Load *fleet.Load
-	// Rate is how many requests a second the endpoint takes from all hosts together, nil if
-	// the answer states no such limit.
-	Rate *float64
+	// Signals are what the endpoint says of itself beside its answer.
+	Signals signals.Answer
 	// Body ends with io.EOF after the whole body and with any other error before.
 	Body io.ReadCloser
 	// Head is what door and backend share of the answer.
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -337,7 +338,7 @@
 		s.Health.Load(s.Now(), e.ID, *answer.Load)
 	}
 	if answer.Verdict != Elsewhere {
-		s.Health.Limits.Observe(s.Now(), e.ID, answer.Rate, start, answer.Verdict == Answered)
+		s.Health.Signals.Observe(s.Now(), e.ID, answer.Signals, start, answer.Verdict == Answered)
 	}
 	if answer.Verdict != Answered {
 		x.reject(e, answer)
@@ -358,6 +359,9 @@
 	case Full:
 		s.Health.Full(now, e.ID, what)
 		x.result.Note = "endpoint is full"
+		if p := a.Signals.Pause; p > 0 {
+			x.result.Note = fmt.Sprintf("endpoint rejects and asks for a pause of %v", p)
+		}
 	case NotHeld:
 		s.Health.NotHeld(now, e.ID, what, x.rejected)
 		x.result.Note = "endpoint does not hold " + what
--- a/pkg/ratelimit/bucket.go
+++ b/pkg/signals/bucket.go
@@ -1,4 +1,4 @@
-package ratelimit
+package signals
 
 import (
 	"hash/fnv"
@@ -74,7 +74,7 @@
 // spareHosts + hostsPerRate x rate hosts all of them together stay within
 // spareHosts + (hostsPerRate + span) x rate: for the span of four seconds in which endpoints
 // count, within one and a half times the rate and five requests.
-func (l *Limits) part(x *limit) float64 {
+func (l *Table) part(x *state) float64 {
 	rate := max(x.Rate, leastRate)
 	places := int(spareHosts + hostsPerRate*rate)
 	if len(l.hosts) <= places {
--- a/pkg/ratelimit/limits_test.go
+++ b/pkg/signals/table_test.go
@@ -1,4 +1,4 @@
-package ratelimit_test
+package signals_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/internal/proptest"
 	"github.com/tealvane/tealvane/pkg/fleet"
-	"github.com/tealvane/tealvane/pkg/ratelimit"
+	"github.com/tealvane/tealvane/pkg/signals"
 	"pgregory.net/rapid"
 )
 
@@ -21,19 +21,22 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // host returns one host of several that know one another.
-func host(self int, all int) *ratelimit.Limits {
+func host(self int, all int) *signals.Table {
 	var others []string
 	for i := range all {
 		if i != self {
 			others = append(others, fmt.Sprint("host-", i))
 		}
 	}
-	l := ratelimit.New()
+	l := signals.New()
 	l.SetHosts(fmt.Sprint("host-", self), others)
 	return l
 }
 
-func rate(r float64) *float64 { return &r }
+// rate is an answer that states a rate, none one that states nothing.
+func rate(r float64) signals.Answer { return signals.Answer{Rate: &r} }
+
+var none signals.Answer
 
 // All hosts have many requests for an endpoint that states a rate. Together they exceed what it
 // allows, each by a little.
@@ -43,7 +46,7 @@
 		stated := rapid.Float64Range(0, 60).Draw(t, "rate")
 		steady := rapid.Bool().Draw(t, "steady")
 		const step, span, window = 20 * time.Millisecond, 12 * time.Second, 4 * time.Second
-		var all []*ratelimit.Limits
+		var all []*signals.Table
 		for i := range hosts {
 			l := host(i, hosts)
 			l.Observe(start, endpoint, rate(stated), start, true)
@@ -87,10 +90,10 @@
 	is := is.New(t)
 	l := host(0, 9)
 	l.Observe(at(time.Second), endpoint, rate(1), at(0), true)
-	l.Observe(at(2*time.Second), endpoint, nil, at(500*time.Millisecond), true)
-	l.Observe(at(2*time.Second), endpoint, nil, at(1500*time.Millisecond), false)
+	l.Observe(at(2*time.Second), endpoint, none, at(500*time.Millisecond), true)
+	l.Observe(at(2*time.Second), endpoint, none, at(1500*time.Millisecond), false)
 	is.True(l.Limited(at(2*time.Second), endpoint))
-	l.Observe(at(2*time.Second), endpoint, nil, at(1500*time.Millisecond), true)
+	l.Observe(at(2*time.Second), endpoint, none, at(1500*time.Millisecond), true)
 	is.True(!l.Limited(at(2*time.Second), endpoint))
 }
 
@@ -110,16 +113,18 @@
 // limit than the others would exceed theirs.
 func TestHostsAgreeOnLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		hosts := []*ratelimit.Limits{host(0, 3), host(1, 3), host(2, 3)}
+		hosts := []*signals.Table{host(0, 3), host(1, 3), host(2, 3)}
 		steps := rapid.IntRange(1, 30).Draw(t, "steps")
 		for i := range steps {
 			now := at(time.Duration(i) * time.Second)
 			from := hosts[rapid.IntRange(0, 2).Draw(t, "from")]
-			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 3:
+				from.Observe(now, endpoint, signals.Answer{Leaving: true}, now, false)
 			case 0:
 				from.Observe(now, endpoint, rate(rapid.Float64Range(0, 5).Draw(t, "rate")), now, true)
 			case 1:
-				from.Observe(now, endpoint, nil, now, true)
+				from.Observe(now, endpoint, none, now, true)
 			default:
 				hosts[rapid.IntRange(0, 2).Draw(t, "to")].Take(now, from.All())
 			}
