--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -344,6 +344,17 @@
 	return list
 }
 
+// Leave takes in that an endpoint has said in an answer that it leaves. Its entry may not say so
+// for long: while the store is away nothing is written there.
+func (d *Directory) Leave(id EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[id]; e != nil && !e.Draining {
+		e.Draining = true
+		d.changed[id] = true
+	}
+}
+
 // Announced tells whether an endpoint has said that it leaves, or was taken off the list.
 func (d *Directory) Announced(id EndpointID) bool {
 	d.mu.Lock()
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -272,6 +272,10 @@
 }
 
 func (g *Gateway) endpointsChanged() {
+	// An entry may be new here of an endpoint that has said already that it leaves.
+	for _, id := range g.health.Signals.Leaving() {
+		g.directory.Leave(id)
+	}
 	g.board.Changed()
 	g.dispatcher.Kick()
 	signal(g.noticeNow)
--- a/pkg/gateway/signals.go
+++ b/pkg/gateway/signals.go
@@ -9,12 +9,21 @@
 	"github.com/tealvane/tealvane/pkg/serve"
 )
 
-// signalChanged lets other hosts hear what an endpoint has told this one.
+// signalChanged takes in what an endpoint has told this host, and lets others hear of it.
 func (g *Gateway) signalChanged(l fleet.EndpointSignal) {
 	g.logSignal(l, "answer")
+	g.heedLeaving(l)
 	g.tellSignals()
 }
 
+// heedLeaving keeps requests and models from an endpoint that leaves.
+func (g *Gateway) heedLeaving(l fleet.EndpointSignal) {
+	if l.Leaving {
+		g.directory.Leave(l.Endpoint)
+		g.endpointsChanged()
+	}
+}
+
 func (g *Gateway) logSignal(l fleet.EndpointSignal, from string) {
 	g.log.Info("endpoint signals", "endpoint", l.Endpoint, "limited", l.Limited, "rate", l.Rate, "leaving", l.Leaving, "version", l.Version, "from", from)
 }
@@ -39,6 +48,7 @@
 	news := g.health.Signals.Take(now, told)
 	for _, l := range news {
 		g.logSignal(l, "host")
+		g.heedLeaving(l)
 	}
 	if len(news) > 0 {
 		g.tellSignals()
--- a/pkg/gateway/signals_inner_test.go
+++ b/pkg/gateway/signals_inner_test.go
@@ -38,3 +38,20 @@
 	seen.addSignals(&next)
 	is.Equal(len(next.Signals), 0)
 }
+
+// An endpoint that leaves tells one host, before the other has read its entry. Read later, the
+// entry made it one that takes requests.
+func TestLeavingIsToldBeforeTheEntry(t *testing.T) {
+	is := is.New(t)
+	seen, other := relayHost(), relayHost()
+	now := seen.Now()
+	seen.health.Signals.Changed = seen.signalChanged
+	seen.directory.Apply(now, 0, fleet.Endpoint{ID: "e", Service: "s"})
+	seen.health.Signals.Observe(now, "e", signals.Answer{Leaving: true}, now, true)
+	is.Equal(len(usable(seen, now)), 0)
+	var up fleet.Pull
+	seen.addSignals(&up)
+	other.takeSignals(now, up.Signals)
+	other.takeEndpoints(fleet.Batch{Entries: []fleet.Entry{{Key: "e", Value: []byte("ready")}}, Next: 1})
+	is.Equal(len(usable(other, now)), 0)
+}
--- a/pkg/signals/table.go
+++ b/pkg/signals/table.go
@@ -238,6 +238,19 @@
 	return n
 }
 
+// Leaving returns the endpoints that leave.
+func (l *Table) Leaving() []fleet.EndpointID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []fleet.EndpointID
+	for id, x := range l.byEndpoint {
+		if x.Leaving {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Retain forgets endpoints that are gone.
 func (l *Table) Retain(live map[fleet.EndpointID]bool) {
 	l.mu.Lock()
