--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -188,7 +188,7 @@
 		Endpoints: g.directory.Live,
 		MayOrder:  g.mayOrder,
 
-		Limited: func(id fleet.EndpointID) bool { return g.health.Signals.Limited(g.Now(), id) },
+		InNeed: func(id fleet.EndpointID) bool { return g.health.Signals.InNeed(g.Now(), id) },
 
 		LearnedStoreLoads: g.board.StoreLoads,
 	}
--- a/pkg/gateway/signals_inner_test.go
+++ b/pkg/gateway/signals_inner_test.go
@@ -26,7 +26,7 @@
 	asked.withSignals(&down, other.health.Signals.Sum())
 	other.takeAnsweredSignals(now, down)
 	for _, g := range []*Gateway{seen, asked, other} {
-		is.True(g.health.Signals.Limited(now, "e"))
+		is.True(g.health.Signals.InNeed(now, "e"))
 	}
 	// Nothing is told twice.
 	var again fleet.Notice
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -66,9 +66,10 @@
 	Endpoints func(now time.Time) []fleet.View
 	// MayOrder is asked before each order, for what this package does not know.
 	MayOrder func() bool
-	// Limited tells whether an endpoint states how many requests a second it takes: it is given
-	// no models, and what it holds does not count as a replica. It may be nil.
-	Limited func(id fleet.EndpointID) bool
+	// InNeed tells whether an endpoint states how many requests a second it takes, or has asked
+	// for a pause: it is given no models, and what it holds does not count as a replica. It
+	// may be nil.
+	InNeed func(id fleet.EndpointID) bool
 	// LearnedStoreLoads returns how many loads from the weight store a former
 	// controller has found to run at full speed, 0 if that is not known. It may be nil.
 	LearnedStoreLoads func() int
@@ -228,7 +229,7 @@
 	t.mu.Lock()
 	id, lost := t.endpoint.ID, t.reach.lost
 	t.mu.Unlock()
-	return lost || g.Limited != nil && g.Limited(id)
+	return lost || g.InNeed != nil && g.InNeed(id)
 }
 
 // swap starts the swaps that the decision asks for.
--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -331,7 +331,7 @@
 		both := engines{"e1": newEngine(130, weights, "cold"), "e2": newEngine(130, weights, "x", "y")}
 		g := newController(both["e1"], 1)
 		g.Orderer = both
-		g.Limited = func(id fleet.EndpointID) bool { return id == "e1" }
+		g.InNeed = func(id fleet.EndpointID) bool { return id == "e1" }
 		view := g.Endpoints(time.Now())[0]
 		first, second := view, view
 		first.ID, second.ID = "e1", "e2"
--- a/pkg/orders/orderer.go
+++ b/pkg/orders/orderer.go
@@ -56,8 +56,8 @@
 var ErrRestarted = errors.New("endpoint has started again")
 
 // ErrLimited means that nothing was sent, since the endpoint states a request rate of which this
-// host has nothing left.
-var ErrLimited = errors.New("endpoint states a request rate that is used up")
+// host has nothing left, or has asked it for a pause.
+var ErrLimited = errors.New("endpoint states a request rate that is used up, or has asked for a pause")
 
 // Orderer reaches endpoints.
 type Orderer interface {
--- a/pkg/serve/choose.go
+++ b/pkg/serve/choose.go
@@ -74,8 +74,8 @@
 	return false
 }
 
-// freed tells whether all of some endpoints state request rates of which this host has nothing
-// left, and when it will have at the first of them, zero if that is not known.
+// freed tells whether all of some endpoints are limited, and when the first of them takes a
+// request again, zero if that is not known.
 func (d *Dispatcher) freed(now time.Time, n Need, ready []fleet.Endpoint) (at time.Time, limited bool) {
 	for _, e := range ready {
 		c := d.health.Condition(now, e.ID, n.Service, n.What())
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -181,8 +181,8 @@
 	Suspect bool
 	// Closed endpoints are not asked now.
 	Closed bool
-	// Limited endpoints state a request rate of which this host has nothing left now;
-	// FreeAt is when it will, zero if that is not known.
+	// Limited endpoints state a request rate of which this host has nothing left now, or have
+	// asked it for a pause; FreeAt is when they take a request again, zero if that is not known.
 	Limited bool
 	FreeAt  time.Time
 }
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -63,7 +63,8 @@
 	// Known tells whether the service has any live endpoint at all.
 	Known bool
 	// Limited tells that all endpoints which hold what the request needs state request rates
-	// that are used up at this host; ComingAt is then also when one is free again.
+	// that are used up at this host, or have asked it for a pause; ComingAt is then also when
+	// one takes a request again.
 	Limited bool
 	// Unnamed needs are for a model or adapter that no configuration names.
 	Unnamed bool
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -168,7 +168,7 @@
 	CauseNotLoaded  Cause = "not_loaded"
 	CauseNoModel    Cause = "no_such_model"
 	// CauseLimited is that the endpoints which hold the model state request rates that are
-	// used up.
+	// used up, or have asked for a pause.
 	CauseLimited    Cause = "endpoint_limit"
 	CauseDeadline   Cause = "deadline"
 	CauseClientGone Cause = "client_gone"
--- a/pkg/signals/table.go
+++ b/pkg/signals/table.go
@@ -44,8 +44,10 @@
 type Table struct {
 	mu         sync.Mutex
 	byEndpoint map[fleet.EndpointID]*state
-	self       string
-	hosts      []string
+	// pausedUntil is until when endpoints want no requests of this host.
+	pausedUntil map[fleet.EndpointID]time.Time
+	self        string
+	hosts       []string
 	// version counts the changes at this host, sum is the same wherever the same is known.
 	version int64
 	sum     uint64
@@ -69,7 +71,11 @@
 
 // New returns an empty table, for a host that knows no other.
 func New() *Table {
-	return &Table{byEndpoint: map[fleet.EndpointID]*state{}, hosts: []string{""}}
+	return &Table{
+		byEndpoint:  map[fleet.EndpointID]*state{},
+		pausedUntil: map[fleet.EndpointID]time.Time{},
+		hosts:       []string{""},
+	}
 }
 
 // SetHosts tells this host's name and those of all others.
@@ -96,6 +102,10 @@
 func (l *Table) observe(now time.Time, id fleet.EndpointID, a Answer, sent time.Time, ran bool) (fleet.EndpointSignal, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// An earlier, longer pause holds on.
+	if until := now.Add(a.Pause); a.Pause > 0 && until.After(l.pausedUntil[id]) {
+		l.pausedUntil[id] = until
+	}
 	next := fleet.EndpointSignal{Endpoint: id}
 	x := l.byEndpoint[id]
 	if x != nil {
@@ -178,18 +188,21 @@
 func (l *Table) Next(now time.Time, id fleet.EndpointID) (until time.Time, wait bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	x := l.byEndpoint[id]
-	if !x.limited(now) {
-		return time.Time{}, false
+	if x := l.byEndpoint[id]; x.limited(now) {
+		until, wait = x.next(now)
+	}
+	paused := l.pausedUntil[id]
+	if now.Before(paused) && (!wait || !until.IsZero() && until.Before(paused)) {
+		return paused, true
 	}
-	return x.next(now)
+	return until, wait
 }
 
-// Limited tells whether an endpoint states a rate.
-func (l *Table) Limited(now time.Time, id fleet.EndpointID) bool {
+// InNeed tells whether an endpoint states a rate or has asked this host for a pause.
+func (l *Table) InNeed(now time.Time, id fleet.EndpointID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.byEndpoint[id].limited(now)
+	return l.byEndpoint[id].limited(now) || now.Before(l.pausedUntil[id])
 }
 
 // Use counts a request to an endpoint and tells whether it may be sent.
@@ -197,7 +210,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.byEndpoint[id]
-	return !x.limited(now) || x.use(now)
+	return !now.Before(l.pausedUntil[id]) && (!x.limited(now) || x.use(now))
 }
 
 // All returns what is known of all endpoints, also that one states no rate any more.
@@ -261,4 +274,9 @@
 			delete(l.byEndpoint, id)
 		}
 	}
+	for id := range l.pausedUntil {
+		if !live[id] {
+			delete(l.pausedUntil, id)
+		}
+	}
 }
--- a/pkg/signals/table_test.go
+++ b/pkg/signals/table_test.go
@@ -92,9 +92,9 @@
 	l.Observe(at(time.Second), endpoint, rate(1), at(0), true)
 	l.Observe(at(2*time.Second), endpoint, none, at(500*time.Millisecond), true)
 	l.Observe(at(2*time.Second), endpoint, none, at(1500*time.Millisecond), false)
-	is.True(l.Limited(at(2*time.Second), endpoint))
+	is.True(l.InNeed(at(2*time.Second), endpoint))
 	l.Observe(at(2*time.Second), endpoint, none, at(1500*time.Millisecond), true)
-	is.True(!l.Limited(at(2*time.Second), endpoint))
+	is.True(!l.InNeed(at(2*time.Second), endpoint))
 }
 
 // Nobody sends to an endpoint that has stated a rate, so that no answer can show that it does no
@@ -103,10 +103,10 @@
 	is := is.New(t)
 	l := host(0, 9)
 	l.Observe(at(0), endpoint, rate(1), at(0), true)
-	is.True(l.Limited(at(5*time.Second), endpoint))
+	is.True(l.InNeed(at(5*time.Second), endpoint))
 	l.Observe(at(5*time.Second), endpoint, rate(1), at(0), true)
-	is.True(l.Limited(at(12*time.Second), endpoint))
-	is.True(!l.Limited(at(16*time.Second), endpoint))
+	is.True(l.InNeed(at(12*time.Second), endpoint))
+	is.True(!l.InNeed(at(16*time.Second), endpoint))
 }
 
 // Hosts see changes at the same time and tell one another in any order. One that kept another
@@ -143,3 +143,30 @@
 		}
 	})
 }
+
+// An endpoint asks for a pause twice, the second time for a shorter one, and is asked for a model
+// and by the controller. Any of these ended the first pause.
+func TestPauseHoldsForAllRequests(t *testing.T) {
+	is := is.New(t)
+	l := host(0, 9)
+	l.Observe(at(0), endpoint, signals.Answer{Pause: 3 * time.Second}, at(0), false)
+	l.Observe(at(time.Second), endpoint, signals.Answer{Pause: time.Second}, at(0), false)
+	is.True(!l.Use(at(2900*time.Millisecond), endpoint))
+	until, wait := l.Next(at(2*time.Second), endpoint)
+	is.True(wait)
+	is.Equal(until, at(3*time.Second))
+	is.True(l.Use(at(3*time.Second), endpoint))
+	is.Equal(l.Sum(), uint64(0)) // it concerns this host only
+}
+
+// An endpoint states a rate and asks for a pause: the later time counts.
+func TestPauseOfALimitedEndpoint(t *testing.T) {
+	is := is.New(t)
+	l := host(0, 1)
+	l.Observe(at(0), endpoint, rate(100), at(0), true)
+	l.Observe(at(0), endpoint, signals.Answer{Rate: rate(100).Rate, Pause: time.Second}, at(0), false)
+	until, wait := l.Next(at(500*time.Millisecond), endpoint)
+	is.True(wait)
+	is.Equal(until, at(time.Second))
+	is.True(l.Use(at(time.Second), endpoint))
+}
