What a host has just sent counts when it learns of an endpoint's request rate

An endpoint counts over a span that begins before it first states its rate. Now what a host has sent in the second before is taken off its part, for at most three seconds.

--- a/pkg/signals/bucket.go
+++ b/pkg/signals/bucket.go
@@ -20,6 +20,11 @@
 	// burstTime is for how long a host keeps its part of a rate that it does not use, where
 	// that is more than one request.
 	burstTime = 250 * time.Millisecond
+	// debtTime is over what time before a host learns of a rate its requests count: the endpoint
+	// has got them, and its span may begin before it first states the rate. debtMost bounds what
+	// they keep from it, in seconds of the host's part.
+	debtTime = time.Second
+	debtMost = 3 * time.Second
 	// startSpread is how many requests around none a host may send at once when it learns of a
 	// limit, so that hosts which learn of it together do not send together.
 	startSpread = 0.5
@@ -33,8 +38,37 @@
 	at     time.Time
 }
 
-func newBucket(now time.Time) bucket {
-	return bucket{tokens: startSpread * (2*rand.Float64() - 1), at: now}
+// newBucket returns the bucket of a host that has sent some requests in the last debtTime.
+func newBucket(now time.Time, part, sent float64) bucket {
+	debt := min(max(0, sent-part*debtTime.Seconds()), part*debtMost.Seconds())
+	return bucket{part: part, tokens: startSpread*(2*rand.Float64()-1) - debt, at: now}
+}
+
+// recent counts requests over about the last debtTime.
+type recent struct {
+	// start is when the count now began; before is that of the time before it.
+	start       time.Time
+	now, before float64
+}
+
+func (r *recent) roll(now time.Time) {
+	switch age := now.Sub(r.start); {
+	case age >= 2*debtTime:
+		*r = recent{start: now}
+	case age >= debtTime:
+		*r = recent{start: r.start.Add(debtTime), before: r.now}
+	}
+}
+
+func (r *recent) add(now time.Time) {
+	r.roll(now)
+	r.now++
+}
+
+// count takes the time before for even.
+func (r *recent) count(now time.Time) float64 {
+	r.roll(now)
+	return r.now + r.before*(1-float64(now.Sub(r.start))/float64(debtTime))
 }
 
 // most is how many requests may be sent at once.
--- a/pkg/signals/table.go
+++ b/pkg/signals/table.go
@@ -12,6 +12,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -46,8 +47,10 @@
 	byEndpoint map[fleet.EndpointID]*state
 	// pausedUntil is until when endpoints want no requests of this host.
 	pausedUntil map[fleet.EndpointID]time.Time
-	self        string
-	hosts       []string
+	// sent counts this host's requests to each endpoint.
+	sent  map[fleet.EndpointID]*recent
+	self  string
+	hosts []string
 	// version counts the changes at this host, sum is the same wherever the same is known.
 	version int64
 	sum     uint64
@@ -74,6 +77,7 @@
 	return &Table{
 		byEndpoint:  map[fleet.EndpointID]*state{},
 		pausedUntil: map[fleet.EndpointID]time.Time{},
+		sent:        map[fleet.EndpointID]*recent{},
 		hosts:       []string{""},
 	}
 }
@@ -158,19 +162,28 @@
 	default:
 		l.sum ^= mix(x.EndpointSignal)
 	}
+	limited := x.limited(now)
 	if n.Version != x.Version || n.Rate != x.Rate {
-		if !x.limited(now) {
-			x.bucket = newBucket(now)
-		}
 		x.learned = now
 	}
 	x.EndpointSignal = n
-	x.part = l.part(x)
+	if x.part = l.part(x); !limited {
+		x.bucket = newBucket(now, x.part, l.sentLately(now, n.Endpoint))
+	}
 	l.sum ^= mix(n)
 	l.version++
 	return true
 }
 
+// sentLately is how many requests this host has sent to an endpoint in the last debtTime. The
+// lock is held.
+func (l *Table) sentLately(now time.Time, id fleet.EndpointID) float64 {
+	if r := l.sent[id]; r != nil {
+		return r.count(now)
+	}
+	return 0
+}
+
 // mix spreads a signal over all bits.
 func mix(x fleet.EndpointSignal) uint64 {
 	const odd = 0x9e3779b97f4a7c15
@@ -210,7 +223,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.byEndpoint[id]
-	return !now.Before(l.pausedUntil[id]) && (!x.limited(now) || x.use(now))
+	if now.Before(l.pausedUntil[id]) || x.limited(now) && !x.use(now) {
+		return false
+	}
+	r := l.sent[id]
+	if r == nil {
+		r = &recent{start: now}
+		l.sent[id] = r
+	}
+	r.add(now)
+	return true
 }
 
 // All returns what is known of all endpoints, also that one states no rate any more.
@@ -274,9 +296,10 @@
 			delete(l.byEndpoint, id)
 		}
 	}
-	for id := range l.pausedUntil {
-		if !live[id] {
-			delete(l.pausedUntil, id)
-		}
-	}
+	retain(l.pausedUntil, live)
+	retain(l.sent, live)
+}
+
+func retain[V any](m map[fleet.EndpointID]V, live map[fleet.EndpointID]bool) {
+	maps.DeleteFunc(m, func(id fleet.EndpointID, _ V) bool { return !live[id] })
 }
--- a/pkg/signals/table_test.go
+++ b/pkg/signals/table_test.go
@@ -170,3 +170,56 @@
 	is.Equal(until, at(time.Second))
 	is.True(l.Use(at(time.Second), endpoint))
 }
+
+// statedPart is the part of its load that an endpoint in need states as its rate, and span the time
+// in which it counts, which reaches back to before it did.
+const (
+	statedPart = 1 / 3.5
+	span       = 4 * time.Second
+)
+
+// An endpoint that gets several times the rate which it then states has got much of what it allows
+// for the next seconds already. Hosts that began with their parts at once, and left out what they
+// had just sent, exceeded it.
+func TestRateHoldsForTheSpanInWhichItIsStated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 30).Draw(t, "hosts")
+		stated := rapid.Float64Range(1, 30).Draw(t, "rate")
+		told := time.Duration(rapid.IntRange(50, 250).Draw(t, "told")) * time.Millisecond
+		const settle, answer = 3 * time.Second, 20 * time.Millisecond
+		all := make([]*signals.Table, hosts)
+		for i := range all {
+			all[i] = host(i, hosts)
+		}
+		gap := time.Duration(statedPart / stated * float64(time.Second))
+		learned := make([]time.Duration, hosts)
+		for i := range learned {
+			learned[i] = gap + answer + told
+		}
+		var sent []time.Duration
+		for d, n := -3*time.Second, 0; d < 8*time.Second; d, n = d+gap, n+1 {
+			i := rapid.IntRange(0, hosts-1).Draw(t, "at")
+			for j, l := range all {
+				if learned[j] <= d {
+					l.Observe(at(d), endpoint, rate(stated), at(d), true)
+				}
+			}
+			if all[i].Use(at(d), endpoint) {
+				sent = append(sent, d)
+				if d > 0 {
+					learned[i] = min(learned[i], d+answer)
+				}
+			}
+		}
+		allowed := 1.5*stated*span.Seconds() + 5
+		first := 0
+		for last, d := range sent {
+			for d-sent[first] > span {
+				first++
+			}
+			if n := last - first + 1; d >= settle && float64(n) > allowed {
+				t.Fatalf("%d requests in %v until %v, %.1f are allowed", n, span, d, allowed)
+			}
+		}
+	})
+}
