Our own interface keeps the pauses that engines and services ask for

The pause now reaches the one table of signals, which the queue by customers heeds as well.

TestServiceThatAsksForAPauseIsLeftAlone fails without it (more than one call a host in a pause), TestPauseOfARejectedCall.

--- a/pkg/completion/backend.go
+++ b/pkg/completion/backend.go
@@ -11,6 +11,7 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/signals"
 )
 
 // backend speaks to engines and plain services. It implements serve.Backend.
@@ -69,7 +70,10 @@
 
 // unsent tells apart what an engine has certainly not run.
 func unsent(err error) (*serve.Answer, error) {
+	var rejected *external.PauseError
 	switch {
+	case errors.As(err, &rejected):
+		return &serve.Answer{Verdict: serve.Full, Signals: signals.Answer{Pause: rejected.Pause}, Body: http.NoBody}, nil
 	case errors.Is(err, external.ErrNotLoaded):
 		return &serve.Answer{Verdict: serve.NotHeld, Body: http.NoBody}, nil
 	case errors.Is(err, external.ErrRefused):
--- a/pkg/entryhost/fake_engine_test.go
+++ b/pkg/entryhost/fake_engine_test.go
@@ -33,6 +33,9 @@
 	// crashOn is the body or prompt of a call that ends the engine.
 	crashOn string
 	crashes int
+	// busyFor is the pause with which the engine rejects all calls, 0 for none; asked counts calls.
+	busyFor time.Duration
+	asked   int
 	started []time.Time
 }
 
@@ -230,6 +233,11 @@
 	if err != nil {
 		return external.ServiceAnswer{}, err
 	}
+	if e.busyFor > 0 {
+		defer a.host.fakes.mu.Unlock()
+		e.asked++
+		return external.ServiceAnswer{}, &external.PauseError{Pause: e.busyFor, Cause: external.ErrRejected}
+	}
 	e.ran = append(e.ran, c.RequestID)
 	run := len(e.ran)
 	e.crashIf(string(c.Body))
--- a/pkg/entryhost/load_test.go
+++ b/pkg/entryhost/load_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/internal/api/callers"
 	"github.com/tealvane/tealvane/pkg/external"
 )
@@ -177,6 +178,29 @@
 	})
 }
 
+// A service rejects all calls and asks each host for a pause. Hosts went on to call it with each
+// request of a desk.
+func TestServiceThatAsksForAPauseIsLeftAlone(t *testing.T) {
+	threeHosts(t, func(is *is.I, f *fakes, hosts []*fakeHost) {
+		f.joinService("l1", "lookup")
+		time.Sleep(settleTime)
+		const pause = 2 * time.Second
+		f.mu.Lock()
+		busy := f.engines["l0"]
+		busy.busyFor = pause
+		f.mu.Unlock()
+		calls := 0
+		for start := time.Now(); time.Since(start) < pause/2; calls++ {
+			c := &testCall{id: completion.NewRequestID(), model: "lookup"}
+			c.do(hosts[calls%2])
+			is.Equal(c.refusal, nil)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		is.True(busy.asked <= 2) // once a host
+	})
+}
+
 // Mechanics are sent to an endpoint that is going away. One host's list shows
 // it as leaving, then shows the opposite, the others' lists lag; no host sends
 // it new work after a few seconds.
--- a/pkg/external/external.go
+++ b/pkg/external/external.go
@@ -30,6 +30,19 @@
 	ErrBroken = errors.New("broken answer")
 )
 
+// PauseError is a rejection by an endpoint that wants no other call of this host for a while.
+type PauseError struct {
+	Pause time.Duration
+	// Cause wraps ErrRejected.
+	Cause error
+}
+
+// Error implements error.
+func (e *PauseError) Error() string { return fmt.Sprintf("%v; pause of %v", e.Cause, e.Pause) }
+
+// Unwrap implements errors.Wrapper.
+func (e *PauseError) Unwrap() error { return e.Cause }
+
 // Entry is one record in the log.
 type Entry struct {
 	Offset record.Offset `cbor:"1,keyasint" json:"offset"`
--- a/pkg/external/httpadapter/adapter_test.go
+++ b/pkg/external/httpadapter/adapter_test.go
@@ -198,3 +198,23 @@
 	_, err = client.Append(context.Background(), make([]byte, 300<<10))
 	is.True(errors.Is(err, external.ErrInvalid))
 }
+
+// A busy service says when it takes calls again. A date, or what is no number, is left out.
+func TestPauseOfARejectedCall(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]time.Duration{"3": 3 * time.Second, "": 0, "-1": 0, "soon": 0, "99999999999": 24 * time.Hour} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", text)
+			w.WriteHeader(http.StatusTooManyRequests)
+		}))
+		_, err := httpadapter.NewEngine().Call(context.Background(), server.URL, external.ServiceCall{RequestID: "c"})
+		server.Close()
+		is.True(errors.Is(err, external.ErrRejected))
+		var asks *external.PauseError
+		if errors.As(err, &asks) {
+			is.Equal(asks.Pause, want)
+		} else {
+			is.Equal(want, time.Duration(0))
+		}
+	}
+}
--- a/pkg/external/httpadapter/client.go
+++ b/pkg/external/httpadapter/client.go
@@ -6,11 +6,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/external"
@@ -21,6 +24,8 @@
 	// maxAnswerBytes bounds an answer that is read whole.
 	maxAnswerBytes = 16 << 20
 	maxErrorBytes  = 4 << 10
+	// maxPause bounds a pause that an endpoint asks for.
+	maxPause = 24 * time.Hour
 )
 
 // client is the common part of the adapters.
@@ -106,11 +111,25 @@
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	status := &statusCode{resp.StatusCode, bytes.TrimSpace(body)}
 	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
-		return errors.Mark(status, external.ErrRejected)
+		rejected := errors.Mark(status, external.ErrRejected)
+		if p := pause(resp); p > 0 {
+			return &external.PauseError{Pause: p, Cause: rejected}
+		}
+		return rejected
 	}
 	return errors.Mark(status, external.ErrUnavailable)
 }
 
+// pause is for how long an answer asks for no further call, 0 for not at all. A date in place of
+// seconds is left out: clocks differ.
+func pause(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 0 || resp.StatusCode != http.StatusTooManyRequests {
+		return 0
+	}
+	return min(time.Duration(min(s, math.MaxInt32))*time.Second, maxPause)
+}
+
 func statusOf(err error) (*statusCode, bool) {
 	var status *statusCode
 	ok := errors.As(err, &status)
--- a/pkg/shares/queue.go
+++ b/pkg/shares/queue.go
@@ -188,7 +188,7 @@
 func (q *queue) take(now time.Time, customer string) *state.Target {
 	targets, candidates := q.candidates(now)
 	i := routing.Pick(candidates, routing.Choice{Zone: q.all.cfg.Zone, Service: q.service}, rand.IntN)
-	if i < 0 {
+	if i < 0 || !q.all.cfg.Health.Signals.Use(now, endpointID(targets[i])) {
 		return nil
 	}
 	q.inflight[string(targets[i].Replica)]++
@@ -206,7 +206,7 @@
 	for _, t := range q.targets() {
 		id := string(t.Replica)
 		c := q.all.cfg.Health.Condition(now, endpointID(t), need.Service, need.What())
-		if c.Closed {
+		if c.Closed || c.Limited {
 			continue
 		}
 		targets = append(targets, t)
