The controller loads elsewhere what lies at endpoints that ask hosts for pauses

Hosts now tell the controller with their demand which endpoints have asked them for pauses; like those that state rates these count as no replica and get no models.

TestModelsOfAnEndpointInNeedAreLoadedElsewhere fails without it (the second of its two cases).

--- a/pkg/entryhost/load_test.go
+++ b/pkg/entryhost/load_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/internal/api/callers"
+	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/pkg/external"
 )
 
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -140,6 +140,8 @@
 	Addr string `cbor:"5,keyasint,omitempty"`
 	// Unreachable names the endpoints that the host could not connect to lately.
 	Unreachable []EndpointID `cbor:"6,keyasint,omitempty"`
+	// Pausing names the endpoints that have asked the host for a pause.
+	Pausing []EndpointID `cbor:"9,keyasint,omitempty"`
 	// Seq counts the reports of an incarnation: an older one that comes late is void.
 	Seq int64 `cbor:"7,keyasint,omitempty"`
 	// Same reports name no needs: those of the last one hold on.
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -232,6 +232,7 @@
 		ConfigVersion: g.configVersion(),
 		Addr:          g.self.Addr,
 		Unreachable:   g.health.AllUnreachable(now),
+		Pausing:       g.health.Signals.Pausing(now),
 	}
 	for _, d := range g.dispatcher.Demand() {
 		n := fleet.NeedReport{
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -94,6 +94,11 @@
 		g.demand = NewDemand(now)
 	}
 	g.demand.Take(now, r)
+	for _, id := range r.Pausing {
+		if t := g.tracks[id]; t != nil {
+			t.pauses(now)
+		}
+	}
 	for _, id := range r.Unreachable {
 		if t := g.tracks[id]; t != nil && (r.Host != g.Election.self.Host || g.demand.alone()) {
 			t.reported(now)
@@ -227,9 +232,9 @@
 // unfit endpoints get no models, and others have to hold what they do.
 func (g *Controller) unfit(t *track) bool {
 	t.mu.Lock()
-	id, lost := t.endpoint.ID, t.reach.lost
+	id, out := t.endpoint.ID, t.reach.lost || g.Now().Sub(t.pausing) < toldFor
 	t.mu.Unlock()
-	return lost || g.InNeed != nil && g.InNeed(id)
+	return out || g.InNeed != nil && g.InNeed(id)
 }
 
 // swap starts the swaps that the decision asks for.
--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -323,27 +323,33 @@
 	}
 }
 
-// An endpoint states how few requests a second it takes. It was given models all the same, each
-// by some calls, and the model that it holds was loaded nowhere else.
-func TestModelsOfALimitedEndpointAreLoadedElsewhere(t *testing.T) {
-	run(t, func(ctx context.Context) {
-		is := is.NewRelaxed(t)
-		both := engines{"e1": newEngine(130, weights, "cold"), "e2": newEngine(130, weights, "x", "y")}
-		g := newController(both["e1"], 1)
-		g.Orderer = both
-		g.InNeed = func(id fleet.EndpointID) bool { return id == "e1" }
-		view := g.Endpoints(time.Now())[0]
-		first, second := view, view
-		first.ID, second.ID = "e1", "e2"
-		first.Holds = []fleet.Held{{Model: "cold"}}
-		second.Holds = []fleet.Held{{Model: "x"}, {Model: "y"}}
-		g.Endpoints = func(time.Time) []fleet.View { return []fleet.View{first, second} }
-		r := waiting("cold", "")
-		r.Needs[0].Arrived = 0
-		steps(ctx, g, 2*time.Second, r)
-		is.True(slices.Contains(both["e2"].held(), "cold"))
-		is.Equal(both["e1"].held(), []string{"cold"})
-	})
+// An endpoint states how few requests a second it takes, or asks a host for a pause. It was given
+// models all the same, each by some calls, and the model that it holds was loaded nowhere else:
+// requests for it waited for the end of the pause, or were refused.
+func TestModelsOfAnEndpointInNeedAreLoadedElsewhere(t *testing.T) {
+	for _, pausing := range []bool{false, true} {
+		run(t, func(ctx context.Context) {
+			is := is.NewRelaxed(t)
+			both := engines{"e1": newEngine(130, weights, "cold"), "e2": newEngine(130, weights, "x", "y")}
+			g := newController(both["e1"], 1)
+			g.Orderer = both
+			g.InNeed = func(id fleet.EndpointID) bool { return id == "e1" && !pausing }
+			view := g.Endpoints(time.Now())[0]
+			first, second := view, view
+			first.ID, second.ID = "e1", "e2"
+			first.Holds = []fleet.Held{{Model: "cold"}}
+			second.Holds = []fleet.Held{{Model: "x"}, {Model: "y"}}
+			g.Endpoints = func(time.Time) []fleet.View { return []fleet.View{first, second} }
+			r := waiting("cold", "")
+			r.Needs[0].Arrived = 0
+			if pausing {
+				r.Pausing = []fleet.EndpointID{"e1"}
+			}
+			steps(ctx, g, 2*time.Second, r)
+			is.True(slices.Contains(both["e2"].held(), "cold"))
+			is.Equal(both["e1"].held(), []string{"cold"})
+		})
+	}
 }
 
 // Twelve empty endpoints and as many models that lie nowhere: loaded all at once,
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -32,6 +32,8 @@
 	// ordered is when the last order was sent.
 	ordered time.Time
 	reach   reach
+	// pausing is when a host last told that the endpoint has asked it for a pause.
+	pausing time.Time
 	// asked is when the endpoint was last asked for its state.
 	asked time.Time
 	// pause is until when nothing is tried after a failure.
@@ -98,6 +100,13 @@
 	}
 }
 
+// pauses takes in that the endpoint has asked a host for a pause.
+func (t *track) pauses(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pausing = now
+}
+
 // markUnreachable notes that this host could not connect.
 func (t *track) markUnreachable(now time.Time) {
 	t.mu.Lock()
--- a/pkg/relay/sums.go
+++ b/pkg/relay/sums.go
@@ -41,6 +41,7 @@
 	at, seen    time.Time
 	needs       []fleet.NeedReport
 	unreachable []fleet.EndpointID
+	pausing     []fleet.EndpointID
 	heard       []fleet.Heard
 }
 
@@ -76,6 +77,7 @@
 		seen:        now,
 		needs:       r.Needs,
 		unreachable: r.Unreachable,
+		pausing:     r.Pausing,
 		heard:       []fleet.Heard{h},
 	}
 	return true
@@ -113,15 +115,14 @@
 	for _, n := range own.Needs {
 		add(n, 0)
 	}
-	unreachable := map[fleet.EndpointID]bool{}
+	unreachable, pausing := setOf(own.Unreachable), setOf(own.Pausing)
 	for _, c := range s.children {
 		for _, n := range c.needs {
 			n.Arrived, n.Starting = 0, 0
 			add(n, now.Sub(c.at))
 		}
-		for _, id := range c.unreachable {
-			unreachable[id] = true
-		}
+		maps.Copy(unreachable, setOf(c.unreachable))
+		maps.Copy(pausing, setOf(c.pausing))
 	}
 	for key, n := range s.arrived {
 		n.Service, n.Model, n.Adapter = key.service, key.model, key.adapter
@@ -132,13 +133,19 @@
 	for _, n := range byNeed {
 		own.Needs = append(own.Needs, *n)
 	}
-	for _, id := range own.Unreachable {
-		unreachable[id] = true
-	}
 	own.Unreachable = slices.Sorted(maps.Keys(unreachable))
+	own.Pausing = slices.Sorted(maps.Keys(pausing))
 	return own
 }
 
+func setOf(ids []fleet.EndpointID) map[fleet.EndpointID]bool {
+	set := make(map[fleet.EndpointID]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
+
 // Heard tells of each host behind this one what it has heard of the controller.
 func (s *Sums) Heard(now time.Time) []fleet.Heard {
 	s.mu.Lock()
@@ -154,7 +161,7 @@
 func (s *Sums) expire(now time.Time) {
 	for host, c := range s.children {
 		if now.Sub(c.seen) > childLife {
-			c.needs, c.unreachable, c.heard = nil, nil, nil
+			c.needs, c.unreachable, c.pausing, c.heard = nil, nil, nil, nil
 		}
 		if now.Sub(c.seen) > seqLife {
 			delete(s.children, host)
--- a/pkg/signals/table.go
+++ b/pkg/signals/table.go
@@ -286,6 +286,19 @@
 	return out
 }
 
+// Pausing returns the endpoints that have asked this host for a pause.
+func (l *Table) Pausing(now time.Time) []fleet.EndpointID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []fleet.EndpointID
+	for id, until := range l.pausedUntil {
+		if now.Before(until) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Retain forgets endpoints that are gone.
 func (l *Table) Retain(live map[fleet.EndpointID]bool) {
 	l.mu.Lock()
