--- a/pkg/serve/fake_test.go
+++ b/pkg/serve/fake_test.go
@@ -14,6 +14,7 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/signals"
 	"go.opentelemetry.io/otel/trace/noop"
 )
 
@@ -26,6 +27,8 @@
 	status  int
 	// notSent fails before anything is sent, lost after the run.
 	notSent, lost bool
+	// pause is asked for with an answer that cannot be passed on.
+	pause time.Duration
 	// unreachable fails as no connection can be made.
 	unreachable bool
 	// hang answers nothing until the request is cancelled.
@@ -116,6 +119,9 @@
 		w.mu.Unlock()
 		return nil, ctx.Err()
 	}
+	if act.pause > 0 {
+		return nil, &serve.UnusableError{Signals: signals.Answer{Pause: act.pause}, Cause: errReset}
+	}
 	if act.lost {
 		return nil, errReset
 	}
--- a/pkg/serve/limited_test.go
+++ b/pkg/serve/limited_test.go
@@ -55,3 +55,23 @@
 		is.True(atLimited > 0 && atLimited <= 12) // 2 a second for 5 s
 	})
 }
+
+// An endpoint turns a request away and asks for a pause, but does not say that it has not run it.
+// Its answer cannot be passed on, and the pause was lost with it.
+func TestPauseOfAnAnswerThatCannotBePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a")
+		s := newServer(w)
+		w.does("a", script{pause: time.Second})
+		var out sink
+		s.Serve(context.Background(), request("r1", fleet.Once, false), &out)
+		is.True(!out.promises())
+		start := time.Now()
+		time.AfterFunc(time.Second, dispatcher(s).Kick)
+		var next sink
+		s.Serve(context.Background(), request("r2", fleet.Once, false), &next)
+		is.Equal(next.status, 200)
+		is.True(time.Since(start) >= time.Second)
+	})
+}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -127,6 +127,18 @@
 // they are marked ErrNotSent too.
 var ErrUnreachable = errors.New("endpoint is not reachable")
 
+// UnusableError is an answer that cannot be passed on. The request may have run.
+type UnusableError struct {
+	Signals signals.Answer
+	Cause   error
+}
+
+// Error implements error.
+func (e *UnusableError) Error() string { return e.Cause.Error() }
+
+// Unwrap implements errors.Wrapper.
+func (e *UnusableError) Unwrap() error { return e.Cause }
+
 // Send says how a request goes to an endpoint.
 type Send struct {
 	Endpoint fleet.Endpoint
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -327,6 +327,10 @@
 		return notRun
 	}
 	x.result.Sent++
+	var unusable *UnusableError
+	if errors.As(err, &unusable) {
+		s.Health.Signals.Observe(s.Now(), e.ID, unusable.Signals, start, false)
+	}
 	if err != nil {
 		span.RecordError(err)
 		x.result.Runs++
