Receivers and comments of the table of signals in the usual terms

Renamed only: the receiver l stood for a type that is called Table now, and comments spoke of limits where signals are meant. No behaviour is changed; tests of pkg/signals and pkg/gateway pass as before.

--- a/pkg/gateway/signals.go
+++ b/pkg/gateway/signals.go
@@ -10,22 +10,22 @@
 )
 
 // signalChanged takes in what an endpoint has told this host, and lets others hear of it.
-func (g *Gateway) signalChanged(l fleet.EndpointSignal) {
-	g.logSignal(l, "answer")
-	g.heedLeaving(l)
+func (g *Gateway) signalChanged(s fleet.EndpointSignal) {
+	g.logSignal(s, "answer")
+	g.heedLeaving(s)
 	g.tellSignals()
 }
 
 // heedLeaving keeps requests and models from an endpoint that leaves.
-func (g *Gateway) heedLeaving(l fleet.EndpointSignal) {
-	if l.Leaving {
-		g.directory.Leave(l.Endpoint)
+func (g *Gateway) heedLeaving(s fleet.EndpointSignal) {
+	if s.Leaving {
+		g.directory.Leave(s.Endpoint)
 		g.endpointsChanged()
 	}
 }
 
-func (g *Gateway) logSignal(l fleet.EndpointSignal, from string) {
-	g.log.Info("endpoint signals", "endpoint", l.Endpoint, "limited", l.Limited, "rate", l.Rate, "leaving", l.Leaving, "version", l.Version, "from", from)
+func (g *Gateway) logSignal(s fleet.EndpointSignal, from string) {
+	g.log.Info("endpoint signals", "endpoint", s.Endpoint, "limited", s.Limited, "rate", s.Rate, "leaving", s.Leaving, "version", s.Version, "from", from)
 }
 
 // tellSignals lets the hosts that ask this one, and the one that it asks, hear of signals.
@@ -46,9 +46,9 @@
 // takeSignals takes in what another host tells, and lets others hear of it.
 func (g *Gateway) takeSignals(now time.Time, told []fleet.EndpointSignal) {
 	news := g.health.Signals.Take(now, told)
-	for _, l := range news {
-		g.logSignal(l, "host")
-		g.heedLeaving(l)
+	for _, s := range news {
+		g.logSignal(s, "host")
+		g.heedLeaving(s)
 	}
 	if len(news) > 0 {
 		g.tellSignals()
@@ -80,8 +80,8 @@
 	callEnded  call = "ended"
 )
 
-// mayCall counts a call and returns an error where the endpoint's request rate leaves no room
-// for it.
+// mayCall counts a call and returns an error where the endpoint's request rate, or a pause that it
+// has asked for, leaves no room for it.
 func (g *Gateway) mayCall(c call, e fleet.Endpoint) error {
 	if !g.health.Signals.Use(g.Now(), e.ID) {
 		g.metrics.count("endpoint_calls_limited", map[string]string{"call": string(c)})
@@ -91,8 +91,8 @@
 	return nil
 }
 
-// limitedEndpoints keep the calls to endpoints that are no client's requests to the request rates
-// that endpoints state: they count there like requests.
+// limitedEndpoints keep the calls to endpoints that are no client's requests to the rates and pauses
+// that endpoints ask for: they count there like requests.
 type limitedEndpoints struct {
 	Endpoints
 	may func(call, fleet.Endpoint) error
--- a/pkg/signals/bucket.go
+++ b/pkg/signals/bucket.go
@@ -108,14 +108,14 @@
 // spareHosts + hostsPerRate x rate hosts all of them together stay within
 // spareHosts + (hostsPerRate + span) x rate: for the span of four seconds in which endpoints
 // count, within one and a half times the rate and five requests.
-func (l *Table) part(x *state) float64 {
+func (t *Table) part(x *state) float64 {
 	rate := max(x.Rate, leastRate)
 	places := int(spareHosts + hostsPerRate*rate)
-	if len(l.hosts) <= places {
-		return rate / float64(len(l.hosts))
+	if len(t.hosts) <= places {
+		return rate / float64(len(t.hosts))
 	}
-	own, before := draw(l.self, x.Endpoint), 0
-	for _, h := range l.hosts {
+	own, before := draw(t.self, x.Endpoint), 0
+	for _, h := range t.hosts {
 		if draw(h, x.Endpoint) > own {
 			before++
 		}
--- a/pkg/signals/table.go
+++ b/pkg/signals/table.go
@@ -2,11 +2,11 @@
 // second they take from all hosts together, that they leave, and for how long they want nothing
 // of this host. It does no I/O and knows no clock but the times that it is given.
 //
-// The load pattern of stated rates: an endpoint in need takes one to some tens of requests a second, far fewer
-// than there are hosts that send to it. A host that has seen such an answer tells the others,
-// and a few hosts, the same ones in each host's view, divide the rate among themselves. No
-// sums pass between hosts: what an endpoint allows beyond its rate, a few requests, would be used
-// up before a sum is known.
+// The load pattern of stated rates: an endpoint in need takes one to some tens of requests a
+// second, about as many as there are hosts that send to it, or far fewer. A host that has seen
+// such an answer tells the others, and a few hosts, the same ones in each host's view, divide the
+// rate among themselves. No sums pass between hosts: the few requests that an endpoint allows
+// beyond its rate would be used up before a sum is known.
 package signals
 
 import (
@@ -21,11 +21,11 @@
 )
 
 const (
-	// refreshAfter is how old the news of a limit has to be for a host to tell it anew that
-	// still sees it stated, and life how long it holds where nobody does: an endpoint to which
-	// nobody sends cannot show that its limit has ended.
+	// refreshAfter is how old the news of a rate has to be for a host that still sees it stated
+	// to tell it anew, and rateLife how long a rate holds where nobody sees it: an endpoint to
+	// which nobody sends cannot show that it states none any more.
 	refreshAfter = 3 * time.Second
-	life         = 10 * time.Second
+	rateLife     = 10 * time.Second
 	// sameRate is by what part a stated rate has to change to be told anew.
 	sameRate = 0.05
 )
@@ -69,7 +69,7 @@
 
 // limited tells whether a stated rate binds.
 func (x *state) limited(now time.Time) bool {
-	return x != nil && x.Limited && now.Sub(x.learned) < life
+	return x != nil && x.Limited && now.Sub(x.learned) < rateLife
 }
 
 // New returns an empty table, for a host that knows no other.
@@ -83,35 +83,35 @@
 }
 
 // SetHosts tells this host's name and those of all others.
-func (l *Table) SetHosts(self string, others []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.self = self
-	l.hosts = append([]string{self}, others...)
-	for _, x := range l.byEndpoint {
-		x.part = l.part(x)
+func (t *Table) SetHosts(self string, others []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self = self
+	t.hosts = append([]string{self}, others...)
+	for _, x := range t.byEndpoint {
+		x.part = t.part(x)
 	}
 }
 
 // Observe takes in what an endpoint says in the answer to a request that was sent at some time.
 // That it states no rate counts only where it ran the request (ran), and where the request was
 // sent after the rate was learned: an earlier answer may come late.
-func (l *Table) Observe(now time.Time, id fleet.EndpointID, a Answer, sent time.Time, ran bool) {
-	changed, ok := l.observe(now, id, a, sent, ran)
-	if ok && l.Changed != nil {
-		l.Changed(changed)
+func (t *Table) Observe(now time.Time, id fleet.EndpointID, a Answer, sent time.Time, ran bool) {
+	changed, ok := t.observe(now, id, a, sent, ran)
+	if ok && t.Changed != nil {
+		t.Changed(changed)
 	}
 }
 
-func (l *Table) observe(now time.Time, id fleet.EndpointID, a Answer, sent time.Time, ran bool) (fleet.EndpointSignal, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (t *Table) observe(now time.Time, id fleet.EndpointID, a Answer, sent time.Time, ran bool) (fleet.EndpointSignal, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	// An earlier, longer pause holds on.
-	if until := now.Add(a.Pause); a.Pause > 0 && until.After(l.pausedUntil[id]) {
-		l.pausedUntil[id] = until
+	if until := now.Add(a.Pause); a.Pause > 0 && until.After(t.pausedUntil[id]) {
+		t.pausedUntil[id] = until
 	}
 	next := fleet.EndpointSignal{Endpoint: id}
-	x := l.byEndpoint[id]
+	x := t.byEndpoint[id]
 	if x != nil {
 		next = x.EndpointSignal
 	}
@@ -124,7 +124,7 @@
 		next.Limited, next.Rate = false, 0
 		next.Version++
 	}
-	return next, l.set(now, next)
+	return next, t.set(now, next)
 }
 
 // states tells whether a rate is known and need not be told anew.
@@ -133,52 +133,52 @@
 }
 
 // Take takes in what another host tells, and returns what is news.
-func (l *Table) Take(now time.Time, told []fleet.EndpointSignal) []fleet.EndpointSignal {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (t *Table) Take(now time.Time, told []fleet.EndpointSignal) []fleet.EndpointSignal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var news []fleet.EndpointSignal
-	for _, t := range told {
-		if x := l.byEndpoint[t.Endpoint]; x != nil {
-			t = x.Merge(t)
+	for _, s := range told {
+		if x := t.byEndpoint[s.Endpoint]; x != nil {
+			s = x.Merge(s)
 		}
-		if l.set(now, t) {
-			news = append(news, t)
+		if t.set(now, s) {
+			news = append(news, s)
 		}
 	}
 	return news
 }
 
 // set replaces what is known of an endpoint, and tells whether that is news. The lock is held.
-func (l *Table) set(now time.Time, n fleet.EndpointSignal) bool {
-	x := l.byEndpoint[n.Endpoint]
+func (t *Table) set(now time.Time, n fleet.EndpointSignal) bool {
+	x := t.byEndpoint[n.Endpoint]
 	switch {
 	case x == nil && n == (fleet.EndpointSignal{Endpoint: n.Endpoint}):
 		return false
 	case x == nil:
 		x = &state{}
-		l.byEndpoint[n.Endpoint] = x
+		t.byEndpoint[n.Endpoint] = x
 	case x.EndpointSignal == n:
 		return false
 	default:
-		l.sum ^= mix(x.EndpointSignal)
+		t.sum ^= mix(x.EndpointSignal)
 	}
 	limited := x.limited(now)
 	if n.Version != x.Version || n.Rate != x.Rate {
 		x.learned = now
 	}
 	x.EndpointSignal = n
-	if x.part = l.part(x); !limited {
-		x.bucket = newBucket(now, x.part, l.sentLately(now, n.Endpoint))
+	if x.part = t.part(x); !limited {
+		x.bucket = newBucket(now, x.part, t.sentLately(now, n.Endpoint))
 	}
-	l.sum ^= mix(n)
-	l.version++
+	t.sum ^= mix(n)
+	t.version++
 	return true
 }
 
 // sentLately is how many requests this host has sent to an endpoint in the last debtTime. The
 // lock is held.
-func (l *Table) sentLately(now time.Time, id fleet.EndpointID) float64 {
-	if r := l.sent[id]; r != nil {
+func (t *Table) sentLately(now time.Time, id fleet.EndpointID) float64 {
+	if r := t.sent[id]; r != nil {
 		return r.count(now)
 	}
 	return 0
@@ -198,13 +198,13 @@
 
 // Next tells whether this host has to wait before it sends to an endpoint, and until when; a
 // zero time is not known.
-func (l *Table) Next(now time.Time, id fleet.EndpointID) (until time.Time, wait bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if x := l.byEndpoint[id]; x.limited(now) {
+func (t *Table) Next(now time.Time, id fleet.EndpointID) (until time.Time, wait bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.byEndpoint[id]; x.limited(now) {
 		until, wait = x.next(now)
 	}
-	paused := l.pausedUntil[id]
+	paused := t.pausedUntil[id]
 	if now.Before(paused) && (!wait || !until.IsZero() && until.Before(paused)) {
 		return paused, true
 	}
@@ -212,60 +212,60 @@
 }
 
 // InNeed tells whether an endpoint states a rate or has asked this host for a pause.
-func (l *Table) InNeed(now time.Time, id fleet.EndpointID) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.byEndpoint[id].limited(now) || now.Before(l.pausedUntil[id])
+func (t *Table) InNeed(now time.Time, id fleet.EndpointID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byEndpoint[id].limited(now) || now.Before(t.pausedUntil[id])
 }
 
 // Use counts a request to an endpoint and tells whether it may be sent.
-func (l *Table) Use(now time.Time, id fleet.EndpointID) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	x := l.byEndpoint[id]
-	if now.Before(l.pausedUntil[id]) || x.limited(now) && !x.use(now) {
+func (t *Table) Use(now time.Time, id fleet.EndpointID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.byEndpoint[id]
+	if now.Before(t.pausedUntil[id]) || x.limited(now) && !x.use(now) {
 		return false
 	}
-	r := l.sent[id]
+	r := t.sent[id]
 	if r == nil {
 		r = &recent{start: now}
-		l.sent[id] = r
+		t.sent[id] = r
 	}
 	r.add(now)
 	return true
 }
 
 // All returns what is known of all endpoints, also that one states no rate any more.
-func (l *Table) All() []fleet.EndpointSignal {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (t *Table) All() []fleet.EndpointSignal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []fleet.EndpointSignal
-	for _, x := range l.byEndpoint {
+	for _, x := range t.byEndpoint {
 		out = append(out, x.EndpointSignal)
 	}
 	return out
 }
 
 // Sum is the same at hosts that know the same, 0 where nothing is known.
-func (l *Table) Sum() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.sum
+func (t *Table) Sum() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sum
 }
 
 // Version counts the changes at this host.
-func (l *Table) Version() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.version
+func (t *Table) Version() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
 }
 
 // LimitedCount returns how many endpoints state a rate.
-func (l *Table) LimitedCount(now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (t *Table) LimitedCount(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	n := 0
-	for _, x := range l.byEndpoint {
+	for _, x := range t.byEndpoint {
 		if x.limited(now) {
 			n++
 		}
@@ -274,11 +274,11 @@
 }
 
 // Leaving returns the endpoints that leave.
-func (l *Table) Leaving() []fleet.EndpointID {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (t *Table) Leaving() []fleet.EndpointID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []fleet.EndpointID
-	for id, x := range l.byEndpoint {
+	for id, x := range t.byEndpoint {
 		if x.Leaving {
 			out = append(out, id)
 		}
@@ -287,11 +287,11 @@
 }
 
 // Pausing returns the endpoints that have asked this host for a pause.
-func (l *Table) Pausing(now time.Time) []fleet.EndpointID {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (t *Table) Pausing(now time.Time) []fleet.EndpointID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []fleet.EndpointID
-	for id, until := range l.pausedUntil {
+	for id, until := range t.pausedUntil {
 		if now.Before(until) {
 			out = append(out, id)
 		}
@@ -300,17 +300,17 @@
 }
 
 // Retain forgets endpoints that are gone.
-func (l *Table) Retain(live map[fleet.EndpointID]bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, x := range l.byEndpoint {
+func (t *Table) Retain(live map[fleet.EndpointID]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, x := range t.byEndpoint {
 		if !live[id] {
-			l.sum ^= mix(x.EndpointSignal)
-			delete(l.byEndpoint, id)
+			t.sum ^= mix(x.EndpointSignal)
+			delete(t.byEndpoint, id)
 		}
 	}
-	retain(l.pausedUntil, live)
-	retain(l.sent, live)
+	retain(t.pausedUntil, live)
+	retain(t.sent, live)
 }
 
 func retain[V any](m map[fleet.EndpointID]V, live map[fleet.EndpointID]bool) {
