--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -140,8 +140,8 @@
 	g.children.answered(a, now, g.telling())
 	n := g.withList(now, g.board.Answer(now, g.self.Incarnation, p), p.ListNext-1, g.directory.Material())
 	n.Stamp = g.stampFor(now, n.Token)
-	g.withBlocks(now, &n, p.BlocksSum)
-	g.withSignals(&n, p.SignalsSum)
+	n.BlocksSum, n.Blocks = g.blocks.inAnswer(now, p.BlocksSum)
+	n.SignalsSum, n.Signals = g.signals.inAnswer(now, p.SignalsSum)
 	n.Accounts = g.accounts.local.Told()
 	hosts := g.feed.hostsFrom(p.HostsNext)
 	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -99,14 +99,14 @@
 	sums     *relay.Sums
 	news     news
 	// guard keeps requests that crash endpoints from them; crashesTold is which crashes other
-	// hosts were told, crashesKept what the store holds, and blocksDiffer whether the host
-	// that was asked last lacks a block that this one knows.
-	guard        *quarantine.Guard
-	crashesTold  *crashesTold
-	crashesKept  *keptCrashes
-	blocksDiffer atomic.Bool
-	// signalsDiffer is the same for what endpoints say of themselves.
-	signalsDiffer atomic.Bool
+	// hosts were told, and crashesKept what the store holds.
+	guard       *quarantine.Guard
+	crashesTold *crashesTold
+	crashesKept *keptCrashes
+	// blocks and signals tell other hosts which requests are blocked, and what endpoints say of
+	// themselves.
+	blocks  shared[fleet.Block]
+	signals shared[fleet.EndpointSignal]
 	// accounts keeps client accounts within what they may ask.
 	accounts *accounts
 	// reports counts the demand reports, heardStamp is the last time stamp of a controller
@@ -172,6 +172,7 @@
 	}
 	g.guard = g.newGuard()
 	g.server.Guard = g.guard
+	g.setShared()
 	g.accounts = newAccounts(s.tolerance(), g.wantReport, g.Now)
 	g.server.Allowances = g.accounts
 	if err := g.listen(); err != nil {
@@ -196,6 +197,13 @@
 	return g, nil
 }
 
+// setShared sets what is told to other hosts.
+func (g *Gateway) setShared() {
+	g.blocks.sum, g.blocks.all = g.guard.Blocks.Sum, g.guard.Blocks.All
+	g.signals.sum = g.health.Signals.Sum
+	g.signals.all = func(time.Time) []fleet.EndpointSignal { return g.health.Signals.All() }
+}
+
 // listen opens all listeners. That for callers stays unserved until the first
 // configuration is known.
 func (g *Gateway) listen() error {
--- a/pkg/gateway/passing_test.go
+++ b/pkg/gateway/passing_test.go
@@ -51,6 +51,7 @@
 	g.board = fleet.NewBoard(g.directory)
 	g.health = serve.NewHealth()
 	g.dispatcher = serve.NewDispatcher("z", locator{g.board, g.config.Load}, g.health, g.Now, func() {})
+	g.setShared()
 	return g
 }
 
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -107,7 +107,7 @@
 		p.Below = g.sums.Heard(now)
 	}
 	crashesNext := g.addCrashes(now, to.Addr, &p)
-	g.addSignals(&p)
+	p.SignalsSum, p.Signals = g.signals.inQuestion(now)
 	p.Accounts, p.Rising = g.accounts.report(now)
 	p.Brief = inPlaceOfRelay(upstreams, to)
 	err := g.ask(ctx, to, p, crashesNext)
@@ -172,7 +172,8 @@
 	}
 	g.crashesTold.answered(to.Addr, answer.Notice.Source, crashesNext)
 	g.takeAnsweredBlocks(now, *answer.Notice)
-	g.takeAnsweredSignals(now, *answer.Notice)
+	g.takeSignals(now, answer.Notice.Signals)
+	g.signals.answered(answer.Notice.SignalsSum)
 	if g.accounts.hear(now, now.Add(-milliseconds(answer.Notice.HeardAgo)), answer.Notice.Accounts) {
 		g.children.wake()
 	}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -58,7 +58,7 @@
 
 // tellBlocks lets the hosts that ask this one, and the one that it asks, hear of new blocks.
 func (g *Gateway) tellBlocks() {
-	g.blocksDiffer.Store(true)
+	g.blocks.differs.Store(true)
 	g.wantReport()
 	g.children.wake()
 }
@@ -103,10 +103,7 @@
 func (g *Gateway) addCrashes(now time.Time, addr string, p *fleet.Pull) int64 {
 	var next int64
 	p.Crashes, next = g.guard.Ledger.Since(now, g.crashesTold.next(addr), maxCrashesTold)
-	p.BlocksSum = g.guard.Blocks.Sum()
-	if g.blocksDiffer.Load() {
-		p.Blocks = g.guard.Blocks.All(now)
-	}
+	p.BlocksSum, p.Blocks = g.blocks.inQuestion(now)
 	return next
 }
 
@@ -138,19 +135,10 @@
 	return len(added) > 0
 }
 
-// withBlocks adds all blocks to an answer if the asker does not know the same.
-func (g *Gateway) withBlocks(now time.Time, n *fleet.Notice, asked uint64) {
-	n.BlocksSum = g.guard.Blocks.Sum()
-	if n.BlocksSum != asked {
-		n.Blocks = g.guard.Blocks.All(now)
-	}
-}
-
-// takeAnsweredBlocks takes in the blocks of an answer. If the host that gave it still lacks
-// some, the next question tells it.
+// takeAnsweredBlocks takes in the blocks of an answer.
 func (g *Gateway) takeAnsweredBlocks(now time.Time, n fleet.Notice) {
 	if g.addBlocks(now, n.Blocks) {
 		g.children.wake()
 	}
-	g.blocksDiffer.Store(g.guard.Blocks.Sum() != n.BlocksSum)
+	g.blocks.answered(n.BlocksSum)
 }
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -63,7 +63,7 @@
 		return
 	}
 	var n fleet.Notice
-	to.withBlocks(t.now, &n, p.BlocksSum)
+	n.BlocksSum, n.Blocks = to.blocks.inAnswer(t.now, p.BlocksSum)
 	from.crashesTold.answered(to.self.Host, to.self.Incarnation, next)
 	from.takeAnsweredBlocks(t.now, n)
 }
--- a/pkg/gateway/signals.go
+++ b/pkg/gateway/signals.go
@@ -30,19 +30,11 @@
 
 // tellSignals lets the hosts that ask this one, and the one that it asks, hear of signals.
 func (g *Gateway) tellSignals() {
-	g.signalsDiffer.Store(true)
+	g.signals.differs.Store(true)
 	g.wantReport()
 	g.children.wake()
 }
 
-// addSignals adds to a question what the host that is asked may not know.
-func (g *Gateway) addSignals(p *fleet.Pull) {
-	p.SignalsSum = g.health.Signals.Sum()
-	if g.signalsDiffer.Load() {
-		p.Signals = g.health.Signals.All()
-	}
-}
-
 // takeSignals takes in what another host tells, and lets others hear of it.
 func (g *Gateway) takeSignals(now time.Time, told []fleet.EndpointSignal) {
 	news := g.health.Signals.Take(now, told)
@@ -55,21 +47,6 @@
 	}
 }
 
-// withSignals adds all signals to an answer if the asker does not know the same.
-func (g *Gateway) withSignals(n *fleet.Notice, asked uint64) {
-	n.SignalsSum = g.health.Signals.Sum()
-	if n.SignalsSum != asked {
-		n.Signals = g.health.Signals.All()
-	}
-}
-
-// takeAnsweredSignals takes in the signals of an answer. If the host that gave it still
-// lacks some, the next question tells it.
-func (g *Gateway) takeAnsweredSignals(now time.Time, n fleet.Notice) {
-	g.takeSignals(now, n.Signals)
-	g.signalsDiffer.Store(g.health.Signals.Sum() != n.SignalsSum)
-}
-
 // call is a kind of calls to endpoints beside clients' requests.
 type call string
 
