--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -352,6 +352,19 @@
 	}
 }
 
+// An endpoint asks for a pause while a swap is under way there. The order that could not be sent
+// was tried again every 30 ms for 4 s.
+func TestOrderThatMayNotBeSentEndsTheSwap(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		e.limited = true
+		g := newController(e, 1, "x", "y")
+		steps(ctx, g, time.Second, waiting("cold", ""))
+		is.True(e.orders > 0 && e.orders <= 3) // one for each pause after a failure
+	})
+}
+
 // Twelve empty endpoints and as many models that lie nowhere: loaded all at once,
 // they would go beyond what the weight store allows, and the store would be slow
 // for every other customer too.
--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -30,10 +30,12 @@
 	// lose decides what is lost of the next order: nothing, the order or its
 	// answer, or that it is carried out late.
 	lose func() loss
-	// silent endpoints answer no report, those that are down take no connection.
-	silent bool
-	down   bool
-	orders int
+	// silent endpoints answer no report, those that are down take no connection, and limited
+	// ones are not to be called.
+	silent  bool
+	down    bool
+	limited bool
+	orders  int
 }
 
 type past struct {
@@ -103,8 +105,11 @@
 func (e *engine) Order(ctx context.Context, _ fleet.Endpoint, o orders.Order) (orders.Result, error) {
 	e.mu.Lock()
 	e.orders++
-	l, down := e.lose(), e.down
+	l, down, limited := e.lose(), e.down, e.limited
 	e.mu.Unlock()
+	if limited {
+		return 0, orders.ErrLimited
+	}
 	if down {
 		return 0, orders.ErrUnreachable
 	}
--- a/pkg/serve/limited_test.go
+++ b/pkg/serve/limited_test.go
@@ -75,3 +75,17 @@
 		is.True(time.Since(start) >= time.Second)
 	})
 }
+
+// The only other endpoint has asked for a pause. A try that hangs was given up for it, and the
+// request waited for the end of the pause instead.
+func TestTryIsNotGivenUpForAnEndpointInAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		s := newServer(w)
+		s.Health.Signals.Observe(time.Now(), "b", signals.Answer{Pause: time.Minute}, time.Now(), false)
+		r := request("r", fleet.Idempotent, false)
+		is.True(!s.Queue.HasOther(r, "a"))
+		is.True(s.Queue.HasOther(r, "b"))
+	})
+}
--- a/pkg/signals/table_test.go
+++ b/pkg/signals/table_test.go
@@ -18,6 +18,9 @@
 
 var start = time.Unix(1000, 0)
 
+// mostAtOnce is how many requests a host wants to send at the same moment.
+const mostAtOnce = 30
+
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // host returns one host of several that know one another.
@@ -57,8 +60,10 @@
 			for i, l := range all {
 				// A host with nothing to send for some time has its part left.
 				if wants := steady || int(d/time.Second)%3 == i%3; wants {
-					for l.Use(at(d), endpoint) {
-						sent = append(sent, d)
+					for range mostAtOnce {
+						if l.Use(at(d), endpoint) {
+							sent = append(sent, d)
+						}
 					}
 				}
 			}
