A request that waits for the end of a pause looks once more before it is refused

A pause, or the time until a stated rate has room, ends without an event. Now the last look takes a place.

--- a/pkg/serve/dispatch.go
+++ b/pkg/serve/dispatch.go
@@ -226,6 +226,13 @@
 			continue
 		}
 		removed := s.remove(w)
+		if removed && ctx.Err() == nil {
+			// A place may have come free with time alone, and nobody has looked since.
+			if e, ok := d.pick(now, s, w); ok {
+				s.mu.Unlock()
+				return e, nil
+			}
+		}
 		s.wantLater(now, w.need, situation)
 		s.mu.Unlock()
 		if !removed {
