Allowances: hosts that hear nothing owe what large requests take beyond their parts

Cause: what a request takes beyond a host's part is owed for 1.5 s of the part at most, since the controller counts it. Nobody counts at a host that hears nothing, and at 300 hosts the part of a small account is 97 tokens a second where a request costs 700: each let 3.5 times its part through. Found by playing the model with a small account (29,000 tokens a second) at many hosts; the property had only one of 100,000 at up to 30. Change: such a host owes it for 30 s. Model, 300 hosts alone: 840,000 tokens in 8 s before, 381,100 allowed; passes since (TestHostsThatHearNothingOweLargeRequests). TestHotAccountInTheWorstCases has four more cases, of accounts that ask for too much for long.

--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -209,6 +209,33 @@
 	}
 }
 
+// Hundreds of hosts hear nothing, and an account's part of a second is far less than one request at
+// each. What a request took beyond it was forgotten, so that together they let several times
+// the allowance through.
+func TestHostsThatHearNothingOweLargeRequests(t *testing.T) {
+	const hosts, cost = 300, 700.0
+	limited := fleet.Allowance{Unit: fleet.Tokens, Rate: 29_000, Burst: 69_000}
+	var all []*allowance.Local
+	for range hosts {
+		l := allowance.NewLocal(func() {})
+		l.SetHosts(hosts)
+		all = append(all, l)
+	}
+	start := time.Unix(1000, 0)
+	let := 0.0
+	for d := time.Duration(0); d < 20*time.Second; d += 100 * time.Millisecond {
+		for _, l := range all {
+			if ok, _ := l.Allow(start.Add(d), "a", limited, cost); ok && d >= 12*time.Second {
+				let += cost
+			}
+		}
+	}
+	most := (limited.Rate*window.Seconds()+limited.Burst)*(1+over) + slack
+	if let > most {
+		t.Errorf("%.0f in a window, %.0f are allowed", let, most)
+	}
+}
+
 // mostAway is the part of an account's callers up to which their hosts are cut off at a time.
 // Beyond it, what these hosts let through before they know that they are may exceed the bound.
 const mostAway = 0.4
@@ -253,18 +280,23 @@
 		hosts, callers int
 		before, load   float64
 		away           bool
+		span           time.Duration
 	}{
-		{"cut off as it begins", 20, 20, 0.55, 4.1, true},
-		{"a single host", 9, 1, 0.55, 7, false},
-		{"a little beyond, then far", 20, 20, 1.3, 7, false},
-		{"a little beyond, then cut off", 20, 20, 1.3, 4.1, true},
-		{"hardly anything before", 30, 30, 0.05, 7, false},
+		{"cut off as it begins", 20, 20, 0.55, 4.1, true, 6 * time.Second},
+		{"a single host", 9, 1, 0.55, 7, false, 6 * time.Second},
+		{"a little beyond, then far", 20, 20, 1.3, 7, false, 6 * time.Second},
+		{"a little beyond, then cut off", 20, 20, 1.3, 4.1, true, 6 * time.Second},
+		{"hardly anything before", 30, 30, 0.05, 7, false, 6 * time.Second},
+		{"a little beyond for long, then far", 20, 20, 1.3, 7, false, 25 * time.Second},
+		{"a little beyond for long, then cut off", 20, 20, 1.3, 4.1, true, 25 * time.Second},
+		{"twice as much for long, then cut off", 20, 20, 2, 4.1, true, 25 * time.Second},
+		{"twice as much for long at few hosts, then far", 65, 12, 2, 7, false, 25 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(8) {
 				f := newFleet(seed, c.hosts, c.callers)
 				f.play(0.55, 6*time.Second)
-				f.play(c.before, 6*time.Second)
+				f.play(c.before, c.span)
 				for i := 1; c.away && i < c.hosts; i++ {
 					if f.away()+f.weight[i] <= mostAway {
 						f.cut[i] = f.now.Add(7 * time.Second)
--- a/pkg/allowance/local.go
+++ b/pkg/allowance/local.go
@@ -59,6 +59,9 @@
 	// owedFor bounds what a host has let through too much, for a request that is larger than
 	// its part of seconds. The controller counts it in any case.
 	owedFor = 1500 * time.Millisecond
+	// owedAlone is the same for a host that hears nothing: nobody else counts what it lets
+	// through, and its part of a second may be far less than one request.
+	owedAlone = 30 * time.Second
 	// minAfter and maxAfter bound what refused callers are told. Clients do not obey more.
 	minAfter = 300 * time.Millisecond
 	maxAfter = 4 * time.Second
@@ -209,15 +212,15 @@
 	share, near := l.shares[account]
 	switch {
 	case l.heard.IsZero():
-		return newLimit(freshShare*even, freshKept, owedFor)
+		return newLimit(freshShare*even, freshKept, owedAlone)
 	case silence >= forgottenAfter:
-		return newLimit(even, keptFor, owedFor)
+		return newLimit(even, keptFor, owedAlone)
 	case near:
 		part := newLimit((1-spareShare)*share*u.confirmed+spareShare*even, keptFor, owedFor)
 		part.near = true
 		return part
 	case silence >= frozenAfter:
-		return newLimit(max(even, frozenSpare*u.served()), keptFor, owedFor)
+		return newLimit(max(even, frozenSpare*u.served()), keptFor, owedAlone)
 	case now.Sub(u.first) < usualMemory:
 		return newLimit(newSpare*u.allowance.Rate, openKept, 0)
 	}
