--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -311,6 +311,31 @@
 	}
 }
 
+// An account with a small allowance has callers at 300 hosts, and begins to ask for seven times its
+// rate as two fifths of these are cut off. A request costs several seconds of a host's part, and the
+// first one at each host goes through.
+func TestSmallAccountAtHundredsOfHosts(t *testing.T) {
+	const hosts, callers, before, load = 300, 600, 0.1, 2.1
+	small := fleet.Allowance{Unit: fleet.Tokens, Rate: 29_000, Burst: 69_000}
+	const tolerated = 110_000
+	for seed := range uint64(3) {
+		f := newFleet(seed, hosts, callers)
+		f.levels = allowance.NewLevels(allowance.Tolerance{Over: over, Slack: tolerated, Window: window})
+		f.account.Allowance = small
+		f.play(before, 12*time.Second)
+		for i := 1; i < hosts; i++ {
+			if f.away()+f.weight[i] <= mostAway {
+				f.cut[i] = f.now.Add(7 * time.Second)
+			}
+		}
+		f.play(load, 12*time.Second)
+		allowed := (small.Rate*window.Seconds()+small.Burst)*(1+over) + tolerated
+		if most := f.most(); most > allowed {
+			t.Errorf("seed %d: %.0f in a window, %.0f are allowed", seed, most, allowed)
+		}
+	}
+}
+
 // A relay dies, and its hosts ask the controller until they know the next one, which tells for
 // them again. Each was then counted twice for eight seconds, and set aside as one that is cut
 // off: an account near its limit was held far below it.
