--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -50,11 +50,21 @@
 // whose read of the store hangs, or that the store turns away, would keep an old
 // one in force for seconds; every message between hosts tells the version.
 func (g *Gateway) compareConfig(addr string, version int64) {
-	if version > g.configVersion() && addr != "" {
-		go g.askPeerAt(context.Background(), addr)
+	if version <= g.configVersion() || addr == "" {
+		return
 	}
+	go func() {
+		if g.askPeerAt(context.Background(), addr) {
+			g.configMissed.Store(version)
+		}
+	}()
 }
 
+// lacksConfig tells whether another host knows a newer configuration and did not pass it on in time:
+// a large one takes the links of hosts that many others ask for seconds. This host reads the
+// store then.
+func (g *Gateway) lacksConfig() bool { return g.configMissed.Load() > g.configVersion() }
+
 // takeNotice takes in what the controller says, as another host has told it.
 func (g *Gateway) takeNotice(now time.Time, n fleet.Notice) {
 	if !g.news.fresh(n) || !g.board.Notice(now, n) {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -98,6 +98,7 @@
 
 func (g *Gateway) followConfig(ctx context.Context) {
 	f := g.follower(fleet.TopicConfig, g.takeConfigs, g.takeConfigs)
+	f.Told = func() bool { return g.isToldOrWillBe() && !g.lacksConfig() }
 	f.Failed = g.askPeer
 	f.Run(ctx)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -120,6 +120,8 @@
 	noticeNow chan struct{}
 	// listNow asks for a read of the list of endpoints at once.
 	listNow chan struct{}
+	// configMissed is the newest version that another host knew and did not pass on in time.
+	configMissed atomic.Int64
 	// serving is set once callers are served, leaving once the host stops.
 	serving atomic.Bool
 	leaving atomic.Bool
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -47,8 +47,9 @@
 	tree map[string][]relay.Member
 	// relay tells whether this host is one of those, nil until that is looked at.
 	relay *bool
-	// asked is when a peer was last asked for the state.
-	asked time.Time
+	// asked is when a peer was last asked for the state, asking names those that are now.
+	asked  time.Time
+	asking map[string]bool
 	// claimSeen is when the newest claim was first seen.
 	claimSeen time.Time
 	// learned is when the entry of another host last came or changed.
@@ -82,6 +83,7 @@
 		pinned:   map[peer.Fingerprint]bool{},
 		silent:   map[string]time.Time{},
 		failures: map[string]int{},
+		asking:   map[string]bool{},
 		tree:     map[string][]relay.Member{},
 	}
 }
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -52,10 +52,13 @@
 	}
 }
 
-func (g *Gateway) askPeerAt(ctx context.Context, addr string) {
-	if !g.mesh.mayAsk(g.Now()) {
-		return
+// askPeerAt asks a host, unless one was asked just now or this one is being asked. It tells whether
+// a question had no answer.
+func (g *Gateway) askPeerAt(ctx context.Context, addr string) (failed bool) {
+	if !g.mesh.beginAsk(g.Now(), addr) {
+		return false
 	}
+	defer g.mesh.endAsk(addr)
 	request := peer.StateRequest{EndpointsFrom: stateFrom, ConfigVersion: g.configVersion()}
 	if g.reads.Loaded(fleet.TopicEndpoints) {
 		request.EndpointsFrom = g.directory.Offset()
@@ -64,10 +67,10 @@
 	if err != nil {
 		g.mesh.noteSilent(g.Now(), addr)
 		g.log.Info("peer did not answer", "peer", addr, "error", err.Error())
-		return
+		return true
 	}
 	if answer.State == nil {
-		return
+		return false
 	}
 	if answer.State.Config != nil {
 		g.takeConfig(*answer.State.Config)
@@ -76,15 +79,25 @@
 		g.takeEndpoints(fleet.Batch{Entries: answer.State.Endpoints, Next: answer.State.EndpointsNext})
 		g.reads.SetLoaded(fleet.TopicEndpoints)
 	}
+	return false
 }
 
-// mayAsk keeps questions to peers apart.
-func (m *mesh) mayAsk(now time.Time) bool {
+// beginAsk keeps questions to peers apart, and asks none again while its answer is on the way: on
+// a slow link, copies of a large configuration would hold one another up until none comes in
+// time.
+func (m *mesh) beginAsk(now time.Time, addr string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now.Sub(m.asked) < askPause {
+	if now.Sub(m.asked) < askPause || m.asking[addr] {
 		return false
 	}
 	m.asked = now
+	m.asking[addr] = true
 	return true
 }
+
+func (m *mesh) endAsk(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.asking, addr)
+}
