--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -20,9 +20,8 @@
 	// the store is back.
 	listRetryMax = 700 * time.Millisecond
 	// awayPause is the pause after a read that succeeds while the list cannot be read.
-	// Such reads do not wait at the store, and each answer was followed by the next
-	// read: 60 hosts made 21,000 calls in the 14 s around an outage, 3,900 in a whole
-	// minute with it, counted at the store.
+	// Such reads do not wait at the store, so that each answer would be followed by the next
+	// read.
 	awayPause = 500 * time.Millisecond
 	// recheck is how often a pause is looked at again: what it depends on changes
 	// with time alone, as when the word of another host gets too old.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -102,9 +102,8 @@
 
 // fitting returns entries that this host's link carries to all others beside its other
 // messages, or none. After an outage of the store the entries of all endpoints change at
-// once: 93 of them for 77 hosts took a link of 10 Mbit/s for seconds, notices came
-// too late, and other hosts claimed one after the other. Without the entries, each host
-// reads the store.
+// once: they would take a slow link for seconds, notices would come too late, and other hosts
+// would claim one after the other. Without the entries, each host reads the store.
 func (g *Gateway) fitting(entries []fleet.Entry) []fleet.Entry {
 	size := 0
 	for _, e := range entries {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -40,7 +40,7 @@
 	controllerListPoll = 350 * time.Millisecond
 	// leafListPoll is, for each host, the period in which hosts read the list that are told
 	// by others which cannot read it either, so that all together make some twenty calls
-	// a second: 295 hosts made 420 while the store was away.
+	// a second.
 	leafListPoll = 50 * time.Millisecond
 	// toldListPoll is the period of a host that learns all topics from others.
 	toldListPoll = time.Minute
@@ -50,14 +50,11 @@
 	gatherTime = 300 * time.Millisecond
 	gatherHost = 3 * time.Millisecond
 	// listWakeParts is the part, as a divisor, of the time in which a leaving endpoint must have
-	// been noticed that separates two reads of the list which were asked for by what another
-	// host has told: at a start each of its answers asked for one, five reads in a quarter
-	// of a second.
+	// been noticed that separates two reads of the list that were asked for by what another
+	// host has told: at a start each of its answers asks for one.
 	listWakeParts = 4
 	// startGrace is for how long a host that has just started rests its reads, since others
-	// will tell it: a relay has read the entries of hosts and the claim by then. With the rest
-	// of what a start does it halves the calls: 12.9 to 7.1 a host in the first 3 s of 78
-	// hosts, counted by topic.
+	// will tell it: a relay has read the entries of hosts and the claim by then.
 	startGrace = 1500 * time.Millisecond
 	// startLook is how often a host that rests its first reads looks whether others tell it.
 	startLook = 50 * time.Millisecond
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -27,8 +27,7 @@
 
 // listFrom returns what has changed in the list from an offset on, or all of it. It is
 // called with the feed locked. Heartbeats change nothing that a host needs which knew the
-// endpoints before: with 3,000 of them each answer was 2.7 MB, and while the controller
-// changes, three hundred hosts ask.
+// endpoints before, and while the controller changes all hosts ask for it.
 func (g *Gateway) listFrom(from int64) []fleet.Entry {
 	var out []fleet.Entry
 	if from == stateFrom {
--- a/pkg/orders/track.go
+++ b/pkg/orders/track.go
@@ -250,8 +250,7 @@
 	}
 	if t.coming != "" {
 		// Unloads may wait for seconds. Unless the model counts from the decision
-		// on, another of its homes would be swapped for the same requests, as were 66
-		// of 645 swaps, counted in logs.
+		// on, another of its homes would be swapped for the same requests.
 		e.Residents = append(e.Residents, residency.Resident{Model: t.coming, MB: engine.Models[t.coming].WeightsMB})
 	}
 	slices.SortFunc(e.Residents, func(a, b residency.Resident) int {
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -207,9 +207,8 @@
 }
 
 // awaitRetry waits for the budget to allow a retry of a request that has not run. Refused
-// at once, its client would come back as a new request and cost another arrival: of 9,000
-// requests for rare models 250 were refused after a single rejection, with ten seconds of
-// their time left. What another endpoint may have run, or has answered, does not wait.
+// at once, its client would come back as a new request and cost another arrival, or be refused
+// with most of its time left. What another endpoint may have run, or has answered, does not wait.
 func (x *exchange) awaitRetry(ctx context.Context) bool {
 	if x.result.Runs > 0 || x.kept != nil {
 		return false
