Signals of an endpoint that is gone are not taken in

A host that does not know yet that an endpoint is gone tells of it with each answer, since the sums differ. The others took that in, dropped it at the next look, and woke one another each time. Found by reading. TestSignalsOfAnEndpointThatIsGoneAreNotTakenIn fails without it.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -363,6 +363,14 @@
 	return e != nil && (e.Draining || e.gone)
 }
 
+// Gone tells whether an endpoint is known to have ended.
+func (d *Directory) Gone(id EndpointID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	return e != nil && e.gone
+}
+
 // Prune drops the endpoints that have been gone for long. Otherwise each one that
 // is replaced would take about a kilobyte for the life of the process. Endpoints
 // that live have newer entries than those dropped: they write one each second. It
--- a/pkg/gateway/signals.go
+++ b/pkg/gateway/signals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -35,8 +36,11 @@
 	g.children.wake()
 }
 
-// takeSignals takes in what another host tells, and lets others hear of it.
+// takeSignals takes in what another host tells, and lets others hear of it. A host that does not
+// know yet that an endpoint is gone goes on to tell of it: taken in and dropped again each time,
+// it would wake all hosts.
 func (g *Gateway) takeSignals(now time.Time, told []fleet.EndpointSignal) {
+	told = slices.DeleteFunc(told, func(s fleet.EndpointSignal) bool { return g.directory.Gone(s.Endpoint) })
 	news := g.health.Signals.Take(now, told)
 	for _, s := range news {
 		g.logSignal(s, "host")
--- a/pkg/gateway/signals_inner_test.go
+++ b/pkg/gateway/signals_inner_test.go
@@ -67,6 +67,20 @@
 	is.Equal(len(usable(known, now)), 0)
 }
 
+// An endpoint that had stated a rate is gone, and one host does not know that. The others took its
+// word in and dropped it again in turn, and woke one another each time.
+func TestSignalsOfAnEndpointThatIsGoneAreNotTakenIn(t *testing.T) {
+	is := is.New(t)
+	g := relayHost()
+	now := g.Now()
+	g.directory.Apply(now, 0, fleet.Endpoint{ID: "e", Service: "s"})
+	g.directory.Remove(now, 1, "e")
+	before := g.telling()
+	g.takeSignals(now, []fleet.EndpointSignal{{Endpoint: "e", Version: 1, Limited: true, Rate: 1}})
+	is.True(!g.telling().newerThan(before))
+	is.Equal(g.health.Signals.Sum(), uint64(0))
+}
+
 // plainEndpoints answer all calls.
 type plainEndpoints struct{ Endpoints }
 
