--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// askPeerAt asks a host, unless one was asked just now or this one is being asked. It tells whether
+// askPeerAt asks a host, unless one was asked just now or a question to it is under way. It tells whether
 // a question had no answer.
 func (g *Gateway) askPeerAt(ctx context.Context, addr string) (failed bool) {
 	if !g.mesh.beginAsk(g.Now(), addr) {
