Sending a request, and orders and requests at the stand-in of endpoints, in files of their own

pkg/serve/server.go and internal/standin/site/endpoint.go had grown to 456 lines each with several jobs: what a request goes through and one send of it; what an endpoint is, its orders and its requests.

--- /dev/null
+++ b/internal/standin/site/requests.go
@@ -0,0 +1,112 @@
+package site
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// serve answers a client's request.
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("X-Request-Attempt-Id")
+	w.Header().Set("X-Request-Attempt-Id", id)
+	w.Header().Set("X-Instance-Id", e.config.ID)
+	b, status := e.admit(r, id, string(body))
+	if status != 0 {
+		if status != http.StatusMisdirectedRequest {
+			w.Header().Set("X-Request-Not-Run", "1")
+		}
+		if b.Pause != "" {
+			w.Header().Set("Retry-After", b.Pause)
+		}
+		w.WriteHeader(status)
+		return
+	}
+	defer e.done()
+	select {
+	case <-time.After(b.Delay):
+	case <-r.Context().Done():
+		return
+	}
+	if b.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	if e.config.CrashOn != "" && string(body) == e.config.CrashOn {
+		e.Close()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Server-Signature", "sig-"+id)
+	if b.Status != 0 {
+		w.WriteHeader(b.Status)
+		return
+	}
+	if e.config.Events == 0 {
+		_, _ = io.WriteString(w, "answer to "+id) // The caller may have gone.
+		return
+	}
+	e.stream(w, r, b)
+}
+
+// admit decides whether a request runs, and notes it if so.
+func (e *Endpoint) admit(r *http.Request, id, body string) (Behavior, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	model, adapter, _ := strings.Cut(r.Header.Get("X-Model-Name"), "/")
+	var b Behavior
+	if e.config.Behave != nil {
+		b = e.config.Behave(id, model, len(e.runs))
+	}
+	held := e.holds[model]
+	switch {
+	case r.Header.Get("X-Expected-Instance") != e.config.ID:
+		return b, http.StatusMisdirectedRequest
+	case len(e.config.Models) > 0 && (held == nil || adapter != "" && !held[adapter]):
+		return b, http.StatusMisdirectedRequest
+	case b.Reject || e.running >= e.config.Slots:
+		return b, http.StatusServiceUnavailable
+	}
+	e.running++
+	e.runs = append(e.runs, Run{ID: id, Model: model, Path: r.RequestURI, Body: body, From: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone()})
+	return b, 0
+}
+
+func (e *Endpoint) done() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+// stream sends events with growing IDs, from the one after Last-Event-Id on.
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, b Behavior) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	// Without an ID the stream starts at its first event.
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for sent, n := 0, last+1; n <= e.config.Events; n++ {
+		if b.BreakAfter > 0 && sent == b.BreakAfter {
+			// A part of an event goes out before the connection breaks.
+			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+			return
+		}
+		if control.Flush() != nil {
+			return
+		}
+		sent++
+		select {
+		case <-time.After(e.config.Pace):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
