--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// reportLag is how old an endpoint's report of itself may be; seen up to 200 ms.
+	// reportLag is how old an endpoint's report of itself may be.
 	reportLag = 250 * time.Millisecond
 	// listLag is how old an entry of the list may be, about two heartbeats.
 	listLag = 2500 * time.Millisecond
@@ -42,7 +42,7 @@
 	// unsureReady is what is told of a load whose end is not known, a little more
 	// than the lag of reports.
 	unsureReady = 300 * time.Millisecond
-	// unloadTime is how long an endpoint takes to unload an idle model, as seen.
+	// unloadTime is how long an endpoint takes to unload an idle model.
 	unloadTime = 62 * time.Millisecond
 	// adapterTime is how long an adapter takes from order to use: 5 to 10 ms are
 	// stated, and a margin.
