Orders: log the reports that orders and trackers are checked against

The hypotheses for LIMIT differ in what an endpoint reports when an order is taken for accepted. An order confirmed by a report left no line, and neither did an applied report. Two lines more at the controller, only after a conflict, a lost response or a resynchronization. No change of behaviour.

--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -220,9 +220,19 @@
 		t.mu.Unlock()
 		return
 	}
+	c.logReport("endpoint report applied", e, r)
 	t.applyReport(now, r)
 }
 
+// logReport logs what an endpoint has reported.
+func (c *Controller) logReport(message string, e fleet.Endpoint, r fleet.Report, args ...any) {
+	var models []string
+	for _, h := range r.Loaded {
+		models = append(models, h.Model)
+	}
+	c.Log.Info(message, append(args, "endpoint", e.ID, "sequence", r.Sequence, "busy", r.Busy, "loaded", models)...)
+}
+
 // excluded reports whether an endpoint gets no models and its models do not count as
 // replicas.
 func (c *Controller) excluded(t *endpointTracker) bool {
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -114,6 +114,9 @@
 		return abandoned
 	}
 	r, err := c.report(ctx, e)
+	if err == nil {
+		c.logReport("order checked against report", e, r, "expected", o.Expected, "unanswered", true)
+	}
 	if err != nil || !t.confirmOrder(r, o) {
 		return abandoned
 	}
@@ -151,6 +154,9 @@
 func (c *Controller) handleConflict(ctx context.Context, t *endpointTracker, e fleet.Endpoint, s *outgoingOrder) orderState {
 	if s.conflicts%conflictsPerReport == 0 {
 		r, err := c.report(ctx, e)
+		if err == nil {
+			c.logReport("order checked against report", e, r, "expected", s.order.Expected, "unanswered", s.unanswered)
+		}
 		switch {
 		case err != nil || r.Sequence == s.order.Expected:
 		case s.unanswered && t.confirmOrder(r, s.order):
