--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -29,6 +29,10 @@
 	faults  []string
 	// nextLoss returns what happens to the next order.
 	nextLoss func() loss
+	// delay is how long after it was sent a delayed order is executed.
+	delay time.Duration
+	// restarts counts the restarts.
+	restarts int64
 	// silent makes reports fail, down makes connections fail and limited makes orders fail
 	// with ErrRateLimited.
 	silent  bool
@@ -52,7 +56,7 @@
 )
 
 func newEngine(capacity float64, weights map[string]float64, holds ...string) *engine {
-	e := &engine{capacity: capacity, weights: weights, holds: map[string]map[string]bool{}, nextLoss: func() loss { return noLoss }}
+	e := &engine{capacity: capacity, weights: weights, holds: map[string]map[string]bool{}, nextLoss: func() loss { return noLoss }, delay: 3 * time.Second}
 	for _, h := range holds {
 		e.holds[h] = map[string]bool{}
 	}
@@ -104,6 +108,7 @@
 	e.mu.Lock()
 	e.orders++
 	l, down, limited := e.nextLoss(), e.down, e.limited
+	delay := e.delay
 	e.mu.Unlock()
 	if limited {
 		return 0, orders.ErrRateLimited
@@ -120,7 +125,7 @@
 		<-ctx.Done()
 		return 0, errors.Join(orders.ErrNoResponse, ctx.Err())
 	case delayedOrder:
-		time.AfterFunc(3*time.Second, func() { e.execute(o) })
+		time.AfterFunc(delay, func() { e.execute(o) })
 		<-ctx.Done()
 		return 0, errors.Join(orders.ErrNoResponse, ctx.Err())
 	}
@@ -149,9 +154,13 @@
 		delete(e.holds, o.Model)
 	default:
 		e.loading = o.Model
+		restarts := e.restarts
 		time.AfterFunc(loadTime, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
+			if e.restarts != restarts {
+				return
+			}
 			e.loading = ""
 			e.holds[o.Model] = map[string]bool{}
 			e.record()
@@ -166,6 +175,7 @@
 func (e *engine) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.restarts++
 	e.holds = map[string]map[string]bool{}
 	e.loading = ""
 	e.sequence = 0
@@ -174,6 +184,13 @@
 	e.record()
 }
 
+// id identifies the current incarnation.
+func (e *engine) id() fleet.EndpointID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fleet.NewEndpointID("e", e.restarts+1)
+}
+
 func (e *engine) held() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/orders/send_test.go
+++ b/pkg/orders/send_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
+	"pgregory.net/rapid"
 )
 
 // Guards against slow retries when every other order gets no response.
@@ -85,3 +86,63 @@
 		is.Equal(e.held(), []string{"big"})
 	})
 }
+
+// Guards against mistaking another host's delayed unload for an own one that got no response, and so
+// counting the memory of a model that is still loaded as free.
+func TestForeignUnloadIsNotMistakenForOwn(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		e.nextLoss = func() loss {
+			if e.orders > 1 {
+				return noLoss
+			}
+			time.AfterFunc(time.Millisecond, func() {
+				is.Equal(e.execute(orders.Order{Model: "y", Expected: 0, Token: 1}), orders.Accepted)
+			})
+			return lostOrder
+		}
+		c := newController(e, 2, "x", "y")
+		steps(ctx, c, 4*time.Second, waiting("big", ""))
+		is.Equal(len(e.faults), 0)
+		is.Equal(e.held(), []string{"big"})
+	})
+}
+
+// Guards against exceeding an endpoint's memory when a new controller takes over while orders of
+// the former one are still to be executed, and when the endpoint restarts meanwhile.
+func TestTakeoverWithDelayedOrdersDoesNotOvercommit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		delays := rapid.SliceOfN(rapid.IntRange(-6000, 6000), 80, 80).Draw(rt, "delay_ms")
+		terms := rapid.SliceOfN(rapid.IntRange(300, 3000), 5, 5).Draw(rt, "term_ms")
+		requested := rapid.SliceOfN(rapid.SampledFrom([]string{"x", "y", "cold", "big"}), 10, 10).Draw(rt, "wants")
+		restartIn := rapid.IntRange(0, len(terms)*2).Draw(rt, "restart")
+		var faults []string
+		run(t, func(ctx context.Context) {
+			e := newEngine(130, weights, "x", "y")
+			e.nextLoss = func() loss {
+				if d := delays[e.orders%len(delays)]; d > 0 {
+					e.delay = time.Duration(d) * time.Millisecond
+					return delayedOrder
+				}
+				return noLoss
+			}
+			for i, ms := range terms {
+				c := newController(e, int64(i+1), "x", "y")
+				c.Endpoints = func(time.Time) []fleet.View {
+					return []fleet.View{{Endpoint: fleet.Endpoint{ID: e.id(), Service: "llm", OnDisk: []string{"cold", "x", "y", "big"}}}}
+				}
+				for half := range 2 {
+					if 2*i+half == restartIn {
+						e.restart()
+					}
+					steps(ctx, c, time.Duration(ms)*time.Millisecond, rare(requested[2*i+half], ""))
+				}
+			}
+			faults = e.faults
+		})
+		if len(faults) > 0 {
+			rt.Fatalf("endpoint memory exceeded: %v", faults)
+		}
+	})
+}
