Orders: take an order for accepted only if the endpoint's report shows its effect

What callers saw: an endpoint that is ordered to load more than its memory holds crashes; its requests fail and its models are gone.

Cause: after a lost response confirmOrder took a sequence that had advanced by one as proof of the host's own order. It may have been advanced by a delayed order of a former controller. Class: another party's event taken for one's own because a counter moved.

Fix: the models were known at the expected sequence, so that the effect in a report with the next sequence names the order that was accepted. An idle endpoint without the effect has accepted another order: the swap is abandoned and the endpoint asked anew. A load that may be in progress counts, but the endpoint gets no order before its next report. The expected sequence of the last abandoned order is no longer kept, the effect covers it.

--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -17,11 +17,8 @@
 	// synced is set once the endpoint's own report was applied under this claim.
 	synced   bool
 	sequence int64
-	// uncertain is the expected sequence of an order that was abandoned without a response,
-	// or noSequence.
-	uncertain int64
-	models    map[string]*resident
-	copies    map[string]residency.Tier
+	models   map[string]*resident
+	copies   map[string]residency.Tier
 	// busy is set while a swap or a report request is in progress. incoming is the
 	// model of the swap until its load has started.
 	busy     bool
@@ -43,9 +40,6 @@
 	orderMu sync.Mutex
 }
 
-// noSequence is lower than every sequence.
-const noSequence = -1
-
 type resident struct {
 	readyAt   time.Time
 	since     time.Time
@@ -62,7 +56,7 @@
 }
 
 func newEndpointTracker(v fleet.View) *endpointTracker {
-	t := &endpointTracker{uncertain: noSequence, endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true}
+	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true}
 	t.replaceModels(time.Time{}, v.Loaded)
 	t.offset = v.Offset
 	t.updateCopies(time.Time{}, v.Endpoint)
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -25,9 +25,6 @@
 	for state == pending && c.Now().Before(deadline) && ctx.Err() == nil && c.Election.OrderToken(c.Now()) == token && c.OrdersAllowed() {
 		state = c.sendOnce(ctx, t, &s)
 	}
-	if state != accepted && s.unanswered {
-		t.markUncertain(s.order.Expected)
-	}
 	return state == accepted
 }
 
@@ -64,7 +61,7 @@
 		wait.For(ctx, conflictRetryDelay)
 		return pending
 	case result == Done && s.unanswered && o.Adapter == "":
-		return c.verifyOrder(ctx, t, e, o)
+		return c.verifyOrder(ctx, t, e, s)
 	case result == Accepted || result == Done:
 		t.advance(result, o)
 		return accepted
@@ -87,14 +84,6 @@
 	}
 }
 
-// markUncertain records that an order was abandoned that may still be executed. It could be
-// mistaken for a later one with the same expected sequence.
-func (t *endpointTracker) markUncertain(expected int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.uncertain = expected
-}
-
 func outcome(r Result, err error) string {
 	if err != nil {
 		return err.Error()
@@ -109,30 +98,66 @@
 }
 
 // verifyOrder checks the endpoint's report after a repeated order found its work done.
-func (c *Controller) verifyOrder(ctx context.Context, t *endpointTracker, e fleet.Endpoint, o Order) orderState {
+func (c *Controller) verifyOrder(ctx context.Context, t *endpointTracker, e fleet.Endpoint, s *outgoingOrder) orderState {
 	if !wait.For(ctx, reportLag) {
 		return abandoned
 	}
-	r, err := c.report(ctx, e)
-	if err == nil {
-		c.logReport("order checked against report", e, r, "expected", o.Expected, "unanswered", true)
+	if state := c.checkOrder(ctx, t, e, s); state == accepted {
+		return accepted
 	}
-	if err != nil || !t.confirmOrder(r, o) {
-		return abandoned
+	return abandoned
+}
+
+// checkOrder requests the endpoint's report to decide on an order that conflicted or got no
+// response.
+func (c *Controller) checkOrder(ctx context.Context, t *endpointTracker, e fleet.Endpoint, s *outgoingOrder) orderState {
+	r, err := c.report(ctx, e)
+	if err != nil {
+		return pending
 	}
-	return accepted
+	c.logReport("order checked against report", e, r, "expected", s.order.Expected, "unanswered", s.unanswered)
+	return t.resolveOrder(r, s)
 }
 
-// confirmOrder updates the sequence from a report after an order without a response. It
-// reports whether the report shows that exactly this order was accepted.
-func (t *endpointTracker) confirmOrder(r fleet.Report, o Order) bool {
+// resolveOrder decides from a report whether an order was accepted or is abandoned. It updates
+// the sequence if the order was accepted.
+//
+// A sequence that has advanced by one shows that some order was accepted, which may be a delayed
+// one of another host or of this one. The models were known at the expected sequence, so that the
+// presence of the order's effect tells which.
+func (t *endpointTracker) resolveOrder(r fleet.Report, s *outgoingOrder) orderState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Sequence != o.Expected+1 || t.uncertain == o.Expected {
-		return false
+	o := s.order
+	switch {
+	case r.Sequence < o.Expected && s.conflicts > conflictsPerReport:
+		return abandoned
+	case r.Sequence <= o.Expected:
+		return pending
+	case !s.unanswered || r.Sequence > o.Expected+1:
+		return abandoned
+	case o.inEffect(r):
+		t.sequence = r.Sequence
+		return accepted
+	case !r.Busy:
+		return abandoned
+	case o.Load:
+		// A report does not name the model that is being loaded. The endpoint gets no further
+		// order before its next report.
+		t.sequence = r.Sequence
+		t.synced = false
+		return accepted
+	}
+	return pending
+}
+
+// inEffect reports whether the models in the report are as the order requires.
+func (o Order) inEffect(r fleet.Report) bool {
+	held := holds(r, o.Model)
+	if o.Adapter != "" {
+		held = holdsAdapter(r, o.Model, o.Adapter)
 	}
-	t.sequence = r.Sequence
-	return true
+	return held == o.Load
 }
 
 // orderState is the state of an order after an attempt to send it.
@@ -153,16 +178,8 @@
 // endpoint's report to decide whether the order may be sent again.
 func (c *Controller) handleConflict(ctx context.Context, t *endpointTracker, e fleet.Endpoint, s *outgoingOrder) orderState {
 	if s.conflicts%conflictsPerReport == 0 {
-		r, err := c.report(ctx, e)
-		if err == nil {
-			c.logReport("order checked against report", e, r, "expected", s.order.Expected, "unanswered", s.unanswered)
-		}
-		switch {
-		case err != nil || r.Sequence == s.order.Expected:
-		case s.unanswered && t.confirmOrder(r, s.order):
-			return accepted
-		case s.conflicts > conflictsPerReport || r.Sequence > s.order.Expected:
-			return abandoned
+		if state := c.checkOrder(ctx, t, e, s); state != pending {
+			return state
 		}
 	}
 	if !wait.For(ctx, conflictRetryDelay) {
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -95,6 +95,15 @@
 	return slices.ContainsFunc(r.Loaded, func(h fleet.LoadedModel) bool { return h.Model == model })
 }
 
+// holdsAdapter reports whether an adapter is loaded or being loaded.
+func holdsAdapter(r fleet.Report, model, name string) bool {
+	return slices.ContainsFunc(r.Loaded, func(h fleet.LoadedModel) bool { return h.Model == model && slices.Contains(h.Adapters, name) }) ||
+		slices.ContainsFunc(r.Loading, func(loading string) bool {
+			m, a := splitAdapter(loading)
+			return m == model && a == name
+		})
+}
+
 func (c *Controller) report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
