Orders: end an order that is still retried once its endpoint has restarted

Cause: a swap of the former incarnation went on. Its load was retried, with the sequence that it expected there, at the address and under the name that the new incarnation has too, and fitted by chance once the new one had accepted as many orders.

Fix: an order ends when the endpoint of its tracker is no longer live. Loads that were sent before are covered by the memory reserved for them at new incarnations.

TestSwapEndsWhenEndpointRestarts fails without it (170 MB of 130).

--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -166,8 +166,9 @@
 			byService[v.Service] = append(byService[v.Service], t)
 		}
 	}
-	for id := range c.trackers {
+	for id, t := range c.trackers {
 		if !live[id] {
+			t.markReplaced()
 			delete(c.trackers, id)
 		}
 	}
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -35,6 +35,9 @@
 	// retryAt is the earliest time of the next attempt after a failure.
 	retryAt time.Time
 	changed bool
+	// replaced is set once the endpoint is no longer live. Its address and name may belong to a new
+	// incarnation with its own order sequence.
+	replaced bool
 
 	// orderMu serializes the orders to the endpoint, so that their sequence has no gaps.
 	orderMu sync.Mutex
@@ -112,6 +115,13 @@
 	}
 }
 
+// markReplaced ends the orders to the endpoint that are still being retried.
+func (t *endpointTracker) markReplaced() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.replaced = true
+}
+
 // replaceModels replaces the tracked models with those that the endpoint holds.
 func (t *endpointTracker) replaceModels(now time.Time, holds []fleet.LoadedModel) {
 	old := t.models
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -43,9 +43,12 @@
 func (c *Controller) sendOnce(ctx context.Context, t *endpointTracker, s *outgoingOrder) orderState {
 	t.mu.Lock()
 	s.order.Expected = t.sequence
-	e := t.endpoint
+	e, replaced := t.endpoint, t.replaced
 	t.lastOrder = c.Now()
 	t.mu.Unlock()
+	if replaced {
+		return abandoned
+	}
 	o := s.order
 	result, err := c.send(ctx, e, o)
 	c.Log.Info("order attempted", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", o.Token, "result", outcome(result, err))
--- a/pkg/orders/unansweredload_test.go
+++ b/pkg/orders/unansweredload_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
 )
 
 // Guards against a delayed load that a restarted endpoint executes in addition to the
@@ -49,3 +50,29 @@
 	r.Needs[0].Arrived = 0
 	return r
 }
+
+// restarting returns a controller whose endpoint restarts under its name when restart is called.
+func restarting(e *engine) *orders.Controller {
+	c := newController(e, 1)
+	c.Endpoints = func(time.Time) []fleet.View {
+		return []fleet.View{{Endpoint: fleet.Endpoint{ID: e.id(), Service: "llm", OnDisk: []string{"big", "cold", "x", "y"}}}}
+	}
+	return c
+}
+
+// Guards against a swap that continues after its endpoint has restarted: the new incarnation would
+// execute the load in addition to the models that it was given since.
+func TestSwapEndsWhenEndpointRestarts(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		c := restarting(e)
+		for e.orders == 0 {
+			steps(ctx, c, 20*time.Millisecond, rare("cold", ""))
+		}
+		e.restart()
+		steps(ctx, c, 4*time.Second, rare("big", ""))
+		is.Equal(len(e.faults), 0)
+		is.Equal(e.held(), []string{"big"})
+	})
+}
