Orders: reserve memory for a load from the moment it is sent

What callers saw: nothing yet, found by reading beside the fault mended before it.

Cause: memory for a load that a new incarnation may still execute was reserved only once its response had timed out. Until then, a quarter of a second, a new incarnation could be given a model that leaves no room for the load in flight.

Fix: a load is recorded before it is sent, and forgotten with its response or if it was not sent.

TestMemoryIsReservedForLoadInFlight fails without it (170 MB of 130). 3,000 random schedules each of TestTakeoverWithDelayedOrdersDoesNotOvercommit and TestLostAndDelayedOrdersDoNotOvercommit pass.

--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -50,7 +50,11 @@
 		return abandoned
 	}
 	o := s.order
+	sent := c.unansweredLoads.add(c.Now(), e.ID, o, c.weightsMB(e.Service, o.Model))
 	result, err := c.send(ctx, e, o)
+	if err == nil || errors.Is(err, ErrUnreachable) || errors.Is(err, ErrRateLimited) {
+		c.unansweredLoads.remove(sent)
+	}
 	c.Log.Info("order attempted", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", o.Token, "result", outcome(result, err))
 	switch {
 	case errors.Is(err, ErrUnreachable):
@@ -60,7 +64,6 @@
 		return abandoned
 	case err != nil:
 		s.unanswered = true
-		c.unansweredLoads.add(c.Now(), e.ID, o, c.weightsMB(e.Service, o.Model))
 		wait.For(ctx, conflictRetryDelay)
 		return pending
 	case result == Done && s.unanswered && o.Adapter == "":
--- a/pkg/orders/unansweredload.go
+++ b/pkg/orders/unansweredload.go
@@ -12,7 +12,7 @@
 // executed.
 const unansweredLoadTTL = 15 * time.Second
 
-// unansweredLoad is a load order that got no response.
+// unansweredLoad is a load order that is in flight or got no response.
 type unansweredLoad struct {
 	to       fleet.EndpointID
 	sent     time.Time
@@ -20,8 +20,8 @@
 	mb       float64
 }
 
-// unansweredLoads holds the load orders that got no response, by endpoint name. It is safe
-// for concurrent use.
+// unansweredLoads holds the load orders that are in flight or got no response, by endpoint name. It
+// is safe for concurrent use.
 //
 // A delayed load order may arrive after the endpoint has restarted under its name and reset
 // its order sequence. Once the new incarnation has accepted as many orders as the load
@@ -31,26 +31,39 @@
 // same expected sequence excludes the load.
 type unansweredLoads struct {
 	mu     sync.Mutex
-	byName map[string][]unansweredLoad
+	byName map[string][]*unansweredLoad
 }
 
-// add records a load order that got no response.
-func (s *unansweredLoads) add(now time.Time, to fleet.EndpointID, o Order, mb float64) {
+// add records a load order that is about to be sent. It returns nil for other orders.
+func (s *unansweredLoads) add(now time.Time, to fleet.EndpointID, o Order, mb float64) *unansweredLoad {
 	if !o.Load || o.Adapter != "" {
-		return // Adapters are small and limited in number.
+		return nil // Adapters are small and limited in number.
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byName == nil {
-		s.byName = map[string][]unansweredLoad{}
+		s.byName = map[string][]*unansweredLoad{}
 	}
 	for name, list := range s.byName {
-		list = slices.DeleteFunc(list, func(x unansweredLoad) bool { return now.Sub(x.sent) >= unansweredLoadTTL })
+		list = slices.DeleteFunc(list, func(x *unansweredLoad) bool { return now.Sub(x.sent) >= unansweredLoadTTL })
 		if s.byName[name] = list; len(list) == 0 {
 			delete(s.byName, name)
 		}
 	}
-	s.byName[to.Name()] = append(s.byName[to.Name()], unansweredLoad{to: to, sent: now, expected: o.Expected, mb: mb})
+	x := &unansweredLoad{to: to, sent: now, expected: o.Expected, mb: mb}
+	s.byName[to.Name()] = append(s.byName[to.Name()], x)
+	return x
+}
+
+// remove forgets an order that got its response or was not sent. x may be nil.
+func (s *unansweredLoads) remove(x *unansweredLoad) {
+	if x == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := x.to.Name()
+	s.byName[name] = slices.DeleteFunc(s.byName[name], func(y *unansweredLoad) bool { return x == y })
 }
 
 // reservedMB returns the most memory that a load sent to a former incarnation may still
--- a/pkg/orders/unansweredload_test.go
+++ b/pkg/orders/unansweredload_test.go
@@ -76,3 +76,26 @@
 		is.Equal(e.held(), []string{"big"})
 	})
 }
+
+// Guards against a load that is in flight while its endpoint restarts, and is executed after the new
+// incarnation was given another model.
+func TestMemoryIsReservedForLoadInFlight(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		e.delay = 900 * time.Millisecond
+		e.nextLoss = func() loss {
+			if e.orders == 2 {
+				return delayedOrder // the load of the first swap
+			}
+			return noLoss
+		}
+		c := restarting(e)
+		for e.orders < 2 {
+			steps(ctx, c, 20*time.Millisecond, rare("cold", ""))
+		}
+		e.restart()
+		steps(ctx, c, 4*time.Second, rare("big", ""))
+		is.Equal(len(e.faults), 0)
+	})
+}
