Orders: request no report while adapters are being loaded

Cause: a report was requested unless a swap was in progress. One that was applied during the load of an adapter dropped the adapter's reservation and replaced the sequence, which the order's response then advanced past the models in the report. The next load counted a free slot too many. Besides, an adapter whose unload had failed was forgotten at once, and a failed load at an endpoint whose model was gone left the endpoint in use.

Fix: loads of adapters count as orders in progress; a victim is forgotten only once its unload was accepted; each failed load has the endpoint asked anew. Orders to an endpoint wait on a channel, so that waiting ends with the context (and virtual time goes on in tests).

The stand-in endpoint counts adapter slots now.

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -152,6 +152,7 @@
 	}
 	// The adapter becomes ready when loadAdapter replaces this entry.
 	t.models[model].adapters[name] = &adapter{readyAt: now.Add(time.Hour), usedAt: now}
+	t.adapterLoads++
 	t.changed = true
 	return victim
 }
@@ -161,7 +162,7 @@
 	if victim != nil {
 		ok = c.order(ctx, t, token, Order{Model: victim.model, Adapter: victim.name})
 		t.mu.Lock()
-		if r := t.models[victim.model]; r != nil {
+		if r := t.models[victim.model]; r != nil && ok {
 			delete(r.adapters, victim.name)
 		}
 		t.mu.Unlock()
@@ -171,15 +172,18 @@
 	now := c.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.adapterLoads--
 	t.changed = true
 	r := t.models[model]
-	if r == nil {
-		return
-	}
 	if !ok {
-		delete(r.adapters, name)
 		t.synced = false
 		t.retryAt = now.Add(failureBackoff)
+	}
+	switch {
+	case r == nil:
+		return
+	case !ok:
+		delete(r.adapters, name)
 		return
 	}
 	r.adapters[name] = &adapter{readyAt: now, usedAt: now}
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -189,7 +189,7 @@
 func (c *Controller) requestReports(ctx context.Context, now time.Time, trackers []*endpointTracker) {
 	for _, t := range trackers {
 		t.mu.Lock()
-		due := !t.synced && !t.busy && !now.Before(t.retryAt) && !now.Before(t.busyUntil)
+		due := !t.synced && t.idle() && !now.Before(t.retryAt) && !now.Before(t.busyUntil)
 		if due {
 			t.busy = true
 			t.lastReportRequest = now
--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -26,7 +26,7 @@
 	}
 	return &fleet.Config{Version: 1, Services: map[string]fleet.Service{"llm": {
 		Name:   "llm",
-		Engine: &fleet.Engine{Slots: 8, WeightsMB: 130, AdapterSlots: 2, LoadsPerSecond: 4, Models: models},
+		Engine: &fleet.Engine{Slots: 8, WeightsMB: 130, AdapterSlots: adapterSlots, LoadsPerSecond: 4, Models: models},
 	}}}
 }
 
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -23,6 +23,8 @@
 	// model of the swap until its load has started.
 	busy     bool
 	incoming string
+	// adapterLoads counts the adapter loads in progress, including the unloads that they need.
+	adapterLoads int
 	// busyUntil is when the current load ends.
 	busyUntil time.Time
 	// lastOrder is when the last order was sent.
@@ -39,8 +41,9 @@
 	// incarnation with its own order sequence.
 	replaced bool
 
-	// orderMu serializes the orders to the endpoint, so that their sequence has no gaps.
-	orderMu sync.Mutex
+	// orderSlot holds an element while an order to the endpoint is in progress. Orders are
+	// serialized so that their sequence has no gaps.
+	orderSlot chan struct{}
 }
 
 type resident struct {
@@ -59,7 +62,7 @@
 }
 
 func newEndpointTracker(v fleet.View) *endpointTracker {
-	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true}
+	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true, orderSlot: make(chan struct{}, 1)}
 	t.replaceModels(time.Time{}, v.Loaded)
 	t.offset = v.Offset
 	t.updateCopies(time.Time{}, v.Endpoint)
@@ -88,7 +91,7 @@
 	defer t.mu.Unlock()
 	t.reach.reported = now
 	t.updateReachability(now)
-	if !t.reach.failed && !t.busy && now.Sub(t.lastReportRequest) > failureBackoff {
+	if !t.reach.failed && t.idle() && now.Sub(t.lastReportRequest) > failureBackoff {
 		t.synced = false
 	}
 }
@@ -100,6 +103,9 @@
 	t.backoffReported = now
 }
 
+// idle reports whether no order and no report request is in progress. mu must be held.
+func (t *endpointTracker) idle() bool { return !t.busy && t.adapterLoads == 0 }
+
 // markUnreachable records that this host could not connect.
 func (t *endpointTracker) markUnreachable(now time.Time) {
 	t.mu.Lock()
--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -15,6 +15,9 @@
 // loadTime is the duration of a load from the endpoint's disk.
 const loadTime = 500 * time.Millisecond
 
+// adapterSlots is the number of adapters that an endpoint can hold.
+const adapterSlots = 2
+
 // engine is a simulated endpoint.
 type engine struct {
 	mu       sync.Mutex
@@ -68,7 +71,7 @@
 // held unless the engine is new.
 func (e *engine) record() {
 	r := fleet.Report{Busy: e.loading != "", Sequence: e.sequence}
-	sum := 0.0
+	sum, slots := 0.0, 0
 	for m, adapters := range e.holds {
 		h := fleet.LoadedModel{Model: m}
 		for a := range adapters {
@@ -76,6 +79,10 @@
 		}
 		r.Loaded = append(r.Loaded, h)
 		sum += e.weights[m]
+		slots += len(adapters)
+	}
+	if slots > adapterSlots {
+		e.faults = append(e.faults, fmt.Sprintf("%d adapters of %d", slots, adapterSlots))
 	}
 	sum += e.weights[e.loading]
 	if sum > e.capacity {
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -15,8 +15,12 @@
 // order sends an order until the endpoint has accepted it. It reports whether that
 // succeeded.
 func (c *Controller) order(ctx context.Context, t *endpointTracker, token int64, o Order) bool {
-	t.orderMu.Lock()
-	defer t.orderMu.Unlock()
+	select {
+	case t.orderSlot <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-t.orderSlot }()
 	o.Holder = c.Election.self.Host
 	o.Token = token
 	s := outgoingOrder{order: o}
--- a/pkg/orders/send_test.go
+++ b/pkg/orders/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -146,3 +147,34 @@
 		}
 	})
 }
+
+// Guards against exceeding the adapter slots of an endpoint when orders for adapters are lost or
+// delayed and the endpoint is asked for its state meanwhile.
+func TestAdapterSlotsAreNotExceededByDelayedOrders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		losses := rapid.SliceOfN(rapid.SampledFrom([]loss{noLoss, noLoss, noLoss, lostOrder, lostResponse, delayedOrder}), 60, 60).Draw(rt, "losses")
+		delay := rapid.IntRange(100, 4000).Draw(rt, "delay_ms")
+		requested := rapid.SliceOfN(rapid.IntRange(0, 4), 12, 12).Draw(rt, "adapters")
+		pauses := rapid.SliceOfN(rapid.IntRange(20, 900), 12, 12).Draw(rt, "pause_ms")
+		reported := rapid.SliceOfN(rapid.Bool(), 12, 12).Draw(rt, "unreachable")
+		var faults []string
+		run(t, func(ctx context.Context) {
+			e := newEngine(130, weights, "x", "y")
+			e.delay = time.Duration(delay) * time.Millisecond
+			e.nextLoss = func() loss { return losses[e.orders%len(losses)] }
+			c := newController(e, 1, "x", "y")
+			steps(ctx, c, 600*time.Millisecond, fleet.DemandReport{Host: "h"})
+			for i, n := range requested {
+				r := rare("x", fmt.Sprint("a", n))
+				if reported[i] {
+					r.Unreachable = []fleet.EndpointID{"e"}
+				}
+				steps(ctx, c, time.Duration(pauses[i])*time.Millisecond, r)
+			}
+			faults = e.faults
+		})
+		if len(faults) > 0 {
+			rt.Fatalf("endpoint capacity exceeded: %v", faults)
+		}
+	})
+}
