--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -229,6 +229,9 @@
 	g.cache.mu.Lock()
 	g.cache.endpoints = raw
 	g.cache.mu.Unlock()
+	if known := g.directory.Offset(); b.Next < known {
+		g.log.Warn("endpoint list of the store ends before the known one", "next", b.Next, "known_next", known)
+	}
 	g.directory.Replace(g.Now(), b.Next, list)
 }
 
