Gateway: failing test of DRAIN: an announcement after the store was restored

TestDrainingIsSeenAfterStoreRestore: the store loses 10 or 30 entries and gives their offsets out again, then an endpoint announces that it drains. Hosts never see it (watched for 4 s), neither if the next read starts beyond the end (410) nor if more entries than were lost have taken their place. The stand-in of the store restores a copy, states its era and answers 410 for an offset that it does not have.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -142,6 +142,13 @@
 	e.publishEntry()
 }
 
+// Heartbeat writes the entry of the endpoint again, as endpoints do from time to time.
+func (e *Endpoint) Heartbeat() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.publishEntry()
+}
+
 // SetRateLimitHeader sets the rate limit, in requests per second, that responses contain. An
 // empty string removes it.
 func (e *Endpoint) SetRateLimitHeader(rate string) {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -55,6 +55,8 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
+	// era is the number of restores.
+	era int64
 }
 
 // NewStore returns an empty store.
@@ -173,6 +175,35 @@
 	return mux
 }
 
+// Copy returns a copy of the store's contents, for Restore.
+func (s *Store) Copy() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := NewStore()
+	for name, t := range s.topics {
+		out.topics[name] = &topic{records: slices.Clone(t.records), first: t.first, end: t.end, newest: maps.Clone(t.newest), appended: make(chan struct{})}
+	}
+	return out
+}
+
+// Restore replaces the contents by those of an older copy and increases the era. All that was
+// written since the copy is lost, and its offsets are given out again.
+func (s *Store) Restore(old *Store) {
+	restored := old.Copy()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		close(t.appended) // Reads in progress end.
+	}
+	s.topics = restored.topics
+	s.era++
+}
+
+// writeEra adds the era to a response. s.mu must be held.
+func (s *Store) writeEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+}
+
 // topic returns a topic and creates it if necessary. s.mu must be held.
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
@@ -235,6 +266,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(t.end, 10) {
 		writeJSON(w, http.StatusPreconditionFailed, map[string]int64{"end": t.end})
@@ -267,9 +299,11 @@
 			return
 		}
 		s.mu.Lock()
+		t = s.topic(r.URL.Query().Get("topic"))
 	}
 	defer s.mu.Unlock()
-	if from < t.first {
+	s.writeEra(w)
+	if from < t.first || from > t.end {
 		writeJSON(w, http.StatusGone, map[string]int64{"first": t.first})
 		return
 	}
@@ -299,6 +333,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	items := []item{}
 	for _, rec := range t.newest {
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -73,3 +73,6 @@
 	defer g.notices.mu.Unlock()
 	return !g.notices.firstResponseAt.IsZero() && g.notices.firstResponseAt.Sub(g.startedAt) < startupGracePeriod*4/5
 }
+
+// DrainingOrGone reports whether the host considers an endpoint draining or gone.
+func (g *Gateway) DrainingOrGone(id fleet.EndpointID) bool { return g.directory.DrainingOrGone(id) }
--- /dev/null
+++ b/pkg/gateway/restore_test.go
@@ -0,0 +1,65 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// drainBound is how long after its announcement a draining endpoint may still get requests.
+const drainBound = 2 * time.Second
+
+// Guards against requests to an endpoint whose announcement that it drains has a lower offset than an
+// entry that the store has lost.
+func TestDrainingIsSeenAfterStoreRestore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lost and rewritten are how many entries are lost, and how many are written before the
+		// hosts read again.
+		lost, rewritten int
+	}{
+		{"few entries since the restore", 15, 0},
+		{"more entries since the restore than were lost", 5, 40},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t)
+			d.publish(config(1))
+			e1, e2 := d.startEngine("e1"), d.startEngine("e2")
+			hosts := []*host{d.startHost("a"), d.startHost("b"), d.startHost("c")}
+			older := d.store.Copy()
+			known := newestOffset(hosts)
+			for range c.lost {
+				e1.Heartbeat()
+				e2.Heartbeat()
+			}
+			d.waitFor("a host has read the heartbeats", func() bool { return newestOffset(hosts) > known+int64(c.lost) })
+			d.store.Restore(older)
+			e1.Drain()
+			announced := time.Now()
+			for range c.rewritten {
+				e2.Heartbeat()
+			}
+			for _, h := range hosts {
+				d.waitFor("the host sees that the endpoint drains", func() bool {
+					return h.DrainingOrGone(fleet.EndpointID("e1")) || time.Since(announced) > 2*drainBound
+				})
+				is.True(h.DrainingOrGone(fleet.EndpointID("e1")))
+				is.True(!h.DrainingOrGone(fleet.EndpointID("e2")))
+			}
+			is.True(time.Since(announced) < drainBound)
+		})
+	}
+}
+
+// newestOffset returns the highest offset up to which one of the hosts knows the list of endpoints.
+func newestOffset(hosts []*host) int64 {
+	newest := int64(0)
+	for _, h := range hosts {
+		newest = max(newest, h.ListOffset())
+	}
+	return newest
+}
