Store: order all positions by the store's era before the offset

Cause: the store may come back from a copy some seconds old and give offsets out again. An announcement written after that has a lower offset than the entry known from before, and fleet.Directory ignored it as older; a read that went on from the old offset skipped what had taken the place of lost records. Class: a position compared beyond the life of the counter that it comes from.

A read from a position of an older era starts over with the newest entries, a delayed response of an older era is an error, a conditional append that hits its offset in another era is a conflict. Tokens of claims come from positions, so that they grow over eras. Long polls end when one topic shows a new era; hosts that the store does not serve learn it from notices. Positions of era 0 are the plain offsets, so that hosts of both versions understand each other until the first restore.

--- a/pkg/fleet/bench_test.go
+++ b/pkg/fleet/bench_test.go
@@ -25,7 +25,7 @@
 		locator, d := locatorWithEndpoints(n)
 		e := endpoint("e6")
 		e.Loaded = []fleet.LoadedModel{{Model: "m6"}, {Model: "m7"}}
-		offset := int64(n)
+		offset := fleet.Position(n)
 		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
 			for b.Loop() {
 				offset++
@@ -42,7 +42,7 @@
 	for i := range n {
 		e := endpoint(fmt.Sprint("e", i))
 		e.Loaded = []fleet.LoadedModel{{Model: fmt.Sprint("m", i%310)}, {Model: fmt.Sprint("m", (i+1)%310)}}
-		d.Apply(at(0), int64(i), e)
+		d.Apply(at(0), fleet.Position(i), e)
 	}
 	return fleet.NewLocator(d), d
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -15,9 +15,6 @@
 // seconds old.
 const tombstoneTTL = time.Minute
 
-// noOffset is less than every valid offset.
-const noOffset = -1
-
 // Directory is a host's copy of the endpoint list. It is safe for concurrent use.
 type Directory struct {
 	mu      sync.Mutex
@@ -29,25 +26,25 @@
 	// missing counts the entries that have disappeared and may still return.
 	missing int
 	// nextOffset is the offset of the next unread entry of the list.
-	nextOffset int64
+	nextOffset Position
 	// routingOffset is the offset of the newest entry that changed which endpoints take
 	// requests. Plain heartbeats do not advance it.
-	routingOffset int64
+	routingOffset Position
 	// storeRestoredAt is the end of the last known store outage. storeUnavailable is set
 	// during an outage.
 	storeRestoredAt  time.Time
 	storeUnavailable bool
 	// prunedOffset is the newest offset of a pruned endpoint. Entries of unknown endpoints up
 	// to this offset are ignored.
-	prunedOffset int64
+	prunedOffset Position
 }
 
 type entry struct {
 	Endpoint
-	offset int64
+	offset Position
 	// routingOffset is the offset of the entry that last changed whether the endpoint takes
 	// requests.
-	routingOffset int64
+	routingOffset Position
 	// changed is when this host received the entry.
 	changed time.Time
 	// missing is when the entry disappeared after a store outage; zero if it is present.
@@ -59,11 +56,11 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[EndpointID]*entry{}, current: map[string]EndpointID{}, changed: map[EndpointID]bool{}, prunedOffset: noOffset}
+	return &Directory{entries: map[EndpointID]*entry{}, current: map[string]EndpointID{}, changed: map[EndpointID]bool{}, prunedOffset: NoPosition}
 }
 
 // Offset returns the offset of the next unread entry of the list.
-func (d *Directory) Offset() int64 {
+func (d *Directory) Offset() Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.nextOffset
@@ -89,14 +86,14 @@
 }
 
 // Apply applies one entry of the list. Entries older than the known one are ignored.
-func (d *Directory) Apply(now time.Time, offset int64, e Endpoint) {
+func (d *Directory) Apply(now time.Time, offset Position, e Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextOffset = max(d.nextOffset, offset+1)
 	d.apply(now, offset, e)
 }
 
-func (d *Directory) apply(now time.Time, offset int64, e Endpoint) {
+func (d *Directory) apply(now time.Time, offset Position, e Endpoint) {
 	if e.Unreadable || e.ID.StartMillis() < d.current[e.ID.Name()].StartMillis() && e.ID.StartMillis() == 0 {
 		d.markUnreadable(now, offset, e.ID.Name())
 		return
@@ -135,7 +132,7 @@
 // markUnreadable handles an entry that cannot be decoded, or that lacks the start time which
 // the endpoint has stated before. The endpoint takes no new requests until its next valid
 // entry. It is not gone: running requests continue and its models stay known.
-func (d *Directory) markUnreadable(now time.Time, offset int64, name string) {
+func (d *Directory) markUnreadable(now time.Time, offset Position, name string) {
 	old := d.entries[d.current[name]]
 	if old == nil || old.gone || old.offset >= offset {
 		return
@@ -146,7 +143,7 @@
 }
 
 // put replaces an entry by a newer one; old is nil if there was none.
-func (d *Directory) put(now time.Time, offset int64, old *entry, e Endpoint) {
+func (d *Directory) put(now time.Time, offset Position, old *entry, e Endpoint) {
 	routingOffset := offset
 	if old != nil && !old.gone && old.TakesRequests() == e.TakesRequests() && old.missing.IsZero() {
 		routingOffset = old.routingOffset
@@ -160,7 +157,7 @@
 }
 
 // Remove applies the deletion of an endpoint's entry, for any incarnation.
-func (d *Directory) Remove(now time.Time, offset int64, id EndpointID) {
+func (d *Directory) Remove(now time.Time, offset Position, id EndpointID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextOffset = max(d.nextOffset, offset+1)
@@ -183,7 +180,7 @@
 }
 
 // RoutingOffset returns the offset of the newest entry that changed which endpoints take requests.
-func (d *Directory) RoutingOffset() int64 {
+func (d *Directory) RoutingOffset() Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.routingOffset
@@ -191,7 +188,7 @@
 
 // RoutingChangesSince returns the endpoints that were added, started draining or were removed after
 // an offset.
-func (d *Directory) RoutingChangesSince(offset int64) []EndpointID {
+func (d *Directory) RoutingChangesSince(offset Position) []EndpointID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []EndpointID
@@ -289,7 +286,7 @@
 
 // Replace applies a complete listing that ends before the offset next. A listing older than
 // the entries already read removes nothing.
-func (d *Directory) Replace(now time.Time, next int64, entries map[int64]Endpoint) {
+func (d *Directory) Replace(now time.Time, next Position, entries map[Position]Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
@@ -312,7 +309,7 @@
 type View struct {
 	Endpoint
 	// Offset is the offset of the entry in the list; a greater offset is newer.
-	Offset int64
+	Offset Position
 	// ReceivedAt is when this host received the entry.
 	ReceivedAt time.Time
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -76,9 +76,9 @@
 	is := is.New(t)
 	d := fleet.NewDirectory()
 	d.Apply(at(0), 7, endpoint("new"))
-	d.Replace(at(1), 3, map[int64]fleet.Endpoint{2: endpoint("old")})
+	d.Replace(at(1), 3, map[fleet.Position]fleet.Endpoint{2: endpoint("old")})
 	is.Equal(ids(d.Live(at(1))), []fleet.EndpointID{"new", "old"})
-	d.Replace(at(2), 9, map[int64]fleet.Endpoint{8: endpoint("old")})
+	d.Replace(at(2), 9, map[fleet.Position]fleet.Endpoint{8: endpoint("old")})
 	is.Equal(ids(d.Live(at(2))), []fleet.EndpointID{"old"})
 }
 
@@ -87,10 +87,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "entries")
 		zone := make([]string, n)
-		order := make([]int64, n)
+		order := make([]fleet.Position, n)
 		for i := range n {
 			zone[i] = rapid.StringMatching("[a-z]").Draw(t, "zone")
-			order[i] = int64(i)
+			order[i] = fleet.Position(i)
 		}
 		d := fleet.NewDirectory()
 		for _, offset := range rapid.Permutation(order).Draw(t, "order") {
@@ -136,15 +136,15 @@
 	is := is.New(t)
 	d := fleet.NewDirectory()
 	d.Apply(at(0), 3, endpoint("a"))
-	is.Equal(d.RoutingOffset(), int64(3))
+	is.Equal(d.RoutingOffset(), fleet.Position(3))
 	d.Apply(at(1), 4, endpoint("a"))
-	is.Equal(d.RoutingOffset(), int64(3))
+	is.Equal(d.RoutingOffset(), fleet.Position(3))
 	draining := endpoint("a")
 	draining.Draining = true
 	d.Apply(at(2), 5, draining)
-	is.Equal(d.RoutingOffset(), int64(5))
+	is.Equal(d.RoutingOffset(), fleet.Position(5))
 	d.Remove(at(3), 6, "a")
-	is.Equal(d.RoutingOffset(), int64(6))
+	is.Equal(d.RoutingOffset(), fleet.Position(6))
 }
 
 // Guards against unbounded growth by replaced endpoints, and against a delayed entry that
@@ -155,9 +155,9 @@
 	const replaced = 1000
 	for i := range replaced {
 		now := at(float64(i))
-		d.Apply(now, int64(2*i), endpoint(fmt.Sprint("e", i)))
+		d.Apply(now, fleet.Position(2*i), endpoint(fmt.Sprint("e", i)))
 		if i > 0 {
-			d.Remove(now, int64(2*i+1), fleet.EndpointID(fmt.Sprint("e", i-1)))
+			d.Remove(now, fleet.Position(2*i+1), fleet.EndpointID(fmt.Sprint("e", i-1)))
 		}
 		d.Prune(now)
 	}
--- a/pkg/fleet/incarnation_test.go
+++ b/pkg/fleet/incarnation_test.go
@@ -92,7 +92,7 @@
 	is := is.New(t)
 	d := fleet.NewDirectory()
 	d.Apply(at(0), 1, incarnation("a", 100, "m"))
-	d.Replace(at(1), 9, map[int64]fleet.Endpoint{
+	d.Replace(at(1), 9, map[fleet.Position]fleet.Endpoint{
 		5: {ID: "a", Unreadable: true},
 		6: {ID: "stranger", Unreadable: true},
 	})
--- a/pkg/fleet/locator_test.go
+++ b/pkg/fleet/locator_test.go
@@ -66,7 +66,7 @@
 		l := fleet.NewLocator(d)
 		r := &reference{directory: d, placements: map[fleet.EndpointID]fleet.Placement{}}
 		now := at(0)
-		offset := int64(0)
+		offset := fleet.Position(0)
 		id := func() fleet.EndpointID {
 			return fleet.EndpointID(fmt.Sprint("e", rapid.IntRange(0, 3).Draw(t, "endpoint")))
 		}
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -15,16 +15,16 @@
 	ConfigVersion int64 `cbor:"5,keyasint,omitempty"`
 	// ListChange is the offset of the newest list entry that changed which endpoints take
 	// requests. ListAge is the time in milliseconds since the controller read the list.
-	ListChange int64 `cbor:"6,keyasint,omitempty"`
-	ListAge    int64 `cbor:"7,keyasint,omitempty"`
+	ListChange Position `cbor:"6,keyasint,omitempty"`
+	ListAge    int64    `cbor:"7,keyasint,omitempty"`
 	// Incarnation and Addr identify the controller, for hosts that cannot read the claims from
 	// the store.
 	Incarnation string `cbor:"8,keyasint,omitempty"`
 	Addr        string `cbor:"9,keyasint,omitempty"`
 	// ListEntries holds, as stored, the newest entries of the endpoints that were added,
 	// started draining or were removed after the offset ListSince.
-	ListEntries []Entry `cbor:"11,keyasint,omitempty"`
-	ListSince   int64   `cbor:"12,keyasint,omitempty"`
+	ListEntries []Entry  `cbor:"11,keyasint,omitempty"`
+	ListSince   Position `cbor:"12,keyasint,omitempty"`
 	// StoreRestoredAgo is the time in milliseconds since the controller saw the end of a store
 	// outage; 0 if there was none recently.
 	StoreRestoredAgo int64 `cbor:"13,keyasint,omitempty"`
@@ -45,12 +45,14 @@
 	Stamp        int64 `cbor:"18,keyasint,omitempty"`
 	// Hosts holds the newest host entries since the offset in the Pull, complete up to
 	// HostsNext.
-	Hosts     []Entry `cbor:"19,keyasint,omitempty"`
-	HostsNext int64   `cbor:"20,keyasint,omitempty"`
+	Hosts     []Entry  `cbor:"19,keyasint,omitempty"`
+	HostsNext Position `cbor:"20,keyasint,omitempty"`
 	// BlocksChecksum is the checksum over all blocks known to the responding host. Blocks holds
 	// these blocks if the checksum in the Pull differs.
 	BlocksChecksum uint64  `cbor:"22,keyasint,omitempty"`
 	Blocks         []Block `cbor:"23,keyasint,omitempty"`
+	// StoreEra is the newest era of the store that the responding host knows, 0 if unknown.
+	StoreEra int64 `cbor:"27,keyasint,omitempty"`
 	// Accounts lists the client accounts near their limits, as of HeartbeatAge.
 	Accounts AccountLevels `cbor:"24,keyasint"`
 	// SignalsChecksum is the checksum over all endpoint signals known to the responding host.
@@ -69,8 +71,8 @@
 	Version int64  `cbor:"4,keyasint,omitempty"`
 	// ListNext and HostsNext are the offsets up to which the host knows the endpoint list and
 	// the host entries.
-	ListNext  int64 `cbor:"5,keyasint,omitempty"`
-	HostsNext int64 `cbor:"8,keyasint,omitempty"`
+	ListNext  Position `cbor:"5,keyasint,omitempty"`
+	HostsNext Position `cbor:"8,keyasint,omitempty"`
 	// Heartbeat is the last controller heartbeat that the requesting host has received.
 	// DownstreamHeartbeats holds those of the hosts that pull from it; it is set only if
 	// endpoints do not check fencing tokens.
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -16,6 +16,9 @@
 	ErrStoreUnavailable = errors.New("store did not respond; the call may have taken effect")
 	// ErrStoreConflict means that the topic already has an entry at the expected offset.
 	ErrStoreConflict = errors.Wrap(ErrStoreRejected, "topic already has an entry at the expected offset")
+	// ErrStoreRestored means that the store was restored from an older copy since the position
+	// was read, so that the position may denote another record.
+	ErrStoreRestored = errors.New("store was restored from an older copy since the position was read")
 )
 
 // Topic is one keyed topic of the platform's store.
@@ -43,41 +46,43 @@
 
 // Entry is a record of a keyed topic. An entry without a value deletes the key.
 type Entry struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key   string
+	Value []byte
+	// Offset is the position of the record in its topic.
+	Offset Position
 }
 
 // Batch is the result of a read.
 type Batch struct {
 	Entries []Entry
-	// Next is the offset of the next read.
-	Next int64
+	// Next is the position of the next read.
+	Next Position
 }
 
 // CompactedError is returned by Read if the requested records have been compacted.
 type CompactedError struct {
-	// First is the first offset that can be read.
-	First int64
+	// First is the first position that can be read.
+	First Position
 }
 
 // Error implements error.
 func (e *CompactedError) Error() string {
-	return fmt.Sprintf("records compacted; the first readable offset is %d", e.First)
+	return fmt.Sprintf("records compacted; the first readable position is %s", e.First)
 }
 
 // AnyOffset makes Put append unconditionally.
-const AnyOffset = -1
+const AnyOffset = NoPosition
 
 // Store is the platform's store of keyed topics.
 type Store interface {
-	// Newest returns the newest entry of each key and the offset to continue from.
+	// Newest returns the newest entry of each key and the position to continue from.
 	Newest(ctx context.Context, t Topic) (Batch, error)
-	// Read returns the entries from an offset on. If there are none, it blocks for up to wait.
-	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Batch, error)
-	// Put appends an entry and returns its offset. Unless at is AnyOffset, the append succeeds
-	// only at that offset.
-	Put(ctx context.Context, t Topic, key string, value []byte, at int64) (int64, error)
+	// Read returns the entries from a position on. If there are none, it blocks for up to wait. It
+	// returns ErrStoreRestored if the position is of an older era than the store's.
+	Read(ctx context.Context, t Topic, from Position, wait time.Duration) (Batch, error)
+	// Put appends an entry and returns its position. Unless at is AnyOffset, the append succeeds
+	// only at that position.
+	Put(ctx context.Context, t Topic, key string, value []byte, at Position) (Position, error)
 }
 
 // Codec decodes the entries that the operator and the endpoints write to the store.
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -66,7 +66,7 @@
 	return fleet.Batch{}, s.call(ctx, t)
 }
 
-func (s *store) Read(ctx context.Context, t fleet.Topic, _ int64, wait time.Duration) (fleet.Batch, error) {
+func (s *store) Read(ctx context.Context, t fleet.Topic, _ fleet.Position, wait time.Duration) (fleet.Batch, error) {
 	if err := s.call(ctx, t); err != nil {
 		return fleet.Batch{}, err
 	}
@@ -80,7 +80,7 @@
 	return fleet.Batch{}, ctx.Err()
 }
 
-func (s *store) Put(ctx context.Context, t fleet.Topic, _ string, _ []byte, _ int64) (int64, error) {
+func (s *store) Put(ctx context.Context, t fleet.Topic, _ string, _ []byte, _ fleet.Position) (fleet.Position, error) {
 	return 0, s.call(ctx, t)
 }
 
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -65,7 +65,7 @@
 
 // Run reads the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	next := int64(-1)
+	next := fleet.NoPosition
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		initial := next < 0
@@ -77,7 +77,10 @@
 		switch {
 		case errors.As(err, &compacted):
 			f.Log.Info("store records compacted; reading the newest entries", "topic", f.Topic, "from", next, "first", compacted.First)
-			next = -1
+			next = fleet.NoPosition
+			continue
+		case errors.Is(err, fleet.ErrStoreRestored) && ctx.Err() == nil:
+			next = fleet.NoPosition
 			continue
 		case errors.Is(err, errReadInterrupted):
 			continue
@@ -120,7 +123,7 @@
 	}
 }
 
-func (f *Follower) read(ctx context.Context, next int64) (fleet.Batch, error) {
+func (f *Follower) read(ctx context.Context, next fleet.Position) (fleet.Batch, error) {
 	if next < 0 {
 		return f.Store.Newest(ctx, f.Topic)
 	}
@@ -131,7 +134,7 @@
 // for its whole wait after the store is available again. readNext therefore does not block
 // while the store is unavailable, and cancels a blocked read when another read shows the end
 // of the outage.
-func (f *Follower) readNext(ctx context.Context, next int64) (fleet.Batch, error) {
+func (f *Follower) readNext(ctx context.Context, next fleet.Position) (fleet.Batch, error) {
 	unavailable, restored := f.State.ListUnavailable()
 	if f.Wait == 0 || unavailable {
 		return f.Store.Read(ctx, f.Topic, next, 0)
--- a/pkg/follow/rate_limited_store.go
+++ b/pkg/follow/rate_limited_store.go
@@ -49,7 +49,7 @@
 }
 
 // Read implements fleet.Store.
-func (c *RateLimitedStore) Read(ctx context.Context, t fleet.Topic, from int64, wait time.Duration) (fleet.Batch, error) {
+func (c *RateLimitedStore) Read(ctx context.Context, t fleet.Topic, from fleet.Position, wait time.Duration) (fleet.Batch, error) {
 	if err := c.acquire(ctx, writeReserve); err != nil {
 		return fleet.Batch{}, err
 	}
@@ -58,7 +58,7 @@
 }
 
 // Put implements fleet.Store.
-func (c *RateLimitedStore) Put(ctx context.Context, t fleet.Topic, key string, value []byte, at int64) (int64, error) {
+func (c *RateLimitedStore) Put(ctx context.Context, t fleet.Topic, key string, value []byte, at fleet.Position) (fleet.Position, error) {
 	if err := c.acquire(ctx, 0); err != nil {
 		return 0, err
 	}
--- a/pkg/follow/state.go
+++ b/pkg/follow/state.go
@@ -13,7 +13,8 @@
 type State struct {
 	mu     sync.Mutex
 	topics map[fleet.Topic]*topicState
-	// restored is closed and replaced when the endpoint list becomes available again.
+	// restored is closed and replaced when the endpoint list becomes available again, and when
+	// the store was restored from an older copy.
 	restored chan struct{}
 }
 
@@ -47,8 +48,7 @@
 	changed = state.unavailable != unavailable
 	state.unavailable = unavailable
 	if changed && !unavailable && t == fleet.TopicEndpoints {
-		close(s.restored)
-		s.restored = make(chan struct{})
+		s.interruptReads()
 	}
 	if !unavailable {
 		state.lastSuccess = now
@@ -57,8 +57,22 @@
 	return changed
 }
 
+// InterruptReads ends the reads that block at the store, because the store was restored from an older
+// copy.
+func (s *State) InterruptReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interruptReads()
+}
+
+// interruptReads must be called with s.mu held.
+func (s *State) interruptReads() {
+	close(s.restored)
+	s.restored = make(chan struct{})
+}
+
 // ListUnavailable reports whether the endpoint list is unavailable. The returned channel is closed
-// when the list becomes available again. The list is read most often, so that it indicates the
+// when the list becomes available again or InterruptReads is called. The list is read most often, so that it indicates the
 // state of the store first.
 func (s *State) ListUnavailable() (bool, <-chan struct{}) {
 	s.mu.Lock()
--- a/pkg/follow/wake_test.go
+++ b/pkg/follow/wake_test.go
@@ -20,12 +20,12 @@
 	return fleet.Batch{}, nil
 }
 
-func (s *countingStore) Read(context.Context, fleet.Topic, int64, time.Duration) (fleet.Batch, error) {
+func (s *countingStore) Read(context.Context, fleet.Topic, fleet.Position, time.Duration) (fleet.Batch, error) {
 	s.reads++
 	return fleet.Batch{}, nil
 }
 
-func (s *countingStore) Put(context.Context, fleet.Topic, string, []byte, int64) (int64, error) {
+func (s *countingStore) Put(context.Context, fleet.Topic, string, []byte, fleet.Position) (fleet.Position, error) {
 	return 0, nil
 }
 
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -30,12 +30,12 @@
 
 // stateVersions holds the versions of the state last sent to a child.
 type stateVersions struct {
-	// list is the offset of the newest change to the list of endpoints, claim the token of the
-	// newest claim and config the version of the configuration.
-	list, claim, config int64
-	// hosts is the offset up to which host entries were sent, blocks the version of the blocked
-	// requests.
-	hosts, blocks int64
+	// list is the position of the newest change to the list of endpoints, hosts the position up to
+	// which host entries were sent.
+	list, hosts fleet.Position
+	// claim is the token of the newest claim, config the version of the configuration and blocks
+	// that of the blocked requests.
+	claim, config, blocks int64
 	// accounts is the version of the accounts near their limits.
 	accounts int64
 	// signals is the version of the endpoint signals.
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -134,7 +134,7 @@
 
 // claim appends a claim at end, the offset up to which this host had read the topic when it
 // decided to claim.
-func (g *Gateway) claim(ctx context.Context, end int64) {
+func (g *Gateway) claim(ctx context.Context, end fleet.Position) {
 	offset, err := g.putClaim(ctx, g.self, end)
 	if err != nil {
 		g.log.Info("claim failed", "error", err.Error())
@@ -152,7 +152,7 @@
 
 // putClaim appends a claim at offset end of the topic. It fails if another claim was appended
 // in between.
-func (g *Gateway) putClaim(ctx context.Context, h orders.Holder, end int64) (int64, error) {
+func (g *Gateway) putClaim(ctx context.Context, h orders.Holder, end fleet.Position) (fleet.Position, error) {
 	value, err := record.Marshal(h)
 	if err != nil {
 		return 0, err
--- a/pkg/gateway/claim_test.go
+++ b/pkg/gateway/claim_test.go
@@ -14,10 +14,10 @@
 // claimStore records the offsets of appended claims.
 type claimStore struct {
 	fleet.Store
-	ends []int64
+	ends []fleet.Position
 }
 
-func (s *claimStore) Put(_ context.Context, _ fleet.Topic, _ string, _ []byte, at int64) (int64, error) {
+func (s *claimStore) Put(_ context.Context, _ fleet.Topic, _ string, _ []byte, at fleet.Position) (fleet.Position, error) {
 	s.ends = append(s.ends, at)
 	return at, nil
 }
@@ -31,15 +31,15 @@
 		name   string
 		during func(g *Gateway)
 		alive  bool
-		ends   []int64
+		ends   []fleet.Position
 	}{
-		{"no other claim", func(*Gateway) {}, false, []int64{7}},
+		{"no other claim", func(*Gateway) {}, false, []fleet.Position{7}},
 		{"another host has a heartbeat of the holder", func(*Gateway) {}, true, nil},
 		{"another host has claimed and the claim was read", func(g *Gateway) {
 			g.election.Observe(g.Now(), newer)
 			g.mesh.advanceClaimsOffset(8)
 		}, false, nil},
-		{"another host has claimed but the claim was not read, so the store rejects this one", func(g *Gateway) { g.mesh.advanceClaimsOffset(8) }, false, []int64{7}},
+		{"another host has claimed but the claim was not read, so the store rejects this one", func(g *Gateway) { g.mesh.advanceClaimsOffset(8) }, false, []fleet.Position{7}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/gateway/config_test.go
+++ b/pkg/gateway/config_test.go
@@ -29,7 +29,7 @@
 			} else if version > newest {
 				newest = version
 			}
-			if got := g.ApplyConfig(fleet.Entry{Key: "config", Value: []byte(value), Offset: int64(i)}); got != newest {
+			if got := g.ApplyConfig(fleet.Entry{Key: "config", Value: []byte(value), Offset: fleet.Position(i)}); got != newest {
 				t.Fatalf("got version %d in force, want %d, after %s", got, newest, value)
 			}
 		}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -33,8 +33,6 @@
 	staleListQueryIntervalPerHost = 3 * time.Millisecond
 	// pruneInterval is how often state of removed endpoints is dropped.
 	pruneInterval = time.Second
-	// noOffset precedes all offsets.
-	noOffset = -1
 )
 
 // control runs the controller while this host holds the claim.
@@ -84,16 +82,18 @@
 
 // withListChanges adds to a notice what has changed in the list of endpoints after offset
 // since.
-func (g *Gateway) withListChanges(now time.Time, n fleet.Notice, since, change int64) fleet.Notice {
+func (g *Gateway) withListChanges(now time.Time, n fleet.Notice, since, change fleet.Position) fleet.Notice {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
 	change = max(change, g.directory.RoutingOffset())
 	n.ListSince = since
 	n.ListChange = change
 	n.ListAge = min(g.listViewAge(now), time.Hour).Milliseconds()
-	if since != noOffset && change > since {
+	if since != fleet.NoPosition && change > since {
 		n.ListEntries = g.fitToLink(g.cache.endpointEntries(g.directory.RoutingChangesSince(since)))
 	}
+	era, _ := g.era.current()
+	n.StoreEra = max(0, era)
 	if ago := g.directory.StoreRestoredAgo(now); ago > 0 {
 		n.StoreRestoredAgo = max(1, ago.Milliseconds())
 	}
--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -14,7 +14,7 @@
 	endpoints map[string]fleet.Entry
 	// hosts holds the host entries up to the offset hostsNext.
 	hosts     map[string]fleet.Entry
-	hostsNext int64
+	hostsNext fleet.Position
 }
 
 func newEntryCache() *entryCache {
@@ -34,14 +34,14 @@
 }
 
 // hostsOffset returns the offset up to which host entries are known.
-func (c *entryCache) hostsOffset() int64 {
+func (c *entryCache) hostsOffset() fleet.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.hostsNext
 }
 
 // hostsFrom returns the newest entry of each host that changed at or after an offset.
-func (c *entryCache) hostsFrom(from int64) fleet.Batch {
+func (c *entryCache) hostsFrom(from fleet.Position) fleet.Batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b := fleet.Batch{Next: c.hostsNext}
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -55,7 +55,7 @@
 func (g *Gateway) ListConfirmed() bool { return g.listConfirmed() }
 
 // ListOffset returns the offset up to which the host knows the list of endpoints.
-func (g *Gateway) ListOffset() int64 { return g.directory.Offset() }
+func (g *Gateway) ListOffset() fleet.Position { return g.directory.Offset() }
 
 // LiveEndpoints returns the number of endpoints that the host considers alive.
 func (g *Gateway) LiveEndpoints() int { return len(g.directory.Live(g.Now())) }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -67,8 +67,8 @@
 		Topic:   t,
 		Wait:    longPollTimeout,
 		Relayed: g.receivesOrExpectsUpdates,
-		Reset:   reset,
-		Apply:   apply,
+		Reset:   g.withEra(reset),
+		Apply:   g.withEra(apply),
 		Result:  func(err error) { g.recordStoreResult(t, err) },
 	}
 }
@@ -220,7 +220,7 @@
 func (g *Gateway) replaceDirectory(b fleet.Batch) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
-	list := make(map[int64]fleet.Endpoint, len(b.Entries))
+	list := make(map[fleet.Position]fleet.Endpoint, len(b.Entries))
 	raw := make(map[string]fleet.Entry, len(b.Entries))
 	for _, entry := range b.Entries {
 		raw[entry.Key] = entry
@@ -401,5 +401,6 @@
 	}
 }
 
-// claimToken returns the fencing token of the claim at an offset. Tokens are positive.
-func claimToken(offset int64) int64 { return offset + 1 }
+// claimToken returns the fencing token of the claim at a position. Tokens are positive, and those of
+// a newer era of the store are greater than all older ones.
+func claimToken(at fleet.Position) int64 { return int64(at) + 1 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -81,6 +81,7 @@
 	listMu     sync.Mutex
 	cache      *entryCache
 	storeReads *follow.State
+	era        *storeEra
 	directory  *fleet.Directory
 	locator    *fleet.Locator
 
@@ -150,6 +151,7 @@
 		listReadNow:      make(chan struct{}, 1),
 		cache:            newEntryCache(),
 		storeReads:       follow.NewState(),
+		era:              newStoreEra(),
 		children:         newChildren(),
 		demandAggregator: relay.NewAggregator(),
 
--- a/pkg/gateway/list_inner_test.go
+++ b/pkg/gateway/list_inner_test.go
@@ -28,7 +28,7 @@
 func TestStateResponseOmitsHeartbeats(t *testing.T) {
 	is := is.New(t)
 	g := listHost(time.Minute)
-	entry := func(key string, offset int64, state string) fleet.Entry {
+	entry := func(key string, offset fleet.Position, state string) fleet.Entry {
 		return fleet.Entry{Key: key, Offset: offset, Value: []byte(state)}
 	}
 	g.applyEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("a", 0, "ready"), entry("b", 1, "ready")}})
--- a/pkg/gateway/listconfirm_test.go
+++ b/pkg/gateway/listconfirm_test.go
@@ -34,6 +34,7 @@
 		directory:   fleet.NewDirectory(),
 		cache:       newEntryCache(),
 		storeReads:  follow.NewState(),
+		era:         newStoreEra(),
 		mesh:        newMesh("b", peer.Fingerprint{}),
 		listReadNow: make(chan struct{}, 1),
 		stepNow:     make(chan struct{}, 1),
@@ -70,7 +71,7 @@
 // lost, late, duplicated and out of order.
 func TestConfirmedListIsNotOutdated(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &listSim{controller: listHost(time.Minute), host: listHost(time.Minute), now: time.Unix(1000, 0), sentOffset: noOffset, draining: map[string]bool{}}
+		w := &listSim{controller: listHost(time.Minute), host: listHost(time.Minute), now: time.Unix(1000, 0), sentOffset: fleet.NoPosition, draining: map[string]bool{}}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
@@ -93,8 +94,8 @@
 type listSim struct {
 	controller, host *Gateway
 	now              time.Time
-	next             int64
-	sentOffset       int64
+	next             fleet.Position
+	sentOffset       fleet.Position
 	notices          []sentNotice
 	// draining holds the endpoints that have announced that they are draining.
 	draining map[string]bool
@@ -201,7 +202,7 @@
 			host.applyEndpoints(first)
 			var later fleet.Batch
 			for i := range c.changed {
-				later.Entries = append(later.Entries, fleet.Entry{Key: "e" + strconv.Itoa(i), Offset: int64(i + 1), Value: []byte(value)})
+				later.Entries = append(later.Entries, fleet.Entry{Key: "e" + strconv.Itoa(i), Offset: fleet.Position(i + 1), Value: []byte(value)})
 			}
 			controller.applyEndpoints(later)
 			now := controller.Now()
--- a/pkg/gateway/listrace_test.go
+++ b/pkg/gateway/listrace_test.go
@@ -27,7 +27,7 @@
 	read := make(chan struct{})
 	done.Go(func() {
 		defer close(read)
-		offset := int64(1)
+		offset := fleet.Position(1)
 		for beat := range beats {
 			var b fleet.Batch
 			for e := range endpoints {
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/relay"
 )
@@ -39,7 +40,7 @@
 	// known holds the certificate fingerprints of the other hosts.
 	known map[peer.Fingerprint]bool
 	// claimsNext is the offset up to which claims were read.
-	claimsNext int64
+	claimsNext fleet.Position
 	// backoffUntil is the time, by address, until which a host is not contacted.
 	backoffUntil map[string]time.Time
 	// failures is the number of consecutive failed requests by address.
@@ -161,7 +162,7 @@
 	return out
 }
 
-func (m *mesh) advanceClaimsOffset(next int64) {
+func (m *mesh) advanceClaimsOffset(next fleet.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.claimsNext = max(m.claimsNext, next)
@@ -199,7 +200,7 @@
 }
 
 // claimsOffset returns the offset up to which claims were read.
-func (m *mesh) claimsOffset() int64 {
+func (m *mesh) claimsOffset() fleet.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.claimsNext
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -87,6 +87,7 @@
 // repeat changes from earlier, lost notices: a host that is missing earlier changes reads the
 // store instead, so that it does not keep sending requests to a draining or removed endpoint.
 func (g *Gateway) applyListNotice(now time.Time, n fleet.Notice) {
+	g.observeEra(now.Add(-milliseconds(n.StoreRestoredAgo)), n.StoreEra)
 	if n.StoreRestoredAgo > 0 {
 		g.directory.SetStoreRestored(now.Add(-milliseconds(n.StoreRestoredAgo)))
 	}
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -162,7 +162,7 @@
 	}
 	if response.Claim.Token > g.election.Newest().Token {
 		g.election.Observe(now, *response.Claim)
-		g.mesh.advanceClaimsOffset(response.Claim.Token) // It is the last one of the topic.
+		g.mesh.advanceClaimsOffset(fleet.Position(response.Claim.Token)) // It is the last one of the topic.
 		g.children.wake()
 	}
 	g.fetchNewerConfig(to.Addr, response.ConfigVersion)
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -36,7 +36,7 @@
 				e1.Heartbeat()
 				e2.Heartbeat()
 			}
-			d.waitFor("a host has read the heartbeats", func() bool { return newestOffset(hosts) > known+int64(c.lost) })
+			d.waitFor("a host has read the heartbeats", func() bool { return newestOffset(hosts) > known+fleet.Position(c.lost) })
 			d.store.Restore(older)
 			e1.Drain()
 			announced := time.Now()
@@ -56,8 +56,8 @@
 }
 
 // newestOffset returns the highest offset up to which one of the hosts knows the list of endpoints.
-func newestOffset(hosts []*host) int64 {
-	newest := int64(0)
+func newestOffset(hosts []*host) fleet.Position {
+	newest := fleet.NoPosition
 	for _, h := range hosts {
 		newest = max(newest, h.ListOffset())
 	}
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -29,7 +29,7 @@
 // entries. It must be called with the cache's mu held. Heartbeats of listed endpoints
 // are left out to limit the size: a host that has the endpoint does not need them, and all hosts
 // send state requests while the controller changes.
-func (g *Gateway) endpointEntriesFrom(from int64) []fleet.Entry {
+func (g *Gateway) endpointEntriesFrom(from fleet.Position) []fleet.Entry {
 	var out []fleet.Entry
 	if from == fullStateOffset {
 		return slices.Collect(maps.Values(g.cache.endpoints))
--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -3,7 +3,7 @@
 //
 // A claim is a record in the platform's store, appended at the offset up to which its
 // author has read. The store serializes claims, so one of two concurrent claims fails, and
-// the offset of the record is a monotonic fencing token. Clocks only decide when a host
+// the position of the record is a monotonic fencing token. Clocks only decide when a host
 // tries to claim, never which claim is valid.
 package orders
 
@@ -25,7 +25,7 @@
 // Claim is a record of the claims topic.
 type Claim struct {
 	Holder Holder `cbor:"1,keyasint"`
-	// Token is the fencing token: the offset of the record, starting at 1.
+	// Token is the fencing token: the position of the record, starting at 1.
 	Token int64 `cbor:"2,keyasint"`
 }
 
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -13,7 +13,7 @@
 type endpointTracker struct {
 	mu       sync.Mutex
 	endpoint fleet.Endpoint
-	offset   int64
+	offset   fleet.Position
 	// synced is set once the endpoint's own report was applied under this claim.
 	synced   bool
 	sequence int64
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -42,7 +42,7 @@
 	// ConfigVersion is the configuration version of the requesting host.
 	ConfigVersion int64 `cbor:"1,keyasint"`
 	// EndpointsFrom is the first endpoint offset that the requesting host is missing.
-	EndpointsFrom int64 `cbor:"2,keyasint"`
+	EndpointsFrom fleet.Position `cbor:"2,keyasint"`
 }
 
 // StateResponse holds entries as stored.
@@ -50,7 +50,7 @@
 	Config    *fleet.Entry  `cbor:"1,keyasint,omitempty"`
 	Endpoints []fleet.Entry `cbor:"2,keyasint,omitempty"`
 	// EndpointsNext is the offset up to which Endpoints is complete.
-	EndpointsNext int64 `cbor:"3,keyasint,omitempty"`
+	EndpointsNext fleet.Position `cbor:"3,keyasint,omitempty"`
 }
 
 // UsageReport reports a host's usage of the models of a pool to the pool's owner.
