Gateway: pass on removals that are found in a complete listing

After a restore or a compaction a relay reads a complete listing and finds that an entry is missing. Hosts that learn of the list from it kept the endpoint for up to a minute, and the relay confirmed their lists as complete.

Cause: only an explicit removal advanced the position of the newest routing change, and the relay's cache of raw entries had nothing to pass on.

Fix: an entry that a listing lacks is removed at the position before the listing's end, in the directory and, as a removal, in the cache.

TestRemovalFoundInListingIsPassedOn failed before and passes.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -162,11 +162,18 @@
 	defer d.mu.Unlock()
 	d.nextOffset = max(d.nextOffset, offset+1)
 	if e := d.entries[d.current[id.Name()]]; e != nil && e.offset < offset {
-		e.offset = offset
+		d.remove(now, offset, e)
+	}
+}
+
+// remove applies the removal of an entry. It must be called with d.mu held.
+func (d *Directory) remove(now time.Time, offset Position, e *entry) {
+	if !e.gone && e.missing.IsZero() {
 		e.routingOffset = offset
 		d.routingOffset = max(d.routingOffset, offset)
-		d.handleRemoval(now, e)
 	}
+	e.offset = offset
+	d.handleRemoval(now, e)
 }
 
 // serviceOf returns the service of an endpoint, or "" if the endpoint is unknown.
@@ -300,7 +307,7 @@
 	d.nextOffset = next
 	for id, e := range d.entries {
 		if !listed[id.Name()] && e.offset < next {
-			d.handleRemoval(now, e)
+			d.remove(now, next.Previous(), e)
 		}
 	}
 }
--- a/pkg/fleet/position.go
+++ b/pkg/fleet/position.go
@@ -32,6 +32,9 @@
 // Offset returns the offset within the era.
 func (p Position) Offset() int64 { return int64(p & (1<<offsetBits - 1)) }
 
+// Previous returns the position before p, or p if it is the first one of its era.
+func (p Position) Previous() Position { return max(p-1, NewPosition(p.Era(), 0)) }
+
 // String implements fmt.Stringer.
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era(), p.Offset()) }
 
--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -53,6 +53,20 @@
 	return b
 }
 
+// replaceEndpoints replaces the list entries by those of a complete listing that ends before the
+// position next. Entries that it lacks are kept as removals, for the hosts that learn of changes from
+// this one.
+func (c *entryCache) replaceEndpoints(listed map[string]fleet.Entry, next fleet.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, old := range c.endpoints {
+		if _, ok := listed[key]; !ok && old.Offset < next {
+			listed[key] = fleet.Entry{Key: key, Offset: next.Previous()}
+		}
+	}
+	c.endpoints = listed
+}
+
 // evict removes the entries of endpoints.
 func (c *entryCache) evict(ids []fleet.EndpointID) {
 	c.mu.Lock()
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -226,9 +226,7 @@
 		raw[entry.Key] = entry
 		list[entry.Offset] = g.decodeEndpoint(entry)
 	}
-	g.cache.mu.Lock()
-	g.cache.endpoints = raw
-	g.cache.mu.Unlock()
+	g.cache.replaceEndpoints(raw, b.Next)
 	if known := g.directory.Offset(); b.Next < known {
 		g.log.Warn("endpoint list of the store ends before the known one", "next", b.Next, "known_next", known)
 	}
--- a/pkg/gateway/listconfirm_test.go
+++ b/pkg/gateway/listconfirm_test.go
@@ -234,3 +234,21 @@
 		is.Equal(g.listConfirmed(), c.confirmed)
 	}
 }
+
+// Guards against hosts that keep sending requests to an endpoint whose removal another host has found
+// in a complete listing: the removal has no entry of its own to pass on.
+func TestRemovalFoundInListingIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	relay, host := listHost(time.Minute), listHost(time.Minute)
+	entries := []fleet.Entry{{Key: "e1", Offset: 0, Value: []byte("ready")}, {Key: "e2", Offset: 1, Value: []byte("ready")}}
+	for _, g := range []*Gateway{relay, host} {
+		g.applyEndpoints(fleet.Batch{Entries: entries, Next: 2})
+	}
+	relay.replaceEndpoints(fleet.Batch{Entries: entries[1:], Next: 9})
+	now := relay.Now()
+	relay.storeReads.RecordResult(fleet.TopicEndpoints, now, nil)
+	host.applyListNotice(now, relay.withListChanges(now, fleet.Notice{}, host.directory.Offset()-1, relay.directory.RoutingOffset()))
+	is.Equal(usableEndpoints(relay, now), []fleet.EndpointID{"e2"})
+	is.Equal(usableEndpoints(host, now), []fleet.EndpointID{"e2"})
+	is.True(host.listConfirmed())
+}
