Fleet: an entry of a restored store does not revive an endpoint that is gone

The older copy may hold the entry of an endpoint that removed it before it left; its new position is greater than that of the removal, so that the endpoint took requests again until the removal is written once more.

Fix: records that the copy contains keep their offsets. An entry of a newer era whose offset does not exceed that of the removal may be one of them and is ignored; the next heartbeats of an endpoint that lives have greater offsets.

TestRestoredEntryDoesNotReviveEndpoint failed before and passes; TestEntryMissingInRestoredStoreMayReturn states what held already.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -102,6 +102,10 @@
 	if old != nil && old.offset >= offset || old == nil && offset <= d.prunedOffset {
 		return
 	}
+	// The older copy of a restored store may hold the entry of an endpoint that has left since.
+	if old != nil && old.gone && offset.mayPrecede(old.offset) {
+		return
+	}
 	if !d.supersede(e.ID) {
 		return
 	}
--- a/pkg/fleet/incarnation_test.go
+++ b/pkg/fleet/incarnation_test.go
@@ -110,3 +110,33 @@
 		}
 	}
 }
+
+// Guards against an endpoint that takes requests again because the older copy of a restored store holds
+// the entry that it removed before it left.
+func TestRestoredEntryDoesNotReviveEndpoint(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	e := incarnation("e", 100)
+	d.Apply(at(0), 5, e)
+	d.Remove(at(1), 9, e.ID)
+	d.SetStoreRestored(at(2))
+	d.Replace(at(2), fleet.NewPosition(1, 7), map[fleet.Position]fleet.Endpoint{fleet.NewPosition(1, 5): e})
+	is.Equal(len(d.Live(at(2))), 0)
+	d.Apply(at(3), fleet.NewPosition(1, 10), e) // A heartbeat since then.
+	is.Equal(len(d.Live(at(3))), 1)
+}
+
+// Guards against treating an entry that the older copy lacks as removed at once: its endpoint writes it
+// again within the time that the platform states.
+func TestEntryMissingInRestoredStoreMayReturn(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	a, b := incarnation("a", 100), incarnation("b", 100)
+	d.Apply(at(0), 5, a)
+	d.Apply(at(0), 6, b)
+	d.SetStoreRestored(at(1))
+	d.Replace(at(1), fleet.NewPosition(1, 2), nil)
+	is.Equal(len(d.Live(at(1.5))), 2)
+	d.Apply(at(2), fleet.NewPosition(1, 2), a)
+	is.Equal(len(d.Live(at(4))), 1)
+}
