Gateway: write the host's entry again after a restore of the store

The entry of a host that started in the seconds before the copy was lost for good: hosts that start later do not know its key and refuse its messages, and a relay would not serve it.

Fix: the entry is written unconditionally in each new era, after a random delay that grows with the number of hosts (1.5 s at 300, within the writes that the store allows).

TestHostEntryIsWrittenAgainAfterRestore failed before (20 s without an entry) and passes.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/tealvane/tealvane/internal/wait"
@@ -45,6 +46,9 @@
 	// is added for each known host, to limit wakeups when many hosts start one after the other.
 	hostBatchDelay        = 300 * time.Millisecond
 	hostBatchDelayPerHost = 3 * time.Millisecond
+	// hostRewriteDelayPerHost, times the number of hosts, bounds the random delay before a host
+	// writes its entry again after a restore of the store.
+	hostRewriteDelayPerHost = 5 * time.Millisecond
 	// listWakeDrainDivisor divides the drain time to give the minimum interval between reads of
 	// the list that notices from other hosts trigger.
 	listWakeDrainDivisor = 4
@@ -290,7 +294,8 @@
 	Cores float64 `cbor:"5,keyasint,omitempty"`
 }
 
-// announce writes this host's entry, which holds its address and key.
+// announce writes this host's entry, which holds its address and key, and writes it again after each
+// restore of the store.
 func (g *Gateway) announce(ctx context.Context) {
 	value, err := record.Marshal(hostEntry{
 		Addr:        g.self.Addr,
@@ -304,11 +309,15 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if _, err := g.store.Put(ctx, fleet.TopicHosts, g.self.Host, value, fleet.AnyOffset); err == nil {
-			g.announced.Store(true)
-			return
+		at, err := g.store.Put(ctx, fleet.TopicHosts, g.self.Host, value, fleet.AnyOffset)
+		if err != nil {
+			wait.For(ctx, wait.Jitter(storeRetryDelay))
+			continue
+		}
+		g.announced.Store(true)
+		if g.awaitRestore(ctx, at.Era()) {
+			wait.For(ctx, rand.N(time.Duration(g.mesh.hosts())*hostRewriteDelayPerHost))
 		}
-		wait.For(ctx, wait.Jitter(storeRetryDelay))
 	}
 }
 
--- a/pkg/gateway/restore.go
+++ b/pkg/gateway/restore.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -67,3 +68,18 @@
 		apply(b)
 	}
 }
+
+// awaitRestore blocks until the store is in a newer era. It returns false if ctx ends before.
+func (g *Gateway) awaitRestore(ctx context.Context, era int64) bool {
+	for {
+		newest, changed := g.era.current()
+		if newest > era {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -63,3 +63,18 @@
 	}
 	return newest
 }
+
+// Guards against hosts whose entries are lost with a restore: a host that starts later would not know
+// them.
+func TestHostEntryIsWrittenAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish(config(1))
+	older := d.store.Copy()
+	a, b := d.startHost("a"), d.startHost("b")
+	d.waitFor("the hosts know each other", func() bool { return a.Peers() == 1 && b.Peers() == 1 })
+	d.store.Restore(older)
+	d.waitFor("both entries are back", func() bool { return d.store.KeyCount("keyed.hosts") == 2 })
+	c := d.startHost("c")
+	d.waitFor("a new host knows both", func() bool { return c.Peers() == 2 })
+}
