Gateway: claim again after a restore of the store that has lost the claim

With the claim gone from the store, a host that starts later finds no claim and becomes a second controller.

Fix: a holder whose token predates the store's era reads the claims anew. Its own claim in the copy counts with the greater token, another host's replaces it, and if there is none it claims at the end that it has read in the new era.

TestClaimIsWrittenAgainAfterRestore failed before (20 s without a claim) and passes.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -29,12 +29,15 @@
 	// maxClaimDelay bounds the random delay before a claim.
 	claimDelayPerHost = 5 * time.Millisecond
 	maxClaimDelay     = 300 * time.Millisecond
+	// claimRenewInterval is the minimum interval between two attempts to write a claim again.
+	claimRenewInterval = 500 * time.Millisecond
 	// releaseRetryDelay is the delay between two attempts to release the claim on shutdown.
 	releaseRetryDelay = 400 * time.Millisecond
 )
 
 // elect claims whenever there is no controller.
 func (g *Gateway) elect(ctx context.Context) {
+	var renewedAt time.Time
 	every(ctx, electionInterval, func() {
 		if g.election.CheckSuspend(bootTime()) {
 			g.log.Warn("host was suspended; orders are paused until the store confirms the claim")
@@ -42,6 +45,10 @@
 		if g.election.AwaitingConfirmation() {
 			g.confirmClaim(ctx)
 		}
+		if g.claimPredatesRestore() && g.Now().Sub(renewedAt) > claimRenewInterval {
+			renewedAt = g.Now()
+			g.renewClaim(ctx)
+		}
 		// The host entry must precede the claim: others consider a holder failed if its host has
 		// an entry of another incarnation.
 		if g.stopping.Load() || !g.announced.Load() || !g.election.ShouldClaim(g.Now()) {
@@ -51,6 +58,22 @@
 	})
 }
 
+// claimPredatesRestore reports whether this host holds a claim that the store may have lost.
+func (g *Gateway) claimPredatesRestore() bool {
+	held := g.election.HeldToken()
+	era, _ := g.era.current()
+	return held != 0 && claimPosition(held).Era() < era
+}
+
+// renewClaim claims again after a restore of the store. A claim that the older copy holds counts as a
+// new one with a greater token; if it is another host's, that host becomes the controller.
+func (g *Gateway) renewClaim(ctx context.Context) {
+	g.confirmClaim(ctx)
+	if end := g.mesh.claimsOffset(); g.claimPredatesRestore() && end.Era() > claimPosition(g.election.HeldToken()).Era() {
+		g.claim(ctx, end)
+	}
+}
+
 // challenge claims, unless another host has a recent heartbeat from the holder of the newest
 // claim. It gives up if a newer claim appears meanwhile, so that a delayed host does not replace
 // a controller that was just elected.
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -76,3 +76,6 @@
 
 // DrainingOrGone reports whether the host considers an endpoint draining or gone.
 func (g *Gateway) DrainingOrGone(id fleet.EndpointID) bool { return g.directory.DrainingOrGone(id) }
+
+// NewestToken returns the token of the newest claim known to the host.
+func (g *Gateway) NewestToken() int64 { return g.election.Newest().Token }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -411,3 +411,6 @@
 // claimToken returns the fencing token of the claim at a position. Tokens are positive, and those of
 // a newer era of the store are greater than all older ones.
 func claimToken(at fleet.Position) int64 { return int64(at) + 1 }
+
+// claimPosition returns the position of the claim with a token.
+func claimPosition(token int64) fleet.Position { return fleet.Position(token - 1) }
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -78,3 +78,31 @@
 	c := d.startHost("c")
 	d.waitFor("a new host knows both", func() bool { return c.Peers() == 2 })
 }
+
+// Guards against a controller whose claim is lost with a restore: a host that starts later would claim
+// beside it.
+func TestClaimIsWrittenAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	older := d.store.Copy()
+	hosts := []*host{d.startHost("a"), d.startHost("b")}
+	controllers := func() int {
+		n := 0
+		for _, h := range hosts {
+			if h.IsController() {
+				n++
+			}
+		}
+		return n
+	}
+	d.waitFor("there is a controller", func() bool { return controllers() == 1 })
+	token := max(hosts[0].NewestToken(), hosts[1].NewestToken())
+	d.store.Restore(older)
+	d.waitFor("the claim is back", func() bool { return d.store.KeyCount("keyed.claims") == 1 })
+	d.waitFor("both hosts know the new claim", func() bool {
+		return hosts[0].NewestToken() > token && hosts[0].NewestToken() == hosts[1].NewestToken() && controllers() == 1
+	})
+	is.Equal(fleet.Position(hosts[0].NewestToken()).Era(), int64(1))
+}
