Gateway: write crash records again that a restored store lacks

Fix: a complete listing says what the store holds. Records that it lacks count as not written, and the hosts that write such records look again: the controller first, relays after their usual delay.

--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -195,3 +195,19 @@
 	d.waitFor("the new host knows the block", func() bool { return c.BlockCount() > 0 })
 	d.checkBlocked(endpoints, c)
 }
+
+// Guards against a block whose record is lost with a restore of the store: after a loss of power of all
+// hosts the request would crash endpoints again.
+func TestBlockIsWrittenAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	older := d.store.Copy()
+	_, a, b := d.startCrashedPair()
+	d.waitFor("the hosts block the request", func() bool { return a.BlockCount() == 1 && b.BlockCount() == 1 })
+	d.waitFor("the record is in the store", func() bool { return d.store.KeyCount("keyed.crashes") == 1 })
+	d.store.Restore(older)
+	d.publish(config(2))
+	d.waitFor("the record is back", func() bool { return d.store.KeyCount("keyed.crashes") == 1 })
+	is.Equal(a.BlockCount(), 1)
+}
--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -58,6 +58,8 @@
 	byContent map[uint64]crashRecord
 	// stale holds the keys of expired records.
 	stale map[string]bool
+	// losses counts the listings that lacked a record which the store held before.
+	losses int64
 }
 
 func newStoredCrashes() *storedCrashes {
@@ -73,6 +75,24 @@
 	delete(s.stale, fleet.Hex(content))
 }
 
+// retain records that the store holds no other records than those with the given keys.
+func (s *storedCrashes) retain(keys map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := len(s.byContent)
+	maps.DeleteFunc(s.byContent, func(content uint64, _ crashRecord) bool { return !keys[fleet.Hex(content)] })
+	if len(s.byContent) < before {
+		s.losses++
+	}
+}
+
+// lossCount returns the number of listings that lacked a record which the store held before.
+func (s *storedCrashes) lossCount() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.losses
+}
+
 // removed records that another host has removed the record under a key. Data of it that still
 // counts is written again.
 func (s *storedCrashes) removed(key string) {
@@ -126,7 +146,7 @@
 // updates from others.
 func (g *Gateway) followCrashes(ctx context.Context) {
 	g.deferFirstRead(ctx, g.receivesCrashes)
-	f := g.follower(fleet.TopicCrashes, g.applyCrashRecords, g.applyCrashRecords)
+	f := g.follower(fleet.TopicCrashes, g.replaceCrashRecords, g.applyCrashRecords)
 	f.Relayed = g.receivesCrashes
 	f.Run(ctx)
 }
@@ -138,6 +158,17 @@
 	return !g.mesh.isRelay() && g.notices.age(g.Now()) < isolationTimeout || g.expectsUpdates()
 }
 
+// replaceCrashRecords applies a complete listing. Records that it lacks, for example after a restore of
+// the store, are written again.
+func (g *Gateway) replaceCrashRecords(b fleet.Batch) {
+	keys := make(map[string]bool, len(b.Entries))
+	for _, e := range b.Entries {
+		keys[e.Key] = true
+	}
+	g.applyCrashRecords(b)
+	g.storedCrashes.retain(keys)
+}
+
 func (g *Gateway) applyCrashRecords(b fleet.Batch) {
 	for _, e := range b.Entries {
 		if len(e.Value) == 0 {
@@ -192,7 +223,7 @@
 		if g.election.HeldToken() != 0 {
 			g.removeStaleRecords(ctx)
 		}
-		if !schedule.update(now, g.guard.CrashLog.Version(), g.guard.Blocklist.Version()) {
+		if !schedule.update(now, g.guard.CrashLog.Version(), g.guard.Blocklist.Version(), g.storedCrashes.lossCount()) {
 			return
 		}
 		for _, r := range g.recordsToWrite(now, now.Sub(schedule.blocksAt) >= backupWriteDelay) {
@@ -203,20 +234,20 @@
 
 // crashStoreSchedule decides when a host checks whether the store lacks crash data.
 type crashStoreSchedule struct {
-	crashLog, blocks int64
-	// changedAt is when crash data last changed, blocksAt when blocks last changed.
+	crashLog, blocks, losses int64
+	// changedAt is when crash data last changed or was lost, blocksAt when blocks were.
 	changedAt, blocksAt time.Time
 }
 
 // update records the current versions and reports whether a check is due.
-func (s *crashStoreSchedule) update(now time.Time, crashLog, blocks int64) bool {
-	if blocks != s.blocks {
+func (s *crashStoreSchedule) update(now time.Time, crashLog, blocks, losses int64) bool {
+	if blocks != s.blocks || losses != s.losses {
 		s.blocksAt = now
 	}
-	if crashLog != s.crashLog || blocks != s.blocks {
+	if crashLog != s.crashLog || blocks != s.blocks || losses != s.losses {
 		s.changedAt = now
 	}
-	s.crashLog, s.blocks = crashLog, blocks
+	s.crashLog, s.blocks, s.losses = crashLog, blocks, losses
 	return now.Sub(s.changedAt) < crashStoreActivePeriod
 }
 
