Gateway: a restored store does not bring back a host's former incarnation

The older copy may hold the entry of a host from before its last restart. It replaced the newer one: the host's key was refused, and its claim was taken for that of a dead incarnation, so that others claimed beside it.

Fix: an entry of a newer era that may be from the copy, judged by its offset, is ignored if its incarnation is older than the known one.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -103,7 +103,7 @@
 		return
 	}
 	// The older copy of a restored store may hold the entry of an endpoint that has left since.
-	if old != nil && old.gone && offset.mayPrecede(old.offset) {
+	if old != nil && old.gone && offset.MayPrecede(old.offset) {
 		return
 	}
 	if !d.supersede(e.ID) {
--- a/pkg/fleet/position.go
+++ b/pkg/fleet/position.go
@@ -41,8 +41,8 @@
 // LogValue implements slog.LogValuer.
 func (p Position) LogValue() slog.Value { return slog.StringValue(p.String()) }
 
-// mayPrecede reports whether the record at p, of a newer era than known, may have been written
+// MayPrecede reports whether the record at p, of a newer era than known, may have been written
 // before the record at known: records that the older copy contains keep their offsets.
-func (p Position) mayPrecede(known Position) bool {
+func (p Position) MayPrecede(known Position) bool {
 	return p.Era() > known.Era() && p.Offset() <= known.Offset()
 }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -292,6 +292,15 @@
 	Zone        string           `cbor:"4,keyasint,omitempty"`
 	// Cores is the host's CPU capacity in cores, or 0 if not configured.
 	Cores float64 `cbor:"5,keyasint,omitempty"`
+
+	// at is the position of the entry in the store.
+	at fleet.Position
+}
+
+// outdated reports whether the entry may be one that the older copy of a restored store holds from
+// before known. Incarnations are ordered by their start time, but a host's clock may be set back.
+func (h hostEntry) outdated(known hostEntry) bool {
+	return h.at.MayPrecede(known.at) && h.Incarnation < known.Incarnation
 }
 
 // announce writes this host's entry, which holds its address and key, and writes it again after each
@@ -365,6 +374,11 @@
 		g.log.Error("decoding host entry failed; entry ignored", "peer", e.Key, "error", err)
 		return
 	}
+	h.at = e.Offset
+	if known, ok := g.mesh.peer(e.Key); ok && h.outdated(known) {
+		g.log.Info("host entry of a restored store ignored", "peer", e.Key, "offset", e.Offset, "known_offset", known.at)
+		return
+	}
 	g.mesh.updatePeer(e.Key, h)
 	g.election.RecordRestart(e.Key, h.Incarnation)
 }
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -102,6 +102,14 @@
 	return m.known[f]
 }
 
+// peer returns the newest entry of another host.
+func (m *mesh) peer(host string) (hostEntry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.peers[host]
+	return e, ok
+}
+
 // updatePeer adds or updates the entry of a host. A restarted host has a new key, so
 // connections to its former incarnation are closed.
 func (m *mesh) updatePeer(host string, e hostEntry) {
