Gateway: log and measure a restore of the store, and bound its calls in a test

One line when a host has read all topics anew, with the time it took; the gauge of the era is set from the first response on; state responses carry the era too, for hosts that get no notices.

--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -39,6 +39,9 @@
 	TopicCrashes
 )
 
+// Topics lists all topics.
+var Topics = []Topic{TopicConfig, TopicEndpoints, TopicHosts, TopicClaims, TopicCrashes}
+
 // String implements fmt.Stringer.
 func (t Topic) String() string {
 	return [...]string{"config", "endpoints", "hosts", "claims", "crashes"}[t]
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -71,8 +71,8 @@
 		Topic:   t,
 		Wait:    longPollTimeout,
 		Relayed: g.receivesOrExpectsUpdates,
-		Reset:   g.withEra(reset),
-		Apply:   g.withEra(apply),
+		Reset:   g.withEra(t, reset),
+		Apply:   g.withEra(t, apply),
 		Result:  func(err error) { g.recordStoreResult(t, err) },
 	}
 }
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -93,7 +93,9 @@
 		restored = now.Add(-milliseconds(n.StoreRestoredAgo))
 		g.directory.SetStoreRestored(restored)
 	}
-	g.observeEra(restored, n.StoreEra)
+	if n.StoreEra > 0 {
+		g.observeEra(restored, n.StoreEra)
+	}
 	if len(n.ListEntries) > 0 && g.directory.Offset() > n.ListSince {
 		g.applyEndpoints(fleet.Batch{Entries: n.ListEntries})
 	}
--- a/pkg/gateway/restore.go
+++ b/pkg/gateway/restore.go
@@ -15,6 +15,10 @@
 	newest int64
 	// changed is closed and replaced when the era increases.
 	changed chan struct{}
+	// restoredAt is when this host learned of the newest era by a restore. unread holds the topics
+	// that were not read since.
+	restoredAt time.Time
+	unread     map[fleet.Topic]bool
 }
 
 // unknownEra is less than every era.
@@ -24,7 +28,7 @@
 
 // observe records an era and returns the newest one before. It reports whether the store was
 // restored since; the first era that a host sees is no restore.
-func (s *storeEra) observe(era int64) (before int64, restored bool) {
+func (s *storeEra) observe(now time.Time, era int64) (before int64, restored bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before = s.newest
@@ -34,7 +38,27 @@
 	s.newest = era
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return before, before != unknownEra
+	if before == unknownEra {
+		return before, false
+	}
+	s.restoredAt = now
+	s.unread = map[fleet.Topic]bool{}
+	for _, t := range fleet.Topics {
+		s.unread[t] = true
+	}
+	return before, true
+}
+
+// recordRead records that a topic was read in an era. It reports whether that was the last one to be read
+// after a restore, and how long ago this host learned of the restore.
+func (s *storeEra) recordRead(now time.Time, t fleet.Topic, era int64) (took time.Duration, done bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era != s.newest || !s.unread[t] {
+		return 0, false
+	}
+	delete(s.unread, t)
+	return now.Sub(s.restoredAt), len(s.unread) == 0
 }
 
 // current returns the newest era and a channel that is closed when it increases.
@@ -48,13 +72,13 @@
 // lacks may be written again, and this host's reads start over. A zero time means that the restore was
 // long ago.
 func (g *Gateway) observeEra(at time.Time, era int64) (restored bool) {
-	before, restored := g.era.observe(era)
+	before, restored := g.era.observe(g.Now(), era)
+	g.metrics.gauge("store_era", float64(max(before, era)))
 	if !restored {
 		return false
 	}
 	g.log.Warn("store was restored from an older copy; reading all topics anew", "era", era, "former_era", before, "list_next", g.directory.Offset())
 	g.metrics.count("store_restores", nil)
-	g.metrics.gauge("store_era", float64(era))
 	g.directory.SetStoreRestored(at)
 	g.storeReads.InterruptReads()
 	g.signalDraining()
@@ -72,14 +96,17 @@
 	}
 }
 
-// withEra returns a function that records the era of a batch read from the store and then applies
-// the batch.
-func (g *Gateway) withEra(apply func(fleet.Batch)) func(fleet.Batch) {
+// withEra returns a function that records the era of a batch of a topic that was read from the store and
+// then applies the batch.
+func (g *Gateway) withEra(t fleet.Topic, apply func(fleet.Batch)) func(fleet.Batch) {
 	return func(b fleet.Batch) {
 		if g.observeEra(g.Now(), b.Next.Era()) {
 			trySend(g.listReadNow)
 		}
 		apply(b)
+		if took, done := g.era.recordRead(g.Now(), t, b.Next.Era()); done {
+			g.log.Info("all topics read after the restore of the store", "era", b.Next.Era(), "took_ms", took.Milliseconds())
+		}
 	}
 }
 
--- a/pkg/gateway/restore_inner_test.go
+++ b/pkg/gateway/restore_inner_test.go
@@ -171,10 +171,10 @@
 	defer func() { w.next[g] = w.end() }()
 	g.storeReads.RecordResult(fleet.TopicEndpoints, time.Now(), nil)
 	if next == 0 || next.Era() != w.era {
-		g.withEra(g.replaceEndpoints)(w.listing())
+		g.withEra(fleet.TopicEndpoints, g.replaceEndpoints)(w.listing())
 		return
 	}
-	g.withEra(g.applyEndpoints)(fleet.Batch{Entries: slices.Clone(w.log[next.Offset():]), Next: w.end()})
+	g.withEra(fleet.TopicEndpoints, g.applyEndpoints)(fleet.Batch{Entries: slices.Clone(w.log[next.Offset():]), Next: w.end()})
 }
 
 // pull makes the host learn of changes from the relay.
--- a/pkg/gateway/restore_test.go
+++ b/pkg/gateway/restore_test.go
@@ -1,10 +1,13 @@
 package gateway_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/standin/site"
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
@@ -106,3 +109,49 @@
 	})
 	is.Equal(fleet.Position(hosts[0].NewestToken()).Era(), int64(1))
 }
+
+// maxCallsAtRestore is the maximum number of store calls, in the three seconds after a restore, of a host
+// that learns of the store's contents from others: it writes its entry and may read one topic.
+const maxCallsAtRestore = 2
+
+// Guards against all hosts reading the store anew at the same time after a restore. Only the controller
+// and the relays must.
+func TestStoreCallsAtRestore(t *testing.T) {
+	const hostCount, relays = 7, 3
+	d := newDeployment(t)
+	d.publish(config(1))
+	d.startEngine("e1")
+	var hosts []*host
+	for i := range hostCount {
+		hosts = append(hosts, d.newHost(fmt.Sprint("h", i), site.NoFault))
+	}
+	for _, h := range hosts {
+		h.run()
+	}
+	defer func() {
+		for _, h := range hosts {
+			h.stop() // In parallel, since each stop takes seconds.
+		}
+	}()
+	d.waitFor("all hosts know each other and receive updates", func() bool {
+		return !slices.ContainsFunc(hosts, func(h *host) bool { return h.Peers() < hostCount-1 || h.LiveEndpoints() < 1 })
+	})
+	<-time.After(2 * time.Second)
+	before := make([]int, hostCount)
+	for i, h := range hosts {
+		before[i] = sum(h.storeListener.Calls())
+	}
+	d.store.Restore(d.store.Copy())
+	<-time.After(3 * time.Second)
+	var calls []int
+	for i, h := range hosts {
+		calls = append(calls, sum(h.storeListener.Calls())-before[i])
+	}
+	slices.Sort(calls)
+	t.Logf("calls of the hosts: %v", calls)
+	for _, n := range calls[:hostCount-relays-1] {
+		if n > maxCallsAtRestore {
+			t.Errorf("a host without children made %d calls, want at most %d", n, maxCallsAtRestore)
+		}
+	}
+}
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -73,6 +73,9 @@
 	if response.State == nil {
 		return false
 	}
+	if era := response.State.EndpointsNext.Era(); era > 0 {
+		g.observeEra(g.Now(), era)
+	}
 	if response.State.Config != nil {
 		g.applyConfig(*response.State.Config)
 	}
