Dev: SIGUSR1 restores the stand-in of the store from a copy some seconds old

tealvane dev -platform keeps a copy a second for five seconds. On SIGUSR1 the store goes back to the oldest, and the operator and the endpoint write again. Tried by hand: the host logs the restore, its claim's new token and, 79 ms later, that all topics are read; requests before and after are served.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -94,7 +94,7 @@
 func (c *devCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.callers, "listen", "127.0.0.1:7001", "address for callers")
 	f.StringVar(&c.operators, "operators", "127.0.0.1:7101", "address for operators")
-	f.BoolVar(&c.platform, "platform", false, "run tealvane-gateway, with stand-ins of its platform")
+	f.BoolVar(&c.platform, "platform", false, "run tealvane-gateway, with stand-ins of its platform; SIGUSR1 restores the store from a copy some seconds old")
 }
 
 // Execute implements subcommands.Command.
@@ -116,7 +116,12 @@
 }
 
 func (c *devCommand) runPlatform(ctx context.Context) subcommands.ExitStatus {
+	restore := make(chan os.Signal, 1)
+	signal.Notify(restore, syscall.SIGUSR1)
+	defer signal.Stop(restore)
 	err := dev.RunPlatform(ctx, dev.Options{
+		RestoreStore: restore,
+
 		Callers: c.callers,
 		Out:     c.out,
 		Log:     c.err,
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,9 @@
 	Operators string
 	Out       io.Writer
 	Log       io.Writer
+	// RestoreStore makes the stand-in of the users' store come back from a copy some seconds old, at
+	// each receive. It may be nil, and only RunPlatform uses it.
+	RestoreStore <-chan os.Signal
 	// Ready is called with the callers' address once the host serves requests. It may
 	// be nil.
 	Ready func(callers string)
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	go restoreOnSignal(ctx, o, store, endpoints)
 	result := make(chan error, 1)
 	go func() { result <- g.Run(ctx) }()
 	if err := pollUntil(ctx, g.Ready); err != nil {
@@ -82,33 +83,73 @@
 	return <-result
 }
 
+// Copies of the store are made each copyInterval, and a restore goes back to the oldest of maxCopies.
+const (
+	copyInterval = time.Second
+	maxCopies    = 5
+)
+
+// restoreOnSignal restores the store from a copy some seconds old at each receive from o.RestoreStore.
+// The operator and the endpoints then write their entries again.
+func restoreOnSignal(ctx context.Context, o Options, store *site.Store, endpoints []*site.Endpoint) {
+	copies := []*site.Store{store.Copy()}
+	tick := time.NewTicker(copyInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			copies = append(copies, store.Copy())
+			copies = copies[max(0, len(copies)-maxCopies):]
+		case <-o.RestoreStore:
+			store.Restore(copies[0])
+			if err := publishConfig(store); err != nil {
+				fmt.Fprintln(o.Out, "publish the configuration again:", err)
+			}
+			for _, e := range endpoints {
+				e.Heartbeat()
+			}
+			copies = []*site.Store{store.Copy()}
+			fmt.Fprintln(o.Out, "store restored from an older copy")
+		}
+	}
+}
+
 // startEndpoints publishes the configuration and starts one endpoint with three
 // models.
 func startEndpoints(store *site.Store) ([]*site.Endpoint, error) {
+	if err := publishConfig(store); err != nil {
+		return nil, err
+	}
+	e, err := site.StartEndpoint(store, site.EndpointConfig{
+		ID: "e1", Service: "llm", Zone: "zone-1", Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, Models: devModels(),
+		LoadedModels: []string{"warm", "idle"}, OnDisk: []string{"rare"}, Events: devEventCount, EventInterval: devEventInterval,
+	})
+	return []*site.Endpoint{e}, err
+}
+
+func devModels() []site.Model {
 	var models []site.Model
 	for _, name := range []string{"warm", "rare", "idle"} {
 		models = append(models, site.Model{Name: name, WeightsMB: devModelMB, LoadS: 6, DiskS: 0.8, WarmS: 0.6, Adapters: 2, AdapterMB: 1})
 	}
-	err := store.Publish(site.Config{
+	return models
+}
+
+func publishConfig(store *site.Store) error {
+	return store.Publish(site.Config{
 		Version: 1,
 		Routes: []site.Route{{
 			Name: "summary", Host: "dev.example", PathPrefix: "/summary/", Kind: "streaming", Service: "llm",
 			TimeoutMS: 10000, TargetLatencyMS: 500, TargetGapMS: 400, Attempts: 2, Resumable: true,
 		}},
 		Services: []site.Service{{Name: "llm", ConnectionLimit: 100, Engine: &site.Engine{
-			Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, LoadsPerS: 4, Models: models,
+			Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, LoadsPerS: 4, Models: devModels(),
 		}}},
 		Limits: site.DefaultLimits,
 		Accounts: []site.Account{{
 			Name: "dev", Keys: []string{site.DevKey}, Unit: "requests", Rate: devAccountRate, Burst: devAccountRate,
 		}},
 	})
-	if err != nil {
-		return nil, err
-	}
-	e, err := site.StartEndpoint(store, site.EndpointConfig{
-		ID: "e1", Service: "llm", Zone: "zone-1", Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, Models: models,
-		LoadedModels: []string{"warm", "idle"}, OnDisk: []string{"rare"}, Events: devEventCount, EventInterval: devEventInterval,
-	})
-	return []*site.Endpoint{e}, err
 }
