--- a/pkg/gateway/restore_inner_test.go
+++ b/pkg/gateway/restore_inner_test.go
@@ -245,6 +245,45 @@
 	}
 }
 
+// Guards against the faults that TestEndpointListSurvivesRestores has found, in the schedules that show
+// them.
+func TestEndpointListAfterRestoreSchedules(t *testing.T) {
+	const (
+		beat = iota
+		drain
+		remove
+		copyStore
+		restore
+		relayReads
+		_
+		hostReads
+		pull
+	)
+	// After this time no entry may return any more.
+	pullLater := simStep{kind: pull, ms: 2700}
+	for _, c := range []struct {
+		name  string
+		kinds []int
+	}{
+		{"host reads the copy of an endpoint that drains", []int{copyStore, drain, relayReads, restore, hostReads, relayReads}},
+		{"relay has not seen the restore", []int{copyStore, drain, relayReads, restore, hostReads}},
+		{"host has missed a removal that the copy lacks", []int{copyStore, remove, relayReads, restore, relayReads}},
+		{"host reads the copy before a removal is written again", []int{copyStore, remove, relayReads, restore, hostReads, beat, relayReads}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newRestoreSim()
+				for _, kind := range c.kinds {
+					w.step(simStep{kind: kind, ms: 1, copied: 1})
+				}
+				w.step(pullLater)
+				w.settle()
+				is.New(t).Equal(w.failures, nil)
+			})
+		})
+	}
+}
+
 // Guards against lists of endpoints that go back with the store, in any order of restores, writes,
 // reads and notices.
 func TestEndpointListSurvivesRestores(t *testing.T) {
