--- a/pkg/gateway/restore_inner_test.go
+++ b/pkg/gateway/restore_inner_test.go
@@ -75,16 +75,17 @@
 	failures []string
 }
 
-// simStep is a step of a restoreSim: what happens, after how many milliseconds, to which endpoint or
-// copy.
+// simStep is a step of a simulation: what happens, after how many milliseconds, to which endpoint (or
+// host) or copy.
 type simStep struct{ kind, ms, endpoint, copied int }
 
-func drawSteps(t *rapid.T) []simStep {
+// drawSteps draws steps that concern the endpoints 0 to last.
+func drawSteps(t *rapid.T, last int) []simStep {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) simStep {
 		return simStep{
 			kind:     rapid.SampledFrom([]int{0, 1, 2, 3, 4, 5, 6, 7, 8}).Draw(t, "kind"),
 			ms:       rapid.SampledFrom([]int{1, 100, 400, 900}).Draw(t, "ms"),
-			endpoint: rapid.SampledFrom([]int{0, 1}).Draw(t, "endpoint"),
+			endpoint: rapid.SampledFrom([]int{0, 1, 2}[:last+1]).Draw(t, "endpoint"),
 			copied:   rapid.IntRange(0, 9).Draw(t, "copied"),
 		}
 	}), 40, 80).Draw(t, "steps")
@@ -288,7 +289,7 @@
 // reads and notices.
 func TestEndpointListSurvivesRestores(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := drawSteps(rt)
+		steps := drawSteps(rt, 1)
 		var failures []string
 		synctest.Test(t, func(*testing.T) {
 			w := newRestoreSim()
