--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -79,3 +79,6 @@
 
 // NewestToken returns the token of the newest claim known to the host.
 func (g *Gateway) NewestToken() int64 { return g.election.Newest().Token }
+
+// ConfigVersion returns the version of the configuration in force.
+func (g *Gateway) ConfigVersion() int64 { return g.configVersion() }
