--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -206,6 +206,7 @@
 	_, a, b := d.startCrashedPair()
 	d.waitFor("the hosts block the request", func() bool { return a.BlockCount() == 1 && b.BlockCount() == 1 })
 	d.waitFor("the record is in the store", func() bool { return d.store.KeyCount("keyed.crashes") == 1 })
+	<-time.After(blockPropagation) // Both hosts have read the record.
 	d.store.Restore(older)
 	d.publish(config(2))
 	d.waitFor("the record is back", func() bool { return d.store.KeyCount("keyed.crashes") == 1 })
