--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -191,6 +191,13 @@
 	e.record()
 }
 
+// orderCount returns the number of orders that were sent.
+func (e *engine) orderCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
 // id identifies the current incarnation.
 func (e *engine) id() fleet.EndpointID {
 	e.mu.Lock()
--- a/pkg/orders/unansweredload_test.go
+++ b/pkg/orders/unansweredload_test.go
@@ -67,7 +67,7 @@
 		is := is.NewRelaxed(t)
 		e := newEngine(130, weights, "x", "y")
 		c := restarting(e)
-		for e.orders == 0 {
+		for e.orderCount() == 0 {
 			steps(ctx, c, 20*time.Millisecond, rare("cold", ""))
 		}
 		e.restart()
@@ -91,7 +91,7 @@
 			return noLoss
 		}
 		c := restarting(e)
-		for e.orders < 2 {
+		for e.orderCount() < 2 {
 			steps(ctx, c, 20*time.Millisecond, rare("cold", ""))
 		}
 		e.restart()
