--- a/pkg/follow/state.go
+++ b/pkg/follow/state.go
@@ -72,8 +72,8 @@
 }
 
 // ListUnavailable reports whether the endpoint list is unavailable. The returned channel is closed
-// when the list becomes available again or InterruptReads is called. The list is read most often, so that it indicates the
-// state of the store first.
+// when the list becomes available again or InterruptReads is called. The list is read most often, so
+// that it indicates the state of the store first.
 func (s *State) ListUnavailable() (bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
