--- a/pkg/gateway/restore_inner_test.go
+++ b/pkg/gateway/restore_inner_test.go
@@ -338,3 +338,19 @@
 		w.fail("host uses %v, want %v", got, want)
 	}
 }
+
+// Guards against reads that block at the store with a position of the former era until they time out.
+func TestRestoreInterruptsBlockedReads(t *testing.T) {
+	is := is.New(t)
+	g := listHost(time.Minute)
+	g.observeEra(g.Now(), 0)
+	_, interrupted := g.storeReads.ListUnavailable()
+	g.observeEra(g.Now(), 0)
+	select {
+	case <-interrupted:
+		t.Fatal("interrupted without a restore")
+	default:
+	}
+	is.True(g.observeEra(g.Now(), 1))
+	<-interrupted
+}
