--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -87,4 +87,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkTimePercent is how long work takes at the endpoint's machine at the moment, 100 as
+	// usual.
+	WorkTimePercent int
 }
