Gateway: hosts claim in order, and a lost claim is followed by one read

Change: hosts that read the store claim in the order of their strength, 15 ms apart; the others ask eight hosts first, vacant or not, and wait a second and a random time that grows with the hosts. A lost claim is followed by reads with an exponential, spread delay, and by no claim until the one that won is known.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -25,10 +25,15 @@
 	// receive its heartbeats, so a small random sample is enough; asking all hosts would open a
 	// connection from each host to every other one at the same time.
 	maxHolderChecks = 8
-	// claimDelayPerHost is about how long it takes to append a claim and for others to read it.
-	// maxClaimDelay bounds the random delay before a claim.
-	claimDelayPerHost = 5 * time.Millisecond
-	maxClaimDelay     = 300 * time.Millisecond
+	// claimDelayPerRank is about how long it takes to append a claim and for the hosts that read
+	// the store to learn of it. maxRankDelay bounds the delay of low ranks.
+	claimDelayPerRank = 15 * time.Millisecond
+	maxRankDelay      = 600 * time.Millisecond
+	// leafClaimDelay is the minimum delay of a host that does not read the claims itself. It is
+	// longer than a relay takes to claim and to tell its children. leafClaimDelayPerHost, times
+	// the number of hosts, bounds its random part.
+	leafClaimDelay        = time.Second
+	leafClaimDelayPerHost = 5 * time.Millisecond
 	// claimRenewInterval is the minimum interval between two attempts to write a claim again.
 	claimRenewInterval = 500 * time.Millisecond
 	// releaseRetryDelay is the delay between two attempts to release the claim on shutdown.
@@ -45,6 +50,9 @@
 		if g.election.AwaitingConfirmation() {
 			g.confirmClaim(ctx)
 		}
+		if g.election.ShouldReread(g.Now(), rand.Float64()) {
+			g.confirmClaim(ctx)
+		}
 		if g.claimPredatesRestore() && g.Now().Sub(renewedAt) > claimRenewInterval {
 			renewedAt = g.Now()
 			g.renewClaim(ctx)
@@ -80,20 +88,25 @@
 func (g *Gateway) challenge(ctx context.Context, holderAlive func(context.Context) bool) {
 	challenged := g.election.Newest().Token
 	end := g.mesh.claimsOffset()
-	if !g.election.Vacant() && holderAlive(ctx) {
+	reads := g.mesh.isRelay()
+	if (!g.election.Vacant() || !reads) && holderAlive(ctx) {
 		return
 	}
-	wait.For(ctx, g.mesh.weakHostDelay()+claimDelay(g.mesh.hosts()))
+	wait.For(ctx, g.mesh.weakHostDelay()+claimDelay(g.mesh.claimRank(g.election.Newest().Holder.Host), reads, g.mesh.hosts()))
 	if ctx.Err() != nil || g.election.Newest().Token != challenged {
 		return
 	}
 	g.claim(ctx, end)
 }
 
-// claimDelay returns a random delay before a claim, so that most hosts read the first claim
-// before they would append their own.
-func claimDelay(hosts int) time.Duration {
-	return rand.N(min(time.Duration(hosts)*claimDelayPerHost, maxClaimDelay))
+// claimDelay returns the delay before a claim of the host with a rank. Hosts that read the store
+// claim in the order of their ranks, so that they know the first claim before they would append
+// their own. The others learn of a claim later and claim only if none of these hosts does.
+func claimDelay(rank int, readsStore bool, hosts int) time.Duration {
+	if readsStore {
+		return min(time.Duration(rank)*claimDelayPerRank, maxRankDelay)
+	}
+	return leafClaimDelay + rand.N(time.Duration(hosts)*leafClaimDelayPerHost)
 }
 
 // holderAliveAtPeer reports whether another host has a recent heartbeat of the holder of the
@@ -164,7 +177,7 @@
 		if errors.Is(err, fleet.ErrStoreConflict) {
 			// Another host claimed first, and this host's read of the topic has not returned it
 			// yet.
-			g.confirmClaim(ctx)
+			g.election.RecordConflict(g.Now())
 		}
 		return
 	}
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -21,8 +21,8 @@
 	// firstNoticeTimeout is how long a new controller may take to reach all hosts. After a
 	// start, relays first read the entries of all hosts.
 	firstNoticeTimeout = 3 * time.Second
-	// weakHostClaimDelay delays the claims of weak hosts. It is longer than the random delay of
-	// the strong ones.
+	// weakHostClaimDelay delays the claims of weak hosts. It is longer than strong ones take to
+	// start one after the other.
 	weakHostClaimDelay = 400 * time.Millisecond
 	// fullStateOffset is the offset that requests all entries of the list.
 	fullStateOffset = 0
@@ -207,6 +207,14 @@
 	return weakHostClaimDelay
 }
 
+// claimRank returns how many hosts other than excluded go before this one in the order in which
+// hosts claim.
+func (m *mesh) claimRank(excluded string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return relay.Rank(m.member, excluded, m.members())
+}
+
 // claimsOffset returns the offset up to which claims were read.
 func (m *mesh) claimsOffset() fleet.Position {
 	m.mu.Lock()
--- a/pkg/orders/claim.go
+++ b/pkg/orders/claim.go
@@ -38,6 +38,10 @@
 	// suspendThreshold is the gap between two readings of the boot time clock from which
 	// the host counts as suspended in between.
 	suspendThreshold = 500 * time.Millisecond
+	// minRereadDelay and maxRereadDelay bound the mean delay before the claims are read again
+	// after a lost claim whose read has failed. The delay doubles with each failure.
+	minRereadDelay = 400 * time.Millisecond
+	maxRereadDelay = 8 * time.Second
 	// noHeartbeat is what SinceHeartbeat returns if no heartbeat was received. It is longer
 	// than any timeout.
 	noHeartbeat = time.Hour
@@ -72,6 +76,11 @@
 	deadToken    int64
 	lastBoottime time.Duration
 	synced       bool
+	// outdated is set after a lost claim until the claim that won is known. rereadAt is when to
+	// read the claims, rereads the number of reads since then.
+	outdated bool
+	rereadAt time.Time
+	rereads  int
 }
 
 // NewElection returns the election of a host that knows no claim. A new holder waits until
@@ -96,6 +105,7 @@
 	if c.Token > e.newest.Token {
 		e.silentSince = now
 		e.lastHeartbeat = time.Time{}
+		e.outdated = false
 	}
 	e.newest = c
 	if e.held != 0 && c.Token > e.held {
@@ -116,11 +126,41 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.synced = true
+	e.outdated = false
 	if e.held != 0 && e.newest.Token == e.held {
 		e.needsConfirm = false
 	}
 }
 
+// RecordConflict records that the store has rejected this host's claim because of one that the
+// host does not know. No further claim is made until that one is known: the store would reject
+// it too.
+func (e *Election) RecordConflict(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.outdated = true
+	e.rereadAt = now
+	e.rereads = 0
+}
+
+// ShouldReread reports whether to read the claims now because another host's claim has won. The
+// delay between reads doubles and is spread by jitter, a random number from 0 to 1, so that hosts
+// that all lost do not keep the store from answering.
+func (e *Election) ShouldReread(now time.Time, jitter float64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.outdated || now.Before(e.rereadAt) {
+		return false
+	}
+	delay := min(maxRereadDelay, minRereadDelay<<min(e.rereads, maxRereadShift))
+	e.rereadAt = now.Add(time.Duration((0.5 + jitter) * float64(delay)))
+	e.rereads++
+	return true
+}
+
+// maxRereadShift bounds the number of times that the delay doubles.
+const maxRereadShift = 8
+
 // RecordHeartbeat records a heartbeat of the holder of a token. at is when the heartbeat was first
 // received, possibly by another host. Hosts must forward it with that time: heartbeats that
 // become newer on the way would make a dead holder seem alive.
@@ -143,7 +183,7 @@
 func (e *Election) ShouldClaim(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.synced || e.held != 0 || now.Sub(e.lastAttempt) < claimRetryInterval {
+	if !e.synced || e.outdated || e.held != 0 || now.Sub(e.lastAttempt) < claimRetryInterval {
 		return false
 	}
 	if !e.vacant() && now.Sub(e.silentSince) < holderTimeout {
--- a/pkg/orders/claim_test.go
+++ b/pkg/orders/claim_test.go
@@ -1,6 +1,7 @@
 package orders_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -203,3 +204,43 @@
 	is.True(a.ShouldClaim(at(1800 * time.Millisecond)))
 	is.True(b.ShouldClaim(at(1800 * time.Millisecond)))
 }
+
+// Guards against hosts that lost a claim claiming and reading again and again while the store does
+// not answer, which keeps it from recovering.
+func TestLostClaimsDoNotLoadStore(t *testing.T) {
+	const hosts, maxCallsPerHost = 100, 8
+	calls := 0
+	for range hosts {
+		e := election("b")
+		e.RecordCaughtUp()
+		for now := start; now.Before(at(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+			if e.ShouldClaim(now) {
+				calls++
+				e.RecordConflict(now)
+			}
+			if e.ShouldReread(now, rand.Float64()) {
+				calls++ // The store does not answer.
+			}
+		}
+	}
+	if calls > maxCallsPerHost*hosts {
+		t.Errorf("%d hosts made %d calls in 10 s, want at most %d each", hosts, calls, maxCallsPerHost)
+	}
+}
+
+// Guards against a host that lost a claim never claiming again.
+func TestLostClaimIsRepeatedOnceTheWinnerIsKnown(t *testing.T) {
+	is := is.New(t)
+	e := election("b")
+	e.Observe(at(0), orders.Claim{Holder: holder("a"), Token: 1})
+	is.True(e.ShouldClaim(at(2 * time.Second)))
+	e.RecordConflict(at(2 * time.Second))
+	e.Observe(at(2*time.Second), orders.Claim{Holder: holder("a"), Token: 1})
+	is.True(!e.ShouldClaim(at(4 * time.Second))) // the claim that won is not known
+	is.True(e.ShouldReread(at(4*time.Second), 0))
+	is.True(!e.ShouldReread(at(4*time.Second), 0))
+	e.Observe(at(4*time.Second), orders.Claim{Holder: holder("c"), Token: 2})
+	is.True(!e.ShouldReread(at(6*time.Second), 0))
+	is.True(!e.ShouldClaim(at(5 * time.Second))) // its holder may be alive
+	is.True(e.ShouldClaim(at(6 * time.Second)))
+}
--- a/pkg/relay/tree.go
+++ b/pkg/relay/tree.go
@@ -80,12 +80,28 @@
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Or(-cmp.Compare(a.Cores, b.Cores), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(out, compareStrength)
 	return out
 }
 
+// compareStrength orders hosts by descending number of cores, and equal ones by a hash of their
+// names.
+func compareStrength(a, b Member) int {
+	return cmp.Or(-cmp.Compare(a.Cores, b.Cores), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+// Rank returns how many hosts other than excluded have more cores than self, or as many and a
+// lower hash. No two hosts that know the same hosts have the same rank.
+func Rank(self Member, excluded string, hosts []Member) int {
+	rank := 0
+	for _, m := range hosts {
+		if m.Name != excluded && compareStrength(m, self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // relayCount returns how many of the sorted hosts of a zone are needed as relays for the others.
 func relayCount(zone []Member) int {
 	served := 0
