Gateway: hosts send each other long lists of endpoints as compressed parts

Cause: the whole list went in one message of at most 8 MiB, within 600 ms. 10,000 entries of 300 to 900 bytes do not fit, in bytes or, on a link of 20 Mbit/s, in time; hosts that could not read the store would never get it. Change: the list goes as compressed parts of 1,000 entries, built once a second at most and within half of the sender's link; it is applied once all parts have come. The store's client gets a call for one page of a topic, the stand-in pages of 500 keys. TestStateResponseOmitsHeartbeats asks in addition that a host that has not read the list sends none.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -336,8 +336,21 @@
 	s.writeEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	items := []item{}
-	for _, rec := range t.newest {
-		items = append(items, item{rec.key, base64.StdEncoding.EncodeToString(rec.value), rec.offset})
+	after := r.URL.Query().Get("after")
+	more := false
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		if key <= after {
+			continue
+		}
+		if len(items) == maxPageItems {
+			more = true
+			break
+		}
+		rec := t.newest[key]
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(rec.value), rec.offset})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": false, "end": t.end})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "end": t.end})
 }
+
+// maxPageItems is the maximum number of keys in one response.
+const maxPageItems = 500
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -80,6 +80,9 @@
 type Store interface {
 	// Newest returns the newest entry of each key and the position to continue from.
 	Newest(ctx context.Context, t Topic) (Batch, error)
+	// Page returns the newest entries of a limited number of keys, in the order of the keys and
+	// beginning after the key after. more reports whether keys follow.
+	Page(ctx context.Context, t Topic, after string) (b Batch, more bool, err error)
 	// Read returns the entries from a position on. If there are none, it blocks for up to wait. It
 	// returns ErrStoreRestored if the position is of an older era than the store's.
 	Read(ctx context.Context, t Topic, from Position, wait time.Duration) (Batch, error)
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -18,6 +18,8 @@
 
 // store responds to reads of some topics and fails those of others. It counts calls.
 type store struct {
+	fleet.Store // Calls that are not implemented here panic.
+
 	mu          sync.Mutex
 	unavailable map[fleet.Topic]bool
 	calls       map[fleet.Topic]int
--- a/pkg/follow/rate_limited_store.go
+++ b/pkg/follow/rate_limited_store.go
@@ -48,6 +48,15 @@
 	return c.Store.Newest(ctx, t)
 }
 
+// Page implements fleet.Store.
+func (c *RateLimitedStore) Page(ctx context.Context, t fleet.Topic, after string) (fleet.Batch, bool, error) {
+	if err := c.acquire(ctx, writeReserve); err != nil {
+		return fleet.Batch{}, false, err
+	}
+	c.count(t)
+	return c.Store.Page(ctx, t, after)
+}
+
 // Read implements fleet.Store.
 func (c *RateLimitedStore) Read(ctx context.Context, t fleet.Topic, from fleet.Position, wait time.Duration) (fleet.Batch, error) {
 	if err := c.acquire(ctx, writeReserve); err != nil {
--- a/pkg/follow/wake_test.go
+++ b/pkg/follow/wake_test.go
@@ -13,7 +13,10 @@
 )
 
 // countingStore counts reads.
-type countingStore struct{ reads int }
+type countingStore struct {
+	fleet.Store
+	reads int
+}
 
 func (s *countingStore) Newest(context.Context, fleet.Topic) (fleet.Batch, error) {
 	s.reads++
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -117,13 +117,18 @@
 
 // maxListBytes returns how many bytes of list entries a notice to each child may carry.
 func (g *Gateway) maxListBytes() int {
+	bytesPerInterval := g.linkBytesPerSecond() * noticeInterval.Seconds()
+	return int(bytesPerInterval/listLinkDivisor) / g.mesh.fanOut(g.settings.cores())
+}
+
+// linkBytesPerSecond returns the bandwidth of this host's link.
+func (g *Gateway) linkBytesPerSecond() float64 {
 	link := g.settings.Limits.LinkMbps
 	if link == 0 {
 		link = defaultLinkMbps
 	}
 	const bitsPerByte, mega = 8, 1e6
-	bytesPerInterval := link * mega / bitsPerByte * noticeInterval.Seconds()
-	return int(bytesPerInterval/listLinkDivisor) / g.mesh.fanOut(g.settings.cores())
+	return link * mega / bitsPerByte
 }
 
 // publish applies the controller's notice on this host and wakes the pending pulls of its
--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -93,6 +95,13 @@
 	}
 }
 
+// allEndpoints returns the entries of all endpoints.
+func (c *entryCache) allEndpoints() []fleet.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.endpoints))
+}
+
 // endpointEntries returns the newest entries of endpoints.
 func (c *entryCache) endpointEntries(ids []fleet.EndpointID) []fleet.Entry {
 	c.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -78,12 +78,14 @@
 	// listMu is held while a batch of list entries is applied and while a response is built
 	// from the list. A response that includes an entry must include all changes before it,
 	// since its receiver then considers its list complete up to that entry.
-	listMu     sync.Mutex
-	cache      *entryCache
-	storeReads *follow.State
-	era        *storeEra
-	directory  *fleet.Directory
-	locator    *fleet.Locator
+	listMu sync.Mutex
+	cache  *entryCache
+	// listArchive is the copy of the list for hosts that start.
+	listArchive listArchive
+	storeReads  *follow.State
+	era         *storeEra
+	directory   *fleet.Directory
+	locator     *fleet.Locator
 
 	health     *serve.Health
 	dispatcher *serve.Dispatcher
--- a/pkg/gateway/list_inner_test.go
+++ b/pkg/gateway/list_inner_test.go
@@ -33,9 +33,11 @@
 	}
 	g.applyEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("a", 0, "ready"), entry("b", 1, "ready")}})
 	g.applyEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("a", 2, "ready"), entry("b", 3, "leaving"), entry("b", 4, "leaving")}})
-	is.Equal(g.respondToStateRequest(peer.StateRequest{EndpointsFrom: 2}).Endpoints, []fleet.Entry{entry("b", 4, "leaving")})
-	is.Equal(len(g.respondToStateRequest(peer.StateRequest{EndpointsFrom: 4}).Endpoints), 0)
-	is.Equal(len(g.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset}).Endpoints), 2)
+	is.Equal(g.respondToStateRequest(peer.StateRequest{EndpointsFrom: 2})[0].Endpoints, []fleet.Entry{entry("b", 4, "leaving")})
+	is.Equal(len(g.respondToStateRequest(peer.StateRequest{EndpointsFrom: 4})[0].Endpoints), 0)
+	is.Equal(len(stateEntries(t, g.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset}))), 0) // not read yet
+	g.storeReads.SetLoaded(fleet.TopicEndpoints)
+	is.Equal(len(stateEntries(t, g.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset}))), 2)
 }
 
 // Guards against most state requests crossing availability zones, and against none doing so.
@@ -54,3 +56,42 @@
 	is.True(chosen["near"] > 200)
 	is.True(chosen["far"] > 0)
 }
+
+// stateEntries returns the list entries of the responses to a state request.
+func stateEntries(t *testing.T, responses []*peer.StateResponse) []fleet.Entry {
+	t.Helper()
+	out := responses[0].Endpoints
+	for _, r := range responses[1:] {
+		entries, err := r.Archive.Entries()
+		is.New(t).NoErr(err)
+		out = append(out, entries...)
+	}
+	return out
+}
+
+// Guards against copies of a long list that take up the whole link of a host, and against building
+// one for each host that starts.
+func TestListCopiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var a listArchive
+	now := time.Unix(1000, 0)
+	built := 0
+	entries := func() ([]fleet.Entry, fleet.Position) {
+		built++
+		return []fleet.Entry{{Key: "e", Value: []byte("value")}}, 7
+	}
+	sent, size := 0, 0
+	const bytesPerSecond, span = 200, 10 * time.Second
+	for at := now; at.Before(now.Add(span)); at = at.Add(10 * time.Millisecond) {
+		parts, next, err := a.get(at, bytesPerSecond, entries)
+		is.NoErr(err)
+		if len(parts) > 0 {
+			is.Equal(next, fleet.Position(7))
+			sent++
+			size = len(parts[0])
+		}
+	}
+	is.True(sent*size <= bytesPerSecond*int(span.Seconds()+1)+size)
+	is.True(sent*size >= bytesPerSecond*int(span.Seconds()-1))
+	is.True(built <= int(span/maxArchiveAge)+1)
+}
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -18,10 +18,11 @@
 		// The store has rejected this host, so its entry was never written. It may read the
 		// shared state, but nothing that it reports is used.
 		if r.State != nil {
-			response.State = g.respondToStateRequest(*r.State)
+			return withState(response, g.respondToStateRequest(*r.State))
 		}
 		return []peer.Response{response}
 	}
+	var state []*peer.StateResponse
 	switch {
 	case r.Pull != nil:
 		g.fetchNewerConfig(r.Pull.Demand.Addr, r.Pull.Demand.ConfigVersion)
@@ -29,14 +30,27 @@
 		now = g.Now()
 		response.ConfigVersion = g.configVersion()
 	case r.State != nil:
-		response.State = g.respondToStateRequest(*r.State)
+		state = g.respondToStateRequest(*r.State)
 	}
 	claim := g.election.Newest()
 	response.Claim = &claim
 	response.Controlling = g.election.HeldToken() != 0
 	response.HolderHeartbeatAge = g.election.SinceHeartbeat(now).Milliseconds()
 	response.StoreAge = g.listAge(now).Milliseconds()
-	return []peer.Response{response}
+	return withState(response, state)
+}
+
+// withState returns a response followed by those that carry the rest of the state.
+func withState(first peer.Response, state []*peer.StateResponse) []peer.Response {
+	out := []peer.Response{first}
+	for i, s := range state {
+		if i == 0 {
+			out[0].State = s
+			continue
+		}
+		out = append(out, peer.Response{State: s})
+	}
+	return out
 }
 
 func (g *Gateway) configVersion() int64 {
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -2,44 +2,62 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
 )
 
-// respondToStateRequest responds to a host that cannot read the store.
-func (g *Gateway) respondToStateRequest(r peer.StateRequest) *peer.StateResponse {
-	g.listMu.Lock()
-	defer g.listMu.Unlock()
-	g.cache.mu.Lock()
-	defer g.cache.mu.Unlock()
-	out := &peer.StateResponse{EndpointsNext: g.directory.Offset()}
-	if c := g.config.Load(); c != nil && c.Version > r.ConfigVersion {
-		config := g.cache.config
-		out.Config = &config
+const (
+	// fullStateTimeout bounds a request for the complete list of endpoints.
+	fullStateTimeout = 4 * time.Second
+	// listCopyLinkShare is the share of a host's link that copies of the complete list may use.
+	listCopyLinkShare = 0.5
+)
+
+// respondToStateRequest responds to a host that does not read the store.
+func (g *Gateway) respondToStateRequest(r peer.StateRequest) []*peer.StateResponse {
+	first := &peer.StateResponse{Config: g.configNewerThan(r.ConfigVersion)}
+	if r.EndpointsFrom != fullStateOffset {
+		g.listMu.Lock()
+		defer g.listMu.Unlock()
+		first.EndpointsNext = g.directory.Offset()
+		first.Endpoints = g.cache.endpointEntries(g.directory.RoutingChangesSince(r.EndpointsFrom - 1))
+		return []*peer.StateResponse{first}
+	}
+	out := []*peer.StateResponse{first}
+	if !g.storeReads.Loaded(fleet.TopicEndpoints) {
+		return out
+	}
+	parts, next, err := g.listArchive.get(g.Now(), listCopyLinkShare*g.linkBytesPerSecond(), g.listEntries)
+	if err != nil {
+		g.log.Error("encoding the list of endpoints failed", "error", err)
+	}
+	first.EndpointsNext, first.Archives = next, len(parts)
+	for _, p := range parts {
+		out = append(out, &peer.StateResponse{Archive: p})
 	}
-	out.Endpoints = g.endpointEntriesFrom(r.EndpointsFrom)
 	return out
 }
 
-// endpointEntriesFrom returns the list entries that changed at or after an offset, or all
-// entries. It must be called with the cache's mu held. Heartbeats of listed endpoints
-// are left out to limit the size: a host that has the endpoint does not need them, and all hosts
-// send state requests while the controller changes.
-func (g *Gateway) endpointEntriesFrom(from fleet.Position) []fleet.Entry {
-	var out []fleet.Entry
-	if from == fullStateOffset {
-		return slices.Collect(maps.Values(g.cache.endpoints))
-	}
-	for _, id := range g.directory.RoutingChangesSince(from - 1) {
-		if e, ok := g.cache.endpoints[id.Name()]; ok {
-			out = append(out, e)
-		}
+// configNewerThan returns the entry of the configuration in force if it is newer than a version.
+func (g *Gateway) configNewerThan(version int64) *fleet.Entry {
+	g.cache.mu.Lock()
+	defer g.cache.mu.Unlock()
+	if c := g.config.Load(); c == nil || c.Version <= version {
+		return nil
 	}
-	return out
+	config := g.cache.config
+	return &config
+}
+
+// listEntries returns all entries of the list of endpoints and the position up to which they are
+// complete.
+func (g *Gateway) listEntries() ([]fleet.Entry, fleet.Position) {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	return g.cache.allEndpoints(), g.directory.Offset()
 }
 
 // minStateRequestInterval is the minimum interval between two state requests.
@@ -61,29 +79,55 @@
 	}
 	defer g.mesh.endStateRequest(addr)
 	request := peer.StateRequest{EndpointsFrom: fullStateOffset, ConfigVersion: g.configVersion()}
+	timeout := fullStateTimeout
 	if g.storeReads.Loaded(fleet.TopicEndpoints) {
 		request.EndpointsFrom = g.directory.Offset()
+		timeout = peerTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	responses, err := g.mesh.node.Send(ctx, addr, peer.Request{State: &request})
+	if err == nil {
+		err = g.applyState(responses)
 	}
-	response, err := g.mesh.send(ctx, addr, peer.Request{State: &request})
 	if err != nil {
 		g.mesh.markUnreachable(g.Now(), addr)
 		g.log.Info("state request to peer failed", "peer", addr, "error", err.Error())
-		return true
 	}
-	if response.State == nil {
-		return false
+	return err != nil
+}
+
+// applyState applies the responses to a state request. The list is applied only if it is complete.
+func (g *Gateway) applyState(responses []peer.Response) error {
+	first := responses[0].State
+	if first == nil {
+		return nil
+	}
+	entries := first.Endpoints
+	if first.Archives != len(responses)-1 {
+		return errors.Wrapf(peer.ErrInvalidMessage, "%d parts of the list of endpoints, want %d", len(responses)-1, first.Archives)
+	}
+	for _, r := range responses[1:] {
+		if r.State == nil {
+			return errors.Wrap(peer.ErrInvalidMessage, "response without a part of the list of endpoints")
+		}
+		part, err := r.State.Archive.Entries()
+		if err != nil {
+			return err
+		}
+		entries = append(entries, part...)
 	}
-	if era := response.State.EndpointsNext.Era(); era > 0 {
+	if era := first.EndpointsNext.Era(); era > 0 {
 		g.observeEra(g.Now(), era)
 	}
-	if response.State.Config != nil {
-		g.applyConfig(*response.State.Config)
+	if first.Config != nil {
+		g.applyConfig(*first.Config)
 	}
-	if len(response.State.Endpoints) > 0 {
-		g.applyEndpoints(fleet.Batch{Entries: response.State.Endpoints, Next: response.State.EndpointsNext})
+	if len(entries) > 0 {
+		g.applyEndpoints(fleet.Batch{Entries: entries, Next: first.EndpointsNext})
 		g.storeReads.SetLoaded(fleet.TopicEndpoints)
 	}
-	return false
+	return nil
 }
 
 // beginStateRequest reports whether a state request to addr may be sent, and records it if so.
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -45,12 +45,18 @@
 	EndpointsFrom fleet.Position `cbor:"2,keyasint"`
 }
 
-// StateResponse holds entries as stored.
+// StateResponse holds entries as stored. The complete list of endpoints comes as archives in
+// several responses.
 type StateResponse struct {
 	Config    *fleet.Entry  `cbor:"1,keyasint,omitempty"`
 	Endpoints []fleet.Entry `cbor:"2,keyasint,omitempty"`
-	// EndpointsNext is the offset up to which Endpoints is complete.
+	// EndpointsNext is the offset up to which Endpoints, or the archives of all responses, are
+	// complete.
 	EndpointsNext fleet.Position `cbor:"3,keyasint,omitempty"`
+	// Archive is a part of the complete list. Archives is the number of parts, in the first
+	// response.
+	Archive  Archive `cbor:"4,keyasint,omitempty"`
+	Archives int     `cbor:"5,keyasint,omitempty"`
 }
 
 // UsageReport reports a host's usage of the models of a pool to the pool's owner.
