Gateway: hosts that start among many learn the shared state from relays

Cause: each of n hosts that start together read all n host entries and all m entries of the list from the store: n(n+m). An append that waited behind 985 others was given up after a second, though it was carried out, and sent again. Change: the first 32 hosts that write their entry read everything, as before; later ones read one or two pages of hosts (keys begin with the zone now) and, if they are more than 32 and no relay by these, wait for their relay: hosts in parts of 300, configuration, claim, and the list once no more hosts are added. After six seconds and a random time that grows with the hosts they read the store themselves. A start costs the store for a host that is no relay: one append, two pages. Tests: TestStoreCallsAtStartup as it stands (7 hosts); more to come with a store that has rates.

--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -44,9 +44,10 @@
 	HeartbeatAge int64 `cbor:"17,keyasint,omitempty"`
 	Stamp        int64 `cbor:"18,keyasint,omitempty"`
 	// Hosts holds the newest host entries since the offset in the Pull, complete up to
-	// HostsNext.
+	// HostsNext. HostsMore is set if entries after it are left for the next Pull.
 	Hosts     []Entry  `cbor:"19,keyasint,omitempty"`
 	HostsNext Position `cbor:"20,keyasint,omitempty"`
+	HostsMore bool     `cbor:"28,keyasint,omitempty"`
 	// BlocksChecksum is the checksum over all blocks known to the responding host. Blocks holds
 	// these blocks if the checksum in the Pull differs.
 	BlocksChecksum uint64  `cbor:"22,keyasint,omitempty"`
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -34,6 +34,9 @@
 	State *State
 	Log   *slog.Logger
 	Topic fleet.Topic
+	// Start returns the position to read from, or NoPosition to begin with the newest entries. It
+	// may block while another host is about to provide them. It may be nil.
+	Start func(ctx context.Context) fleet.Position
 	// Wait is how long a read may block at the store for new entries; 0 disables blocking.
 	Wait time.Duration
 	// Pause returns the pause after a read. If it is nil, the follower pauses only while the
@@ -66,6 +69,12 @@
 // Run reads the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	next := fleet.NoPosition
+	if f.Start != nil {
+		next = f.Start(ctx)
+	}
+	if next >= 0 {
+		f.pauseAfterRead(ctx)
+	}
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		initial := next < 0
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -139,14 +139,16 @@
 		break
 	}
 	now = g.Now()
-	g.children.responded(ch, now, g.currentVersions())
+	sent := g.currentVersions()
 	n := g.withListChanges(now, g.locator.ChangesSince(now, g.self.Incarnation, p), p.ListNext-1, g.directory.RoutingOffset())
 	n.Stamp = g.stampFor(now, n.Token)
 	n.BlocksChecksum, n.Blocks = g.blocks.forResponse(now, p.BlocksChecksum)
 	n.SignalsChecksum, n.Signals = g.signals.forResponse(now, p.SignalsChecksum)
 	n.Accounts = g.accounts.limiter.Levels()
-	hosts := g.cache.hostsFrom(p.HostsNext)
-	n.Hosts, n.HostsNext = hosts.Entries, hosts.Next
+	hosts, more := g.cache.hostsFrom(p.HostsNext)
+	n.Hosts, n.HostsNext, n.HostsMore = hosts.Entries, hosts.Next, more
+	sent.hosts = hosts.Next
+	g.children.responded(ch, now, sent)
 	return &n
 }
 
--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -35,6 +36,13 @@
 	c.hostsNext = max(c.hostsNext, b.Next)
 }
 
+// configOffset returns the position of the configuration in force.
+func (c *entryCache) configOffset() fleet.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Offset
+}
+
 // hostsOffset returns the offset up to which host entries are known.
 func (c *entryCache) hostsOffset() fleet.Position {
 	c.mu.Lock()
@@ -42,17 +50,28 @@
 	return c.hostsNext
 }
 
-// hostsFrom returns the newest entry of each host that changed at or after an offset.
-func (c *entryCache) hostsFrom(from fleet.Position) fleet.Batch {
+// maxHostsPerNotice bounds the host entries in one notice, so that it fits the time of a pull on a
+// slow link.
+const maxHostsPerNotice = 300
+
+// hostsFrom returns the newest entry of each host that changed at or after an offset. more reports
+// whether some were left out for the next call.
+func (c *entryCache) hostsFrom(from fleet.Position) (b fleet.Batch, more bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := fleet.Batch{Next: c.hostsNext}
+	b.Next = c.hostsNext
 	for _, e := range c.hosts {
 		if e.Offset >= from {
 			b.Entries = append(b.Entries, e)
 		}
 	}
-	return b
+	if len(b.Entries) <= maxHostsPerNotice {
+		return b, false
+	}
+	slices.SortFunc(b.Entries, func(x, y fleet.Entry) int { return cmp.Compare(x.Offset, y.Offset) })
+	b.Entries = b.Entries[:maxHostsPerNotice]
+	b.Next = min(b.Next, b.Entries[maxHostsPerNotice-1].Offset+1)
+	return b, true
 }
 
 // endpoint returns the list entry with a key.
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -58,8 +58,10 @@
 	// startupCheckInterval is how often a host that defers its first reads checks whether to go
 	// on doing so.
 	startupCheckInterval = 50 * time.Millisecond
-	// storeRetryDelay is the delay after a failed write.
-	storeRetryDelay = 250 * time.Millisecond
+	// storeRetryDelay is the delay after a failed write. It doubles with each further failure up
+	// to maxStoreRetryDelay.
+	storeRetryDelay    = 250 * time.Millisecond
+	maxStoreRetryDelay = 2 * time.Second
 )
 
 // follower returns a follower of a topic.
@@ -96,6 +98,7 @@
 
 func (g *Gateway) followConfig(ctx context.Context) {
 	f := g.follower(fleet.TopicConfig, g.applyConfigs, g.applyConfigs)
+	f.Start = g.awaitRelayedConfig
 	f.Relayed = func() bool { return g.receivesOrExpectsUpdates() && !g.missedNewerConfig() }
 	f.Failed = g.fetchState
 	f.Run(ctx)
@@ -132,6 +135,7 @@
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := g.follower(fleet.TopicEndpoints, g.replaceEndpoints, g.applyEndpoints)
+	f.Start = g.awaitRelayedList
 	f.Wait = 0
 	f.Relayed = nil
 	f.Pause = g.listPollInterval
@@ -155,6 +159,8 @@
 		return g.leafListPollInterval()
 	case confirmed:
 		return confirmedListPollInterval
+	case !g.mesh.isRelay() && g.startup.relayedStart() && g.expectsUpdates():
+		return g.sharedListPollInterval()
 	case g.mesh.isRelay() && g.mesh.hosts() > relay.Children(g.settings.cores()):
 		// The controller does not confirm the list because it cannot reach the store. All hosts
 		// behind this one depend on its reads.
@@ -169,6 +175,12 @@
 	if !g.receivesUpdates() {
 		return 0
 	}
+	return g.sharedListPollInterval()
+}
+
+// sharedListPollInterval returns an interval at which all hosts together read the list at a rate that
+// does not grow with their number.
+func (g *Gateway) sharedListPollInterval() time.Duration {
 	return max(maxListPollInterval, time.Duration(g.mesh.hosts())*leafListPollIntervalPerHost)
 }
 
@@ -199,7 +211,7 @@
 // them may wrongly appear to be a relay.
 func (g *Gateway) expectsUpdates() bool {
 	now := g.Now()
-	if now.Sub(g.startedAt) > startupGracePeriod {
+	if now.Sub(g.startedAt) > g.startupGrace() {
 		return false
 	}
 	return !g.storeReads.Loaded(fleet.TopicHosts) || !g.mesh.membershipStable(now) || !g.mesh.isRelay()
@@ -329,13 +341,20 @@
 		g.log.Error("encoding host entry failed", "error", err)
 		return
 	}
+	delay := storeRetryDelay
 	for ctx.Err() == nil {
-		at, err := g.store.Put(ctx, fleet.TopicHosts, g.self.Host, value, fleet.AnyOffset)
+		at, err := g.store.Put(ctx, fleet.TopicHosts, hostKey(g.settings.Zone, g.self.Host), value, fleet.AnyOffset)
 		if err != nil {
-			wait.For(ctx, wait.Jitter(storeRetryDelay))
-			continue
+			wait.For(ctx, wait.Jitter(delay))
+			delay = min(2*delay, maxStoreRetryDelay)
+			known := fleet.Position(g.startup.ownEntry.Load() - 1)
+			if era, _ := g.era.current(); known < 0 || known.Era() < era {
+				continue
+			}
+			at = known // The entry was written although the call failed.
 		}
-		g.announced.Store(true)
+		delay = storeRetryDelay
+		g.recordOwnEntry(at)
 		if g.awaitRestore(ctx, at.Era()) {
 			wait.For(ctx, rand.N(time.Duration(g.mesh.hosts())*hostRewriteDelayPerHost))
 		}
@@ -347,6 +366,7 @@
 		g.applyHosts(b)
 	}
 	f := g.follower(fleet.TopicHosts, apply, apply)
+	f.Start = g.awaitRelayedHosts
 	f.BatchDelay = g.scaledHostBatchDelay
 	// Hosts that start together would find few entries if they read at once, and would have to
 	// read again.
@@ -387,12 +407,16 @@
 		return
 	}
 	h.at = e.Offset
-	if known, ok := g.mesh.peer(e.Key); ok && h.outdated(known) {
-		g.log.Info("host entry of a restored store ignored", "peer", e.Key, "offset", e.Offset, "known_offset", known.at)
+	name := hostName(e.Key)
+	if name == g.self.Host && h.Incarnation == g.self.Incarnation {
+		g.recordOwnEntry(e.Offset)
+	}
+	if known, ok := g.mesh.peer(name); ok && h.outdated(known) {
+		g.log.Info("host entry of a restored store ignored", "peer", name, "offset", e.Offset, "known_offset", known.at)
 		return
 	}
-	g.mesh.updatePeer(e.Key, h)
-	g.election.RecordRestart(e.Key, h.Incarnation)
+	g.mesh.updatePeer(name, h)
+	g.election.RecordRestart(name, h.Incarnation)
 }
 
 // deferFirstRead delays the first read of a topic while provided reports that other hosts
@@ -415,7 +439,9 @@
 		g.mesh.advanceClaimsOffset(b.Next)
 		g.election.RecordCaughtUp()
 	}
-	g.follower(fleet.TopicClaims, apply, apply).Run(ctx)
+	f := g.follower(fleet.TopicClaims, apply, apply)
+	f.Start = g.awaitRelayedClaim
+	f.Run(ctx)
 }
 
 func (g *Gateway) applyClaim(e fleet.Entry) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -131,6 +131,7 @@
 	stopping atomic.Bool
 	// announced is set once the entry of this incarnation is in the store.
 	announced atomic.Bool
+	startup   *startup
 
 	clientListener    net.Listener
 	readinessListener net.Listener
@@ -154,6 +155,7 @@
 		cache:            newEntryCache(),
 		storeReads:       follow.NewState(),
 		era:              newStoreEra(),
+		startup:          newStartup(),
 		children:         newChildren(),
 		demandAggregator: relay.NewAggregator(),
 
@@ -363,6 +365,7 @@
 // loops returns the background tasks of a host.
 func (g *Gateway) loops() []func(context.Context) {
 	return []func(context.Context){
+		g.join,
 		g.followConfig,
 		g.followEndpoints,
 		g.followHosts,
--- a/pkg/gateway/listconfirm_test.go
+++ b/pkg/gateway/listconfirm_test.go
@@ -37,6 +37,7 @@
 		cache:       newEntryCache(),
 		storeReads:  follow.NewState(),
 		era:         newStoreEra(),
+		startup:     newStartup(),
 		mesh:        newMesh("b", peer.Fingerprint{}),
 		listReadNow: make(chan struct{}, 1),
 		stepNow:     make(chan struct{}, 1),
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -179,6 +179,9 @@
 	if len(response.Notice.Hosts) > 0 {
 		g.applyHosts(fleet.Batch{Entries: response.Notice.Hosts, Next: response.Notice.HostsNext})
 	}
+	if g.startup.relayedStart() && g.cache.hostsOffset() > 0 && !response.Notice.HostsMore {
+		g.storeReads.SetLoaded(fleet.TopicHosts)
+	}
 	g.applyNotice(now, *response.Notice)
 	if !response.Controlling && milliseconds(response.Notice.HeartbeatAge) > maxNoticeAge {
 		return errStaleUpstream
--- /dev/null
+++ b/pkg/gateway/startup.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/tealvane/tealvane/internal/wait"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+const (
+	// directReaders is the number of hosts up to which all read the whole state from the store
+	// when they start. With more hosts, those that are no relays learn it from relays: together
+	// they would read hosts times endpoints entries.
+	directReaders = 32
+	// announceWait is how long a starting host waits for its entry to be written before it reads
+	// those of the others.
+	announceWait = 300 * time.Millisecond
+	// maxStartupRetryDelay bounds the delay between attempts to read the hosts.
+	maxStartupRetryDelay = 4 * time.Second
+	// relayedGracePeriod is how long a host that starts among many waits for the state from its
+	// relays before it reads the store. relayedGracePerHost, times the number of hosts, bounds a
+	// random part, so that the store is not read by all of them at once.
+	relayedGracePeriod  = 6 * time.Second
+	relayedGracePerHost = 10 * time.Millisecond
+	// maxMembershipWait is how long a host waits until no more hosts are added before it relies
+	// on which of them are relays.
+	maxMembershipWait = 4 * time.Second
+	// listRequestInterval is the interval between requests for the list to the relay.
+	listRequestInterval = 250 * time.Millisecond
+)
+
+// startup is how this host gets the shared state when it starts. decided is closed once relayed and
+// jitter are valid.
+type startup struct {
+	decided chan struct{}
+	// relayed is set if relays provide the state.
+	relayed bool
+	// jitter is this host's random part of the grace period, from 0 to 1.
+	jitter float64
+	// ownEntry is the position of this incarnation's entry in the store plus one, 0 if unknown.
+	ownEntry atomic.Int64
+	// entryWritten is closed when ownEntry is first set.
+	entryWritten chan struct{}
+}
+
+func newStartup() *startup {
+	return &startup{decided: make(chan struct{}), entryWritten: make(chan struct{}), jitter: rand.Float64()}
+}
+
+// recordOwnEntry records that this host's entry is in the store. The response to its append may have
+// been lost.
+func (g *Gateway) recordOwnEntry(at fleet.Position) {
+	if g.startup.ownEntry.Swap(int64(at)+1) == 0 {
+		close(g.startup.entryWritten)
+	}
+	g.announced.Store(true)
+}
+
+// relayedStart reports whether relays provide the state to this host. It returns false until that is
+// decided.
+func (s *startup) relayedStart() bool {
+	select {
+	case <-s.decided:
+		return s.relayed
+	default:
+		return false
+	}
+}
+
+// join decides how this host gets the shared state. The first hosts that write their entries read
+// everything, so that there are relays to learn from. Later ones read which hosts there are.
+func (g *Gateway) join(ctx context.Context) {
+	defer close(g.startup.decided)
+	wait.ForOrWake(ctx, announceWait, g.startup.entryWritten)
+	if at := g.startup.ownEntry.Load(); at > 0 && fleet.Position(at-1).Offset() < directReaders {
+		return
+	}
+	delay := storeRetryDelay
+	for ctx.Err() == nil {
+		err := g.readMembers(ctx)
+		if err == nil {
+			break
+		}
+		g.log.Info("reading the hosts failed", "error", err.Error())
+		wait.For(ctx, wait.Jitter(delay))
+		delay = min(2*delay, maxStartupRetryDelay)
+	}
+	g.startup.relayed = g.mesh.hosts() > directReaders
+	g.log.Info("hosts read", "hosts", g.mesh.hosts(), "relayed", g.startup.relayed)
+}
+
+// readMembers reads the entries of the hosts, or, if they are too many for one response, of those in
+// this host's zone. Keys of hosts begin with the zone.
+func (g *Gateway) readMembers(ctx context.Context) error {
+	b, more, err := g.store.Page(ctx, fleet.TopicHosts, "")
+	if err != nil {
+		return err
+	}
+	if !more {
+		g.applyHosts(b)
+		g.storeReads.SetLoaded(fleet.TopicHosts)
+		return nil
+	}
+	g.applyHosts(fleet.Batch{Entries: b.Entries})
+	b, _, err = g.store.Page(ctx, fleet.TopicHosts, g.settings.Zone+zoneSeparator)
+	if err != nil {
+		return err
+	}
+	g.applyHosts(fleet.Batch{Entries: b.Entries})
+	return nil
+}
+
+// zoneSeparator separates the zone from the name in the key of a host's entry.
+const zoneSeparator = "/"
+
+func hostKey(zone, name string) string { return zone + zoneSeparator + name }
+
+// hostName returns the name of the host whose entry has a key.
+func hostName(key string) string { return key[strings.LastIndex(key, zoneSeparator)+1:] }
+
+// awaitProvided blocks until the state of a topic is known, and returns the position to read on from.
+// It returns NoPosition if this host must read the state itself: few hosts start, it is a relay, or
+// relays have not provided the state in time. provided returns the position once the state is known.
+func (g *Gateway) awaitProvided(ctx context.Context, provided func() (fleet.Position, bool)) fleet.Position {
+	select {
+	case <-g.startup.decided:
+	case <-ctx.Done():
+		return fleet.NoPosition
+	}
+	for ctx.Err() == nil {
+		if at, ok := provided(); ok {
+			return at
+		}
+		if !g.startup.relayed || g.membershipSettled() && g.mesh.isRelay() || g.Now().Sub(g.startedAt) > g.startupGrace() {
+			break
+		}
+		wait.For(ctx, startupCheckInterval)
+	}
+	return fleet.NoPosition
+}
+
+// membershipSettled reports whether this host may rely on which hosts are relays.
+func (g *Gateway) membershipSettled() bool {
+	now := g.Now()
+	return g.mesh.membershipStable(now) || now.Sub(g.startedAt) > maxMembershipWait
+}
+
+// startupGrace returns how long a starting host defers reads of the store in the expectation that
+// other hosts provide the data.
+func (g *Gateway) startupGrace() time.Duration {
+	if !g.startup.relayedStart() {
+		return startupGracePeriod
+	}
+	random := g.startup.jitter * float64(g.mesh.hosts()) * float64(relayedGracePerHost)
+	return relayedGracePeriod + time.Duration(random)
+}
+
+// awaitConfig blocks until a configuration is known or this host must read it itself.
+func (g *Gateway) awaitRelayedConfig(ctx context.Context) fleet.Position {
+	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
+		if g.config.Load() == nil {
+			return fleet.NoPosition, false
+		}
+		return g.cache.configOffset() + 1, true
+	})
+}
+
+// awaitRelayedHosts blocks until the entries of the hosts are known or this host must read them.
+func (g *Gateway) awaitRelayedHosts(ctx context.Context) fleet.Position {
+	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
+		return g.cache.hostsOffset(), g.cache.hostsOffset() > 0
+	})
+}
+
+// awaitRelayedClaim blocks until a claim is known or this host must read the claims.
+func (g *Gateway) awaitRelayedClaim(ctx context.Context) fleet.Position {
+	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
+		return g.mesh.claimsOffset(), g.election.Newest().Token > 0
+	})
+}
+
+// awaitRelayedList requests the list of endpoints from the relay until it is known or this host must
+// read it.
+func (g *Gateway) awaitRelayedList(ctx context.Context) fleet.Position {
+	var next time.Time
+	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
+		if g.storeReads.Loaded(fleet.TopicEndpoints) {
+			return g.directory.Offset(), true
+		}
+		now := g.Now()
+		if upstreams := g.upstreams(); g.startup.relayed && len(upstreams) > 0 && !now.Before(next) && g.membershipSettled() && !g.mesh.isRelay() {
+			next = now.Add(wait.Jitter(listRequestInterval))
+			g.fetchStateFrom(ctx, g.mesh.firstReachable(now, upstreams).Addr)
+		}
+		return fleet.NoPosition, false
+	})
+}
