Fleet: notices hold a bounded number of placements, and changes are found by version

Cause: what a host learns after a change of the controller is all placements in one notice; with 9,625 endpoints some 0.9 MB, 0.4 s of a link of 20 Mbit/s, in a pull that may take 0.5 s, for a hundred children at once: a pull that fails is asked again, in full. And with each notice a relay looked at all placements for each of its children, to see whether one is urgent. Change: at most 1,000 placements a notice, oldest changes first, the version is that of the last one; a log of changes by version in place of a look at all. Figures: TestManyPlacementsComeInParts failed (2,500 placements in one notice).

--- a/pkg/fleet/bench_test.go
+++ b/pkg/fleet/bench_test.go
@@ -46,3 +46,24 @@
 	}
 	return fleet.NewLocator(d), d
 }
+
+// BenchmarkChangedFor measures the check for changes that a relay makes for each of its children
+// with each notice.
+func BenchmarkChangedFor(b *testing.B) {
+	for _, n := range []int{18, 1000, 12000} {
+		locator, _ := locatorWithEndpoints(n)
+		all := fleet.Notice{Token: 1, Full: true}
+		for i := range n {
+			all.Endpoints = append(all.Endpoints, fleet.Placement{Endpoint: fleet.EndpointID(fmt.Sprint("e", i)), Models: []fleet.ModelPlacement{{Model: "m"}}})
+		}
+		locator.ApplyNotice(at(0), all)
+		p := fleet.Pull{Source: "s", Token: 1, Version: int64(n)}
+		locator.ApplyNotice(at(0), fleet.Notice{Token: 1, Endpoints: []fleet.Placement{{Endpoint: "e1", Models: []fleet.ModelPlacement{{Model: "o"}}}}})
+		waiting := map[fleet.ModelRef]bool{{Service: "s", Model: "x"}: true}
+		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
+			for b.Loop() {
+				locator.ChangedFor("s", p, waiting)
+			}
+		})
+	}
+}
--- a/pkg/fleet/locator.go
+++ b/pkg/fleet/locator.go
@@ -26,10 +26,10 @@
 	controller  Notice
 	heartbeatAt time.Time
 	placements  map[EndpointID]map[string]modelState
-	// version counts the changes of placements and coldReadyAt. versions and coldVersion hold
+	// version counts the changes of placements and coldReadyAt. changes and coldVersion hold
 	// the version of the last change of each.
 	version     int64
-	versions    map[EndpointID]int64
+	changes     changeLog
 	coldVersion int64
 	// coldReadyAt is the earliest time at which a model without a copy on any endpoint can
 	// serve, as of the last notice.
@@ -54,7 +54,7 @@
 
 // NewLocator returns a locator for a directory.
 func NewLocator(d *Directory) *Locator {
-	return &Locator{directory: d, placements: map[EndpointID]map[string]modelState{}, versions: map[EndpointID]int64{}, index: newIndex()}
+	return &Locator{directory: d, placements: map[EndpointID]map[string]modelState{}, changes: newChangeLog(), index: newIndex()}
 }
 
 // MarkStale marks the index as stale after a change of the directory.
@@ -115,7 +115,7 @@
 
 func (l *Locator) markChanged(id EndpointID) {
 	l.version++
-	l.versions[id] = l.version
+	l.changes.record(id, l.version)
 	l.index.markDirty(id)
 }
 
--- a/pkg/fleet/locator_changes.go
+++ b/pkg/fleet/locator_changes.go
@@ -2,9 +2,14 @@
 
 import "time"
 
+// maxPlacementsPerNotice bounds the placements in one notice, so that it fits the time of a pull on
+// a slow link.
+const maxPlacementsPerNotice = 1000
+
 // ChangesSince returns a notice with the changes since the last one that the requesting host has
-// applied. The notice is full if that one came from another host or belongs to another claim.
-// The caller adds the list entries.
+// applied. The notice is full if that one came from another host or belongs to another claim. Of
+// many changes it holds the oldest; its version is that of the last one, so that the next pull
+// requests the rest. The caller adds the list entries.
 func (l *Locator) ChangesSince(now time.Time, source string, p Pull) Notice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -14,13 +19,17 @@
 	since := l.knownVersion(source, p)
 	n.Full = since == 0
 	n.HeartbeatAge = now.Sub(l.heartbeatAt).Milliseconds()
-	for id, models := range l.placements {
-		if n.Full || l.versions[id] > since {
-			n.Endpoints = append(n.Endpoints, newPlacement(now, id, models))
+	for id, version := range l.changes.since(since) {
+		models, listed := l.placements[id]
+		if !listed && n.Full {
+			continue // A full notice names only what is listed.
+		}
+		// An endpoint that the controller has stopped listing has an empty placement.
+		n.Endpoints = append(n.Endpoints, newPlacement(now, id, models))
+		if len(n.Endpoints) == maxPlacementsPerNotice {
+			n.Version = version
+			break
 		}
-	}
-	if !n.Full {
-		n.Endpoints = append(n.Endpoints, l.removedSince(since)...)
 	}
 	n.ColdUnchanged = !n.Full && l.coldVersion <= since
 	if !n.ColdUnchanged {
@@ -37,18 +46,6 @@
 	return p.Version
 }
 
-// removedSince returns empty placements for the endpoints that the controller has stopped
-// listing since a version.
-func (l *Locator) removedSince(since int64) []Placement {
-	var out []Placement
-	for id, v := range l.versions {
-		if _, listed := l.placements[id]; v > since && !listed {
-			out = append(out, Placement{Endpoint: id})
-		}
-	}
-	return out
-}
-
 // ChangedFor reports whether there are changes for a host, and whether they are urgent because
 // they concern a model with waiting requests there.
 func (l *Locator) ChangedFor(source string, p Pull, waiting map[ModelRef]bool) (changed, urgent bool) {
@@ -66,8 +63,11 @@
 			return true, true
 		}
 	}
-	for id, models := range l.placements {
-		if l.versions[id] > since && holdsAny(l.directory.serviceOf(id), models, waiting) {
+	if len(waiting) == 0 {
+		return true, false
+	}
+	for id := range l.changes.since(since) {
+		if holdsAny(l.directory.serviceOf(id), l.placements[id], waiting) {
 			return true, true
 		}
 	}
--- a/pkg/fleet/locator_test.go
+++ b/pkg/fleet/locator_test.go
@@ -119,3 +119,39 @@
 		})
 	})
 }
+
+// Guards against a notice of all placements that is too large for the time of a pull, and against
+// losing some of them when they come in parts.
+func TestManyPlacementsComeInParts(t *testing.T) {
+	const endpoints, perNotice = 2500, 1000
+	sender, receiver := fleet.NewLocator(fleet.NewDirectory()), fleet.NewLocator(fleet.NewDirectory())
+	all := fleet.Notice{Token: 1, Full: true}
+	for i := range endpoints {
+		all.Endpoints = append(all.Endpoints, fleet.Placement{Endpoint: fleet.EndpointID(fmt.Sprint("e", i)), Models: []fleet.ModelPlacement{{Model: "m"}}})
+	}
+	sender.ApplyNotice(at(0), all)
+	p := fleet.Pull{}
+	for range 4 {
+		n := sender.ChangesSince(at(0), "sender", p)
+		if len(n.Endpoints) > perNotice {
+			t.Fatalf("notice has %d placements, want at most %d", len(n.Endpoints), perNotice)
+		}
+		receiver.ApplyNotice(at(0), n)
+		p = fleet.Pull{Source: "sender", Token: 1, Version: n.Version}
+	}
+	if changed, _ := sender.ChangedFor("sender", p, nil); changed {
+		t.Error("the sender has changes left after four notices")
+	}
+	got := 0
+	for p = (fleet.Pull{}); ; {
+		n := receiver.ChangesSince(at(0), "receiver", p)
+		if len(n.Endpoints) == 0 {
+			break
+		}
+		got += len(n.Endpoints)
+		p = fleet.Pull{Source: "receiver", Token: 1, Version: n.Version}
+	}
+	if got != endpoints {
+		t.Errorf("receiver has %d placements, want %d", got, endpoints)
+	}
+}
