Orders: bound the report requests in progress

Cause: a new controller asks each endpoint for a report at once; with 9,625 endpoints the requests time out together after 700 ms, and the host answers nobody meanwhile. Change: 32 in progress, the others wait for their turn; time grows with the endpoints only. Test: TestReportRequestsInProgressAreBounded fails before (500 in progress).

--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -23,6 +23,9 @@
 	orderTimeout = 250 * time.Millisecond
 	// reportTimeout limits one request for a report.
 	reportTimeout = 700 * time.Millisecond
+	// maxReportRequests limits the report requests in progress, so that a controller that asks
+	// thousands of endpoints still answers other hosts, and its requests do not time out.
+	maxReportRequests = 32
 	// conflictRetryDelay is the delay before an order is sent again that conflicted with
 	// another one.
 	conflictRetryDelay = 30 * time.Millisecond
@@ -77,6 +80,8 @@
 	storeLimit      loadLimiter
 	unansweredLoads unansweredLoads
 	tasks           sync.WaitGroup
+	// reportSlots holds an element for each report request in progress.
+	reportSlots chan struct{}
 }
 
 // Report records a host's demand.
@@ -105,6 +110,9 @@
 	held := c.Election.HeldToken()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.reportSlots == nil {
+		c.reportSlots = make(chan struct{}, maxReportRequests)
+	}
 	if held != c.token || c.trackers == nil {
 		// A new holder starts from the reports of the endpoints.
 		c.token = held
@@ -200,7 +208,12 @@
 			continue
 		}
 		c.tasks.Go(func() {
-			c.requestReport(ctx, t, e)
+			select {
+			case c.reportSlots <- struct{}{}:
+				c.requestReport(ctx, t, e)
+				<-c.reportSlots
+			case <-ctx.Done():
+			}
 			t.mu.Lock()
 			t.busy = false
 			t.mu.Unlock()
--- a/pkg/orders/controller_test.go
+++ b/pkg/orders/controller_test.go
@@ -406,3 +406,48 @@
 		})
 	}
 }
+
+// Guards against a new controller that asks thousands of endpoints for reports at once: its requests
+// time out and it stops answering other hosts.
+func TestReportRequestsInProgressAreBounded(t *testing.T) {
+	const endpoints, maxInProgress = 500, 32
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(nil, 1)
+		client := &slowReports{}
+		c.Client = client
+		c.Endpoints = func(time.Time) []fleet.View {
+			out := make([]fleet.View, endpoints)
+			for i := range out {
+				out[i].Endpoint = fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i)), Service: "llm"}
+			}
+			return out
+		}
+		steps(t.Context(), c, 2*time.Second, fleet.DemandReport{Host: "h"})
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		is.True(client.most <= maxInProgress)
+		is.Equal(client.answered, endpoints)
+	})
+}
+
+// slowReports is a client of endpoints that take some time for a report.
+type slowReports struct {
+	orders.EndpointClient
+	mu                         sync.Mutex
+	inProgress, most, answered int
+}
+
+// Report implements orders.EndpointClient.
+func (s *slowReports) Report(context.Context, fleet.Endpoint) (fleet.Report, error) {
+	s.mu.Lock()
+	s.inProgress++
+	s.most = max(s.most, s.inProgress)
+	s.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inProgress--
+	s.answered++
+	return fleet.Report{}, nil
+}
