Gateway: an isolated host does not deny unknown routes

For keys it already answers 503. Change: the same for routes. A starting host among many serves once it also knows the number of hosts, which divides common limits.

--- a/pkg/gateway/serving.go
+++ b/pkg/gateway/serving.go
@@ -43,12 +43,12 @@
 	r, ok := c.Match(host, path)
 	if !ok {
 		g.metrics.count("unrouted", nil)
-		return serve.Admission{}, serve.ErrNoRoute
+		return serve.Admission{}, g.denial(serve.ErrNoRoute)
 	}
 	account, ok := c.Account(r, keys)
 	if !ok {
 		g.metrics.count("unauthenticated", nil)
-		return serve.Admission{}, g.accountError()
+		return serve.Admission{}, g.denial(serve.ErrNoAccount)
 	}
 	if account.Priority != nil {
 		r.Priority = *account.Priority
@@ -56,14 +56,14 @@
 	return serve.Admission{Route: r, Service: r.Choose(rand.IntN), Account: account}, nil
 }
 
-// accountError returns the error for a request whose key belongs to no known account. An
-// isolated host may lack the configuration with that key, and clients do not retry after a denial,
-// so it reports that it has no configuration.
-func (g *Gateway) accountError() error {
+// denial returns the error for a request that the configuration does not allow. An isolated host may
+// lack the configuration that does, and clients do not retry after a denial, so it reports that it
+// has no configuration.
+func (g *Gateway) denial(reason error) error {
 	if g.listViewAge(g.Now()) > maxListAge {
 		return serve.ErrNoConfig
 	}
-	return serve.ErrNoAccount
+	return reason
 }
 
 // Limits returns the limits of the configuration in force.
@@ -121,10 +121,10 @@
 	}
 }
 
-// awaitConfig blocks until the first configuration and list of endpoints are known. It reports
-// false if ctx ends first.
+// awaitConfig blocks until the first configuration and list of endpoints are known, and, if hosts are
+// many, their number, which divides common limits. It reports false if ctx ends first.
 func (g *Gateway) awaitConfig(ctx context.Context) bool {
-	for g.config.Load() == nil || !g.storeReads.Loaded(fleet.TopicEndpoints) {
+	for g.config.Load() == nil || !g.storeReads.Loaded(fleet.TopicEndpoints) || g.startup.relayedStart() && !g.storeReads.Loaded(fleet.TopicHosts) {
 		if !wait.For(ctx, configPollInterval) {
 			return false
 		}
