Gateway: what hosts read of the list as a safeguard, or after many changes, does not grow with hosts times endpoints

Cause: behind relays each host reads the list once a minute as a safeguard, relays every ten seconds, and each host when a notice is too small for the changes, as after an outage of the store when all entries change. With 985 hosts and 10,000 endpoints that is 3 GB a minute and at once. Change: the interval of safeguards grows with readers times bytes (2 MB a second for all); hosts behind relays get many changes from their relay, compressed if they are more than 500.

--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -15,6 +15,8 @@
 	mu        sync.Mutex
 	config    fleet.Entry
 	endpoints map[string]fleet.Entry
+	// endpointBytes is the size of all endpoints' entries.
+	endpointBytes int
 	// hosts holds the host entries up to the offset hostsNext.
 	hosts     map[string]fleet.Entry
 	hostsNext fleet.Position
@@ -87,10 +89,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old, ok := c.endpoints[e.Key]; !ok || old.Offset < e.Offset {
+		c.endpointBytes += len(e.Value) - len(old.Value)
 		c.endpoints[e.Key] = e
 	}
 }
 
+// listBytes returns the size of the list of endpoints.
+func (c *entryCache) listBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endpointBytes
+}
+
 // replaceEndpoints replaces the list entries by those of a complete listing that ends before the
 // position next. Entries that it lacks are kept as removals, for the hosts that learn of changes from
 // this one.
@@ -103,6 +113,10 @@
 		}
 	}
 	c.endpoints = listed
+	c.endpointBytes = 0
+	for _, e := range listed {
+		c.endpointBytes += len(e.Value)
+	}
 }
 
 // evict removes the entries of endpoints.
@@ -110,6 +124,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
+		c.endpointBytes -= len(c.endpoints[id.Name()].Value)
 		delete(c.endpoints, id.Name())
 	}
 }
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -41,6 +41,9 @@
 	leafListPollIntervalPerHost = 50 * time.Millisecond
 	// passiveListPollInterval is the interval on a host that receives all topics from others.
 	passiveListPollInterval = time.Minute
+	// safeguardBytesPerSecond bounds what all hosts together read of the list, in bytes a second,
+	// although others send them its changes.
+	safeguardBytesPerSecond = 2e6
 	// hostBatchDelay is how long host entries are collected before they are read, which is
 	// about how long hosts that are started together take to write them. hostBatchDelayPerHost
 	// is added for each known host, to limit wakeups when many hosts start one after the other.
@@ -154,11 +157,11 @@
 	updated, confirmed := g.receivesUpdates(), g.listConfirmed()
 	switch {
 	case updated && confirmed:
-		return passiveListPollInterval
+		return max(passiveListPollInterval, g.safeguardInterval(g.mesh.hosts()))
 	case updated:
 		return g.leafListPollInterval()
 	case confirmed:
-		return confirmedListPollInterval
+		return max(confirmedListPollInterval, g.safeguardInterval(g.mesh.relays()))
 	case !g.mesh.isRelay() && g.startup.relayedStart() && g.expectsUpdates():
 		return g.sharedListPollInterval()
 	case g.mesh.isRelay() && g.mesh.hosts() > relay.Children(g.settings.cores()):
@@ -169,6 +172,12 @@
 	return min(maxListPollInterval, g.settings.Timing.Drain/listReadsPerDrain)
 }
 
+// safeguardInterval returns the interval at which a number of hosts may read the whole list although
+// others send them its changes.
+func (g *Gateway) safeguardInterval(readers int) time.Duration {
+	return time.Duration(float64(readers) * float64(g.cache.listBytes()) / safeguardBytesPerSecond * float64(time.Second))
+}
+
 // leafListPollInterval returns the pause, on a host that receives updates, after a failed read
 // of the list or while the controller does not confirm it. It returns 0 on other hosts.
 func (g *Gateway) leafListPollInterval() time.Duration {
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -48,8 +48,8 @@
 	// upstreamCache holds the upstream hosts for each controller. It is cleared when a host
 	// changes.
 	upstreamCache map[string][]relay.Member
-	// relayRole caches whether this host is a relay; nil means not computed.
-	relayRole *bool
+	// roles caches which hosts are relays; nil means not computed.
+	roles *relayRoles
 	// lastStateRequest is when state was last requested from a peer. pendingStateRequests holds
 	// the addresses with a request in flight.
 	lastStateRequest     time.Time
@@ -128,7 +128,7 @@
 	}
 	m.peers[host] = e
 	clear(m.upstreamCache)
-	m.relayRole = nil
+	m.roles = nil
 	delete(m.backoffUntil, e.Addr)
 	delete(m.failures, e.Addr)
 	m.known[e.Fingerprint] = true
--- a/pkg/gateway/peerselect.go
+++ b/pkg/gateway/peerselect.go
@@ -129,11 +129,29 @@
 func (m *mesh) isRelay() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.relayRole == nil {
-		is := relay.IsRelay(m.member, m.members())
-		m.relayRole = &is
+	return m.relayRoles().self
+}
+
+// relays returns the number of such hosts.
+func (m *mesh) relays() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.relayRoles().count
+}
+
+// relayRoles returns which hosts are relays. It must be called with mu held.
+func (m *mesh) relayRoles() relayRoles {
+	if m.roles == nil {
+		all := m.members()
+		m.roles = &relayRoles{self: relay.IsRelay(m.member, all), count: relay.Count(all)}
 	}
-	return *m.relayRole
+	return *m.roles
+}
+
+// relayRoles tells whether this host is a relay and how many relays there are.
+type relayRoles struct {
+	self  bool
+	count int
 }
 
 // fanOut returns the maximum number of children of a host with some cores.
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -12,6 +12,9 @@
 const (
 	// fullStateTimeout bounds a request for the complete list of endpoints.
 	fullStateTimeout = 4 * time.Second
+	// maxListChanges is the number of changes of the list above which the complete list is sent,
+	// compressed and shared by all hosts that request it.
+	maxListChanges = 500
 	// listCopyLinkShare is the share of a host's link that copies of the complete list may use.
 	listCopyLinkShare = 0.5
 )
@@ -19,14 +22,14 @@
 // respondToStateRequest responds to a host that does not read the store.
 func (g *Gateway) respondToStateRequest(r peer.StateRequest) []*peer.StateResponse {
 	first := &peer.StateResponse{Config: g.configNewerThan(r.ConfigVersion)}
+	out := []*peer.StateResponse{first}
 	if r.EndpointsFrom != fullStateOffset {
-		g.listMu.Lock()
-		defer g.listMu.Unlock()
-		first.EndpointsNext = g.directory.Offset()
-		first.Endpoints = g.cache.endpointEntries(g.directory.RoutingChangesSince(r.EndpointsFrom - 1))
-		return []*peer.StateResponse{first}
+		entries, next := g.listChanges(r.EndpointsFrom)
+		if len(entries) <= maxListChanges {
+			first.Endpoints, first.EndpointsNext = entries, next
+			return out
+		}
 	}
-	out := []*peer.StateResponse{first}
 	if !g.storeReads.Loaded(fleet.TopicEndpoints) {
 		return out
 	}
@@ -41,6 +44,15 @@
 	return out
 }
 
+// listChanges returns the entries of the list that changed at or after a position, and the position
+// up to which they are complete. Heartbeats are left out: a host that has the endpoint does not need
+// them.
+func (g *Gateway) listChanges(from fleet.Position) ([]fleet.Entry, fleet.Position) {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	return g.cache.endpointEntries(g.directory.RoutingChangesSince(from - 1)), g.directory.Offset()
+}
+
 // configNewerThan returns the entry of the configuration in force if it is newer than a version.
 func (g *Gateway) configNewerThan(version int64) *fleet.Entry {
 	g.cache.mu.Lock()
@@ -82,7 +94,8 @@
 	timeout := fullStateTimeout
 	if g.storeReads.Loaded(fleet.TopicEndpoints) {
 		request.EndpointsFrom = g.directory.Offset()
-		timeout = peerTimeout
+		transfer := float64(g.cache.listBytes()) / g.linkBytesPerSecond()
+		timeout = min(timeout, peerTimeout+time.Duration(transfer*float64(time.Second)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/pkg/relay/tree.go
+++ b/pkg/relay/tree.go
@@ -71,6 +71,20 @@
 	return rank < relayCount(zone)+fallbackRelays
 }
 
+// Count returns the number of relays and fallback relays of all zones.
+func Count(hosts []Member) int {
+	byZone := map[string][]Member{}
+	for _, m := range hosts {
+		byZone[m.Zone] = append(byZone[m.Zone], m)
+	}
+	n := 0
+	for _, zone := range byZone {
+		slices.SortFunc(zone, compareStrength)
+		n += min(len(zone), relayCount(zone)+fallbackRelays)
+	}
+	return n
+}
+
 // zoneOrder returns the hosts of a zone without the controller, by descending number of cores.
 // Equal hosts are ordered by a hash of their names, so that all hosts compute the same order.
 func zoneOrder(zone, controller string, hosts []Member) []Member {
