Gateway: a simulation of the start of many hosts in virtual time

Hosts run with their real code; network, store and endpoints are simulated, with rates: appends of a topic one at a time, bytes read a second, links of hosts. Found with it and changed here: each host sorted all endpoints by ID once a second, moving entries of 200 bytes (LiveIDs where no order is needed, Live sorts pointers); 16 hosts in place of 32 read everything at a start, which is 20 pages each with 10,000 endpoints.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -332,22 +333,34 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expireMissing(now)
-	views := make([]View, 0, len(d.entries))
+	live := make([]*entry, 0, len(d.entries))
 	for _, e := range d.entries {
-		if e.gone {
-			continue
+		if !e.gone {
+			live = append(live, e)
 		}
-		views = append(views, View{Endpoint: e.Endpoint, Offset: e.offset, ReceivedAt: e.changed})
 	}
-	slices.SortFunc(views, func(a, b View) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(live, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
+	views := make([]View, len(live))
+	for i, e := range live {
+		views[i] = View{Endpoint: e.Endpoint, Offset: e.offset, ReceivedAt: e.changed}
+	}
 	return views
 }
 
+// LiveIDs returns the IDs of the endpoints that are not gone, including draining ones.
+func (d *Directory) LiveIDs(now time.Time) map[EndpointID]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expireMissing(now)
+	ids := make(map[EndpointID]bool, len(d.entries))
+	for id, e := range d.entries {
+		if !e.gone {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
 // MarkDraining marks an endpoint as draining after it has announced this in a response. During a
 // store outage its entry may not show it.
 func (d *Directory) MarkDraining(id EndpointID) {
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -44,7 +44,7 @@
 func (g *Gateway) elect(ctx context.Context) {
 	var renewedAt time.Time
 	every(ctx, electionInterval, func() {
-		if g.election.CheckSuspend(bootTime()) {
+		if g.election.CheckSuspend(g.bootTime()) {
 			g.log.Warn("host was suspended; orders are paused until the store confirms the claim")
 		}
 		if g.election.AwaitingConfirmation() {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -161,10 +161,7 @@
 		g.children.evict(now)
 		g.guard.Prune(now)
 		g.cache.evict(g.directory.Prune(now))
-		live := map[fleet.EndpointID]bool{}
-		for _, v := range g.directory.Live(now) {
-			live[v.ID] = true
-		}
+		live := g.directory.LiveIDs(now)
 		g.endpoints.CloseExcept(live)
 		g.health.Prune(live)
 		g.metrics.gauge("endpoints", float64(len(live)))
--- /dev/null
+++ b/pkg/gateway/fleetstart_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// startHosts returns the numbers of hosts to start. SIM_HOSTS adds one, for runs by hand.
+func startHosts(t *testing.T) []int {
+	hosts := []int{6, 60}
+	if v := os.Getenv("SIM_HOSTS"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		hosts = []int{n}
+	}
+	return hosts
+}
+
+// Guards against a fleet that does not come up when all hosts start at once, or again after all were
+// killed, because together they ask more of the store and of each other than these can answer.
+func TestAllHostsStartAtOnce(t *testing.T) {
+	const (
+		endpointsPerHost = 10
+		maxStart         = 10 * time.Second
+		maxRestart       = 6 * time.Second
+		maxCallsPerHost  = 5
+		// minCalls allows for the calls of the hosts that read everything.
+		minCalls = 500
+	)
+	for _, hosts := range startHosts(t) {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() {
+					cancel()
+					time.Sleep(time.Minute) // All loops end before the bubble does.
+				}()
+				endpoints := endpointsPerHost * hosts
+				f := newFleetSim(endpoints)
+				run := func(what string, limit time.Duration) []*simHost {
+					begin := time.Now()
+					calls, read := f.store.totalCalls(), f.store.readBytes
+					all := f.startAll(ctx, hosts, 300*time.Millisecond)
+					n, first := f.unready(all, endpoints)
+					for n > 0 && time.Since(begin) < 3*limit {
+						time.Sleep(100 * time.Millisecond)
+						n, first = f.unready(all, endpoints)
+					}
+					took := time.Since(begin)
+					made := f.store.totalCalls() - calls
+					t.Logf("%s of %d hosts: %v, %d calls, %.1f MB read, %d refused, %v", what, hosts, took, made, float64(f.store.readBytes-read)/1e6, f.refused, f.store.calls)
+					if n > 0 || took > limit {
+						t.Errorf("%s of %d hosts: %d not ready after %v, want all within %v; %s", what, hosts, n, took, limit, first)
+					}
+					if made > max(minCalls, maxCallsPerHost*hosts) {
+						t.Errorf("%s of %d hosts: %d calls to the store, want at most %d", what, hosts, made, max(minCalls, maxCallsPerHost*hosts))
+					}
+					return all
+				}
+				all := run("start", maxStart)
+				f.kill(all)
+				time.Sleep(time.Second)
+				run("restart", maxRestart)
+			})
+		})
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -132,6 +132,8 @@
 	// announced is set once the entry of this incarnation is in the store.
 	announced atomic.Bool
 	startup   *startup
+	// bootTime returns the time since boot, including time spent suspended.
+	bootTime func() time.Duration
 
 	clientListener    net.Listener
 	readinessListener net.Listener
@@ -141,11 +143,22 @@
 
 // New creates a host and opens its listeners. Run serves them.
 func New(cfg Config) (*Gateway, error) {
+	g := newGateway(cfg, newMetrics())
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.initController()
+	g.handler = cfg.NewHandler(g)
+	return g, nil
+}
+
+// newGateway creates a host without listeners.
+func newGateway(cfg Config, m *metrics) *Gateway {
 	s := cfg.Settings
 	g := &Gateway{
 		settings:         s,
 		codec:            cfg.Codec,
-		metrics:          newMetrics(),
+		metrics:          m,
 		directory:        fleet.NewDirectory(),
 		health:           serve.NewHealth(),
 		budget:           retry.NewBudget(s.retryLimits(), retryShare),
@@ -156,6 +169,7 @@
 		storeReads:       follow.NewState(),
 		era:              newStoreEra(),
 		startup:          newStartup(),
+		bootTime:         bootTime,
 		children:         newChildren(),
 		demandAggregator: relay.NewAggregator(),
 
@@ -184,11 +198,13 @@
 	g.initReplicatedSets()
 	g.accounts = newAccounts(s.tolerance(), g.requestReport, g.Now)
 	g.server.AccountLimiter = g.accounts
-	if err := g.listen(); err != nil {
-		return nil, err
-	}
+	return g
+}
+
+// initController creates the election and the controller. The host's peer address must be known.
+func (g *Gateway) initController() {
 	g.election = orders.NewElection(g.self, g.takeoverTimeout(), g.takeoverDelay(), g.Now())
-	g.lease = orders.NewHolderLease(s.Timing.Lease)
+	g.lease = orders.NewHolderLease(g.settings.Timing.Lease)
 	g.controller = &orders.Controller{
 		Election:      g.election,
 		Client:        g.endpoints,
@@ -202,8 +218,6 @@
 
 		FormerStoreLoadLimit: g.locator.StoreLoadLimit,
 	}
-	g.handler = cfg.NewHandler(g)
-	return g, nil
 }
 
 // initReplicatedSets connects the sets that are replicated to other hosts to their sources.
@@ -225,9 +239,7 @@
 	if err != nil {
 		return err
 	}
-	g.mesh.node = node
-	g.self.Addr = node.Addr()
-	g.mesh.member = relay.Member{Name: g.self.Host, Addr: g.self.Addr, Zone: g.settings.Zone, Cores: g.settings.cores()}
+	g.attach(node)
 	if g.readinessListener, err = net.Listen("tcp", g.settings.Listen.Readiness); err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "listen for readiness checks"), node.Close())
 	}
@@ -244,6 +256,13 @@
 	return nil
 }
 
+// attach connects the host to the others.
+func (g *Gateway) attach(node messenger) {
+	g.mesh.node = node
+	g.self.Addr = node.Addr()
+	g.mesh.member = relay.Member{Name: g.self.Host, Addr: g.self.Addr, Zone: g.settings.Zone, Cores: g.settings.cores()}
+}
+
 // Now returns the host's time. Only differences are used, so that wall clock changes have no
 // effect.
 func (g *Gateway) Now() time.Time { return time.Now() }
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -28,12 +28,21 @@
 	fullStateOffset = 0
 )
 
+// messenger sends requests to other hosts and receives theirs. It is implemented by peer.Node.
+type messenger interface {
+	Addr() string
+	Send(ctx context.Context, addr string, r peer.Request) ([]peer.Response, error)
+	RemoveConn(addr string)
+	Serve(ctx context.Context)
+	Close() error
+}
+
 // mesh tracks the other hosts. It is safe for concurrent use.
 type mesh struct {
 	self        string
 	member      relay.Member
 	fingerprint peer.Fingerprint
-	node        *peer.Node
+	node        messenger
 
 	mu    sync.Mutex
 	peers map[string]hostEntry
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -15,7 +15,7 @@
 	// directReaders is the number of hosts up to which all read the whole state from the store
 	// when they start. With more hosts, those that are no relays learn it from relays: together
 	// they would read hosts times endpoints entries.
-	directReaders = 32
+	directReaders = 16
 	// announceWait is how long a starting host waits for its entry to be written before it reads
 	// those of the others.
 	announceWait = 300 * time.Millisecond
