Residency: models without any copy are loaded before traffic

Cause: a model that nobody has a copy of takes 13.2 s from the weight store; its requests have 5 and 11 s. Test: TestMissingModelsArePreloadedBeforeTraffic fails before.

--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -103,6 +103,8 @@
 	Slots int
 	// StoreLoads is how many loads from the weight store may start now.
 	StoreLoads int
+	// LoadsPerSecond is how many loads from the weight store may start in a second.
+	LoadsPerSecond int
 	// RatePerReplica is how many requests per second one replica should serve.
 	RatePerReplica float64
 }
@@ -113,6 +115,12 @@
 	Endpoints []Endpoint
 	Models    []Model
 	Limits    Limits
+	// Catalog lists all models of the service, whether requested or not. MaxWait is the longest
+	// time that a request may wait for one, 0 if no requests come.
+	Catalog []fleet.Model
+	MaxWait time.Duration
+	// LoadsInProgress is the number of loads from the weight store in progress.
+	LoadsInProgress int
 }
 
 // Swap is a decision for one endpoint: evict some models, then load one.
@@ -195,6 +203,7 @@
 		d.resolve(s)
 	}
 	d.prefetch()
+	d.preload()
 	return d.out
 }
 
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -356,3 +356,46 @@
 		})
 	}
 }
+
+// Guards against models that no endpoint has a copy of, and that no request could wait for, being
+// loaded only once they are requested.
+func TestMissingModelsArePreloadedBeforeTraffic(t *testing.T) {
+	catalog := func(names ...string) []fleet.Model {
+		var out []fleet.Model
+		for _, n := range names {
+			out = append(out, model(n, 0, 0, 0).Model)
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name       string
+		endpoints  []residency.Endpoint
+		models     []residency.Model
+		maxWait    time.Duration
+		inProgress int
+		want       []residency.Swap
+	}{
+		{"into free memory", []residency.Endpoint{endpoint("a", "z", []string{"x"}), endpoint("b", "z", []string{"x", "y"})}, nil, 5 * time.Second, 0,
+			[]residency.Swap{{Endpoint: "a", Load: "cold", From: residency.InStore}}},
+		{"in place of a model with two replicas", []residency.Endpoint{endpoint("a", "z", []string{"x", "y"}), endpoint("b", "z", []string{"x", "w"})}, nil, 5 * time.Second, 0,
+			[]residency.Swap{{Endpoint: "a", Evict: []string{"x"}, Load: "cold", From: residency.InStore}}},
+		{"not in place of an only replica", []residency.Endpoint{endpoint("a", "z", []string{"x", "y"})}, nil, 5 * time.Second, 0, nil},
+		{"not if a request can wait for the load", []residency.Endpoint{endpoint("a", "z", []string{"x"})}, nil, 10 * time.Second, 0, nil},
+		{"not if an endpoint has a copy", []residency.Endpoint{endpoint("a", "z", []string{"x"}, "cold")}, nil, 5 * time.Second, 0, nil},
+		{"not while there are requests", []residency.Endpoint{endpoint("a", "z", []string{"x"})}, []residency.Model{model("x", 0, 0, 0.1)}, 5 * time.Second, 0, nil},
+		{"not while as many loads run as may start in a second", []residency.Endpoint{endpoint("a", "z", []string{"x"})}, nil, 5 * time.Second, 4, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := limits
+			l.LoadsPerSecond = 4
+			got := residency.Decide(residency.Snapshot{Now: now, Endpoints: c.endpoints, Models: c.models, Limits: l, Catalog: catalog("x", "cold"), MaxWait: c.maxWait, LoadsInProgress: c.inProgress})
+			var cold []residency.Swap
+			for _, s := range got {
+				if s.Load == "cold" {
+					cold = append(cold, s)
+				}
+			}
+			is.New(t).Equal(cold, c.want)
+		})
+	}
+}
