Gateway: hosts that do not read the store ask others only after their claim delay

Cause: with 985 hosts each of some 950 asks eight random ones as soon as the controller is silent, 7,600 handshakes, while the relays elect the next one. Change: they wait for their delay first, and give up if a heartbeat came meanwhile. Test: TestNewerClaimIsNotChallenged covers both orders.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -86,16 +86,19 @@
 // claim. It gives up if a newer claim appears meanwhile, so that a delayed host does not replace
 // a controller that was just elected.
 func (g *Gateway) challenge(ctx context.Context, holderAlive func(context.Context) bool) {
-	challenged := g.election.Newest().Token
+	challenged := g.election.Newest()
 	end := g.mesh.claimsOffset()
 	reads := g.mesh.isRelay()
-	if (!g.election.Vacant() || !reads) && holderAlive(ctx) {
+	if reads && !g.election.Vacant() && holderAlive(ctx) {
 		return
 	}
-	wait.For(ctx, g.mesh.weakHostDelay()+claimDelay(g.mesh.claimRank(g.election.Newest().Holder.Host), reads, g.mesh.hosts()))
-	if ctx.Err() != nil || g.election.Newest().Token != challenged {
+	delay := g.mesh.weakHostDelay() + claimDelay(g.mesh.claimRank(challenged.Holder.Host), reads, g.mesh.hosts())
+	if !wait.For(ctx, delay) || g.election.Newest().Token != challenged.Token || g.election.SinceHeartbeat(g.Now()) < delay {
 		return
 	}
+	if !reads && holderAlive(ctx) {
+		return // Other hosts learned of the holder before this one.
+	}
 	g.claim(ctx, end)
 }
 
