--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -170,17 +170,3 @@
 	}
 	return ""
 }
-
-// MaxWait returns the longest time that a request to a service may take, or 0 if no route leads to
-// it.
-func (c *Config) MaxWait(service string) time.Duration {
-	longest := time.Duration(0)
-	for _, r := range c.Routes {
-		for _, t := range r.Targets {
-			if t.Service == service {
-				longest = max(longest, r.Timeout)
-			}
-		}
-	}
-	return longest
-}
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -137,7 +137,7 @@
 				continue
 			}
 			reachable := slices.DeleteFunc(byService[name], c.excluded)
-			c.startSwaps(ctx, now, token, service, cfg.MaxWait(name), reachable, totals)
+			c.startSwaps(ctx, now, token, service, reachable, totals)
 			c.loadAdapters(ctx, now, token, service, reachable, totals)
 		}
 	}
@@ -257,7 +257,7 @@
 }
 
 // startSwaps starts the swaps that package residency decides on.
-func (c *Controller) startSwaps(ctx context.Context, now time.Time, token int64, service fleet.Service, maxWait time.Duration, trackers []*endpointTracker, totals map[demandKey]*modelDemand) {
+func (c *Controller) startSwaps(ctx context.Context, now time.Time, token int64, service fleet.Service, trackers []*endpointTracker, totals map[demandKey]*modelDemand) {
 	engine := service.Engine
 	snap := residency.Snapshot{
 		Now:    now,
@@ -265,10 +265,7 @@
 		Limits: residency.Limits{
 			Slots:          engine.Slots,
 			RatePerReplica: ratePerReplica,
-			LoadsPerSecond: max(1, int(engine.LoadsPerSecond)),
 		},
-		Catalog: catalog(engine),
-		MaxWait: maxWait,
 	}
 	byID := map[fleet.EndpointID]*endpointTracker{}
 	for _, t := range trackers {
@@ -277,10 +274,9 @@
 		byID[e.ID] = t
 		snap.Endpoints = append(snap.Endpoints, e)
 	}
-	slots := residency.StoreSlots(snap.Endpoints, min(c.storeLimit.allowed(), snap.Limits.LoadsPerSecond))
+	slots := residency.StoreSlots(snap.Endpoints, min(c.storeLimit.allowed(), max(1, int(engine.LoadsPerSecond))))
 	loading := c.storeLimit.inProgress(now)
 	snap.Limits.StoreLoads = slots - loading
-	snap.LoadsInProgress = loading
 	for _, f := range residency.ColdModels(snap, loading, slots) {
 		c.coldModels = append(c.coldModels, fleet.ColdModel{Service: service.Name, Model: f.Model, ReadyIn: f.ReadyIn.Milliseconds()})
 	}
@@ -302,15 +298,6 @@
 	}
 }
 
-// catalog returns all models of an engine, ordered by name.
-func catalog(engine *fleet.Engine) []fleet.Model {
-	out := make([]fleet.Model, 0, len(engine.Models))
-	for _, name := range sortedKeys(engine.Models) {
-		out = append(out, engine.Models[name])
-	}
-	return out
-}
-
 // models returns the demand for each model of a service. Requests for an adapter count for
 // its model.
 func models(service fleet.Service, totals map[demandKey]*modelDemand) []residency.Model {
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -103,8 +103,6 @@
 	Slots int
 	// StoreLoads is how many loads from the weight store may start now.
 	StoreLoads int
-	// LoadsPerSecond is how many loads from the weight store may start in a second.
-	LoadsPerSecond int
 	// RatePerReplica is how many requests per second one replica should serve.
 	RatePerReplica float64
 }
@@ -115,12 +113,6 @@
 	Endpoints []Endpoint
 	Models    []Model
 	Limits    Limits
-	// Catalog lists all models of the service, whether requested or not. MaxWait is the longest
-	// time that a request may wait for one, 0 if no requests come.
-	Catalog []fleet.Model
-	MaxWait time.Duration
-	// LoadsInProgress is the number of loads from the weight store in progress.
-	LoadsInProgress int
 }
 
 // Swap is a decision for one endpoint: evict some models, then load one.
@@ -203,7 +195,6 @@
 		d.resolve(s)
 	}
 	d.prefetch()
-	d.preload()
 	return d.out
 }
 
