Gateway: which hosts are relays is known at once when known hosts start anew

Cause: after all hosts were killed, relays waited until no entry had changed for 300 ms before they read the list, though names and strengths are those from before; and a host that knew only its relay's former certificate stopped reading the hosts once nothing changed for a moment, until its grace period of six seconds and more was over.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -384,7 +384,8 @@
 	// claim alone is not sufficient here.
 	f.Relayed = func() bool {
 		now := g.Now()
-		return !g.mesh.isRelay() && (g.notices.recent(now) || g.mesh.membershipStable(now) && g.expectsUpdates())
+		starting := now.Sub(g.startedAt) <= startupGracePeriod
+		return !g.mesh.isRelay() && (g.notices.recent(now) || starting && g.mesh.membershipStable(now) && g.expectsUpdates())
 	}
 	f.Run(ctx)
 }
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -65,8 +65,10 @@
 	pendingStateRequests map[string]bool
 	// claimSeenAt is when the newest claim was first seen.
 	claimSeenAt time.Time
-	// peersChangedAt is when the entry of another host was last added or changed.
+	// peersChangedAt is when the entry of another host was last added or changed, peersAddedAt
+	// when one was last added.
 	peersChangedAt time.Time
+	peersAddedAt   time.Time
 	// listConfirmedAt is the time up to which, by the controller's last confirmation, this host's
 	// list of endpoints is complete.
 	listConfirmedAt time.Time
@@ -131,6 +133,9 @@
 	if !ok || old.Fingerprint != e.Fingerprint {
 		m.peersChangedAt = time.Now()
 	}
+	if !ok {
+		m.peersAddedAt = time.Now()
+	}
 	if ok && old.Fingerprint != e.Fingerprint {
 		delete(m.known, old.Fingerprint)
 		m.node.RemoveConn(old.Addr)
@@ -151,6 +156,14 @@
 	return now.Sub(m.peersChangedAt) >= hostBatchDelay
 }
 
+// rolesStable reports whether no other host was added within hostBatchDelay. Which hosts are relays
+// does not change when a known host starts anew.
+func (m *mesh) rolesStable(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.peersAddedAt) >= hostBatchDelay
+}
+
 // hosts returns the number of known hosts, including this one.
 func (m *mesh) hosts() int {
 	m.mu.Lock()
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -146,7 +146,7 @@
 // membershipSettled reports whether this host may rely on which hosts are relays.
 func (g *Gateway) membershipSettled() bool {
 	now := g.Now()
-	return g.mesh.membershipStable(now) || now.Sub(g.startedAt) > maxMembershipWait
+	return g.mesh.rolesStable(now) || now.Sub(g.startedAt) > maxMembershipWait
 }
 
 // startupGrace returns how long a starting host defers reads of the store in the expectation that
@@ -159,7 +159,7 @@
 	return relayedGracePeriod + time.Duration(random)
 }
 
-// awaitConfig blocks until a configuration is known or this host must read it itself.
+// awaitRelayedConfig blocks until a configuration is known or this host must read it itself.
 func (g *Gateway) awaitRelayedConfig(ctx context.Context) fleet.Position {
 	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
 		if g.config.Load() == nil {
