Gateway: a relay that starts among many does not wait for entries of others to stop changing

Cause: a relay defers its reads while entries of hosts change, for up to the grace period, which is six seconds and more in a start through relays; with hosts restarting all the time it would learn late of claims and configurations. Change: there it waits only while hosts are added.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -223,7 +223,11 @@
 	if now.Sub(g.startedAt) > g.startupGrace() {
 		return false
 	}
-	return !g.storeReads.Loaded(fleet.TopicHosts) || !g.mesh.membershipStable(now) || !g.mesh.isRelay()
+	stable := g.mesh.membershipStable(now)
+	if g.startup.relayedStart() {
+		stable = g.membershipSettled()
+	}
+	return !g.storeReads.Loaded(fleet.TopicHosts) || !stable || !g.mesh.isRelay()
 }
 
 // listConfirmed reports whether the controller keeps confirming this host's list of endpoints.
