--- a/pkg/gateway/peerselect.go
+++ b/pkg/gateway/peerselect.go
@@ -132,14 +132,20 @@
 	return m.relayRoles().self
 }
 
-// relays returns the number of such hosts.
+// relays returns the number of hosts that are relays or would become one if a relay failed.
 func (m *mesh) relays() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.relayRoles().count
 }
 
-// relayRoles returns which hosts are relays. It must be called with mu held.
+// relayRoles holds whether this host is a relay and the number of relays.
+type relayRoles struct {
+	self  bool
+	count int
+}
+
+// relayRoles returns the roles for the known hosts. It must be called with mu held.
 func (m *mesh) relayRoles() relayRoles {
 	if m.roles == nil {
 		all := m.members()
@@ -148,12 +154,6 @@
 	return *m.roles
 }
 
-// relayRoles tells whether this host is a relay and how many relays there are.
-type relayRoles struct {
-	self  bool
-	count int
-}
-
 // fanOut returns the maximum number of children of a host with some cores.
 func (m *mesh) fanOut(cores float64) int { return min(m.hosts(), relay.Children(cores)) }
 
