--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -12,6 +15,8 @@
 	mu        sync.Mutex
 	config    fleet.Entry
 	endpoints map[string]fleet.Entry
+	// endpointBytes is the size of all endpoints' entries.
+	endpointBytes int
 	// hosts holds the host entries up to the offset hostsNext.
 	hosts     map[string]fleet.Entry
 	hostsNext fleet.Position
@@ -33,6 +38,13 @@
 	c.hostsNext = max(c.hostsNext, b.Next)
 }
 
+// configOffset returns the position of the configuration in force.
+func (c *entryCache) configOffset() fleet.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Offset
+}
+
 // hostsOffset returns the offset up to which host entries are known.
 func (c *entryCache) hostsOffset() fleet.Position {
 	c.mu.Lock()
@@ -40,17 +52,28 @@
 	return c.hostsNext
 }
 
-// hostsFrom returns the newest entry of each host that changed at or after an offset.
-func (c *entryCache) hostsFrom(from fleet.Position) fleet.Batch {
+// maxHostsPerNotice bounds the host entries in one notice, so that it fits the time of a pull on a
+// slow link.
+const maxHostsPerNotice = 300
+
+// hostsFrom returns the newest entry of each host that changed at or after an offset. more reports
+// whether some were left out for the next call.
+func (c *entryCache) hostsFrom(from fleet.Position) (b fleet.Batch, more bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := fleet.Batch{Next: c.hostsNext}
+	b.Next = c.hostsNext
 	for _, e := range c.hosts {
 		if e.Offset >= from {
 			b.Entries = append(b.Entries, e)
 		}
 	}
-	return b
+	if len(b.Entries) <= maxHostsPerNotice {
+		return b, false
+	}
+	slices.SortFunc(b.Entries, func(x, y fleet.Entry) int { return cmp.Compare(x.Offset, y.Offset) })
+	b.Entries = b.Entries[:maxHostsPerNotice]
+	b.Next = min(b.Next, b.Entries[maxHostsPerNotice-1].Offset+1)
+	return b, true
 }
 
 // endpoint returns the list entry with a key.
@@ -66,10 +89,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old, ok := c.endpoints[e.Key]; !ok || old.Offset < e.Offset {
+		c.endpointBytes += len(e.Value) - len(old.Value)
 		c.endpoints[e.Key] = e
 	}
 }
 
+// listBytes returns the size of the list of endpoints.
+func (c *entryCache) listBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endpointBytes
+}
+
 // replaceEndpoints replaces the list entries by those of a complete listing that ends before the
 // position next. Entries that it lacks are kept as removals, for the hosts that learn of changes from
 // this one.
@@ -82,6 +113,10 @@
 		}
 	}
 	c.endpoints = listed
+	c.endpointBytes = 0
+	for _, e := range listed {
+		c.endpointBytes += len(e.Value)
+	}
 }
 
 // evict removes the entries of endpoints.
@@ -89,10 +124,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
+		c.endpointBytes -= len(c.endpoints[id.Name()].Value)
 		delete(c.endpoints, id.Name())
 	}
 }
 
+// allEndpoints returns the entries of all endpoints.
+func (c *entryCache) allEndpoints() []fleet.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.endpoints))
+}
+
 // endpointEntries returns the newest entries of endpoints.
 func (c *entryCache) endpointEntries(ids []fleet.EndpointID) []fleet.Entry {
 	c.mu.Lock()
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -41,6 +41,9 @@
 	leafListPollIntervalPerHost = 50 * time.Millisecond
 	// passiveListPollInterval is the interval on a host that receives all topics from others.
 	passiveListPollInterval = time.Minute
+	// safeguardBytesPerSecond bounds what all hosts together read of the list, in bytes a second,
+	// although others send them its changes.
+	safeguardBytesPerSecond = 2e6
 	// hostBatchDelay is how long host entries are collected before they are read, which is
 	// about how long hosts that are started together take to write them. hostBatchDelayPerHost
 	// is added for each known host, to limit wakeups when many hosts start one after the other.
@@ -58,8 +61,10 @@
 	// startupCheckInterval is how often a host that defers its first reads checks whether to go
 	// on doing so.
 	startupCheckInterval = 50 * time.Millisecond
-	// storeRetryDelay is the delay after a failed write.
-	storeRetryDelay = 250 * time.Millisecond
+	// storeRetryDelay is the delay after a failed write. It doubles with each further failure up
+	// to maxStoreRetryDelay.
+	storeRetryDelay    = 250 * time.Millisecond
+	maxStoreRetryDelay = 2 * time.Second
 )
 
 // follower returns a follower of a topic.
@@ -96,6 +101,7 @@
 
 func (g *Gateway) followConfig(ctx context.Context) {
 	f := g.follower(fleet.TopicConfig, g.applyConfigs, g.applyConfigs)
+	f.Start = g.awaitRelayedConfig
 	f.Relayed = func() bool { return g.receivesOrExpectsUpdates() && !g.missedNewerConfig() }
 	f.Failed = g.fetchState
 	f.Run(ctx)
@@ -132,6 +138,7 @@
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := g.follower(fleet.TopicEndpoints, g.replaceEndpoints, g.applyEndpoints)
+	f.Start = g.awaitRelayedList
 	f.Wait = 0
 	f.Relayed = nil
 	f.Pause = g.listPollInterval
@@ -150,11 +157,13 @@
 	updated, confirmed := g.receivesUpdates(), g.listConfirmed()
 	switch {
 	case updated && confirmed:
-		return passiveListPollInterval
+		return max(passiveListPollInterval, g.safeguardInterval(g.mesh.hosts()))
 	case updated:
 		return g.leafListPollInterval()
 	case confirmed:
-		return confirmedListPollInterval
+		return max(confirmedListPollInterval, g.safeguardInterval(g.mesh.relays()))
+	case !g.mesh.isRelay() && g.startup.relayedStart() && g.expectsUpdates():
+		return g.sharedListPollInterval()
 	case g.mesh.isRelay() && g.mesh.hosts() > relay.Children(g.settings.cores()):
 		// The controller does not confirm the list because it cannot reach the store. All hosts
 		// behind this one depend on its reads.
@@ -163,12 +172,24 @@
 	return min(maxListPollInterval, g.settings.Timing.Drain/listReadsPerDrain)
 }
 
+// safeguardInterval returns the interval at which a number of hosts may read the whole list although
+// others send them its changes.
+func (g *Gateway) safeguardInterval(readers int) time.Duration {
+	return time.Duration(float64(readers) * float64(g.cache.listBytes()) / safeguardBytesPerSecond * float64(time.Second))
+}
+
 // leafListPollInterval returns the pause, on a host that receives updates, after a failed read
 // of the list or while the controller does not confirm it. It returns 0 on other hosts.
 func (g *Gateway) leafListPollInterval() time.Duration {
 	if !g.receivesUpdates() {
 		return 0
 	}
+	return g.sharedListPollInterval()
+}
+
+// sharedListPollInterval returns an interval at which all hosts together read the list at a rate that
+// does not grow with their number.
+func (g *Gateway) sharedListPollInterval() time.Duration {
 	return max(maxListPollInterval, time.Duration(g.mesh.hosts())*leafListPollIntervalPerHost)
 }
 
@@ -199,10 +220,14 @@
 // them may wrongly appear to be a relay.
 func (g *Gateway) expectsUpdates() bool {
 	now := g.Now()
-	if now.Sub(g.startedAt) > startupGracePeriod {
+	if now.Sub(g.startedAt) > g.startupGrace() {
 		return false
 	}
-	return !g.storeReads.Loaded(fleet.TopicHosts) || !g.mesh.membershipStable(now) || !g.mesh.isRelay()
+	stable := g.mesh.membershipStable(now)
+	if g.startup.relayedStart() {
+		stable = g.membershipSettled()
+	}
+	return !g.storeReads.Loaded(fleet.TopicHosts) || !stable || !g.mesh.isRelay()
 }
 
 // listConfirmed reports whether the controller keeps confirming this host's list of endpoints.
@@ -329,13 +354,20 @@
 		g.log.Error("encoding host entry failed", "error", err)
 		return
 	}
+	delay := storeRetryDelay
 	for ctx.Err() == nil {
-		at, err := g.store.Put(ctx, fleet.TopicHosts, g.self.Host, value, fleet.AnyOffset)
+		at, err := g.store.Put(ctx, fleet.TopicHosts, hostKey(g.settings.Zone, g.self.Host), value, fleet.AnyOffset)
 		if err != nil {
-			wait.For(ctx, wait.Jitter(storeRetryDelay))
-			continue
+			wait.For(ctx, wait.Jitter(delay))
+			delay = min(2*delay, maxStoreRetryDelay)
+			known := fleet.Position(g.startup.ownEntry.Load() - 1)
+			if era, _ := g.era.current(); known < 0 || known.Era() < era {
+				continue
+			}
+			at = known // The entry was written although the call failed.
 		}
-		g.announced.Store(true)
+		delay = storeRetryDelay
+		g.recordOwnEntry(at)
 		if g.awaitRestore(ctx, at.Era()) {
 			wait.For(ctx, rand.N(time.Duration(g.mesh.hosts())*hostRewriteDelayPerHost))
 		}
@@ -347,6 +379,7 @@
 		g.applyHosts(b)
 	}
 	f := g.follower(fleet.TopicHosts, apply, apply)
+	f.Start = g.awaitRelayedHosts
 	f.BatchDelay = g.scaledHostBatchDelay
 	// Hosts that start together would find few entries if they read at once, and would have to
 	// read again.
@@ -355,7 +388,8 @@
 	// claim alone is not sufficient here.
 	f.Relayed = func() bool {
 		now := g.Now()
-		return !g.mesh.isRelay() && (g.notices.recent(now) || g.mesh.membershipStable(now) && g.expectsUpdates())
+		starting := now.Sub(g.startedAt) <= startupGracePeriod
+		return !g.mesh.isRelay() && (g.notices.recent(now) || starting && g.mesh.membershipStable(now) && g.expectsUpdates())
 	}
 	f.Run(ctx)
 }
@@ -387,12 +421,16 @@
 		return
 	}
 	h.at = e.Offset
-	if known, ok := g.mesh.peer(e.Key); ok && h.outdated(known) {
-		g.log.Info("host entry of a restored store ignored", "peer", e.Key, "offset", e.Offset, "known_offset", known.at)
+	name := hostName(e.Key)
+	if name == g.self.Host && h.Incarnation == g.self.Incarnation {
+		g.recordOwnEntry(e.Offset)
+	}
+	if known, ok := g.mesh.peer(name); ok && h.outdated(known) {
+		g.log.Info("host entry of a restored store ignored", "peer", name, "offset", e.Offset, "known_offset", known.at)
 		return
 	}
-	g.mesh.updatePeer(e.Key, h)
-	g.election.RecordRestart(e.Key, h.Incarnation)
+	g.mesh.updatePeer(name, h)
+	g.election.RecordRestart(name, h.Incarnation)
 }
 
 // deferFirstRead delays the first read of a topic while provided reports that other hosts
@@ -415,7 +453,9 @@
 		g.mesh.advanceClaimsOffset(b.Next)
 		g.election.RecordCaughtUp()
 	}
-	g.follower(fleet.TopicClaims, apply, apply).Run(ctx)
+	f := g.follower(fleet.TopicClaims, apply, apply)
+	f.Start = g.awaitRelayedClaim
+	f.Run(ctx)
 }
 
 func (g *Gateway) applyClaim(e fleet.Entry) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -78,12 +78,14 @@
 	// listMu is held while a batch of list entries is applied and while a response is built
 	// from the list. A response that includes an entry must include all changes before it,
 	// since its receiver then considers its list complete up to that entry.
-	listMu     sync.Mutex
-	cache      *entryCache
-	storeReads *follow.State
-	era        *storeEra
-	directory  *fleet.Directory
-	locator    *fleet.Locator
+	listMu sync.Mutex
+	cache  *entryCache
+	// listArchive is the copy of the list for hosts that start.
+	listArchive listArchive
+	storeReads  *follow.State
+	era         *storeEra
+	directory   *fleet.Directory
+	locator     *fleet.Locator
 
 	health     *serve.Health
 	dispatcher *serve.Dispatcher
@@ -129,6 +131,9 @@
 	stopping atomic.Bool
 	// announced is set once the entry of this incarnation is in the store.
 	announced atomic.Bool
+	startup   *startup
+	// bootTime returns the time since boot, including time spent suspended.
+	bootTime func() time.Duration
 
 	clientListener    net.Listener
 	readinessListener net.Listener
@@ -138,11 +143,22 @@
 
 // New creates a host and opens its listeners. Run serves them.
 func New(cfg Config) (*Gateway, error) {
+	g := newGateway(cfg, newMetrics())
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.initController()
+	g.handler = cfg.NewHandler(g)
+	return g, nil
+}
+
+// newGateway creates a host without listeners.
+func newGateway(cfg Config, m *metrics) *Gateway {
 	s := cfg.Settings
 	g := &Gateway{
 		settings:         s,
 		codec:            cfg.Codec,
-		metrics:          newMetrics(),
+		metrics:          m,
 		directory:        fleet.NewDirectory(),
 		health:           serve.NewHealth(),
 		budget:           retry.NewBudget(s.retryLimits(), retryShare),
@@ -152,6 +168,8 @@
 		cache:            newEntryCache(),
 		storeReads:       follow.NewState(),
 		era:              newStoreEra(),
+		startup:          newStartup(),
+		bootTime:         bootTime,
 		children:         newChildren(),
 		demandAggregator: relay.NewAggregator(),
 
@@ -180,11 +198,13 @@
 	g.initReplicatedSets()
 	g.accounts = newAccounts(s.tolerance(), g.requestReport, g.Now)
 	g.server.AccountLimiter = g.accounts
-	if err := g.listen(); err != nil {
-		return nil, err
-	}
+	return g
+}
+
+// initController creates the election and the controller. The host's peer address must be known.
+func (g *Gateway) initController() {
 	g.election = orders.NewElection(g.self, g.takeoverTimeout(), g.takeoverDelay(), g.Now())
-	g.lease = orders.NewHolderLease(s.Timing.Lease)
+	g.lease = orders.NewHolderLease(g.settings.Timing.Lease)
 	g.controller = &orders.Controller{
 		Election:      g.election,
 		Client:        g.endpoints,
@@ -198,8 +218,6 @@
 
 		FormerStoreLoadLimit: g.locator.StoreLoadLimit,
 	}
-	g.handler = cfg.NewHandler(g)
-	return g, nil
 }
 
 // initReplicatedSets connects the sets that are replicated to other hosts to their sources.
@@ -221,9 +239,7 @@
 	if err != nil {
 		return err
 	}
-	g.mesh.node = node
-	g.self.Addr = node.Addr()
-	g.mesh.member = relay.Member{Name: g.self.Host, Addr: g.self.Addr, Zone: g.settings.Zone, Cores: g.settings.cores()}
+	g.attach(node)
 	if g.readinessListener, err = net.Listen("tcp", g.settings.Listen.Readiness); err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "listen for readiness checks"), node.Close())
 	}
@@ -240,6 +256,13 @@
 	return nil
 }
 
+// attach connects the host to the others.
+func (g *Gateway) attach(node messenger) {
+	g.mesh.node = node
+	g.self.Addr = node.Addr()
+	g.mesh.member = relay.Member{Name: g.self.Host, Addr: g.self.Addr, Zone: g.settings.Zone, Cores: g.settings.cores()}
+}
+
 // Now returns the host's time. Only differences are used, so that wall clock changes have no
 // effect.
 func (g *Gateway) Now() time.Time { return time.Now() }
@@ -361,6 +384,7 @@
 // loops returns the background tasks of a host.
 func (g *Gateway) loops() []func(context.Context) {
 	return []func(context.Context){
+		g.join,
 		g.followConfig,
 		g.followEndpoints,
 		g.followHosts,
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -21,19 +21,28 @@
 	// firstNoticeTimeout is how long a new controller may take to reach all hosts. After a
 	// start, relays first read the entries of all hosts.
 	firstNoticeTimeout = 3 * time.Second
-	// weakHostClaimDelay delays the claims of weak hosts. It is longer than the random delay of
-	// the strong ones.
+	// weakHostClaimDelay delays the claims of weak hosts. It is longer than strong ones take to
+	// start one after the other.
 	weakHostClaimDelay = 400 * time.Millisecond
 	// fullStateOffset is the offset that requests all entries of the list.
 	fullStateOffset = 0
 )
 
+// messenger sends requests to other hosts and receives theirs. It is implemented by peer.Node.
+type messenger interface {
+	Addr() string
+	Send(ctx context.Context, addr string, r peer.Request) ([]peer.Response, error)
+	RemoveConn(addr string)
+	Serve(ctx context.Context)
+	Close() error
+}
+
 // mesh tracks the other hosts. It is safe for concurrent use.
 type mesh struct {
 	self        string
 	member      relay.Member
 	fingerprint peer.Fingerprint
-	node        *peer.Node
+	node        messenger
 
 	mu    sync.Mutex
 	peers map[string]hostEntry
@@ -48,16 +57,18 @@
 	// upstreamCache holds the upstream hosts for each controller. It is cleared when a host
 	// changes.
 	upstreamCache map[string][]relay.Member
-	// relayRole caches whether this host is a relay; nil means not computed.
-	relayRole *bool
+	// roles caches which hosts are relays; nil means not computed.
+	roles *relayRoles
 	// lastStateRequest is when state was last requested from a peer. pendingStateRequests holds
 	// the addresses with a request in flight.
 	lastStateRequest     time.Time
 	pendingStateRequests map[string]bool
 	// claimSeenAt is when the newest claim was first seen.
 	claimSeenAt time.Time
-	// peersChangedAt is when the entry of another host was last added or changed.
+	// peersChangedAt is when the entry of another host was last added or changed, peersAddedAt
+	// when one was last added.
 	peersChangedAt time.Time
+	peersAddedAt   time.Time
 	// listConfirmedAt is the time up to which, by the controller's last confirmation, this host's
 	// list of endpoints is complete.
 	listConfirmedAt time.Time
@@ -122,13 +133,16 @@
 	if !ok || old.Fingerprint != e.Fingerprint {
 		m.peersChangedAt = time.Now()
 	}
+	if !ok {
+		m.peersAddedAt = time.Now()
+	}
 	if ok && old.Fingerprint != e.Fingerprint {
 		delete(m.known, old.Fingerprint)
 		m.node.RemoveConn(old.Addr)
 	}
 	m.peers[host] = e
 	clear(m.upstreamCache)
-	m.relayRole = nil
+	m.roles = nil
 	delete(m.backoffUntil, e.Addr)
 	delete(m.failures, e.Addr)
 	m.known[e.Fingerprint] = true
@@ -142,6 +156,14 @@
 	return now.Sub(m.peersChangedAt) >= hostBatchDelay
 }
 
+// rolesStable reports whether no other host was added within hostBatchDelay. Which hosts are relays
+// does not change when a known host starts anew.
+func (m *mesh) rolesStable(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.peersAddedAt) >= hostBatchDelay
+}
+
 // hosts returns the number of known hosts, including this one.
 func (m *mesh) hosts() int {
 	m.mu.Lock()
@@ -207,6 +229,14 @@
 	return weakHostClaimDelay
 }
 
+// claimRank returns how many hosts other than excluded go before this one in the order in which
+// hosts claim.
+func (m *mesh) claimRank(excluded string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return relay.Rank(m.member, excluded, m.members())
+}
+
 // claimsOffset returns the offset up to which claims were read.
 func (m *mesh) claimsOffset() fleet.Position {
 	m.mu.Lock()
--- a/pkg/gateway/peerselect.go
+++ b/pkg/gateway/peerselect.go
@@ -129,11 +129,29 @@
 func (m *mesh) isRelay() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.relayRole == nil {
-		is := relay.IsRelay(m.member, m.members())
-		m.relayRole = &is
+	return m.relayRoles().self
+}
+
+// relays returns the number of hosts that are relays or would become one if a relay failed.
+func (m *mesh) relays() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.relayRoles().count
+}
+
+// relayRoles holds whether this host is a relay and the number of relays.
+type relayRoles struct {
+	self  bool
+	count int
+}
+
+// relayRoles returns the roles for the known hosts. It must be called with mu held.
+func (m *mesh) relayRoles() relayRoles {
+	if m.roles == nil {
+		all := m.members()
+		m.roles = &relayRoles{self: relay.IsRelay(m.member, all), count: relay.Count(all)}
 	}
-	return *m.relayRole
+	return *m.roles
 }
 
 // fanOut returns the maximum number of children of a host with some cores.
