--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -16,9 +16,12 @@
 	// when they start. With more hosts, those that are no relays learn it from relays: together
 	// they would read hosts times endpoints entries.
 	directReaders = 16
-	// announceWait is how long a starting host waits for its entry to be written before it reads
-	// those of the others.
-	announceWait = 300 * time.Millisecond
+	// minAnnounceWait is how long a starting host waits at least for its entry to be written before
+	// it reads those of the others. When many hosts start together, entries are written one after
+	// the other for longer; a random part of up to maxAnnounceSpread keeps the hosts that wait
+	// from reading all at once.
+	minAnnounceWait   = 300 * time.Millisecond
+	maxAnnounceSpread = 2 * time.Second
 	// maxStartupRetryDelay bounds the delay between attempts to read the hosts.
 	maxStartupRetryDelay = 4 * time.Second
 	// relayedGracePeriod is how long a host that starts among many waits for the state from its
@@ -75,7 +78,7 @@
 // everything, so that there are relays to learn from. Later ones read which hosts there are.
 func (g *Gateway) join(ctx context.Context) {
 	defer close(g.startup.decided)
-	wait.ForOrWake(ctx, announceWait, g.startup.entryWritten)
+	wait.ForOrWake(ctx, minAnnounceWait+rand.N(maxAnnounceSpread), g.startup.entryWritten)
 	if at := g.startup.ownEntry.Load(); at > 0 && fleet.Position(at-1).Offset() < directReaders {
 		return
 	}
