Peer: messages of 2 KiB and more are compressed

Change: such frames are compressed if that makes them smaller; the size after decompression is bounded. Tests: TestLargeMessagesAreCompressed fails before, TestFrameSizeIsBounded.

--- a/pkg/peer/archive.go
+++ b/pkg/peer/archive.go
@@ -1,10 +1,6 @@
 package peer
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
-
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/record"
@@ -29,15 +25,11 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "encode entries")
 		}
-		var packed bytes.Buffer
-		w, err := flate.NewWriter(&packed, flate.BestSpeed)
+		packed, err := compress(data)
 		if err != nil {
-			return nil, errors.Wrap(err, "compress entries")
+			return nil, err
 		}
-		// Writes to a buffer do not fail.
-		_, _ = w.Write(data)
-		_ = w.Close()
-		out = append(out, packed.Bytes())
+		out = append(out, packed)
 		entries = entries[n:]
 	}
 	return out, nil
@@ -46,12 +38,9 @@
 // Entries decompresses an archive. It returns ErrInvalidMessage if the archive is malformed or too
 // large.
 func (a Archive) Entries() ([]fleet.Entry, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(a)), maxArchiveBytes+1))
+	data, err := decompress(a, maxArchiveBytes)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decompress entries"), ErrInvalidMessage)
-	}
-	if len(data) > maxArchiveBytes {
-		return nil, errors.Wrapf(ErrInvalidMessage, "archive of %d bytes exceeds %d bytes", len(a), maxArchiveBytes)
+		return nil, err
 	}
 	var out []fleet.Entry
 	if err := record.Unmarshal(data, &out); err != nil {
--- a/pkg/peer/archive_test.go
+++ b/pkg/peer/archive_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"fmt"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/record"
 )
 
 // Guards against a list of endpoints that is too large for one message, and against sending
@@ -68,3 +70,31 @@
 		}
 	})
 }
+
+// Guards against long lists in messages taking several times the bytes that they need between
+// availability zones.
+func TestLargeMessagesAreCompressed(t *testing.T) {
+	is := is.New(t)
+	sent := Response{Notice: &fleet.Notice{Token: 1}}
+	for i := range 1000 {
+		sent.Notice.Endpoints = append(sent.Notice.Endpoints, fleet.Placement{Endpoint: fleet.EndpointID(fmt.Sprintf("i-%x@17730021224%d", i*7919, i%1000)), Models: []fleet.ModelPlacement{{Model: fmt.Sprint("model", i%264)}, {Model: fmt.Sprint("model", i*31%264)}}})
+	}
+	plain, err := record.Marshal(sent)
+	is.NoErr(err)
+	var wire bytes.Buffer
+	is.NoErr(writeFrame(&wire, sent))
+	is.True(wire.Len() < len(plain)/2)
+	var got Response
+	is.NoErr(readFrame(&wire, &got))
+	is.Equal(got, sent)
+}
+
+// Guards against a small frame that decompresses to more than a message may have.
+func TestFrameSizeIsBounded(t *testing.T) {
+	is := is.New(t)
+	packed, err := compress(make([]byte, maxMessageBytes+1))
+	is.NoErr(err)
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(packed))|compressedFlag)
+	var got Response
+	is.True(errors.Is(readFrame(bytes.NewReader(append(frame, packed...)), &got), ErrInvalidMessage))
+}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -11,7 +11,13 @@
 // ErrInvalidMessage means that a message is too large or malformed.
 var ErrInvalidMessage = errors.New("invalid peer message")
 
-const frameHeaderBytes = 4
+const (
+	frameHeaderBytes = 4
+	// compressedFlag is set in the length of a frame whose body is compressed.
+	compressedFlag = 1 << 31
+	// minCompressedBytes is the size from which bodies are compressed.
+	minCompressedBytes = 2 << 10
+)
 
 func writeFrame(w io.Writer, v any) error {
 	body, err := record.Marshal(v)
@@ -21,7 +27,17 @@
 	if len(body) > maxMessageBytes {
 		return errors.Wrapf(ErrInvalidMessage, "encoded size %d bytes, limit %d", len(body), maxMessageBytes)
 	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, frameHeaderBytes+len(body)), uint32(len(body)))
+	length := uint32(len(body))
+	if len(body) >= minCompressedBytes {
+		packed, err := compress(body)
+		if err != nil {
+			return err
+		}
+		if len(packed) < len(body) {
+			body, length = packed, uint32(len(packed))|compressedFlag
+		}
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, frameHeaderBytes+len(body)), length)
 	_, err = w.Write(append(frame, body...))
 	return err
 }
@@ -32,7 +48,8 @@
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
 	}
-	size := binary.BigEndian.Uint32(header[:])
+	length := binary.BigEndian.Uint32(header[:])
+	size := length &^ compressedFlag
 	if size > maxMessageBytes {
 		return errors.Wrapf(ErrInvalidMessage, "body size %d bytes, limit %d", size, maxMessageBytes)
 	}
@@ -40,6 +57,12 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return errors.Wrapf(ErrInvalidMessage, "read body of %d bytes: %v", size, err)
 	}
+	if length&compressedFlag != 0 {
+		var err error
+		if body, err = decompress(body, maxMessageBytes); err != nil {
+			return err
+		}
+	}
 	if err := record.Unmarshal(body, v); err != nil {
 		return errors.Wrapf(ErrInvalidMessage, "decode body of %d bytes: %v", size, err)
 	}
