Gateway: a starting host reads the hosts of its zone first, and again while no relay answers

And a host that knew only former certificates of its relays, as after all hosts were killed, waited for the grace period of six seconds. Change: the page of the own zone; all hosts only if these are few. While no relay answers it is read again after 0.7, 1.4 and more seconds.

--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -24,6 +24,9 @@
 	maxAnnounceSpread = 2 * time.Second
 	// maxStartupRetryDelay bounds the delay between attempts to read the hosts.
 	maxStartupRetryDelay = 4 * time.Second
+	// membersRereadDelay is the delay before a host that no relay answers reads the hosts again. It
+	// doubles with each read.
+	membersRereadDelay = 700 * time.Millisecond
 	// relayedGracePeriod is how long a host that starts among many waits for the state from its
 	// relays before it reads the store. relayedGracePerHost, times the number of hosts, bounds a
 	// random part, so that the store is not read by all of them at once.
@@ -96,24 +99,28 @@
 	g.log.Info("hosts read", "hosts", g.mesh.hosts(), "relayed", g.startup.relayed)
 }
 
-// readMembers reads the entries of the hosts, or, if they are too many for one response, of those in
-// this host's zone. Keys of hosts begin with the zone.
+// readMembers reads the entries of the hosts in this host's zone, and of all hosts if these are few.
+// Keys of hosts begin with the zone.
 func (g *Gateway) readMembers(ctx context.Context) error {
-	b, more, err := g.store.Page(ctx, fleet.TopicHosts, "")
+	b, _, err := g.store.Page(ctx, fleet.TopicHosts, g.settings.Zone+zoneSeparator)
 	if err != nil {
 		return err
 	}
-	if !more {
-		g.applyHosts(b)
-		g.storeReads.SetLoaded(fleet.TopicHosts)
+	g.applyHosts(fleet.Batch{Entries: b.Entries})
+	if g.mesh.hosts() > directReaders {
 		return nil
 	}
-	g.applyHosts(fleet.Batch{Entries: b.Entries})
-	b, _, err = g.store.Page(ctx, fleet.TopicHosts, g.settings.Zone+zoneSeparator)
+	b, more, err := g.store.Page(ctx, fleet.TopicHosts, "")
 	if err != nil {
 		return err
 	}
-	g.applyHosts(fleet.Batch{Entries: b.Entries})
+	if more {
+		b.Next = 0 // The page is not complete.
+	}
+	g.applyHosts(b)
+	if !more {
+		g.storeReads.SetLoaded(fleet.TopicHosts)
+	}
 	return nil
 }
 
@@ -172,10 +179,25 @@
 	})
 }
 
-// awaitRelayedHosts blocks until the entries of the hosts are known or this host must read them.
+// awaitRelayedHosts blocks until the entries of all hosts are known or this host must read them. While
+// no relay answers, it reads those of its zone again: its relays may have started later and have new
+// keys.
 func (g *Gateway) awaitRelayedHosts(ctx context.Context) fleet.Position {
+	delay := membersRereadDelay
+	next := g.Now().Add(wait.Jitter(delay))
 	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
-		return g.cache.hostsOffset(), g.cache.hostsOffset() > 0
+		now := g.Now()
+		if known := g.cache.hostsOffset(); known > 0 {
+			return known, true
+		}
+		if g.startup.relayed && !now.Before(next) && !g.notices.recent(now) {
+			delay *= 2
+			next = now.Add(wait.Jitter(delay))
+			if err := g.readMembers(ctx); err != nil {
+				g.log.Info("reading the hosts failed", "error", err.Error())
+			}
+		}
+		return fleet.NoPosition, false
 	})
 }
 
