Gateway: no first claim while many hosts are still being added

Change: where more than 16 hosts are known and there was never a claim, it is made once no host was added for a second.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -34,6 +34,10 @@
 	// the number of hosts, bounds its random part.
 	leafClaimDelay        = time.Second
 	leafClaimDelayPerHost = 5 * time.Millisecond
+	// firstClaimDelay is how long no host must have been added before the first claim of all, if
+	// hosts are many. Until then they do not know the claimant and would replace it. It exceeds the
+	// interval between two reads of the hosts.
+	firstClaimDelay = time.Second
 	// claimRenewInterval is the minimum interval between two attempts to write a claim again.
 	claimRenewInterval = 500 * time.Millisecond
 	// releaseRetryDelay is the delay between two attempts to release the claim on shutdown.
@@ -59,13 +63,19 @@
 		}
 		// The host entry must precede the claim: others consider a holder failed if its host has
 		// an entry of another incarnation.
-		if g.stopping.Load() || !g.announced.Load() || !g.election.ShouldClaim(g.Now()) {
+		if g.stopping.Load() || !g.announced.Load() || g.hostsArrive() || !g.election.ShouldClaim(g.Now()) {
 			return
 		}
 		g.challenge(ctx, g.holderAliveAtPeer)
 	})
 }
 
+// hostsArrive reports whether many hosts start for the first time, so that there is no claim yet and
+// more of them are still being added.
+func (g *Gateway) hostsArrive() bool {
+	return g.election.Newest().Token == 0 && g.mesh.hosts() > directReaders && g.mesh.sinceAdded(g.Now()) < firstClaimDelay
+}
+
 // claimPredatesRestore reports whether this host holds a claim that the store may have lost.
 func (g *Gateway) claimPredatesRestore() bool {
 	held := g.election.HeldToken()
--- a/pkg/gateway/fleetstart_test.go
+++ b/pkg/gateway/fleetstart_test.go
@@ -65,6 +65,9 @@
 					return all
 				}
 				all := run("start", maxStart)
+				if token := all[0].election.Newest().Token; token != 1 {
+					t.Errorf("claim %d after the start of %d hosts, want the first", token, hosts)
+				}
 				f.kill(all)
 				time.Sleep(time.Second)
 				run("restart", maxRestart)
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -158,10 +158,13 @@
 
 // rolesStable reports whether no other host was added within hostBatchDelay. Which hosts are relays
 // does not change when a known host starts anew.
-func (m *mesh) rolesStable(now time.Time) bool {
+func (m *mesh) rolesStable(now time.Time) bool { return m.sinceAdded(now) >= hostBatchDelay }
+
+// sinceAdded returns the time since another host was last added.
+func (m *mesh) sinceAdded(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return now.Sub(m.peersAddedAt) >= hostBatchDelay
+	return now.Sub(m.peersAddedAt)
 }
 
 // hosts returns the number of known hosts, including this one.
