--- a/pkg/fleet/bench_test.go
+++ b/pkg/fleet/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -67,3 +68,32 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap in use by a list of endpoints, its index and the placements of a
+// notice, in bytes for each endpoint.
+func BenchmarkMemory(b *testing.B) {
+	const endpoints = 10000
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := heap()
+		locator, d := locatorWithEndpoints(endpoints)
+		all := fleet.Notice{Token: 1, Full: true}
+		for _, v := range d.Live(at(0)) {
+			p := fleet.Placement{Endpoint: v.ID}
+			for _, m := range v.Loaded {
+				p.Models = append(p.Models, fleet.ModelPlacement{Model: m.Model})
+			}
+			all.Endpoints = append(all.Endpoints, p)
+		}
+		locator.ApplyNotice(at(0), all)
+		locator.Locate(at(0), "s", "m7", "")
+		all = fleet.Notice{}
+		b.ReportMetric(float64(heap()-before)/endpoints, "bytes/endpoint")
+		runtime.KeepAlive(locator)
+	}
+}
--- a/pkg/fleet/index.go
+++ b/pkg/fleet/index.go
@@ -7,13 +7,15 @@
 	// useNotices reports whether notices take precedence over the endpoints' own entries.
 	useNotices bool
 	// listed holds the endpoints in the list that take requests.
-	listed map[EndpointID]Endpoint
+	listed map[EndpointID]*Endpoint
 	// dirty holds the endpoints that must be indexed again.
 	dirty map[EndpointID]bool
 	// indexed holds the keys under which each endpoint is indexed.
 	indexed   map[EndpointID]indexKeys
-	byService map[string]*memberSet[Endpoint]
+	byService map[string]*memberSet[*Endpoint]
 	byModel   map[ModelRef]*memberSet[modelState]
+	// copies caches the endpoints of a service as values.
+	copies map[string][]Endpoint
 }
 
 // indexKeys holds the keys under which an endpoint is indexed.
@@ -30,11 +32,12 @@
 
 func newIndex() *index {
 	return &index{
-		listed:    map[EndpointID]Endpoint{},
+		listed:    map[EndpointID]*Endpoint{},
 		dirty:     map[EndpointID]bool{},
 		indexed:   map[EndpointID]indexKeys{},
-		byService: map[string]*memberSet[Endpoint]{},
+		byService: map[string]*memberSet[*Endpoint]{},
 		byModel:   map[ModelRef]*memberSet[modelState]{},
+		copies:    map[string][]Endpoint{},
 	}
 }
 
@@ -53,17 +56,17 @@
 		delete(x.listed, c.endpoint.ID)
 		return
 	}
-	x.listed[c.endpoint.ID] = c.endpoint
+	x.listed[c.endpoint.ID] = &c.endpoint
 }
 
 // update indexes all dirty endpoints again.
-func (x *index) update(placements map[EndpointID]map[string]modelState) {
+func (x *index) update(placements map[EndpointID][]modelState) {
 	for id := range x.dirty {
 		x.removeEndpoint(id)
 		if e, ok := x.listed[id]; ok {
 			models, known := placements[id]
 			if !known || !x.useNotices {
-				models = listedModels(e)
+				models = listedModels(*e)
 			}
 			x.addEndpoint(e, models)
 		}
@@ -77,17 +80,19 @@
 		return
 	}
 	delete(x.indexed, id)
+	delete(x.copies, keys.service)
 	removeMember(x.byService, keys.service, id)
 	for _, key := range keys.models {
 		removeMember(x.byModel, key, id)
 	}
 }
 
-func (x *index) addEndpoint(e Endpoint, models map[string]modelState) {
+func (x *index) addEndpoint(e *Endpoint, models []modelState) {
 	keys := indexKeys{service: e.Service}
+	delete(x.copies, e.Service)
 	addMember(x.byService, e.Service, e.ID, e)
-	for name, r := range models {
-		key := ModelRef{e.Service, name}
+	for _, r := range models {
+		key := ModelRef{e.Service, r.model}
 		r.endpoint = e
 		addMember(x.byModel, key, e.ID, r)
 		keys.models = append(keys.models, key)
@@ -131,6 +136,16 @@
 // serves reports whether any endpoint of a service takes requests.
 func (x *index) serves(service string) bool { return x.byService[service] != nil }
 
-func (x *index) endpoints(service string) []Endpoint { return x.byService[service].list() }
+func (x *index) endpoints(service string) []Endpoint {
+	out, ok := x.copies[service]
+	if ok {
+		return out
+	}
+	for _, e := range x.byService[service].list() {
+		out = append(out, *e)
+	}
+	x.copies[service] = out
+	return out
+}
 
 func (x *index) holders(key ModelRef) []modelState { return x.byModel[key].list() }
--- a/pkg/fleet/locator.go
+++ b/pkg/fleet/locator.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,7 +26,7 @@
 	// StoreLoadLimit are set.
 	controller  Notice
 	heartbeatAt time.Time
-	placements  map[EndpointID]map[string]modelState
+	placements  map[EndpointID][]modelState
 	// version counts the changes of placements and coldReadyAt. changes and coldVersion hold
 	// the version of the last change of each.
 	version     int64
@@ -43,7 +44,8 @@
 
 // modelState is the state of a model on an endpoint.
 type modelState struct {
-	endpoint  Endpoint
+	model     string
+	endpoint  *Endpoint
 	readyAt   time.Time
 	unloading bool
 	adapters  map[string]bool
@@ -54,7 +56,7 @@
 
 // NewLocator returns a locator for a directory.
 func NewLocator(d *Directory) *Locator {
-	return &Locator{directory: d, placements: map[EndpointID]map[string]modelState{}, changes: newChangeLog(), index: newIndex()}
+	return &Locator{directory: d, placements: map[EndpointID][]modelState{}, changes: newChangeLog(), index: newIndex()}
 }
 
 // MarkStale marks the index as stale after a change of the directory.
@@ -104,7 +106,7 @@
 
 // setPlacement replaces the models of an endpoint. An unchanged placement keeps its version,
 // so that it is not sent to other hosts again.
-func (l *Locator) setPlacement(id EndpointID, models map[string]modelState) {
+func (l *Locator) setPlacement(id EndpointID, models []modelState) {
 	old, known := l.placements[id]
 	if known && sameModels(old, models) {
 		return
@@ -123,13 +125,17 @@
 // sent as remaining milliseconds and drift with each hop.
 const timeTolerance = 25 * time.Millisecond
 
-func sameModels(a, b map[string]modelState) bool {
+func sameModels(a, b []modelState) bool {
 	if len(a) != len(b) {
 		return false
 	}
-	for name, r := range a {
-		o, ok := b[name]
-		if !ok || r.unloading != o.unloading || r.readyAt.IsZero() != o.readyAt.IsZero() || !maps.Equal(r.adapters, o.adapters) {
+	for _, r := range a {
+		i := slices.IndexFunc(b, func(o modelState) bool { return o.model == r.model })
+		if i < 0 {
+			return false
+		}
+		o := b[i]
+		if r.unloading != o.unloading || r.readyAt.IsZero() != o.readyAt.IsZero() || !maps.Equal(r.adapters, o.adapters) {
 			return false
 		}
 		if r.readyAt.Sub(o.readyAt).Abs() > timeTolerance {
@@ -157,17 +163,14 @@
 	l.coldVersion = l.version
 }
 
-func modelStates(now time.Time, p Placement) map[string]modelState {
-	models := make(map[string]modelState, len(p.Models))
+func modelStates(now time.Time, p Placement) []modelState {
+	models := make([]modelState, 0, len(p.Models))
 	for _, m := range p.Models {
-		r := modelState{unloading: m.Unloading, adapters: map[string]bool{}}
+		r := modelState{model: m.Model, unloading: m.Unloading, adapters: adapterSet(m.Adapters)}
 		if m.ReadyIn > 0 {
 			r.readyAt = now.Add(time.Duration(m.ReadyIn) * time.Millisecond)
 		}
-		for _, a := range m.Adapters {
-			r.adapters[a] = true
-		}
-		models[m.Model] = r
+		models = append(models, r)
 	}
 	return models
 }
@@ -224,7 +227,7 @@
 				loc.ReadyAt = r.readyAt
 			}
 		default:
-			loc.Ready = append(loc.Ready, r.endpoint)
+			loc.Ready = append(loc.Ready, *r.endpoint)
 		}
 	}
 	return loc
@@ -245,14 +248,23 @@
 	l.index.update(l.placements)
 }
 
-func listedModels(e Endpoint) map[string]modelState {
-	models := make(map[string]modelState, len(e.Loaded))
+func listedModels(e Endpoint) []modelState {
+	models := make([]modelState, 0, len(e.Loaded))
 	for _, h := range e.Loaded {
-		r := modelState{adapters: map[string]bool{}}
-		for _, a := range h.Adapters {
-			r.adapters[a] = true
-		}
-		models[h.Model] = r
+		models = append(models, modelState{model: h.Model, adapters: adapterSet(h.Adapters)})
 	}
 	return models
 }
+
+// adapterSet returns the set of adapters, nil if there are none. Most models have none, and each set
+// takes memory on every host.
+func adapterSet(names []string) map[string]bool {
+	if len(names) == 0 {
+		return nil
+	}
+	set := make(map[string]bool, len(names))
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
+}
--- a/pkg/fleet/locator_changes.go
+++ b/pkg/fleet/locator_changes.go
@@ -75,19 +75,19 @@
 }
 
 // holdsAny reports whether an endpoint holds or loads one of the wanted models.
-func holdsAny(service string, models map[string]modelState, wanted map[ModelRef]bool) bool {
-	for name, r := range models {
-		if !r.unloading && wanted[ModelRef{service, name}] {
+func holdsAny(service string, models []modelState, wanted map[ModelRef]bool) bool {
+	for _, r := range models {
+		if !r.unloading && wanted[ModelRef{service, r.model}] {
 			return true
 		}
 	}
 	return false
 }
 
-func newPlacement(now time.Time, id EndpointID, models map[string]modelState) Placement {
+func newPlacement(now time.Time, id EndpointID, models []modelState) Placement {
 	p := Placement{Endpoint: id}
-	for name, r := range models {
-		m := ModelPlacement{Model: name, Unloading: r.unloading}
+	for _, r := range models {
+		m := ModelPlacement{Model: r.model, Unloading: r.unloading}
 		if !r.readyAt.IsZero() {
 			m.ReadyIn = max(0, r.readyAt.Sub(now).Milliseconds())
 		}
