Gateway: a host whose entry the store rejects reads the hosts at once

Cause: since reads are spread, such a host waited for up to 2.3 s before it read anything. Change: the wait ends with the first attempt, successful or not.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -358,6 +358,7 @@
 	for ctx.Err() == nil {
 		at, err := g.store.Put(ctx, fleet.TopicHosts, hostKey(g.settings.Zone, g.self.Host), value, fleet.AnyOffset)
 		if err != nil {
+			g.startup.recordAttempt()
 			wait.For(ctx, wait.Jitter(delay))
 			delay = min(2*delay, maxStoreRetryDelay)
 			known := fleet.Position(g.startup.ownEntry.Load() - 1)
@@ -368,6 +369,7 @@
 		}
 		delay = storeRetryDelay
 		g.recordOwnEntry(at)
+		g.startup.recordAttempt()
 		if g.awaitRestore(ctx, at.Era()) {
 			wait.For(ctx, rand.N(time.Duration(g.mesh.hosts())*hostRewriteDelayPerHost))
 		}
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,20 +50,22 @@
 	jitter float64
 	// ownEntry is the position of this incarnation's entry in the store plus one, 0 if unknown.
 	ownEntry atomic.Int64
-	// entryWritten is closed when ownEntry is first set.
-	entryWritten chan struct{}
+	// attempted is closed once the first attempt to write the entry has ended.
+	attempted     chan struct{}
+	attemptedOnce sync.Once
 }
 
 func newStartup() *startup {
-	return &startup{decided: make(chan struct{}), entryWritten: make(chan struct{}), jitter: rand.Float64()}
+	return &startup{decided: make(chan struct{}), attempted: make(chan struct{}), jitter: rand.Float64()}
 }
 
+// recordAttempt records that an attempt to write the entry has ended.
+func (s *startup) recordAttempt() { s.attemptedOnce.Do(func() { close(s.attempted) }) }
+
 // recordOwnEntry records that this host's entry is in the store. The response to its append may have
 // been lost.
 func (g *Gateway) recordOwnEntry(at fleet.Position) {
-	if g.startup.ownEntry.Swap(int64(at)+1) == 0 {
-		close(g.startup.entryWritten)
-	}
+	g.startup.ownEntry.Store(int64(at) + 1)
 	g.announced.Store(true)
 }
 
@@ -81,7 +84,7 @@
 // everything, so that there are relays to learn from. Later ones read which hosts there are.
 func (g *Gateway) join(ctx context.Context) {
 	defer close(g.startup.decided)
-	wait.ForOrWake(ctx, minAnnounceWait+rand.N(maxAnnounceSpread), g.startup.entryWritten)
+	wait.ForOrWake(ctx, minAnnounceWait+rand.N(maxAnnounceSpread), g.startup.attempted)
 	if at := g.startup.ownEntry.Load(); at > 0 && fleet.Position(at-1).Offset() < directReaders {
 		return
 	}
