--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,9 @@
 	maxAnnounceSpread = 2 * time.Second
 	// maxStartupRetryDelay bounds the delay between attempts to read the hosts.
 	maxStartupRetryDelay = 4 * time.Second
+	// membersRereadDelay is the delay before a host that no relay answers reads the hosts again. It
+	// doubles with each read.
+	membersRereadDelay = 700 * time.Millisecond
 	// relayedGracePeriod is how long a host that starts among many waits for the state from its
 	// relays before it reads the store. relayedGracePerHost, times the number of hosts, bounds a
 	// random part, so that the store is not read by all of them at once.
@@ -46,20 +50,22 @@
 	jitter float64
 	// ownEntry is the position of this incarnation's entry in the store plus one, 0 if unknown.
 	ownEntry atomic.Int64
-	// entryWritten is closed when ownEntry is first set.
-	entryWritten chan struct{}
+	// attempted is closed once the first attempt to write the entry has ended.
+	attempted     chan struct{}
+	attemptedOnce sync.Once
 }
 
 func newStartup() *startup {
-	return &startup{decided: make(chan struct{}), entryWritten: make(chan struct{}), jitter: rand.Float64()}
+	return &startup{decided: make(chan struct{}), attempted: make(chan struct{}), jitter: rand.Float64()}
 }
 
+// recordAttempt records that an attempt to write the entry has ended.
+func (s *startup) recordAttempt() { s.attemptedOnce.Do(func() { close(s.attempted) }) }
+
 // recordOwnEntry records that this host's entry is in the store. The response to its append may have
 // been lost.
 func (g *Gateway) recordOwnEntry(at fleet.Position) {
-	if g.startup.ownEntry.Swap(int64(at)+1) == 0 {
-		close(g.startup.entryWritten)
-	}
+	g.startup.ownEntry.Store(int64(at) + 1)
 	g.announced.Store(true)
 }
 
@@ -78,7 +84,7 @@
 // everything, so that there are relays to learn from. Later ones read which hosts there are.
 func (g *Gateway) join(ctx context.Context) {
 	defer close(g.startup.decided)
-	wait.ForOrWake(ctx, minAnnounceWait+rand.N(maxAnnounceSpread), g.startup.entryWritten)
+	wait.ForOrWake(ctx, minAnnounceWait+rand.N(maxAnnounceSpread), g.startup.attempted)
 	if at := g.startup.ownEntry.Load(); at > 0 && fleet.Position(at-1).Offset() < directReaders {
 		return
 	}
@@ -96,24 +102,28 @@
 	g.log.Info("hosts read", "hosts", g.mesh.hosts(), "relayed", g.startup.relayed)
 }
 
-// readMembers reads the entries of the hosts, or, if they are too many for one response, of those in
-// this host's zone. Keys of hosts begin with the zone.
+// readMembers reads the entries of the hosts in this host's zone, and of all hosts if these are few.
+// Keys of hosts begin with the zone.
 func (g *Gateway) readMembers(ctx context.Context) error {
-	b, more, err := g.store.Page(ctx, fleet.TopicHosts, "")
+	b, _, err := g.store.Page(ctx, fleet.TopicHosts, g.settings.Zone+zoneSeparator)
 	if err != nil {
 		return err
 	}
-	if !more {
-		g.applyHosts(b)
-		g.storeReads.SetLoaded(fleet.TopicHosts)
+	g.applyHosts(fleet.Batch{Entries: b.Entries})
+	if g.mesh.hosts() > directReaders {
 		return nil
 	}
-	g.applyHosts(fleet.Batch{Entries: b.Entries})
-	b, _, err = g.store.Page(ctx, fleet.TopicHosts, g.settings.Zone+zoneSeparator)
+	b, more, err := g.store.Page(ctx, fleet.TopicHosts, "")
 	if err != nil {
 		return err
 	}
-	g.applyHosts(fleet.Batch{Entries: b.Entries})
+	if more {
+		b.Next = 0 // The page is not complete.
+	}
+	g.applyHosts(b)
+	if !more {
+		g.storeReads.SetLoaded(fleet.TopicHosts)
+	}
 	return nil
 }
 
@@ -172,10 +182,25 @@
 	})
 }
 
-// awaitRelayedHosts blocks until the entries of the hosts are known or this host must read them.
+// awaitRelayedHosts blocks until the entries of all hosts are known or this host must read them. While
+// no relay answers, it reads those of its zone again: its relays may have started later and have new
+// keys.
 func (g *Gateway) awaitRelayedHosts(ctx context.Context) fleet.Position {
+	delay := membersRereadDelay
+	next := g.Now().Add(wait.Jitter(delay))
 	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
-		return g.cache.hostsOffset(), g.cache.hostsOffset() > 0
+		now := g.Now()
+		if known := g.cache.hostsOffset(); known > 0 {
+			return known, true
+		}
+		if g.startup.relayed && !now.Before(next) && !g.notices.recent(now) {
+			delay *= 2
+			next = now.Add(wait.Jitter(delay))
+			if err := g.readMembers(ctx); err != nil {
+				g.log.Info("reading the hosts failed", "error", err.Error())
+			}
+		}
+		return fleet.NoPosition, false
 	})
 }
 
