Gateway: no first claim by a host that does not know the others

Change: the first claim of all takes knowing the hosts. Test: TestNoFirstClaimWhileHostsArrive fails before.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -70,10 +70,13 @@
 	})
 }
 
-// hostsArrive reports whether many hosts start for the first time, so that there is no claim yet and
-// more of them are still being added.
+// hostsArrive reports whether hosts start for the first time, so that there is no claim yet, and this
+// host does not know the others or, if they are many, more of them are still being added.
 func (g *Gateway) hostsArrive() bool {
-	return g.election.Newest().Token == 0 && g.mesh.hosts() > directReaders && g.mesh.sinceAdded(g.Now()) < firstClaimDelay
+	if g.election.Newest().Token != 0 {
+		return false
+	}
+	return !g.storeReads.Loaded(fleet.TopicHosts) || g.mesh.hosts() > directReaders && g.mesh.sinceAdded(g.Now()) < firstClaimDelay
 }
 
 // claimPredatesRestore reports whether this host holds a claim that the store may have lost.
--- a/pkg/gateway/manyhosts_inner_test.go
+++ b/pkg/gateway/manyhosts_inner_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/relay"
 	"github.com/tealvane/tealvane/pkg/serve"
@@ -103,3 +104,19 @@
 	is.Equal(len(seen), hosts)
 	is.Equal(next, fleet.Position(hosts))
 }
+
+// Guards against a first claim whose holder the other hosts do not know yet, which they replace.
+func TestNoFirstClaimWhileHostsArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := amongMany()
+		time.Sleep(2 * firstClaimDelay)
+		is.True(g.hostsArrive()) // this host has not read which hosts there are
+		g.storeReads.SetLoaded(fleet.TopicHosts)
+		is.True(!g.hostsArrive())
+		g.mesh.updatePeer("late", hostEntry{Addr: "late", Fingerprint: peer.Fingerprint{200}})
+		is.True(g.hostsArrive())
+		g.election.Observe(g.Now(), orders.Claim{Holder: orders.Holder{Host: "h1"}, Token: 1})
+		is.True(!g.hostsArrive()) // a claim exists, so that hosts have known each other
+	})
+}
