--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -128,8 +128,8 @@
 	}
 }
 
-// catchUpList gets the changes of the list that a notice was too small for. Hosts that learn the list
-// from others do not all read the store, for which many changes are most expensive.
+// catchUpList gets the changes of the list that did not fit into a notice. Hosts that learn the list
+// from others ask their relay: if all of them read the store, many changes would overload it.
 func (g *Gateway) catchUpList() {
 	if g.mesh.isRelay() {
 		trySend(g.listReadNow)
