Gateway: hosts read the store again for changes that do not fit into a notice

What has changed on that way: hosts behind relays ask their relay for such changes, for up to four seconds, where relays have 10 Mbit/s. Inferred, not traced. Change: that part of the mend is taken back, and with it its test; a request for changes ends after 600 ms again.

--- a/pkg/gateway/manyhosts_inner_test.go
+++ b/pkg/gateway/manyhosts_inner_test.go
@@ -27,20 +27,6 @@
 	return g
 }
 
-// Guards against all hosts reading the store when many entries of the list change at once, as after
-// an outage of the store.
-func TestHostsBehindRelaysGetManyChangesFromThem(t *testing.T) {
-	is := is.New(t)
-	notice := fleet.Notice{ListSince: 0, ListChange: 1000}
-	g := amongMany()
-	g.mesh.lastStateRequest = g.Now() // No request is sent so soon after another one.
-	g.applyListNotice(g.Now(), notice)
-	is.Equal(len(g.listReadNow), 0)
-	r := relayHost() // alone, so it reads the store itself
-	r.applyListNotice(r.Now(), notice)
-	is.Equal(len(r.listReadNow), 1)
-}
-
 // Guards against reads of the whole list as a safeguard whose sum grows with hosts times endpoints.
 func TestSafeguardReadsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -118,7 +118,7 @@
 	}
 	if n.ListChange >= g.directory.Offset() {
 		if !g.listConfirmed() {
-			g.catchUpList()
+			trySend(g.listReadNow)
 		}
 		return // The next notices carry the change, or the confirmation expires.
 	}
@@ -128,19 +128,4 @@
 	}
 }
 
-// catchUpList gets the changes of the list that did not fit into a notice. Hosts that learn the list
-// from others ask their relay: if all of them read the store, many changes would overload it.
-func (g *Gateway) catchUpList() {
-	if g.mesh.isRelay() {
-		trySend(g.listReadNow)
-		return
-	}
-	upstreams := g.upstreams()
-	if len(upstreams) == 0 {
-		trySend(g.listReadNow)
-		return
-	}
-	go g.fetchStateFrom(context.Background(), g.mesh.firstReachable(g.Now(), upstreams).Addr)
-}
-
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -94,8 +94,7 @@
 	timeout := fullStateTimeout
 	if g.storeReads.Loaded(fleet.TopicEndpoints) {
 		request.EndpointsFrom = g.directory.Offset()
-		transfer := float64(g.cache.listBytes()) / g.linkBytesPerSecond()
-		timeout = min(timeout, peerTimeout+time.Duration(transfer*float64(time.Second)))
+		timeout = peerTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
