Upstream: the pools of connections to endpoints move out of the platform's folder

Cause: tests cannot take the links between one host and the endpoints away, since the platform's client dials by itself; and where a request travels is not translation. Change: upstream.Transport holds the pools, its dialer can be replaced. No logic changes.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -173,7 +173,7 @@
 		g.guard.Prune(now)
 		g.cache.evict(g.directory.Prune(now))
 		live := g.directory.LiveIDs(now)
-		g.endpoints.CloseExcept(live)
+		g.transport.CloseExcept(live)
 		g.health.Prune(live)
 		g.occupancy.local.SetEndpoints(live)
 		g.occupancyMetrics(now)
@@ -181,6 +181,6 @@
 		g.metrics.gauge("endpoints", float64(len(live)))
 		g.metrics.gauge("endpoints_limited", float64(g.health.Signals.LimitedCount(now)))
 		g.metrics.gauge("requests_blocked", float64(g.guard.Blocklist.Count()))
-		g.metrics.gauge("endpoint_connections", float64(g.endpoints.OpenedConnections()))
+		g.metrics.gauge("endpoint_connections", float64(g.transport.Opened()))
 	})
 }
--- a/pkg/gateway/fleetsim_test.go
+++ b/pkg/gateway/fleetsim_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/upstream"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 )
@@ -367,9 +368,6 @@
 	EndpointClient
 }
 
-func (simEndpoints) CloseExcept(map[fleet.EndpointID]bool) {}
-func (simEndpoints) OpenedConnections() int                { return 0 }
-
 // newFleetSim returns a simulation with a configuration and a list of endpoints.
 func newFleetSim(endpoints int) *fleetSim {
 	f := &fleetSim{store: newRateStore(), byAddr: map[string]*simHost{}, egress: map[string]time.Time{}}
@@ -398,7 +396,7 @@
 		Settings:          s,
 		Store:             f.store,
 		Codec:             simCodec{},
-		NewEndpointClient: func(func() time.Time, func(fleet.Endpoint) int) EndpointClient { return simEndpoints{} },
+		NewEndpointClient: func(*upstream.Transport) EndpointClient { return simEndpoints{} },
 		Logger:            slog.New(slog.DiscardHandler),
 		Tracer:            noop.NewTracerProvider(),
 	}, &metrics{scope: tally.NoopScope})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/tealvane/tealvane/pkg/relay"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/upstream"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 )
@@ -46,10 +47,6 @@
 	// Terminated reports whether an incarnation of an endpoint has terminated. An error
 	// means that this is unknown.
 	Terminated(ctx context.Context, e fleet.Endpoint) (bool, error)
-	// CloseExcept closes the connections to all endpoints that are not in live.
-	CloseExcept(live map[fleet.EndpointID]bool)
-	// OpenedConnections returns the number of connections opened to the endpoints in use.
-	OpenedConnections() int
 }
 
 // Config holds the dependencies of a host.
@@ -58,7 +55,9 @@
 	Store    fleet.Store
 	Codec    fleet.Codec
 	// NewEndpointClient creates the client of the endpoints.
-	NewEndpointClient func(now func() time.Time, limit func(fleet.Endpoint) int) EndpointClient
+	NewEndpointClient func(*upstream.Transport) EndpointClient
+	// Dial opens connections to endpoints. If it is nil, upstream.Dial does.
+	Dial upstream.Dialer
 	// NewHandler creates the handler of client requests.
 	NewHandler func(*Gateway) http.Handler
 	Logger     *slog.Logger
@@ -74,6 +73,7 @@
 	log       *slog.Logger
 	metrics   *metrics
 	endpoints EndpointClient
+	transport *upstream.Transport
 
 	config atomic.Pointer[fleet.Config]
 	// listMu is held while a batch of list entries is applied and while a response is built
@@ -190,7 +190,12 @@
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.locator = fleet.NewLocator(g.directory)
 	g.health.Signals.Changed = g.signalChanged
-	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.Now, g.connectionLimit), g.allowCall}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = upstream.Dial
+	}
+	g.transport = upstream.NewTransport(g.Now, g.connectionLimit, dial)
+	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.transport), g.allowCall}
 	g.dispatcher = serve.NewDispatcher(s.Zone, placementLocator{g.locator, g.config.Load}, g.health, g.Now, g.requestReport)
 	g.dispatcher.Contention = g.contention
 	g.dispatcher.Occupancy = g.occupancy.local
--- a/pkg/gateway/work_test.go
+++ b/pkg/gateway/work_test.go
@@ -3,11 +3,10 @@
 import (
 	"log/slog"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/upstream"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 )
@@ -36,7 +35,7 @@
 func TestDispatcherEstimatesWork(t *testing.T) {
 	is := is.New(t)
 	g := newGateway(Config{
-		NewEndpointClient: func(func() time.Time, func(fleet.Endpoint) int) EndpointClient { return simEndpoints{} },
+		NewEndpointClient: func(*upstream.Transport) EndpointClient { return simEndpoints{} },
 		Logger:            slog.New(slog.DiscardHandler),
 		Tracer:            noop.NewTracerProvider(),
 	}, &metrics{scope: tally.NoopScope})
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -59,6 +59,7 @@
 // Pool holds the connections to one endpoint. It is safe for concurrent use.
 type Pool struct {
 	addr string
+	dial Dialer
 	now  func() time.Time
 
 	mu    sync.Mutex
@@ -72,7 +73,7 @@
 
 // NewPool returns an empty pool for an address with a limit on open connections.
 func NewPool(addr string, limit int, now func() time.Time) *Pool {
-	return &Pool{addr: addr, limit: limit, now: now}
+	return &Pool{addr: addr, dial: Dial, limit: limit, now: now}
 }
 
 // SetLimit sets the maximum number of open connections.
@@ -113,7 +114,7 @@
 	p.open++
 	p.opened++
 	p.mu.Unlock()
-	raw, err := Dial(ctx, p.addr)
+	raw, err := p.dial(ctx, p.addr)
 	if err != nil {
 		p.decrementOpen()
 		err = errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
