Known red: hosts without links to endpoints

Change: a test with three hosts whose links to all endpoints can be silent, reset or refuse new connections; bounds from the recovery rule. Also the controller cut off, crashes recorded without any, and all hosts cut off.

--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -88,3 +88,9 @@
 
 // ConfigVersion returns the version of the configuration in force.
 func (g *Gateway) ConfigVersion() int64 { return g.configVersion() }
+
+// CrashesSeen returns the number of crashes that the host knows of.
+func (g *Gateway) CrashesSeen() int {
+	crashes, _ := g.guard.CrashLog.Since(g.Now(), 0, maxCrashesPerPull)
+	return len(crashes)
+}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -44,6 +44,7 @@
 // host is an entry host that runs in the test process.
 type host struct {
 	*gateway.Gateway
+	links         *hostLinks
 	storeListener *site.Listener
 	run           func()
 	stop          context.CancelFunc
@@ -101,12 +102,15 @@
 	}
 	s.Orders.EndpointsCheckTokens = !d.uncheckedTokens
 	s.Scheduling.Contention = d.contention
-	g, err := platform.NewGateway(s, slog.New(slog.NewTextHandler(io.Discard, nil)), d.tracer)
+	config := platform.GatewayConfig(s, slog.New(slog.NewTextHandler(io.Discard, nil)), d.tracer)
+	links := newHostLinks()
+	config.Dial = links.dial
+	g, err := gateway.New(config)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	h := &host{Gateway: g, storeListener: listener, stop: stop, done: make(chan error, 1)}
+	h := &host{Gateway: g, links: links, storeListener: listener, stop: stop, done: make(chan error, 1)}
 	h.run = func() { go func() { h.done <- g.Run(ctx) }() }
 	d.t.Cleanup(func() {
 		stop()
