Gateway: hosts send requests by way of others while their own links to endpoints fail

Cause: a request could reach an endpoint only over connections of the host that had read it, though other hosts reached the same endpoints.

Change: a host that fails to connect, or waits 300 ms, connects to a sample of three other endpoints. While most of a sample fails it sends requests by way of another host (pkg/proxy), one hop at most. Both lists of endpoints are checked. Links return one by one, after checks of a few. Remaining time is computed right before sending. If no host has links, requests are refused at once with 503 and Retry-After. Switched on by endpoints.via_peers.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -355,6 +355,18 @@
 	return views
 }
 
+// InUse returns an endpoint if it is live and takes requests.
+func (d *Directory) InUse(now time.Time, id EndpointID) (Endpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expireMissing(now)
+	e := d.entries[id]
+	if e == nil || e.gone || !e.TakesRequests() {
+		return Endpoint{}, false
+	}
+	return e.Endpoint, true
+}
+
 // LiveIDs returns the IDs of the endpoints that are not gone, including draining ones.
 func (d *Directory) LiveIDs(now time.Time) map[EndpointID]bool {
 	d.mu.Lock()
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -174,6 +174,8 @@
 		g.cache.evict(g.directory.Prune(now))
 		live := g.directory.LiveIDs(now)
 		g.transport.CloseExcept(live)
+		g.links.table.Retain(live)
+		g.linkMetrics()
 		g.health.Prune(live)
 		g.occupancy.local.SetEndpoints(live)
 		g.occupancyMetrics(now)
--- a/pkg/gateway/fleetsim_test.go
+++ b/pkg/gateway/fleetsim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -14,7 +15,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/upstream"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 )
@@ -95,6 +95,10 @@
 func (n *simNode) Serve(ctx context.Context) { <-ctx.Done() }
 func (n *simNode) Close() error              { return nil }
 
+func (n *simNode) Open(context.Context, string, peer.Request) (*peer.Stream, error) {
+	return nil, errSimUnreachable
+}
+
 func (n *simNode) Send(ctx context.Context, addr string, r peer.Request) ([]peer.Response, error) {
 	n.net.mu.Lock()
 	target := n.net.byAddr[addr]
@@ -368,6 +372,8 @@
 	EndpointClient
 }
 
+func (simEndpoints) OwnResponse(http.Header) func(http.Header, int) bool { return nil }
+
 // newFleetSim returns a simulation with a configuration and a list of endpoints.
 func newFleetSim(endpoints int) *fleetSim {
 	f := &fleetSim{store: newRateStore(), byAddr: map[string]*simHost{}, egress: map[string]time.Time{}}
@@ -396,7 +402,7 @@
 		Settings:          s,
 		Store:             f.store,
 		Codec:             simCodec{},
-		NewEndpointClient: func(*upstream.Transport) EndpointClient { return simEndpoints{} },
+		NewEndpointClient: func(EndpointTransport) EndpointClient { return simEndpoints{} },
 		Logger:            slog.New(slog.DiscardHandler),
 		Tracer:            noop.NewTracerProvider(),
 	}, &metrics{scope: tally.NoopScope})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/proxy"
 	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/relay"
 	"github.com/tealvane/tealvane/pkg/retry"
@@ -47,6 +48,9 @@
 	// Terminated reports whether an incarnation of an endpoint has terminated. An error
 	// means that this is unknown.
 	Terminated(ctx context.Context, e fleet.Endpoint) (bool, error)
+	// OwnResponse returns a function that reports whether a response belongs to the request with
+	// the given header.
+	OwnResponse(request http.Header) func(http.Header, int) bool
 }
 
 // Config holds the dependencies of a host.
@@ -55,7 +59,7 @@
 	Store    fleet.Store
 	Codec    fleet.Codec
 	// NewEndpointClient creates the client of the endpoints.
-	NewEndpointClient func(*upstream.Transport) EndpointClient
+	NewEndpointClient func(EndpointTransport) EndpointClient
 	// Dial opens connections to endpoints. If it is nil, upstream.Dial does.
 	Dial upstream.Dialer
 	// NewHandler creates the handler of client requests.
@@ -74,6 +78,9 @@
 	metrics   *metrics
 	endpoints EndpointClient
 	transport *upstream.Transport
+	// links tracks this host's links to endpoints, proxy sends requests to endpoints for other hosts.
+	links *endpointLinks
+	proxy *proxy.Server
 
 	config atomic.Pointer[fleet.Config]
 	// listMu is held while a batch of list entries is applied and while a response is built
@@ -195,7 +202,9 @@
 		dial = upstream.Dial
 	}
 	g.transport = upstream.NewTransport(g.Now, g.connectionLimit, dial)
-	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.transport), g.allowCall}
+	g.links = newEndpointLinks()
+	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.endpointTransport()), g.allowCall}
+	g.proxy = g.newProxyServer()
 	g.dispatcher = serve.NewDispatcher(s.Zone, placementLocator{g.locator, g.config.Load}, g.health, g.Now, g.requestReport)
 	g.dispatcher.Contention = g.contention
 	g.dispatcher.Occupancy = g.occupancy.local
@@ -257,6 +266,7 @@
 	if err != nil {
 		return err
 	}
+	node.HandleStream = g.handleProxyStream
 	g.attach(node)
 	if g.readinessListener, err = net.Listen("tcp", g.settings.Listen.Readiness); err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "listen for readiness checks"), node.Close())
@@ -409,6 +419,7 @@
 		g.control,
 		g.elect,
 		g.maintain,
+		g.checkLinks,
 	}
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -37,6 +37,8 @@
   ratio: 0.2
   extra: 40
   window: 10s
+endpoints:
+  via_peers: true
 orders:
   endpoints_check_tokens: true
 `
--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -32,6 +32,8 @@
 type messenger interface {
 	Addr() string
 	Send(ctx context.Context, addr string, r peer.Request) ([]peer.Response, error)
+	// Open opens a stream with a request as its first message.
+	Open(ctx context.Context, addr string, r peer.Request) (*peer.Stream, error)
 	RemoveConn(addr string)
 	Serve(ctx context.Context)
 	Close() error
--- a/pkg/gateway/peerselect.go
+++ b/pkg/gateway/peerselect.go
@@ -109,6 +109,13 @@
 	return out
 }
 
+// others returns all other hosts.
+func (m *mesh) others() []relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members()[1:]
+}
+
 // upstreams returns the hosts to pull from, best first. The controller is left out while its
 // address is unknown.
 func (m *mesh) upstreams(controller relay.Member) []relay.Member {
--- /dev/null
+++ b/pkg/gateway/proxying.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/links"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/proxy"
+	"github.com/tealvane/tealvane/pkg/upstream"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	// proxiedPerCore is the number of requests that a host sends for others at once per core, and
+	// minProxied the least.
+	proxiedPerCore = 300
+	minProxied     = 32
+	// proxiedMemoryDivisor is the share, as a divisor, of a host's memory that the bodies of these
+	// requests may take. defaultMemoryMB applies where the memory is not configured.
+	proxiedMemoryDivisor = 16
+	defaultMemoryMB      = 256
+)
+
+// EndpointTransport sends requests to endpoints.
+type EndpointTransport interface {
+	// Do sends a request over this host's own connections. An error marked upstream.ErrNotSent means
+	// that nothing was sent.
+	Do(ctx context.Context, e fleet.Endpoint, r upstream.Request) (*http.Response, error)
+	// Send is like Do, but may send the request by way of another host, whose name it returns.
+	Send(ctx context.Context, e fleet.Endpoint, r upstream.Request) (resp *http.Response, via string, err error)
+}
+
+// endpointTransport returns the transport for requests to endpoints.
+func (g *Gateway) endpointTransport() EndpointTransport {
+	if !g.settings.Endpoints.ViaPeers {
+		return proxy.DirectOnly{Transport: g.transport}
+	}
+	g.transport.OnLink = g.recordLink
+	return &proxy.Transport{
+		Direct:  g.transport,
+		Links:   g.links.table,
+		Helpers: proxy.NewHelpers(proxy.Host{Name: g.self.Host, Zone: g.settings.Zone}, g.proxyHosts),
+		Open:    g.openStream,
+		Now:     g.Now,
+		OnSlow:  g.recordSlowConnect,
+	}
+}
+
+// newProxyServer returns the server of requests that other hosts send by way of this one.
+func (g *Gateway) newProxyServer() *proxy.Server {
+	memory := g.settings.Limits.MemoryMB
+	if memory == 0 {
+		memory = defaultMemoryMB
+	}
+	return &proxy.Server{
+		Direct:      g.transport,
+		Endpoint:    func(id fleet.EndpointID) (fleet.Endpoint, bool) { return g.directory.InUse(g.Now(), id) },
+		Unreachable: func(id fleet.EndpointID) bool { return g.links.table.State(id) != links.Up },
+		Isolated:    g.isolated,
+		Stopping:    g.stopping.Load,
+		Limits: proxy.Limits{
+			Requests: max(minProxied, int(proxiedPerCore*g.settings.cores())),
+			Bytes:    memory << 20 / proxiedMemoryDivisor,
+		},
+		OwnResponse: g.endpoints.OwnResponse,
+		Count:       func(result string) { g.metrics.count("peer_requests", map[string]string{"result": result}) },
+	}
+}
+
+// proxyHosts returns the other hosts that may send requests for this one.
+func (g *Gateway) proxyHosts() []proxy.Host {
+	reachable := g.mesh.reachable(g.Now())
+	slices.Sort(reachable)
+	var out []proxy.Host
+	for _, m := range g.mesh.others() {
+		if _, ok := slices.BinarySearch(reachable, m.Addr); ok {
+			out = append(out, proxy.Host{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Cores: m.Cores})
+		}
+	}
+	return out
+}
+
+// openStream implements proxy.Open.
+func (g *Gateway) openStream(ctx context.Context, addr string, r peer.Request) (proxy.Stream, error) {
+	s, err := g.mesh.node.Open(ctx, addr, r)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// handleProxyStream implements peer.StreamHandler.
+func (g *Gateway) handleProxyStream(ctx context.Context, s *peer.Stream, r peer.ProxyRequest, known bool) {
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(r.Trace))
+	ctx, span := g.server.Tracer.Start(ctx, "proxy", trace.WithAttributes(attribute.String("endpoint", string(r.Endpoint))))
+	defer span.End()
+	g.proxy.Serve(ctx, s, r, known)
+}
--- a/pkg/gateway/serving.go
+++ b/pkg/gateway/serving.go
@@ -157,6 +157,7 @@
 			_ = s.Close() // The process exits now.
 		}
 	}
+	g.proxy.Wait(ctx)
 	_ = g.clientListener.Close() // Shutdown has closed it unless the host never became ready.
 	_ = g.readinessListener.Close()
 	if g.metricsListener != nil {
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -75,6 +75,11 @@
 		// that it does not name have weight 1.
 		AccountWeights map[string]float64 `yaml:"account_weights"`
 	} `yaml:"scheduling"`
+	Endpoints struct {
+		// ViaPeers allows requests to be sent to endpoints by way of another host while this host's
+		// own connections to them fail.
+		ViaPeers bool `yaml:"via_peers"`
+	} `yaml:"endpoints"`
 	Orders struct {
 		// EndpointsCheckTokens reports whether endpoints reject old fencing tokens.
 		EndpointsCheckTokens bool `yaml:"endpoints_check_tokens"`
--- a/pkg/gateway/work_test.go
+++ b/pkg/gateway/work_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/serve"
-	"github.com/tealvane/tealvane/pkg/upstream"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 )
@@ -35,7 +34,7 @@
 func TestDispatcherEstimatesWork(t *testing.T) {
 	is := is.New(t)
 	g := newGateway(Config{
-		NewEndpointClient: func(*upstream.Transport) EndpointClient { return simEndpoints{} },
+		NewEndpointClient: func(EndpointTransport) EndpointClient { return simEndpoints{} },
 		Logger:            slog.New(slog.DiscardHandler),
 		Tracer:            noop.NewTracerProvider(),
 	}, &metrics{scope: tally.NoopScope})
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -32,6 +32,8 @@
 	Pull *fleet.Pull `cbor:"9,keyasint,omitempty"`
 	// State requests entries that the other host has read from the platform's store.
 	State *StateRequest `cbor:"8,keyasint,omitempty"`
+	// Proxy is the first message of a stream that package proxy handles.
+	Proxy *ProxyRequest `cbor:"10,keyasint,omitempty"`
 	// Known is set by the receiving node if the sender is a known host.
 	Known bool `cbor:"-"`
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -19,6 +19,10 @@
 	handshakeTimeout = time.Second
 	streamTimeout    = 5 * time.Second
 	maxPeerStreams   = 256
+	// maxStreamWindow and maxConnWindow bound the bytes that were received on a stream or a connection
+	// and not read yet.
+	maxStreamWindow = 1 << 20
+	maxConnWindow   = 4 << 20
 	// maxSnapshotChunks limits the size of a snapshot.
 	maxSnapshotChunks = 4096
 )
@@ -27,6 +31,9 @@
 type Node struct {
 	dialTLS *tls.Config
 	respond Responder
+	// HandleStream handles streams of requests to endpoints. If it is nil they are rejected. It must not
+	// be changed once Serve runs.
+	HandleStream StreamHandler
 	// isKnown reports whether a certificate belongs to a known host. If it is nil, all hosts
 	// count as known.
 	isKnown   func(Fingerprint) bool
@@ -35,6 +42,9 @@
 
 	mu    sync.Mutex
 	conns map[string]*quic.Conn
+	// dialing holds a channel for each address to which a connection is being opened. It is closed at
+	// the end.
+	dialing map[string]chan struct{}
 }
 
 // Responder returns the responses to a request.
@@ -66,6 +76,7 @@
 		respond:   respond,
 		transport: &quic.Transport{Conn: socket},
 		conns:     map[string]*quic.Conn{},
+		dialing:   map[string]chan struct{}{},
 	}
 	n.listener, err = n.transport.Listen(accept, quicConfig())
 	if err != nil {
@@ -80,6 +91,9 @@
 		MaxIdleTimeout:       idleTimeout,
 		KeepAlivePeriod:      keepAlive,
 		MaxIncomingStreams:   maxPeerStreams,
+
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnWindow,
 	}
 }
 
@@ -116,7 +130,7 @@
 		if err != nil {
 			return
 		}
-		go n.serveStream(conn, stream)
+		go n.serveStream(ctx, conn, stream)
 	}
 }
 
@@ -129,7 +143,7 @@
 	return len(certs) > 0 && n.isKnown(sha256.Sum256(certs[0].Raw))
 }
 
-func (n *Node) serveStream(conn *quic.Conn, stream *quic.Stream) {
+func (n *Node) serveStream(ctx context.Context, conn *quic.Conn, stream *quic.Stream) {
 	defer stream.Close()
 	_ = stream.SetDeadline(time.Now().Add(streamTimeout))
 	var r Request
@@ -138,6 +152,11 @@
 		return
 	}
 	r.Known = n.isKnownPeer(conn)
+	if r.Proxy != nil && n.HandleStream != nil {
+		_ = stream.SetDeadline(time.Time{})
+		n.HandleStream(ctx, &Stream{stream}, *r.Proxy, r.Known)
+		return
+	}
 	for _, response := range n.respond(r) {
 		response.Version = protocolVersion
 		if writeFrame(stream, response) != nil {
@@ -190,19 +209,43 @@
 	return nil, errors.Wrapf(ErrInvalidMessage, "response has more than %d messages", maxSnapshotChunks)
 }
 
-// dial returns the open connection to an address, or opens a new one.
+// dial returns the open connection to an address, or opens a new one. Concurrent calls share one attempt
+// to open it.
 func (n *Node) dial(ctx context.Context, addr string) (*quic.Conn, error) {
-	n.mu.Lock()
-	conn := n.conns[addr]
-	n.mu.Unlock()
-	if conn != nil && conn.Context().Err() == nil {
-		return conn, nil
+	for {
+		n.mu.Lock()
+		if conn := n.conns[addr]; conn != nil && conn.Context().Err() == nil {
+			n.mu.Unlock()
+			return conn, nil
+		}
+		other := n.dialing[addr]
+		if other == nil {
+			ended := make(chan struct{})
+			n.dialing[addr] = ended
+			n.mu.Unlock()
+			conn, err := n.open(ctx, addr)
+			n.mu.Lock()
+			delete(n.dialing, addr)
+			n.mu.Unlock()
+			close(ended)
+			return conn, err
+		}
+		n.mu.Unlock()
+		select {
+		case <-other:
+		case <-ctx.Done():
+			return nil, errors.Wrapf(ctx.Err(), "dial peer %s", addr)
+		}
 	}
+}
+
+// open opens a connection to an address.
+func (n *Node) open(ctx context.Context, addr string) (*quic.Conn, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "resolve peer address")
 	}
-	conn, err = n.transport.Dial(ctx, udpAddr, n.dialTLS, quicConfig())
+	conn, err := n.transport.Dial(ctx, udpAddr, n.dialTLS, quicConfig())
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial peer %s", addr)
 	}
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -27,7 +27,7 @@
 	x.result.Endpoint = e.ID
 	response, err := s.Backend.Send(ctx, x.request, Send{
 		Endpoint:  e,
-		Remaining: x.request.ClientDeadline.Sub(start),
+		Deadline:  x.request.ClientDeadline,
 		LastEvent: x.lastEvent,
 		Urgency:   Urgency(x.request, start),
 	})
@@ -40,6 +40,12 @@
 	if errors.Is(err, ErrNotSent) {
 		span.RecordError(err)
 		x.result.Note = err.Error()
+		if errors.Is(err, ErrNoPath) {
+			x.avoid[e.ID] = LastResort
+			x.noPath++
+			s.Queue.Release(x.request, e.ID, SlotResult{Failed: true, NotRun: true})
+			return attemptNotRun
+		}
 		s.Health.RecordConnectionFailure(s.Now(), e.ID)
 		unreachable := errors.Is(err, ErrUnreachable)
 		if unreachable {
@@ -60,6 +66,7 @@
 		return attemptFailed
 	}
 	watcher.progress()
+	x.result.Via = response.Via
 	if response.Load != nil {
 		s.Health.RecordLoad(s.Now(), e.ID, x.request.Service, *response.Load)
 	}
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -19,6 +19,9 @@
 	// configRolloutTime is the usual time until a new configuration is in force on all hosts. Large
 	// deployments allow 3 s; it only determines when clients retry.
 	configRolloutTime = 2 * time.Second
+	// noPathRetryAfter is when the client of a request that no host can send to endpoints may return.
+	// Links are checked at least this often.
+	noPathRetryAfter = time.Second
 	// probeTime is the usual time until a suspected request is cleared.
 	probeTime = 2 * time.Second
 	// refusalMargin is how long before its client disconnects a request is refused at the
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -116,6 +116,8 @@
 	Signals signals.Response
 	// Body returns io.EOF only at the end of the complete body.
 	Body io.ReadCloser
+	// Via is the name of the host by way of which the request was sent, or "".
+	Via string
 	// Head is shared by the protocol handler and the backend.
 	Head any
 }
@@ -162,6 +164,10 @@
 // also marked ErrNotSent.
 var ErrUnreachable = errors.New("endpoint is not reachable")
 
+// ErrNoPath marks errors of a Backend that cannot connect to the endpoint because this host, and all
+// others that it could ask, have lost their links to endpoints. They are also marked ErrNotSent.
+var ErrNoPath = errors.New("no host has links to endpoints")
+
 // UnusableError is returned for a response that cannot be forwarded. The request may have run.
 type UnusableError struct {
 	Signals signals.Response
@@ -177,8 +183,8 @@
 // Send holds the parameters of sending a request to an endpoint.
 type Send struct {
 	Endpoint fleet.Endpoint
-	// Remaining is the time until the client's deadline.
-	Remaining time.Duration
+	// Deadline is the client's deadline.
+	Deadline time.Time
 	// LastEvent is the ID of the last event that the client received.
 	LastEvent string
 	// Urgency is the priority of the request among those that wait at the endpoint, where 0 is
@@ -233,6 +239,9 @@
 	// CauseContention means that the replicas of the model cannot take the demand, and that the
 	// request is not among the admitted share.
 	CauseContention Cause = "contention"
+	// CauseNoPath means that this host, and all others that it could ask, have lost their links to
+	// endpoints.
+	CauseNoPath Cause = "no_path"
 )
 
 // Refusal is a final response of this host itself.
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -59,6 +59,8 @@
 	Total     time.Duration
 	// Resumed counts how often a stream was resumed at another endpoint.
 	Resumed int
+	// Via is the name of the host by way of which the last response came, or "" if it came directly.
+	Via string
 	// Complete reports whether the complete response was sent to the client.
 	Complete bool
 	// Note describes the last failure at an endpoint.
@@ -121,6 +123,8 @@
 	sink     Sink
 	avoid    Avoidance
 	rejected int
+	// noPath counts the attempts for which no host had links to endpoints.
+	noPath int
 	// headSent reports whether the head of a response was sent to the client.
 	headSent  bool
 	lastEvent string
@@ -175,7 +179,7 @@
 		case attemptNotRun:
 			x.rejected++
 			if x.rejected >= maxRejections {
-				x.finish(ctx, Refusal{Cause: CauseNoRoom, NotRun: true, RetryAfter: x.retryAfter()})
+				x.finish(ctx, x.rejectedRefusal())
 				return
 			}
 		case attemptFailed:
@@ -188,6 +192,16 @@
 	}
 }
 
+// rejectedRefusal returns the refusal of a request that too many endpoints have rejected.
+func (x *exchange) rejectedRefusal() Refusal {
+	if x.noPath < x.rejected {
+		return Refusal{Cause: CauseNoRoom, NotRun: true, RetryAfter: x.retryAfter()}
+	}
+	now := x.server.Now()
+	after := RetryAfter(x.request.Deadline.Sub(now), HoldInput{Now: now, ReadyAt: now.Add(noPathRetryAfter)})
+	return Refusal{Cause: CauseNoPath, NotRun: true, RetryAfter: after}
+}
+
 // refuse ends the request with a refusal, or as blocked if it was blocked while it waited.
 func (x *exchange) refuse(ctx context.Context, r Refusal) {
 	if !x.refuseIfBlocked(ctx) {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Finalize is called with the header right before the request is sent. It may be nil.
+	Finalize func(http.Header)
 	// IsOwnResponse reports whether a response with the given header and status belongs to
 	// this request. If nil, any response does.
 	IsOwnResponse func(http.Header, int) bool
@@ -61,6 +64,9 @@
 	addr string
 	dial Dialer
 	now  func() time.Time
+	// onLink is called with the result of each attempt to connect, and with the error of a connection
+	// whose data was not acknowledged. It may be nil.
+	onLink func(error)
 
 	mu    sync.Mutex
 	idle  []*conn
@@ -93,8 +99,15 @@
 // Close closes idle connections at once and the others after their request.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
+// closeIdle closes all idle connections.
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, c := range p.idle {
 		_ = c.Close() // No request is in flight on an idle connection.
 	}
@@ -102,18 +115,20 @@
 	p.idle = nil
 }
 
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	if c := p.takeIdle(); c != nil {
-		return c, nil
-	}
+// reserveSlot counts one more open connection.
+func (p *Pool) reserveSlot() error {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.open >= p.limit {
-		p.mu.Unlock()
-		return nil, ErrPoolExhausted
+		return ErrPoolExhausted
 	}
 	p.open++
 	p.opened++
-	p.mu.Unlock()
+	return nil
+}
+
+// connect opens a connection for which a slot is reserved.
+func (p *Pool) connect(ctx context.Context) (*conn, error) {
 	raw, err := p.dial(ctx, p.addr)
 	if err != nil {
 		p.decrementOpen()
@@ -121,11 +136,21 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return nil, err // The caller canceled the request; the endpoint may be reachable.
 		}
+		p.recordLink(err)
 		return nil, errors.Mark(err, ErrUnreachable)
 	}
+	p.recordLink(nil)
 	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// recordLink passes on the result of an attempt to connect, or the loss of a connection whose data was
+// not acknowledged.
+func (p *Pool) recordLink(err error) {
+	if p.onLink != nil {
+		p.onLink(err)
+	}
+}
+
 // takeIdle returns the most recently used idle connection that is reusable, or nil.
 func (p *Pool) takeIdle() *conn {
 	p.mu.Lock()
@@ -192,28 +217,11 @@
 // means that nothing was sent. After any other error the request may have run. Canceling ctx
 // closes the connection, which tells the endpoint to stop.
 func (p *Pool) Do(ctx context.Context, r Request) (*http.Response, error) {
-	c, err := p.get(ctx)
+	c, err := p.Reserve(ctx)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	written := make(chan error, 1)
-	if len(r.Body) <= maxInlineBody {
-		written <- write(c, r)
-	} else {
-		go func() { written <- write(c, r) }()
-	}
-	resp, err := readOwnResponse(c, r)
-	if err != nil {
-		stop()
-		p.discard(c)
-		if ctx.Err() != nil {
-			return nil, errors.Wrap(ctx.Err(), "request was canceled")
-		}
-		return nil, errors.Wrap(err, "read response")
-	}
-	resp.Body = &body{ReadCloser: resp.Body, pool: p, conn: c, stop: stop, written: written, idle: idleTimeout(resp)}
-	return resp, nil
+	return c.Do(ctx, r)
 }
 
 func write(c *conn, r Request) error {
@@ -277,8 +285,11 @@
 // Read implements io.Reader. It returns io.EOF only after the complete body.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.ended = true
+	case errors.Is(err, syscall.ETIMEDOUT):
+		b.pool.recordLink(err)
 	}
 	return n, err
 }
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -20,6 +20,10 @@
 	dial Dialer
 	// limit returns the maximum number of connections to an endpoint.
 	limit func(fleet.Endpoint) int
+	// OnLink is called with the result of each attempt to connect to an endpoint, and with the error of
+	// a connection whose data was not acknowledged. It may be nil and must not be changed once
+	// connections are opened.
+	OnLink func(id fleet.EndpointID, err error)
 
 	mu    sync.Mutex
 	pools map[fleet.EndpointID]*Pool
@@ -35,6 +39,42 @@
 	return t.pool(e).Do(ctx, r)
 }
 
+// Reserve returns a connection to an endpoint; see Pool.Reserve.
+func (t *Transport) Reserve(ctx context.Context, e fleet.Endpoint) (*Reservation, error) {
+	return t.pool(e).Reserve(ctx)
+}
+
+// ReserveWithin returns a connection to an endpoint; see Pool.ReserveWithin.
+func (t *Transport) ReserveWithin(ctx context.Context, e fleet.Endpoint, patience time.Duration) (*Reservation, *Pending, error) {
+	return t.pool(e).ReserveWithin(ctx, patience)
+}
+
+// Check opens a new connection to an endpoint, which is kept for later requests. It returns an error if
+// that takes longer than ctx allows.
+func (t *Transport) Check(ctx context.Context, e fleet.Endpoint) error {
+	pending, err := t.pool(e).Connect()
+	if err != nil {
+		return err
+	}
+	defer pending.Abandon()
+	r, err := pending.Wait(ctx)
+	if err != nil {
+		return err
+	}
+	r.Release()
+	return nil
+}
+
+// CloseIdle closes the idle connections to an endpoint.
+func (t *Transport) CloseIdle(id fleet.EndpointID) {
+	t.mu.Lock()
+	p := t.pools[id]
+	t.mu.Unlock()
+	if p != nil {
+		p.closeIdle()
+	}
+}
+
 func (t *Transport) pool(e fleet.Endpoint) *Pool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -42,6 +82,9 @@
 	if p == nil {
 		p = NewPool(e.Addr, 0, t.now)
 		p.dial = t.dial
+		if t.OnLink != nil {
+			p.onLink = func(err error) { t.OnLink(e.ID, err) }
+		}
 		t.pools[e.ID] = p
 	}
 	p.SetLimit(t.limit(e))
