Quarantine: lost links of a host are no longer recorded as crashes of endpoints

Callers: requests that ran when a host lost its links were taken for the cause of crashes and blocked on all hosts. With the links reset, hosts recorded up to 128 crashes that were none.

Cause: a connection that this host is refused counted as the end of the endpoint's process.

Change: a host whose sample of other endpoints fails too asks up to four others, which answer only while they reach endpoints themselves. If none knows, the check is repeated and nothing is recorded.

--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/links"
+	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
@@ -18,8 +19,16 @@
 	sampleTimeout = 300 * time.Millisecond
 	// sampleTTL is how long the result of a sample answers further questions.
 	sampleTTL = 300 * time.Millisecond
+	// endpointCheckTimeout bounds a check of an endpoint for another host.
+	endpointCheckTimeout = 400 * time.Millisecond
+	// maxEndpointChecks is the number of other hosts that are asked about an endpoint.
+	maxEndpointChecks = 4
 )
 
+// errEndpointUnknown means that neither this host nor others could find out whether an endpoint has
+// terminated.
+var errEndpointUnknown = errors.New("this host seems to have lost its links to endpoints and no other host knows")
+
 // endpointLinks tracks the links of this host to endpoints. It is safe for concurrent use.
 type endpointLinks struct {
 	table *links.Table
@@ -173,6 +182,37 @@
 	})
 }
 
+// terminated reports whether an endpoint has terminated. A host that seems to have lost its links asks
+// others, since a refused connection then says nothing about the endpoint.
+func (g *Gateway) terminated(ctx context.Context, e fleet.Endpoint) (bool, error) {
+	terminated, err := g.endpoints.Terminated(ctx, e)
+	if err != nil || !terminated || !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 || !g.isolated(ctx) {
+		return terminated, err
+	}
+	for _, addr := range g.mesh.sample(g.Now(), maxEndpointChecks) {
+		response, err := g.mesh.send(ctx, addr, peer.Request{Check: &peer.EndpointCheck{Endpoint: e.ID}})
+		if err == nil && response.Endpoint != nil && response.Endpoint.Known {
+			return response.Endpoint.Terminated, nil
+		}
+	}
+	return false, errEndpointUnknown
+}
+
+// respondToCheck finds out for another host whether an endpoint has terminated.
+func (g *Gateway) respondToCheck(c peer.EndpointCheck) *peer.EndpointState {
+	ctx, cancel := context.WithTimeout(context.Background(), endpointCheckTimeout)
+	defer cancel()
+	e, ok := g.directory.InUse(g.Now(), c.Endpoint)
+	if !ok {
+		return &peer.EndpointState{}
+	}
+	terminated, err := g.endpoints.Terminated(ctx, e)
+	if err != nil || terminated && g.isolated(ctx) {
+		return &peer.EndpointState{}
+	}
+	return &peer.EndpointState{Known: true, Terminated: terminated}
+}
+
 // linkMetrics updates the gauges of links to endpoints.
 func (g *Gateway) linkMetrics() {
 	isolated := 0.0
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -31,7 +31,10 @@
 		response.ConfigVersion = g.configVersion()
 	case r.State != nil:
 		state = g.respondToStateRequest(*r.State)
+	case r.Check != nil:
+		response.Endpoint = g.respondToCheck(*r.Check)
 	}
+	response.Isolated = g.links.table.Isolated()
 	claim := g.election.Newest()
 	response.Claim = &claim
 	response.Controlling = g.election.HeldToken() != 0
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -26,7 +26,7 @@
 func (g *Gateway) newGuard() *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.Config{
 		Host:              g.self.Incarnation,
-		Terminated:        g.endpoints.Terminated,
+		Terminated:        g.terminated,
 		ShutdownAnnounced: g.directory.DrainingOrGone,
 		OnCrash: func([]fleet.CrashReport) {
 			g.metrics.count("endpoints_crashed", nil)
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -34,6 +34,8 @@
 	State *StateRequest `cbor:"8,keyasint,omitempty"`
 	// Proxy is the first message of a stream that package proxy handles.
 	Proxy *ProxyRequest `cbor:"10,keyasint,omitempty"`
+	// Check asks for the state of an endpoint.
+	Check *EndpointCheck `cbor:"11,keyasint,omitempty"`
 	// Known is set by the receiving node if the sender is a known host.
 	Known bool `cbor:"-"`
 }
@@ -101,6 +103,10 @@
 	// Notice is the response to a Pull. It is nil if a newer Pull of the same host replaced
 	// this one.
 	Notice *fleet.Notice `cbor:"11,keyasint,omitempty"`
+	// Isolated reports that the responding host seems to have lost its links to endpoints.
+	Isolated bool `cbor:"12,keyasint,omitempty"`
+	// Endpoint is the response to a Check.
+	Endpoint *EndpointState `cbor:"13,keyasint,omitempty"`
 }
 
 // Handler handles the requests of other hosts.
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -19,6 +19,19 @@
 	Trace map[string]string `cbor:"3,keyasint,omitempty"`
 }
 
+// EndpointCheck asks another host whether an endpoint has terminated.
+type EndpointCheck struct {
+	Endpoint fleet.EndpointID `cbor:"1,keyasint"`
+}
+
+// EndpointState is the result of an EndpointCheck.
+type EndpointState struct {
+	// Known reports whether the host could find out. A host that seems to have lost its own links to
+	// endpoints does not know.
+	Known      bool `cbor:"1,keyasint,omitempty"`
+	Terminated bool `cbor:"2,keyasint,omitempty"`
+}
+
 // Stream is a stream to another host that stays open after the first message. Read and Write may be called
 // concurrently.
 type Stream struct {
