Orders: a controller that is cut off from endpoints gives its claim to a host with links

Cause: a claim was kept as long as its holder reached the store and the other hosts.

Change: a holder that has been isolated for 600 ms asks others whether they have links, and releases the claim if one has. It does not claim again while that holds. If no host has links, the claim stays.

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -63,6 +63,9 @@
 		}
 		// The host entry must precede the claim: others consider a holder failed if its host has
 		// an entry of another incarnation.
+		if g.releaseIfCutOff(ctx) {
+			return
+		}
 		if g.stopping.Load() || !g.announced.Load() || g.hostsArrive() || !g.election.ShouldClaim(g.Now()) {
 			return
 		}
@@ -233,19 +236,28 @@
 // releaseClaim releases the claim on shutdown so that another host can claim at once. While the
 // store is unavailable nobody can claim; this host then remains the controller until it stops.
 func (g *Gateway) releaseClaim(ctx context.Context, end time.Time) {
-	released := g.self
-	released.Released = true
 	for ctx.Err() == nil && g.Now().Before(end) {
 		held := g.election.HeldToken()
 		if held == 0 {
 			return
 		}
-		if _, err := g.putClaim(ctx, released, g.mesh.claimsOffset()); err == nil {
-			g.election.Relinquish(held)
-			g.log.Info("claim released", "token", held)
+		if g.tryReleaseClaim(ctx, held) {
 			return
 		}
 		wait.For(ctx, releaseRetryDelay)
 	}
 	g.log.Info("claim not released; it expires", "token", g.election.HeldToken())
 }
+
+// tryReleaseClaim releases the claim with a token and reports whether the store has accepted that.
+func (g *Gateway) tryReleaseClaim(ctx context.Context, held int64) bool {
+	released := g.self
+	released.Released = true
+	if _, err := g.putClaim(ctx, released, g.mesh.claimsOffset()); err != nil {
+		g.log.Info("releasing the claim failed", "token", held, "error", err.Error())
+		return false
+	}
+	g.election.Relinquish(held)
+	g.log.Info("claim released", "token", held)
+	return true
+}
--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -38,10 +39,24 @@
 	// is in progress.
 	sampled  time.Time
 	sampling chan struct{}
+	// isolatedSince is when the host was first found isolated, or zero.
+	isolatedSince time.Time
+	// linkedPeerAt is when another host last said that it has links to endpoints.
+	linkedPeerAt time.Time
 }
 
 func newEndpointLinks() *endpointLinks { return &endpointLinks{table: links.NewTable()} }
 
+// isolatedFor returns for how long this host has been isolated.
+func (l *endpointLinks) isolatedFor(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isolatedSince.IsZero() {
+		return 0
+	}
+	return now.Sub(l.isolatedSince)
+}
+
 // beginSample returns a channel that is closed when the current sample ends. begun reports whether the
 // caller has to take it. If a recent sample still applies, the channel is nil.
 func (l *endpointLinks) beginSample(now time.Time) (ended chan struct{}, begun bool) {
@@ -63,12 +78,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed = l.table.RecordSample(now, reached, failed)
+	if changed {
+		l.isolatedSince = time.Time{}
+		if l.table.Isolated() {
+			l.isolatedSince = now
+		}
+	}
 	l.sampled = now
 	close(l.sampling)
 	l.sampling = nil
 	return changed
 }
 
+// recordPeer records whether another host has links to endpoints.
+func (l *endpointLinks) recordPeer(now time.Time, linked bool) {
+	if !linked {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.linkedPeerAt = now
+}
+
+// peerLinkedWithin reports whether another host has said within a time that it has links.
+func (l *endpointLinks) peerLinkedWithin(now time.Time, d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.linkedPeerAt.IsZero() && now.Sub(l.linkedPeerAt) < d
+}
+
 // recordLink records an attempt to connect to an endpoint, or a connection whose data was not acknowledged.
 func (g *Gateway) recordLink(id fleet.EndpointID, err error) {
 	if err == nil {
@@ -213,6 +251,50 @@
 	return &peer.EndpointState{Known: true, Terminated: terminated}
 }
 
+const (
+	// isolationConfirmTime is how long a controller has to be isolated before it gives up the claim. It
+	// covers a second sample.
+	isolationConfirmTime = 600 * time.Millisecond
+	// linkedPeerTTL is how long another host's word that it has links counts.
+	linkedPeerTTL = 2 * time.Second
+	// maxLinkQueries is the number of hosts that are asked at once whether they have links.
+	maxLinkQueries = 3
+)
+
+// cutOff reports whether this host has lost its links to endpoints while another host has links. Such a
+// host does not control endpoints.
+func (g *Gateway) cutOff(ctx context.Context) bool {
+	now := g.Now()
+	if g.links.isolatedFor(now) < isolationConfirmTime {
+		return false
+	}
+	if g.links.peerLinkedWithin(now, linkedPeerTTL/2) {
+		return true
+	}
+	addrs := g.mesh.reachable(now)
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	for _, addr := range addrs[:min(maxLinkQueries, len(addrs))] {
+		response, err := g.mesh.send(ctx, addr, peer.Request{})
+		if err == nil && response.Claim != nil {
+			g.links.recordPeer(g.Now(), !response.Isolated)
+		}
+	}
+	return g.links.peerLinkedWithin(g.Now(), linkedPeerTTL)
+}
+
+// releaseIfCutOff releases the claim if this host is the controller and cut off from endpoints, so that
+// a host with links can claim at once. It reports whether the host must not claim.
+func (g *Gateway) releaseIfCutOff(ctx context.Context) bool {
+	if !g.cutOff(ctx) {
+		return false
+	}
+	if held := g.election.HeldToken(); held != 0 {
+		g.log.Warn("controller has lost its links to endpoints; releasing the claim", "token", held)
+		g.tryReleaseClaim(ctx, held)
+	}
+	return true
+}
+
 // linkMetrics updates the gauges of links to endpoints.
 func (g *Gateway) linkMetrics() {
 	isolated := 0.0
