--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -196,6 +196,13 @@
 	return slices.Clone(e.runs)
 }
 
+// Running returns the number of requests in progress.
+func (e *Endpoint) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 // Violations returns the orders that exceeded the capacity of the endpoint.
 func (e *Endpoint) Violations() []string {
 	e.mu.Lock()
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -94,3 +94,12 @@
 	crashes, _ := g.guard.CrashLog.Since(g.Now(), 0, maxCrashesPerPull)
 	return len(crashes)
 }
+
+// LinksLost reports whether the host has found that its links to endpoints are lost.
+func (g *Gateway) LinksLost() bool { return g.links.table.Isolated() }
+
+// SendingForPeers returns the number of requests of other hosts in progress.
+func (g *Gateway) SendingForPeers() int { return g.proxy.Load() }
+
+// PeerAddr returns the address for requests of other hosts.
+func (g *Gateway) PeerAddr() string { return g.self.Addr }
--- a/pkg/proxy/helpers.go
+++ b/pkg/proxy/helpers.go
@@ -24,7 +24,7 @@
 	// busyAvoidance is how long a busy host is not asked again.
 	busyAvoidance = 150 * time.Millisecond
 	// zoneFailures is the number of hosts of a zone in a row that could not help after which hosts in
-	// other zones are preferred.
+	// other zones come first.
 	zoneFailures = 2
 	// rankTTL is how long the order of hosts is kept.
 	rankTTL = time.Second
@@ -78,7 +78,7 @@
 	for _, h := range hosts {
 		f := fnv.New64a()
 		_, _ = f.Write([]byte(self.Name + " " + h.Name)) // It never fails.
-		all = append(all, ranked{h, f.Sum64()})
+		all = append(all, ranked{h, mix(f.Sum64())})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
 	out := make([]Host, len(all))
@@ -88,6 +88,16 @@
 	return out
 }
 
+// mix spreads the bits of a hash. Without it, names that differ in their first characters only would
+// give similar orders.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
 // Pick returns the host that should send the next request and counts it as in progress there. It leaves
 // out the hosts in tried. It reports false if no host can help.
 func (h *Helpers) Pick(now time.Time, tried map[string]bool) (Host, bool) {
@@ -97,7 +107,7 @@
 		h.ranked, h.rankedAt = rank(h.self, h.hosts()), now
 		h.forgetOthers()
 	}
-	best, bestCost := Host{}, 0.0
+	best, bestCost := Host{}, hostCost{}
 	own, other := 0, 0
 	for _, c := range h.ranked {
 		s := h.states[c.Name]
@@ -111,7 +121,7 @@
 		if *counted++; *counted > candidates {
 			continue
 		}
-		if cost := h.cost(c, s); best.Name == "" || cost < bestCost {
+		if cost := h.cost(c, s); best.Name == "" || cost.less(bestCost) {
 			best, bestCost = c, cost
 		}
 		if own >= candidates && other >= candidates {
@@ -125,21 +135,32 @@
 	return best, true
 }
 
-// cost returns the load of a host in requests per core. It must be called with mu held.
-func (h *Helpers) cost(c Host, s *helperState) float64 {
+// hostCost orders hosts: those in zones whose hosts could not help come last.
+type hostCost struct {
+	zoneFailed bool
+	// load is in requests per core.
+	load float64
+}
+
+func (c hostCost) less(o hostCost) bool {
+	if c.zoneFailed != o.zoneFailed {
+		return o.zoneFailed
+	}
+	return c.load < o.load
+}
+
+// cost returns the cost of a host. It must be called with mu held.
+func (h *Helpers) cost(c Host, s *helperState) hostCost {
 	cores := c.Cores
 	if cores <= 0 {
 		cores = defaultCores
 	}
-	cost := 0.0
+	cost := hostCost{zoneFailed: h.failedInRow[c.Zone] >= zoneFailures}
 	if s != nil {
-		cost = float64(max(s.load, s.own)) / cores
+		cost.load = float64(max(s.load, s.own)) / cores
 	}
 	if c.Zone != h.self.Zone {
-		cost += zoneCost
-	}
-	if h.failedInRow[c.Zone] >= zoneFailures {
-		cost += 2 * zoneCost
+		cost.load += zoneCost
 	}
 	return cost
 }
