--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -156,6 +156,7 @@
 	every(ctx, maintenanceInterval, func() {
 		g.dispatcher.DispatchWaiting()
 		now := g.Now()
+		g.checkLinks(ctx, now)
 		g.updateBlocks(now)
 		g.updateAccountLevels(now)
 		g.budget.SetHosts(g.sharingHosts())
--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// linkCheckInterval is the interval at which due checks of links are started.
-	linkCheckInterval = 100 * time.Millisecond
 	// sampleTimeout is the time to connect to a sampled endpoint.
 	sampleTimeout = 300 * time.Millisecond
 	// sampleTTL is how long the result of a sample answers further questions.
@@ -39,6 +37,8 @@
 	// is in progress.
 	sampled  time.Time
 	sampling chan struct{}
+	// reached is the number of endpoints that the last sample reached.
+	reached int
 	// isolatedSince is when the host was first found isolated, or zero.
 	isolatedSince time.Time
 	// linkedPeerAt is when another host last said that it has links to endpoints.
@@ -84,12 +84,19 @@
 			l.isolatedSince = now
 		}
 	}
-	l.sampled = now
+	l.sampled, l.reached = now, reached
 	close(l.sampling)
 	l.sampling = nil
 	return changed
 }
 
+// reachedAny reports whether the last sample reached an endpoint.
+func (l *endpointLinks) reachedAny() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reached > 0
+}
+
 // recordPeer records whether another host has links to endpoints.
 func (l *endpointLinks) recordPeer(now time.Time, linked bool) {
 	if !linked {
@@ -109,9 +116,13 @@
 
 // recordLink records an attempt to connect to an endpoint, or a connection whose data was not acknowledged.
 func (g *Gateway) recordLink(id fleet.EndpointID, err error) {
-	if err == nil {
+	switch {
+	case err == nil:
 		g.links.table.RecordConnected(id)
 		return
+	case errors.Is(err, upstream.ErrConnectSlow):
+		g.recordSlowConnect(id)
+		return
 	}
 	g.transport.CloseIdle(id)
 	if g.links.table.RecordFailed(g.Now(), id) {
@@ -197,27 +208,21 @@
 	return g.links.table.Isolated()
 }
 
-// checkLinks checks the links that are down until they work again.
-func (g *Gateway) checkLinks(ctx context.Context) {
-	if !g.settings.Endpoints.ViaPeers {
+// checkLinks starts the checks that are due of links that are down or suspect.
+func (g *Gateway) checkLinks(ctx context.Context, now time.Time) {
+	if g.links.table.ResampleDue(now) {
+		g.startSample("")
+	}
+	if g.links.table.DownCount() == 0 {
 		return
 	}
-	every(ctx, linkCheckInterval, func() {
-		now := g.Now()
-		if g.links.table.ResampleDue(now) {
-			g.startSample("")
-		}
-		if g.links.table.DownCount() == 0 {
-			return
-		}
-		for _, e := range g.links.table.ChecksDue(now, g.endpointsInUse()) {
-			go func() {
-				defer g.links.table.EndCheck(e.ID)
-				// The result is recorded by recordLink.
-				_ = g.transport.Check(ctx, e)
-			}()
-		}
-	})
+	for _, e := range g.links.table.ChecksDue(now, g.endpointsInUse()) {
+		go func() {
+			defer g.links.table.EndCheck(e.ID)
+			// The result is recorded by recordLink.
+			_ = g.transport.Check(ctx, e)
+		}()
+	}
 }
 
 // terminated reports whether an endpoint has terminated. A host that seems to have lost its links asks
@@ -233,6 +238,9 @@
 			return response.Endpoint.Terminated, nil
 		}
 	}
+	if g.links.reachedAny() {
+		return terminated, nil // Some links work, and most endpoints may have terminated.
+	}
 	return false, errEndpointUnknown
 }
 
@@ -253,8 +261,8 @@
 
 const (
 	// isolationConfirmTime is how long a controller has to be isolated before it gives up the claim. It
-	// covers a second sample.
-	isolationConfirmTime = 600 * time.Millisecond
+	// covers two more samples.
+	isolationConfirmTime = 1100 * time.Millisecond
 	// linkedPeerTTL is how long another host's word that it has links counts.
 	linkedPeerTTL = 2 * time.Second
 	// maxLinkQueries is the number of hosts that are asked at once whether they have links.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -419,7 +419,6 @@
 		g.control,
 		g.elect,
 		g.maintain,
-		g.checkLinks,
 	}
 }
 
--- a/pkg/links/table.go
+++ b/pkg/links/table.go
@@ -117,7 +117,8 @@
 }
 
 // RecordFailed records an attempt to connect that failed or takes too long, or a connection that was
-// lost without a word of the endpoint. It reports whether the caller should take a sample now.
+// lost without a word of the endpoint. It reports whether the caller should take a sample now, which it should
+// not for a link that was down before.
 func (t *Table) RecordFailed(now time.Time, id fleet.EndpointID) (sampleDue bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -126,11 +127,12 @@
 		l = &link{}
 		t.links[id] = l
 	}
+	known := l.down
 	l.down = true
 	l.failedAt = now
 	l.checkAt = now.Add(min(maxCheckDelay, firstCheckDelay<<min(l.failures, 8)))
 	l.failures++
-	return t.takeSample(now)
+	return !known && t.takeSample(now)
 }
 
 // RecordSlow records that connecting to an endpoint takes long. That alone says nothing about the link, but
--- a/pkg/proxy/client.go
+++ b/pkg/proxy/client.go
@@ -75,7 +75,8 @@
 	return s, a, nil
 }
 
-// do sends the request and returns the head of the response. After an error the request may have run.
+// do sends the request and returns the head of the response. After an error that is not marked
+// upstream.ErrNotSent the request may have run.
 func (s *session) do(ctx context.Context, r upstream.Request) (*http.Response, error) {
 	if r.Finalize != nil {
 		r.Finalize(r.Header)
@@ -106,8 +107,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read response of the other host")
 	}
-	if t == frameFailed {
+	switch t {
+	case frameFailed:
 		return nil, errors.Newf("other host: %s", content)
+	case frameRefused:
+		return nil, errors.Wrap(upstream.ErrNotSent, "the other host no longer uses the endpoint")
 	}
 	var head responseHead
 	if t != frameHead {
--- a/pkg/proxy/frame.go
+++ b/pkg/proxy/frame.go
@@ -29,8 +29,8 @@
 const (
 	// frameKeepalive has no content. Both hosts send it.
 	frameKeepalive frameType = iota
-	// frameReady and frameRefused are the first response: a connection to the endpoint is reserved, or
-	// the request is refused and was not sent. Both contain an acceptance.
+	// frameReady means that a connection to the endpoint is reserved, frameRefused that the request was
+	// not sent and will not be. Both contain an acceptance.
 	frameReady
 	frameRefused
 	// frameHead contains the head of the request or of the response, frameData a part of its body.
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -252,6 +252,20 @@
 	}
 }
 
+// Guards against a request that reaches an endpoint that was removed after the connection was reserved.
+func TestEndpointRemovedBeforeRequestIsSent(t *testing.T) {
+	is := is.New(t)
+	p := newHostPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request has run") })
+	asked := 0
+	p.server.Endpoint = func(fleet.EndpointID) (fleet.Endpoint, bool) {
+		asked++
+		return p.endpoint, asked == 1
+	}
+	_, err := p.send(t.Context(), "body")
+	is.True(errors.Is(err, upstream.ErrNotSent))
+	is.Equal(asked, 2)
+}
+
 // Guards against an endpoint that has terminated being taken for lost links: another host that is refused a
 // connection confirms it, one that is isolated does not.
 func TestUnreachableIsConfirmedByHostWithLinks(t *testing.T) {
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -130,6 +130,12 @@
 		s.Count("not_sent")
 		return
 	}
+	if _, ok := s.Endpoint(r.Endpoint); !ok {
+		// The endpoint was removed, or has announced its shutdown, in the meantime.
+		reservation.Release()
+		s.refuse(stream, out, acceptance{Reason: ReasonNotInUse})
+		return
+	}
 	s.Count(s.send(ctx, stream, out, reservation, request))
 }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -40,6 +40,9 @@
 	// ErrPoolExhausted is returned if all connections to the endpoint are in use. It wraps
 	// ErrNotSent.
 	ErrPoolExhausted = errors.Wrap(ErrNotSent, "all connections are in use")
+	// ErrConnectSlow marks attempts to connect that took longer than their caller waits, which may be
+	// less than a connection takes.
+	ErrConnectSlow = errors.New("connecting takes long")
 	// ErrStrayResponse is returned if the connection carried only responses to other requests.
 	ErrStrayResponse = errors.New("response belongs to another request")
 )
@@ -133,10 +136,14 @@
 	if err != nil {
 		p.decrementOpen()
 		err = errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
-		if errors.Is(ctx.Err(), context.Canceled) {
+		switch ctx.Err() {
+		case context.Canceled:
 			return nil, err // The caller canceled the request; the endpoint may be reachable.
+		case context.DeadlineExceeded:
+			p.recordLink(errors.Mark(err, ErrConnectSlow))
+		default:
+			p.recordLink(err)
 		}
-		p.recordLink(err)
 		return nil, errors.Mark(err, ErrUnreachable)
 	}
 	p.recordLink(nil)
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -21,7 +21,8 @@
 	// limit returns the maximum number of connections to an endpoint.
 	limit func(fleet.Endpoint) int
 	// OnLink is called with the result of each attempt to connect to an endpoint, and with the error of
-	// a connection whose data was not acknowledged. It may be nil and must not be changed once
+	// a connection whose data was not acknowledged; ErrConnectSlow marks attempts that were given up
+	// early. It may be nil and must not be changed once
 	// connections are opened.
 	OnLink func(id fleet.EndpointID, err error)
 
