Orders: hosts without links no longer take the claim from one another

Cause: a host looked at its links only after it had the claim, and one lucky sample of three ended its isolation.

Change: a host takes a sample before it claims, and does not claim if it is isolated and another host has links. An isolated host trusts its links again after a sample that reached all or two in a row that reached most.

Measured: TestLinksReturnOneByOne states the two samples and fails before. TestOnlyHostWithLinksControls passes here and on the former code too (three hosts do not show it).

--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -63,13 +63,13 @@
 		}
 		// The host entry must precede the claim: others consider a holder failed if its host has
 		// an entry of another incarnation.
-		if g.releaseIfCutOff(ctx) {
-			return
-		}
+		g.releaseIfCutOff(ctx)
 		if g.stopping.Load() || !g.announced.Load() || g.hostsArrive() || !g.election.ShouldClaim(g.Now()) {
 			return
 		}
-		g.challenge(ctx, g.holderAliveAtPeer)
+		if g.mayClaim(ctx) {
+			g.challenge(ctx, g.holderAliveAtPeer)
+		}
 	})
 }
 
--- a/pkg/gateway/cutoff_test.go
+++ b/pkg/gateway/cutoff_test.go
@@ -173,3 +173,31 @@
 		}
 	})
 }
+
+// Guards against a claim that goes from one host without links to the next, and back, while one host has
+// links. Some endpoints may stay reachable.
+func TestOnlyHostWithLinksControls(t *testing.T) {
+	t.Parallel()
+	for name, spared := range map[string]int{"no endpoint reachable": 0, "some endpoints reachable": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newCutOffDeployment(t)
+			before := d.hosts[0].NewestToken()
+			for _, h := range d.hosts[:2] {
+				h.links.spared = map[string]bool{}
+				for _, e := range d.engines[:spared] {
+					h.links.spared[e.Addr] = true
+				}
+			}
+			d.cut(linksSilent, d.hosts[:2]...)
+			d.load(settleTime + measuredTime)
+			if !d.hosts[2].IsController() {
+				t.Error("the only host with links is not the controller")
+			}
+			// A release and a claim.
+			if n := d.hosts[2].NewestToken() - before; n > 2 {
+				t.Errorf("%d claims and releases, want 2", n)
+			}
+		})
+	}
+}
--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -264,19 +264,15 @@
 	// covers two more samples.
 	isolationConfirmTime = 1100 * time.Millisecond
 	// linkedPeerTTL is how long another host's word that it has links counts.
-	linkedPeerTTL = 2 * time.Second
+	linkedPeerTTL = time.Second
 	// maxLinkQueries is the number of hosts that are asked at once whether they have links.
 	maxLinkQueries = 3
 )
 
-// cutOff reports whether this host has lost its links to endpoints while another host has links. Such a
-// host does not control endpoints.
-func (g *Gateway) cutOff(ctx context.Context) bool {
+// peerHasLinks reports whether another host has said recently, or says now, that it has links to endpoints.
+func (g *Gateway) peerHasLinks(ctx context.Context) bool {
 	now := g.Now()
-	if g.links.isolatedFor(now) < isolationConfirmTime {
-		return false
-	}
-	if g.links.peerLinkedWithin(now, linkedPeerTTL/2) {
+	if g.links.peerLinkedWithin(now, linkedPeerTTL) {
 		return true
 	}
 	addrs := g.mesh.reachable(now)
@@ -290,17 +286,20 @@
 	return g.links.peerLinkedWithin(g.Now(), linkedPeerTTL)
 }
 
-// releaseIfCutOff releases the claim if this host is the controller and cut off from endpoints, so that
-// a host with links can claim at once. It reports whether the host must not claim.
-func (g *Gateway) releaseIfCutOff(ctx context.Context) bool {
-	if !g.cutOff(ctx) {
-		return false
-	}
-	if held := g.election.HeldToken(); held != 0 {
-		g.log.Warn("controller has lost its links to endpoints; releasing the claim", "token", held)
-		g.tryReleaseClaim(ctx, held)
+// releaseIfCutOff releases the claim if this host is the controller and has lost its links to endpoints
+// while another host has some, so that such a host can claim at once.
+func (g *Gateway) releaseIfCutOff(ctx context.Context) {
+	held := g.election.HeldToken()
+	if held == 0 || g.links.isolatedFor(g.Now()) < isolationConfirmTime || !g.peerHasLinks(ctx) {
+		return
 	}
-	return true
+	g.log.Warn("controller has lost its links to endpoints; releasing the claim", "token", held)
+	g.tryReleaseClaim(ctx, held)
+}
+
+// mayClaim reports whether this host could control endpoints: it has links to them, or no other host has.
+func (g *Gateway) mayClaim(ctx context.Context) bool {
+	return !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 || !g.isolated(ctx) || !g.peerHasLinks(ctx)
 }
 
 // linkMetrics updates the gauges of links to endpoints.
--- a/pkg/gateway/hostlinks_test.go
+++ b/pkg/gateway/hostlinks_test.go
@@ -34,6 +34,9 @@
 type hostLinks struct {
 	mu    sync.Mutex
 	fault linkFault
+	// spared holds the addresses of endpoints that faults do not affect. It must not be changed once
+	// a fault is set.
+	spared map[string]bool
 	// healed is closed when a fault ends.
 	healed chan struct{}
 	conns  map[*linkConn]bool
@@ -72,7 +75,11 @@
 
 // dial implements upstream.Dialer.
 func (l *hostLinks) dial(ctx context.Context, addr string) (net.Conn, error) {
-	switch fault, healed := l.state(); fault {
+	fault, healed := l.state()
+	if l.spared[addr] {
+		return upstream.Dial(ctx, addr)
+	}
+	switch fault {
 	case linksReset, linksRefuse:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	case linksSilent:
--- a/pkg/links/table.go
+++ b/pkg/links/table.go
@@ -16,6 +16,9 @@
 	sampleSize = 3
 	// sampleInterval is the shortest interval between two samples.
 	sampleInterval = 500 * time.Millisecond
+	// minGoodSamples is the number of samples in a row that have to reach most endpoints before an
+	// isolated host trusts its links again, unless one reaches all.
+	minGoodSamples = 2
 	// firstCheckDelay is the delay between a failed connection and the next attempt. It doubles with
 	// each further failure up to maxCheckDelay.
 	firstCheckDelay = 250 * time.Millisecond
@@ -46,6 +49,8 @@
 	// isolated is set while most sampled endpoints cannot be reached.
 	isolated  bool
 	sampledAt time.Time
+	// goodSamples counts the samples in a row that reached most endpoints while the host was isolated.
+	goodSamples int
 }
 
 // link is the state of one link that has failed, or that works although the host seems isolated.
@@ -177,14 +182,20 @@
 }
 
 // RecordSample records how many of the sampled endpoints could be reached, including the one whose
-// failure led to the sample. It reports whether that changes what Isolated returns.
+// failure led to the sample. It reports whether that changes what Isolated returns. An isolated host is no
+// longer isolated after one sample that reached all endpoints or two in a row that reached most.
 func (t *Table) RecordSample(now time.Time, reached, failed int) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	isolated := failed > reached && reached+failed > 1
 	if isolated == t.isolated {
+		t.goodSamples = 0
 		return false
 	}
+	if t.goodSamples++; t.isolated && failed > 0 && t.goodSamples < minGoodSamples {
+		return false
+	}
+	t.goodSamples = 0
 	t.isolated = isolated
 	for id, l := range t.links {
 		if !isolated && !l.down {
--- a/pkg/links/table_test.go
+++ b/pkg/links/table_test.go
@@ -48,6 +48,9 @@
 	is.Equal(table.State("e7"), Up) // Though the host seems isolated.
 	is.Equal(len(table.ChecksDue(now.Add(time.Hour), all)), 0)
 	is.True(table.ResampleDue(now.Add(sampleInterval)))
+	is.True(!table.RecordSample(now, 2, 1))
+	is.True(!table.RecordSample(now, 1, 2))
+	is.True(!table.RecordSample(now, 2, 1))
 	is.True(table.RecordSample(now, 2, 1))
 	is.Equal(table.DownCount(), 19)
 	is.Equal(len(table.ChecksDue(now, all)), 0) // The checks are spread.
