Orders: hosts without links recognize the one host with links

Cause: an isolated host asked three others at random whether they have links; with eight of nine cut off it mostly missed the one that has, claimed, and released the claim a moment later. Change: a host that has just sent a request by way of another one knows that this one has links; else eight are asked at once.

--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -97,11 +96,8 @@
 	return l.reached > 0
 }
 
-// recordPeer records whether another host has links to endpoints.
-func (l *endpointLinks) recordPeer(now time.Time, linked bool) {
-	if !linked {
-		return
-	}
+// recordLinkedPeer records that another host has links to endpoints.
+func (l *endpointLinks) recordLinkedPeer(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.linkedPeerAt = now
@@ -265,25 +261,36 @@
 	isolationConfirmTime = 1100 * time.Millisecond
 	// linkedPeerTTL is how long another host's word that it has links counts.
 	linkedPeerTTL = time.Second
-	// maxLinkQueries is the number of hosts that are asked at once whether they have links.
-	maxLinkQueries = 3
+	// maxLinkQueries is the number of hosts that are asked at once whether they have links, and
+	// linkQueryTimeout bounds their answers.
+	maxLinkQueries   = 8
+	linkQueryTimeout = 300 * time.Millisecond
 )
 
-// peerHasLinks reports whether another host has said recently, or says now, that it has links to endpoints.
+// peerHasLinks reports whether another host has shown recently, or says now, that it has links to
+// endpoints.
 func (g *Gateway) peerHasLinks(ctx context.Context) bool {
 	now := g.Now()
-	if g.links.peerLinkedWithin(now, linkedPeerTTL) {
+	if g.links.peerLinkedWithin(now, linkedPeerTTL) || g.helpers.HelpedWithin(now, linkedPeerTTL) {
 		return true
 	}
-	addrs := g.mesh.reachable(now)
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	for _, addr := range addrs[:min(maxLinkQueries, len(addrs))] {
-		response, err := g.mesh.send(ctx, addr, peer.Request{})
-		if err == nil && response.Claim != nil {
-			g.links.recordPeer(g.Now(), !response.Isolated)
+	ctx, cancel := context.WithTimeout(ctx, linkQueryTimeout)
+	defer cancel()
+	addrs := g.mesh.sample(now, maxLinkQueries)
+	answers := make(chan bool, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			response, err := g.mesh.send(ctx, addr, peer.Request{})
+			answers <- err == nil && response.Claim != nil && !response.Isolated
+		}()
+	}
+	for range addrs {
+		if <-answers {
+			g.links.recordLinkedPeer(g.Now())
+			return true
 		}
 	}
-	return g.links.peerLinkedWithin(g.Now(), linkedPeerTTL)
+	return false
 }
 
 // releaseIfCutOff releases the claim if this host is the controller and has lost its links to endpoints
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,8 +79,9 @@
 	endpoints EndpointClient
 	transport *upstream.Transport
 	// links tracks this host's links to endpoints, proxy sends requests to endpoints for other hosts.
-	links *endpointLinks
-	proxy *proxy.Server
+	links   *endpointLinks
+	proxy   *proxy.Server
+	helpers *proxy.Helpers
 
 	config atomic.Pointer[fleet.Config]
 	// listMu is held while a batch of list entries is applied and while a response is built
@@ -203,6 +204,7 @@
 	}
 	g.transport = upstream.NewTransport(g.Now, g.connectionLimit, dial)
 	g.links = newEndpointLinks()
+	g.helpers = proxy.NewHelpers(proxy.Host{Name: s.Host, Zone: s.Zone}, g.proxyHosts)
 	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.endpointTransport()), g.allowCall}
 	g.proxy = g.newProxyServer()
 	g.dispatcher = serve.NewDispatcher(s.Zone, placementLocator{g.locator, g.config.Load}, g.health, g.Now, g.requestReport)
--- a/pkg/gateway/proxying.go
+++ b/pkg/gateway/proxying.go
@@ -44,7 +44,7 @@
 	return &proxy.Transport{
 		Direct:  g.transport,
 		Links:   g.links.table,
-		Helpers: proxy.NewHelpers(proxy.Host{Name: g.self.Host, Zone: g.settings.Zone}, g.proxyHosts),
+		Helpers: g.helpers,
 		Open:    g.openStream,
 		Now:     g.Now,
 		OnSlow:  g.recordSlowConnect,
