--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -136,6 +136,9 @@
 	need    Need
 	request *Request
 	avoid   Avoidance
+	// resumed reports that the response has begun. The request then waits until resumeUntil.
+	resumed     bool
+	resumeUntil time.Time
 	// since is when the request began to wait, or zero.
 	since time.Time
 	// granted receives an endpoint or a refusal, at most once.
@@ -197,8 +200,11 @@
 // Acquire implements Queue.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request, prior PriorAttempts) (fleet.Endpoint, *Refusal) {
 	s := d.shard(r.Service)
-	w := &waiter{need: r.Need(), request: r, avoid: prior.Avoid, granted: make(chan grant, 1)}
 	now := d.now()
+	w := &waiter{need: r.Need(), request: r, avoid: prior.Avoid, granted: make(chan grant, 1)}
+	if prior.ResponseStarted {
+		w.resumed, w.resumeUntil = true, resumeUntil(r, now)
+	}
 	s.mu.Lock()
 	s.waiting.setFair(d.contention(r.Service))
 	if e, ok := d.acquireNow(now, s, w); ok {
@@ -206,7 +212,7 @@
 		return e, nil
 	}
 	input, missing := d.holdInput(now, s, w)
-	until, retryAfter, hold := d.hold(r, input)
+	until, retryAfter, hold := d.hold(w, input)
 	if !hold || !input.HasEndpoints {
 		s.keepDemand(now, w.need, input)
 		s.mu.Unlock()
@@ -226,8 +232,13 @@
 
 // hold decides whether a request waits. It limits the result of Hold to the time set by
 // CloseAt.
-func (d *Dispatcher) hold(r *Request, s HoldInput) (until time.Time, retryAfter time.Duration, hold bool) {
-	until, retryAfter, hold = Hold(r, s)
+func (d *Dispatcher) hold(w *waiter, s HoldInput) (until time.Time, retryAfter time.Duration, hold bool) {
+	r := w.request
+	if w.resumed {
+		until, hold = w.resumeUntil, s.Now.Before(w.resumeUntil) && !s.NotConfigured
+	} else {
+		until, retryAfter, hold = Hold(r, s)
+	}
 	if at := d.closeAt.Load(); at != nil && until.After(*at) {
 		until = *at
 		hold = hold && s.Now.Before(until)
@@ -270,7 +281,7 @@
 		now := d.now()
 		s.mu.Lock()
 		input, _ := d.holdInput(now, s, w)
-		next, retryAfter, hold := d.hold(w.request, input)
+		next, retryAfter, hold := d.hold(w, input)
 		if hold && ctx.Err() == nil {
 			s.mu.Unlock()
 			until = next
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -53,6 +53,19 @@
 	return until
 }
 
+// resumeUntil returns the time until which a request whose response has begun waits to go on at another
+// endpoint: the client waits as long for the next part of a response as for the first.
+func resumeUntil(r *Request, now time.Time) time.Time {
+	until := r.Deadline
+	if !r.FirstByteDeadline.IsZero() {
+		until = now.Add(r.FirstByteDeadline.Sub(r.Arrived) - refusalMargin)
+	}
+	if !r.DeadlineIsStartOnly && r.Deadline.Before(until) {
+		return r.Deadline
+	}
+	return until
+}
+
 // HoldInput is the input of Hold.
 type HoldInput struct {
 	Now time.Time
--- a/pkg/serve/shares.go
+++ b/pkg/serve/shares.go
@@ -36,7 +36,7 @@
 func (d *Dispatcher) acquireNow(now time.Time, s *shard, w *waiter) (fleet.Endpoint, bool) {
 	// The condition may change while the request waits, so its work is always estimated.
 	w.work = d.estimateWork(w.request)
-	if !s.waiting.isFair() || s.waiting.len() == 0 {
+	if !s.waiting.isFair() || s.waiting.len() == 0 || w.resumed {
 		s.waiting.rank(now, s.firstByte)
 		e, ok := d.pick(now, s, w)
 		if ok {
@@ -61,12 +61,12 @@
 	exhausted := map[Need]bool{}
 	s.waiting.serve(exhausted, func(w *waiter) bool {
 		demand := slotDemand{w.need, shared && maySpare(now, s.serviceTime, w.request)}
-		if noSlot[demand] {
+		if noSlot[demand] && !w.resumed {
 			return false
 		}
 		e, ok := d.pick(now, s, w)
 		if !ok {
-			if len(w.avoid) == 0 {
+			if len(w.avoid) == 0 && !w.resumed {
 				noSlot[demand] = true
 				// A request that may spare gets each slot that others of its need get.
 				if demand.maySpare || !shared {
--- a/pkg/serve/waitlist.go
+++ b/pkg/serve/waitlist.go
@@ -12,6 +12,8 @@
 // waitList holds the waiting requests of a service: in one order of priority and objective, or
 // under contention in a fair queue over accounts. It is not safe for concurrent use.
 type waitList struct {
+	// resumed holds requests whose response has begun. They are served before all others.
+	resumed []*waiter
 	// sorted is used while fair is nil.
 	sorted []*waiter
 	fair   *wfq.Queue[*waiter]
@@ -41,17 +43,22 @@
 
 func (l *waitList) len() int {
 	if l.isFair() {
-		return l.fair.Len()
+		return len(l.resumed) + l.fair.Len()
 	}
-	return len(l.sorted)
+	return len(l.resumed) + len(l.sorted)
 }
 
 // all returns the waiting requests in the order in which they are served.
 func (l *waitList) all() iter.Seq[*waiter] {
-	if !l.isFair() {
-		return slices.Values(l.sorted)
-	}
 	return func(yield func(*waiter) bool) {
+		for _, w := range slices.Concat(l.resumed, l.sorted) {
+			if !yield(w) {
+				return
+			}
+		}
+		if !l.isFair() {
+			return
+		}
 		for it := range l.fair.All() {
 			if !yield(it.Value) {
 				return
@@ -62,6 +69,10 @@
 
 // push inserts w ordered by the priority of its route and then by its objective.
 func (l *waitList) push(w *waiter) {
+	if w.resumed {
+		l.resumed = append(l.resumed, w)
+		return
+	}
 	if l.isFair() {
 		w.item = fairItem(w, waitingRank(l.now, l.usualRun, w.request))
 		l.fair.Push(w.item)
@@ -75,6 +86,10 @@
 }
 
 func (l *waitList) remove(w *waiter) bool {
+	if i := slices.Index(l.resumed, w); i >= 0 {
+		l.resumed = slices.Delete(l.resumed, i, i+1)
+		return true
+	}
 	if l.isFair() {
 		if w.item == nil || !l.fair.Remove(w.item) {
 			return false
@@ -129,6 +144,7 @@
 // serve offers each waiting request a slot, in order, and removes those that grant accepts. grant
 // adds to exhausted each need for which no request can get a slot.
 func (l *waitList) serve(exhausted map[Need]bool, grant func(*waiter) bool) {
+	l.resumed = slices.DeleteFunc(l.resumed, grant)
 	if !l.isFair() {
 		l.sorted = slices.DeleteFunc(l.sorted, grant)
 		return
