--- /dev/null
+++ b/pkg/gateway/claimlinks.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/peer"
+)
+
+const (
+	// lossConfirmTime is how long a controller's links have to be lost before it gives up the claim. It
+	// covers two more samples.
+	lossConfirmTime = 1100 * time.Millisecond
+	// linkedPeerTTL is how long another host's word that it has links counts.
+	linkedPeerTTL = time.Second
+	// maxLinkQueries is the number of hosts that are asked at once whether they have links, and
+	// linkQueryTimeout bounds their answers.
+	maxLinkQueries   = 8
+	linkQueryTimeout = 300 * time.Millisecond
+)
+
+// peerHasLinks reports whether another host has shown recently, or says now, that it has links to
+// endpoints.
+func (g *Gateway) peerHasLinks(ctx context.Context) bool {
+	now := g.Now()
+	if g.links.peerLinkedWithin(now, linkedPeerTTL) || g.helpers.HelpedWithin(now, linkedPeerTTL) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, linkQueryTimeout)
+	defer cancel()
+	addrs := g.mesh.sample(now, maxLinkQueries)
+	answers := make(chan bool, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			response, err := g.mesh.send(ctx, addr, peer.Request{})
+			answers <- err == nil && response.Claim != nil && !response.LinksLost
+		}()
+	}
+	for range addrs {
+		if <-answers {
+			g.links.recordLinkedPeer(g.Now())
+			return true
+		}
+	}
+	return false
+}
+
+// releaseIfCutOff releases the claim if this host is the controller and has lost its links to endpoints
+// while another host has some, so that such a host can claim at once.
+func (g *Gateway) releaseIfCutOff(ctx context.Context) {
+	held := g.election.HeldToken()
+	if held == 0 || g.links.lostFor(g.Now()) < lossConfirmTime || !g.peerHasLinks(ctx) {
+		return
+	}
+	g.log.Warn("controller has lost its links to endpoints; releasing the claim", "token", held)
+	g.tryReleaseClaim(ctx, held)
+}
+
+// mayClaim reports whether this host could control endpoints: it has links to them, or no other host has.
+func (g *Gateway) mayClaim(ctx context.Context) bool {
+	return !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 || !g.linksLost(ctx) || !g.peerHasLinks(ctx)
+}
--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/links"
-	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
@@ -17,16 +16,8 @@
 	sampleTimeout = 300 * time.Millisecond
 	// sampleTTL is how long the result of a sample answers further questions.
 	sampleTTL = 300 * time.Millisecond
-	// endpointCheckTimeout bounds a check of an endpoint for another host.
-	endpointCheckTimeout = 400 * time.Millisecond
-	// maxEndpointChecks is the number of other hosts that are asked about an endpoint.
-	maxEndpointChecks = 4
 )
 
-// errEndpointUnknown means that neither this host nor others could find out whether an endpoint has
-// terminated.
-var errEndpointUnknown = errors.New("this host seems to have lost its links to endpoints and no other host knows")
-
 // endpointLinks tracks the links of this host to endpoints. It is safe for concurrent use.
 type endpointLinks struct {
 	table *links.Table
@@ -38,22 +29,22 @@
 	sampling chan struct{}
 	// reached is the number of endpoints that the last sample reached.
 	reached int
-	// isolatedSince is when the host was first found isolated, or zero.
-	isolatedSince time.Time
+	// lostSince is when the links were found lost, or zero while they work.
+	lostSince time.Time
 	// linkedPeerAt is when another host last said that it has links to endpoints.
 	linkedPeerAt time.Time
 }
 
 func newEndpointLinks() *endpointLinks { return &endpointLinks{table: links.NewTable()} }
 
-// isolatedFor returns for how long this host has been isolated.
-func (l *endpointLinks) isolatedFor(now time.Time) time.Duration {
+// lostFor returns for how long this host's links have been lost.
+func (l *endpointLinks) lostFor(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.isolatedSince.IsZero() {
+	if l.lostSince.IsZero() {
 		return 0
 	}
-	return now.Sub(l.isolatedSince)
+	return now.Sub(l.lostSince)
 }
 
 // beginSample returns a channel that is closed when the current sample ends. begun reports whether the
@@ -71,16 +62,16 @@
 	return l.sampling, true
 }
 
-// endSample records the result of a sample and reports whether the host has become isolated, or is no
-// longer.
+// endSample records the result of a sample and reports whether the links have become lost, or work
+// again.
 func (l *endpointLinks) endSample(now time.Time, reached, failed int) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed = l.table.RecordSample(now, reached, failed)
 	if changed {
-		l.isolatedSince = time.Time{}
-		if l.table.Isolated() {
-			l.isolatedSince = now
+		l.lostSince = time.Time{}
+		if l.table.Lost() {
+			l.lostSince = now
 		}
 	}
 	l.sampled, l.reached = now, reached
@@ -161,7 +152,7 @@
 		return
 	}
 	msg := "links to endpoints work again"
-	if g.links.table.Isolated() {
+	if g.links.table.Lost() {
 		msg = "links to endpoints lost; requests are sent by way of other hosts"
 	}
 	g.log.Warn(msg, "reached", reached, "unreached", unreached, "links_down", g.links.table.DownCount())
@@ -198,10 +189,10 @@
 	return out
 }
 
-// isolated finds out whether this host seems to have lost its links to endpoints.
-func (g *Gateway) isolated(ctx context.Context) bool {
+// linksLost finds out whether this host seems to have lost its links to endpoints.
+func (g *Gateway) linksLost(ctx context.Context) bool {
 	g.sampleLinks(ctx, "")
-	return g.links.table.Isolated()
+	return g.links.table.Lost()
 }
 
 // checkLinks starts the checks that are due of links that are down or suspect.
@@ -221,101 +212,13 @@
 	}
 }
 
-// terminated reports whether an endpoint has terminated. A host that seems to have lost its links asks
-// others, since a refused connection then says nothing about the endpoint.
-func (g *Gateway) terminated(ctx context.Context, e fleet.Endpoint) (bool, error) {
-	terminated, err := g.endpoints.Terminated(ctx, e)
-	if err != nil || !terminated || !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 || !g.isolated(ctx) {
-		return terminated, err
-	}
-	for _, addr := range g.mesh.sample(g.Now(), maxEndpointChecks) {
-		response, err := g.mesh.send(ctx, addr, peer.Request{Check: &peer.EndpointCheck{Endpoint: e.ID}})
-		if err == nil && response.Endpoint != nil && response.Endpoint.Known {
-			return response.Endpoint.Terminated, nil
-		}
-	}
-	if g.links.reachedAny() {
-		return terminated, nil // Some links work, and most endpoints may have terminated.
-	}
-	return false, errEndpointUnknown
-}
-
-// respondToCheck finds out for another host whether an endpoint has terminated.
-func (g *Gateway) respondToCheck(c peer.EndpointCheck) *peer.EndpointState {
-	ctx, cancel := context.WithTimeout(context.Background(), endpointCheckTimeout)
-	defer cancel()
-	e, ok := g.directory.InUse(g.Now(), c.Endpoint)
-	if !ok {
-		return &peer.EndpointState{}
-	}
-	terminated, err := g.endpoints.Terminated(ctx, e)
-	if err != nil || terminated && g.isolated(ctx) {
-		return &peer.EndpointState{}
-	}
-	return &peer.EndpointState{Known: true, Terminated: terminated}
-}
-
-const (
-	// isolationConfirmTime is how long a controller has to be isolated before it gives up the claim. It
-	// covers two more samples.
-	isolationConfirmTime = 1100 * time.Millisecond
-	// linkedPeerTTL is how long another host's word that it has links counts.
-	linkedPeerTTL = time.Second
-	// maxLinkQueries is the number of hosts that are asked at once whether they have links, and
-	// linkQueryTimeout bounds their answers.
-	maxLinkQueries   = 8
-	linkQueryTimeout = 300 * time.Millisecond
-)
-
-// peerHasLinks reports whether another host has shown recently, or says now, that it has links to
-// endpoints.
-func (g *Gateway) peerHasLinks(ctx context.Context) bool {
-	now := g.Now()
-	if g.links.peerLinkedWithin(now, linkedPeerTTL) || g.helpers.HelpedWithin(now, linkedPeerTTL) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, linkQueryTimeout)
-	defer cancel()
-	addrs := g.mesh.sample(now, maxLinkQueries)
-	answers := make(chan bool, len(addrs))
-	for _, addr := range addrs {
-		go func() {
-			response, err := g.mesh.send(ctx, addr, peer.Request{})
-			answers <- err == nil && response.Claim != nil && !response.Isolated
-		}()
-	}
-	for range addrs {
-		if <-answers {
-			g.links.recordLinkedPeer(g.Now())
-			return true
-		}
-	}
-	return false
-}
-
-// releaseIfCutOff releases the claim if this host is the controller and has lost its links to endpoints
-// while another host has some, so that such a host can claim at once.
-func (g *Gateway) releaseIfCutOff(ctx context.Context) {
-	held := g.election.HeldToken()
-	if held == 0 || g.links.isolatedFor(g.Now()) < isolationConfirmTime || !g.peerHasLinks(ctx) {
-		return
-	}
-	g.log.Warn("controller has lost its links to endpoints; releasing the claim", "token", held)
-	g.tryReleaseClaim(ctx, held)
-}
-
-// mayClaim reports whether this host could control endpoints: it has links to them, or no other host has.
-func (g *Gateway) mayClaim(ctx context.Context) bool {
-	return !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 || !g.isolated(ctx) || !g.peerHasLinks(ctx)
-}
-
 // linkMetrics updates the gauges of links to endpoints.
 func (g *Gateway) linkMetrics() {
-	isolated := 0.0
-	if g.links.table.Isolated() {
-		isolated = 1
+	lost := 0.0
+	if g.links.table.Lost() {
+		lost = 1
 	}
 	g.metrics.gauge("endpoint_links_down", float64(g.links.table.DownCount()))
-	g.metrics.gauge("endpoint_links_lost", isolated)
+	g.metrics.gauge("endpoint_links_lost", lost)
 	g.metrics.gauge("peer_requests_in_progress", float64(g.proxy.Load()))
 }
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -34,7 +34,7 @@
 	case r.Check != nil:
 		response.Endpoint = g.respondToCheck(*r.Check)
 	}
-	response.Isolated = g.links.table.Isolated()
+	response.LinksLost = g.links.table.Lost()
 	claim := g.election.Newest()
 	response.Claim = &claim
 	response.Controlling = g.election.HeldToken() != 0
--- a/pkg/gateway/proxying.go
+++ b/pkg/gateway/proxying.go
@@ -61,7 +61,7 @@
 		Direct:      g.transport,
 		Endpoint:    func(id fleet.EndpointID) (fleet.Endpoint, bool) { return g.directory.InUse(g.Now(), id) },
 		Unreachable: func(id fleet.EndpointID) bool { return g.links.table.State(id) != links.Up },
-		Isolated:    g.isolated,
+		LinksLost:   g.linksLost,
 		Stopping:    g.stopping.Load,
 		Limits: proxy.Limits{
 			Requests: max(minProxied, int(proxiedPerCore*g.settings.cores())),
--- a/pkg/gateway/proxying_test.go
+++ b/pkg/gateway/proxying_test.go
@@ -230,12 +230,12 @@
 	node, err := peer.ListenPinned("127.0.0.1:0", cert, func(peer.Fingerprint) bool { return true }, nil)
 	is.NoErr(err)
 	defer func() { is.NoErr(node.Close()) }()
-	isolated := links.NewTable()
-	isolated.RecordSample(time.Now(), 0, 3)
-	isolated.RecordFailed(time.Now(), "p1")
+	lost := links.NewTable()
+	lost.RecordSample(time.Now(), 0, 3)
+	lost.RecordFailed(time.Now(), "p1")
 	stranger := &proxy.Transport{
 		Direct:  upstream.NewTransport(time.Now, func(fleet.Endpoint) int { return 1 }, upstream.Dial),
-		Links:   isolated,
+		Links:   lost,
 		Helpers: proxy.NewHelpers(proxy.Host{Name: "stranger"}, func() []proxy.Host { return []proxy.Host{{Name: "a", Addr: h.PeerAddr()}} }),
 		Open: func(ctx context.Context, addr string, r peer.Request) (proxy.Stream, error) {
 			return node.Open(ctx, addr, r)
--- a/pkg/links/table.go
+++ b/pkg/links/table.go
@@ -16,8 +16,8 @@
 	sampleSize = 3
 	// sampleInterval is the shortest interval between two samples.
 	sampleInterval = 500 * time.Millisecond
-	// minGoodSamples is the number of samples in a row that have to reach most endpoints before an
-	// isolated host trusts its links again, unless one reaches all.
+	// minGoodSamples is the number of samples in a row that have to reach most endpoints before a
+	// host that has lost its links trusts them again, unless one reaches all.
 	minGoodSamples = 2
 	// firstCheckDelay is the delay between a failed connection and the next attempt. It doubles with
 	// each further failure up to maxCheckDelay.
@@ -36,7 +36,8 @@
 const (
 	// Up means that no failure is known.
 	Up State = iota
-	// Suspect means that the host seems to be isolated and has not connected to this endpoint since.
+	// Suspect means that the host seems to have lost its links and has not connected to this endpoint
+	// since.
 	Suspect
 	// Down means that the last attempt to connect has failed.
 	Down
@@ -46,14 +47,14 @@
 type Table struct {
 	mu    sync.Mutex
 	links map[fleet.EndpointID]*link
-	// isolated is set while most sampled endpoints cannot be reached.
-	isolated  bool
+	// lost is set while most sampled endpoints cannot be reached.
+	lost      bool
 	sampledAt time.Time
-	// goodSamples counts the samples in a row that reached most endpoints while the host was isolated.
+	// goodSamples counts the samples in a row that reached most endpoints while lost was set.
 	goodSamples int
 }
 
-// link is the state of one link that has failed, or that works although the host seems isolated.
+// link is the state of one link that has failed, or that works although the others seem lost.
 type link struct {
 	down     bool
 	failures int
@@ -74,7 +75,7 @@
 	switch {
 	case l != nil && l.down:
 		return Down
-	case l == nil && t.isolated:
+	case l == nil && t.lost:
 		return Suspect
 	default:
 		return Up
@@ -82,19 +83,19 @@
 }
 
 // FailedRecently reports whether the last attempt to connect to an endpoint has failed and another one would
-// most likely fail too, since it is recent or the host is isolated.
+// most likely fail too, since it is recent or the host has lost its links.
 func (t *Table) FailedRecently(now time.Time, id fleet.EndpointID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.links[id]
-	return l != nil && l.down && (t.isolated || now.Sub(l.failedAt) < failureTTL)
+	return l != nil && l.down && (t.lost || now.Sub(l.failedAt) < failureTTL)
 }
 
-// Isolated reports whether this host seems to have lost its links to most endpoints.
-func (t *Table) Isolated() bool {
+// Lost reports whether this host seems to have lost its links to most endpoints.
+func (t *Table) Lost() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isolated
+	return t.lost
 }
 
 // DownCount returns the number of links that are down.
@@ -114,7 +115,7 @@
 func (t *Table) RecordConnected(id fleet.EndpointID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isolated {
+	if t.lost {
 		t.links[id] = &link{}
 		return
 	}
@@ -141,9 +142,9 @@
 }
 
 // RecordSlow records that connecting to an endpoint takes long. That alone says nothing about the link, but
-// counts as a failure while the host is isolated. It reports whether the caller should take a sample now.
+// counts as a failure while the links seem lost. It reports whether the caller should take a sample now.
 func (t *Table) RecordSlow(now time.Time, id fleet.EndpointID) (sampleDue bool) {
-	if t.Isolated() {
+	if t.Lost() {
 		return t.RecordFailed(now, id)
 	}
 	t.mu.Lock()
@@ -160,11 +161,11 @@
 	return true
 }
 
-// ResampleDue reports whether the caller should take a sample now because the host seems isolated.
+// ResampleDue reports whether the caller should take a sample now because the links seem lost.
 func (t *Table) ResampleDue(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isolated && t.takeSample(now)
+	return t.lost && t.takeSample(now)
 }
 
 // Sample returns up to sampleSize random endpoints other than failed.
@@ -182,23 +183,23 @@
 }
 
 // RecordSample records how many of the sampled endpoints could be reached, including the one whose
-// failure led to the sample. It reports whether that changes what Isolated returns. An isolated host is no
-// longer isolated after one sample that reached all endpoints or two in a row that reached most.
+// failure led to the sample. It reports whether that changes what Lost returns. Lost links work
+// again after one sample that reached all endpoints or two in a row that reached most.
 func (t *Table) RecordSample(now time.Time, reached, failed int) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	isolated := failed > reached && reached+failed > 1
-	if isolated == t.isolated {
+	lost := failed > reached && reached+failed > 1
+	if lost == t.lost {
 		t.goodSamples = 0
 		return false
 	}
-	if t.goodSamples++; t.isolated && failed > 0 && t.goodSamples < minGoodSamples {
+	if t.goodSamples++; t.lost && failed > 0 && t.goodSamples < minGoodSamples {
 		return false
 	}
 	t.goodSamples = 0
-	t.isolated = isolated
+	t.lost = lost
 	for id, l := range t.links {
-		if !isolated && !l.down {
+		if !lost && !l.down {
 			delete(t.links, id)
 			continue
 		}
@@ -207,11 +208,12 @@
 	return true
 }
 
-// ChecksDue returns the endpoints whose links to check now. An isolated host takes samples instead.
+// ChecksDue returns the endpoints whose links to check now. While the links seem lost,
+// samples are taken instead.
 func (t *Table) ChecksDue(now time.Time, endpoints []fleet.Endpoint) []fleet.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isolated || len(t.links) == 0 {
+	if t.lost || len(t.links) == 0 {
 		return nil
 	}
 	checking := 0
--- a/pkg/links/table_test.go
+++ b/pkg/links/table_test.go
@@ -18,7 +18,7 @@
 }
 
 // Guards against one endpoint that has terminated being taken for the loss of this host's links.
-func TestOneFailureIsNotIsolation(t *testing.T) {
+func TestOneFailureIsNotLossOfLinks(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	for _, c := range []struct {
@@ -29,7 +29,7 @@
 		is.True(table.RecordFailed(now, "e0"))
 		is.True(!table.RecordFailed(now, "e1")) // The sample has just been due.
 		table.RecordSample(now, c.reached, c.failed)
-		is.Equal(table.Isolated(), c.want)
+		is.Equal(table.Lost(), c.want)
 		is.Equal(table.State("e0"), Down)
 		is.Equal(table.State("e9") == Suspect, c.want)
 	}
@@ -45,7 +45,7 @@
 	}
 	table.RecordSample(now, 0, 4)
 	table.RecordConnected("e7")
-	is.Equal(table.State("e7"), Up) // Though the host seems isolated.
+	is.Equal(table.State("e7"), Up) // Though the others seem lost.
 	is.Equal(len(table.ChecksDue(now.Add(time.Hour), all)), 0)
 	is.True(table.ResampleDue(now.Add(sampleInterval)))
 	is.True(!table.RecordSample(now, 2, 1))
@@ -75,7 +75,7 @@
 	is.True(table.FailedRecently(now, "e0"))
 	is.True(!table.FailedRecently(now.Add(failureTTL), "e0"))
 	table.RecordSample(now, 0, 4)
-	is.True(table.FailedRecently(now.Add(failureTTL), "e0")) // Isolated hosts take samples instead.
+	is.True(table.FailedRecently(now.Add(failureTTL), "e0")) // Samples are taken instead.
 	table.Retain(nil)
 	is.Equal(table.DownCount(), 0)
 }
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -103,8 +103,8 @@
 	// Notice is the response to a Pull. It is nil if a newer Pull of the same host replaced
 	// this one.
 	Notice *fleet.Notice `cbor:"11,keyasint,omitempty"`
-	// Isolated reports that the responding host seems to have lost its links to endpoints.
-	Isolated bool `cbor:"12,keyasint,omitempty"`
+	// LinksLost reports that the responding host seems to have lost its links to endpoints.
+	LinksLost bool `cbor:"12,keyasint,omitempty"`
 	// Endpoint is the response to a Check.
 	Endpoint *EndpointState `cbor:"13,keyasint,omitempty"`
 }
--- a/pkg/proxy/frame.go
+++ b/pkg/proxy/frame.go
@@ -67,8 +67,8 @@
 // acceptance is the content of frameReady and frameRefused.
 type acceptance struct {
 	Reason Reason `cbor:"1,keyasint,omitempty"`
-	// Isolated reports that the host seems to have lost its own links to endpoints.
-	Isolated bool `cbor:"2,keyasint,omitempty"`
+	// LinksLost reports that the host seems to have lost its own links to endpoints.
+	LinksLost bool `cbor:"2,keyasint,omitempty"`
 	// Refused reports that the endpoint's address refused the connection.
 	Refused bool `cbor:"3,keyasint,omitempty"`
 	// Load is the number of requests of other hosts in progress at the host.
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -64,7 +64,7 @@
 		Direct:      upstream.NewTransport(time.Now, limit, upstream.Dial),
 		Endpoint:    func(fleet.EndpointID) (fleet.Endpoint, bool) { return p.endpoint, true },
 		Unreachable: func(fleet.EndpointID) bool { return false },
-		Isolated:    func(context.Context) bool { return false },
+		LinksLost:   func(context.Context) bool { return false },
 		Stopping:    func() bool { return false },
 		Limits:      Limits{Requests: 4, Bytes: 1 << 20},
 		Count: func(result string) {
@@ -276,13 +276,13 @@
 }
 
 // Guards against an endpoint that has terminated being taken for lost links: another host that is refused a
-// connection confirms it, one that is isolated does not.
+// connection confirms it, one that has lost its links does not.
 func TestUnreachableIsConfirmedByHostWithLinks(t *testing.T) {
-	for _, isolated := range []bool{false, true} {
-		t.Run(fmt.Sprint("isolated ", isolated), func(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprint("links lost ", lost), func(t *testing.T) {
 			is := is.New(t)
 			p := newHostPair(t, func(http.ResponseWriter, *http.Request) {})
-			p.server.Isolated = func(context.Context) bool { return isolated }
+			p.server.LinksLost = func(context.Context) bool { return lost }
 			p.transport.Links.RecordSample(time.Now(), 0, 3)
 			p.transport.Links.RecordFailed(time.Now(), p.endpoint.ID)
 			gone := httptest.NewServer(nil)
@@ -290,8 +290,8 @@
 			gone.Close()
 			_, err := p.send(t.Context(), "")
 			is.True(errors.Is(err, upstream.ErrNotSent))
-			is.Equal(errors.Is(err, upstream.ErrUnreachable), !isolated)
-			is.Equal(errors.Is(err, ErrNoPath), isolated)
+			is.Equal(errors.Is(err, upstream.ErrUnreachable), !lost)
+			is.Equal(errors.Is(err, ErrNoPath), lost)
 		})
 	}
 }
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -31,9 +31,9 @@
 	Endpoint func(id fleet.EndpointID) (fleet.Endpoint, bool)
 	// Unreachable reports whether this host is known to be unable to connect to an endpoint.
 	Unreachable func(id fleet.EndpointID) bool
-	// Isolated finds out whether this host seems to have lost its links to endpoints. It may block
+	// LinksLost finds out whether this host seems to have lost its links to endpoints. It may block
 	// for a few hundred milliseconds.
-	Isolated func(ctx context.Context) bool
+	LinksLost func(ctx context.Context) bool
 	// Stopping reports whether the host is shutting down.
 	Stopping func() bool
 	Limits   Limits
@@ -156,15 +156,15 @@
 		return nil, &acceptance{Reason: ReasonNotInUse}
 	}
 	if s.Unreachable(id) {
-		return nil, &acceptance{Reason: ReasonUnreachable, Isolated: s.Isolated(ctx)}
+		return nil, &acceptance{Reason: ReasonUnreachable, LinksLost: s.LinksLost(ctx)}
 	}
 	reservation, pending, err := s.Direct.ReserveWithin(ctx, e, reserveTimeout)
 	switch {
 	case pending != nil:
 		pending.Abandon()
-		return nil, &acceptance{Reason: ReasonUnreachable, Isolated: s.Isolated(ctx)}
+		return nil, &acceptance{Reason: ReasonUnreachable, LinksLost: s.LinksLost(ctx)}
 	case errors.Is(err, upstream.ErrUnreachable):
-		return nil, &acceptance{Reason: ReasonUnreachable, Refused: errors.Is(err, syscall.ECONNREFUSED), Isolated: s.Isolated(ctx)}
+		return nil, &acceptance{Reason: ReasonUnreachable, Refused: errors.Is(err, syscall.ECONNREFUSED), LinksLost: s.LinksLost(ctx)}
 	case err != nil:
 		return nil, &acceptance{Reason: ReasonBusy}
 	}
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -70,7 +70,7 @@
 	}
 	if directErr == nil && (pending != nil || !t.Links.FailedRecently(t.Now(), e.ID)) {
 		patience := untilDialTimeout
-		if pending == nil && t.Links.Isolated() {
+		if pending == nil && t.Links.Lost() {
 			patience = connectPatience
 		}
 		resp, directErr = t.sendDirect(ctx, e, pending, r, patience)
@@ -91,7 +91,7 @@
 // others could not, directErr why this host could not, or nil if it did not try again.
 func (t *Transport) unreachable(helperErr, directErr error) error {
 	switch {
-	case errors.Is(helperErr, errNoHelper) && t.Links.Isolated():
+	case errors.Is(helperErr, errNoHelper) && t.Links.Lost():
 		return errors.Mark(helperErr, ErrNoPath)
 	case errors.Is(helperErr, errNoHelper):
 		return errors.Mark(errors.WithSecondaryError(helperErr, directErr), upstream.ErrUnreachable)
@@ -120,7 +120,7 @@
 	return reservation.Do(ctx, r)
 }
 
-// errConnectTimeout is returned if connecting takes longer than an isolated host waits.
+// errConnectTimeout is returned if connecting takes longer than a host waits that has lost its links.
 var errConnectTimeout = errors.Wrap(upstream.ErrUnreachable, "timeout")
 
 // errNoHelper means that no host could be asked, or only hosts that have lost their own links.
@@ -148,7 +148,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return nil, Host{}, errors.Mark(errors.Wrap(ctx.Err(), "request was canceled"), upstream.ErrNotSent)
-		case !errors.As(err, &refused), refused.Isolated, refused.Reason == ReasonStopping, refused.Reason == ReasonUnknownHost:
+		case !errors.As(err, &refused), refused.LinksLost, refused.Reason == ReasonStopping, refused.Reason == ReasonUnknownHost:
 			t.Helpers.RecordUseless(t.Now(), host)
 		case refused.Reason == ReasonUnreachable:
 			t.Helpers.RecordHelp(t.Now(), host, a.Load)
