Orders: a host that reaches only some endpoints leaves the claim to one that reaches all

Cause: with two of seven endpoints left to them, hosts without links claimed after a lucky sample of three; 4 to 6 claims and releases in 5 s. Change: a host that is about to claim connects to six endpoints and decides by these alone. Measured: TestOnlyHostWithLinksControls now has eight hosts, seven of them cut off, since three did not show the fault.

--- a/pkg/gateway/claimlinks.go
+++ b/pkg/gateway/claimlinks.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tealvane/tealvane/pkg/links"
 	"github.com/tealvane/tealvane/pkg/peer"
 )
 
@@ -11,6 +12,9 @@
 	// lossConfirmTime is how long a controller's links have to be lost before it gives up the claim. It
 	// covers two more samples.
 	lossConfirmTime = 1100 * time.Millisecond
+	// claimSampleSize is the number of endpoints that a host tries to reach before it claims. A claim of a
+	// host that reaches only some of them costs more than a few connections.
+	claimSampleSize = 2 * links.SampleSize
 	// linkedPeerTTL is how long another host's word that it has links counts.
 	linkedPeerTTL = time.Second
 	// maxLinkQueries is the number of hosts that are asked at once whether they have links, and
@@ -56,7 +60,12 @@
 	g.tryReleaseClaim(ctx, held)
 }
 
-// mayClaim reports whether this host could control endpoints: it has links to them, or no other host has.
+// mayClaim reports whether this host could control endpoints: it has links to most of them, or no other host
+// has.
 func (g *Gateway) mayClaim(ctx context.Context) bool {
-	return !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 || !g.linksLost(ctx) || !g.peerHasLinks(ctx)
+	if !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 {
+		return true
+	}
+	reached, unreached := g.connectToSample("", claimSampleSize)
+	return reached >= unreached || !g.peerHasLinks(ctx)
 }
--- a/pkg/gateway/cutoff_test.go
+++ b/pkg/gateway/cutoff_test.go
@@ -182,20 +182,25 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := newCutOffDeployment(t)
+			for _, name := range []string{"d", "e", "f", "g", "h"} {
+				d.hosts = append(d.hosts, d.startHost(name))
+			}
+			d.waitForPeers(d.hosts...)
 			before := d.hosts[0].NewestToken()
-			for _, h := range d.hosts[:2] {
+			last := len(d.hosts) - 1
+			for _, h := range d.hosts[:last] {
 				h.links.spared = map[string]bool{}
 				for _, e := range d.engines[:spared] {
 					h.links.spared[e.Addr] = true
 				}
 			}
-			d.cut(linksSilent, d.hosts[:2]...)
+			d.cut(linksReset, d.hosts[:last]...)
 			d.load(settleTime + countedTime)
-			if !d.hosts[2].IsController() {
+			if !d.hosts[last].IsController() {
 				t.Error("the only host with links is not the controller")
 			}
 			// A release and a claim.
-			if n := d.hosts[2].NewestToken() - before; n > 2 {
+			if n := d.hosts[last].NewestToken() - before; n > 2 {
 				t.Errorf("%d claims and releases, want 2", n)
 			}
 		})
--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -144,7 +144,7 @@
 		}
 		return
 	}
-	reached, unreached := g.connectToSample(failed)
+	reached, unreached := g.connectToSample(failed, links.SampleSize)
 	if failed != "" {
 		unreached++
 	}
@@ -158,11 +158,12 @@
 	g.log.Warn(msg, "reached", reached, "unreached", unreached, "links_down", g.links.table.DownCount())
 }
 
-// connectToSample connects to a sample of endpoints and returns how many were reached and how many not.
-func (g *Gateway) connectToSample(failed fleet.EndpointID) (reached, unreached int) {
+// connectToSample connects to a sample of endpoints other than failed and returns how many were reached and
+// how many not.
+func (g *Gateway) connectToSample(failed fleet.EndpointID, size int) (reached, unreached int) {
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
-	sample := links.Sample(g.endpointsInUse(), failed)
+	sample := links.Sample(g.endpointsInUse(), failed, size)
 	results := make(chan error, len(sample))
 	for _, e := range sample {
 		go func() { results <- g.transport.Check(ctx, e) }()
--- a/pkg/links/table.go
+++ b/pkg/links/table.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// sampleSize is the number of endpoints in a sample.
-	sampleSize = 3
+	// SampleSize is the number of endpoints in a sample.
+	SampleSize = 3
 	// sampleInterval is the shortest interval between two samples.
 	sampleInterval = 500 * time.Millisecond
 	// minGoodSamples is the number of samples in a row that have to reach most endpoints before a
@@ -168,11 +168,11 @@
 	return t.lost && t.takeSample(now)
 }
 
-// Sample returns up to sampleSize random endpoints other than failed.
-func Sample(endpoints []fleet.Endpoint, failed fleet.EndpointID) []fleet.Endpoint {
-	out := make([]fleet.Endpoint, 0, sampleSize)
+// Sample returns up to size random endpoints other than failed.
+func Sample(endpoints []fleet.Endpoint, failed fleet.EndpointID, size int) []fleet.Endpoint {
+	out := make([]fleet.Endpoint, 0, size)
 	for _, i := range rand.Perm(len(endpoints)) {
-		if len(out) == sampleSize {
+		if len(out) == size {
 			break
 		}
 		if e := endpoints[i]; e.ID != failed {
