--- a/pkg/proxy/helpers.go
+++ b/pkg/proxy/helpers.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// candidates is the number of hosts of a zone, and of all other zones, among which a helper is
-	// chosen by load. It bounds the connections between hosts.
+	// candidates is the number of hosts of this zone, and of all other zones, of which the least
+	// loaded one helps. It bounds the connections between hosts.
 	candidates = 2
 	// zoneCost is the load, in requests per core, by which a host in another zone has to be less
 	// loaded to be chosen, since bytes between zones are priced.
