Logs, metrics: how the end of an endpoint's response was marked

The line of a request said whether the host held the response for complete, but not what that rested on: a length, chunks, or the end of the connection.

Requests log framing (length, chunks, connection), tealvane_endpoint_responses counts it. A host that sends a request for another one passes it on in the head of the response; a host of the former version passes on nothing, which reads as connection if there is no length. No decision depends on it yet.

--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -70,6 +70,9 @@
 	if r.Refusal != nil && r.Refusal.Cause == serve.CauseAllowance {
 		m.count("beyond_allowance", map[string]string{"account": m.accounts.limit(r.Request.Account)})
 	}
+	if r.Framing != "" {
+		m.count("endpoint_responses", map[string]string{"framing": string(r.Framing)})
+	}
 	if r.Full > 0 {
 		route.Counter("rejected_full").Inc(int64(r.Full))
 	}
--- a/pkg/proxy/client.go
+++ b/pkg/proxy/client.go
@@ -120,15 +120,7 @@
 	if err := record.Unmarshal(content, &head); err != nil {
 		return nil, errors.Wrap(err, "decode response of the other host")
 	}
-	return &http.Response{
-		StatusCode:    head.Status,
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-		Header:        head.Header,
-		ContentLength: head.Length,
-		Body:          &responseBody{session: s},
-	}, nil
+	return head.response(r.Method, &responseBody{session: s}), nil
 }
 
 // abort ends the exchange before its end.
--- a/pkg/proxy/frame.go
+++ b/pkg/proxy/frame.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/binary"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
 const (
@@ -83,11 +85,39 @@
 	Header map[string][]string `cbor:"4,keyasint"`
 }
 
-// responseHead is the head of a response. Length is its Content-Length, or -1 if it has none.
+// responseHead is the head of a response.
 type responseHead struct {
 	Status int                 `cbor:"1,keyasint"`
 	Header map[string][]string `cbor:"2,keyasint"`
-	Length int64               `cbor:"3,keyasint"`
+	// Length is the Content-Length, or -1 if there is none.
+	Length int64 `cbor:"3,keyasint"`
+	// Chunked reports that the body is sent in chunks. Hosts of former versions do not state it: the body
+	// of their responses without a length may have ended with its connection.
+	Chunked bool `cbor:"4,keyasint,omitempty"`
+}
+
+// newResponseHead returns the head of a response of an endpoint.
+func newResponseHead(r *http.Response) responseHead {
+	chunked := r.ContentLength < 0 && !upstream.EndsWithConnection(r)
+	return responseHead{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Chunked: chunked}
+}
+
+// response returns the response to a request with a method.
+func (h responseHead) response(method string, body io.ReadCloser) *http.Response {
+	r := &http.Response{
+		StatusCode:    h.Status,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        h.Header,
+		ContentLength: h.Length,
+		Body:          body,
+		Request:       &http.Request{Method: method},
+	}
+	if h.Chunked {
+		r.TransferEncoding = []string{"chunked"}
+	}
+	return r
 }
 
 // Stream is a stream to another host. peer.Stream implements it.
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -230,7 +230,7 @@
 
 // forward writes a response to the other host.
 func (s *Server) forward(out *frameWriter, resp *http.Response) error {
-	if err := out.writeValue(frameHead, responseHead{resp.StatusCode, resp.Header, resp.ContentLength}); err != nil {
+	if err := out.writeValue(frameHead, newResponseHead(resp)); err != nil {
 		return err
 	}
 	buf := make([]byte, maxDataBytes)
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -67,6 +67,7 @@
 	}
 	watcher.progress()
 	x.result.Via = response.Via
+	x.result.Framing = response.Framing
 	if response.Load != nil {
 		s.Health.RecordLoad(s.Now(), e.ID, x.request.Service, *response.Load)
 	}
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -106,10 +106,22 @@
 	WrongEndpoint
 )
 
+// Framing is how the end of a response's body is marked. The zero value stands for bodies whose format
+// marks its own end.
+type Framing string
+
+const (
+	FramingLength Framing = "length"
+	FramingChunks Framing = "chunks"
+	// FramingConnection means that the body ends with its connection, whether or not it is complete.
+	FramingConnection Framing = "connection"
+)
+
 // Response is the response of an endpoint. Its body must be closed.
 type Response struct {
-	Class  ResponseClass
-	Status int
+	Class   ResponseClass
+	Status  int
+	Framing Framing
 	// Load is the endpoint's load, or nil if the response does not report it.
 	Load *fleet.Load
 	// Signals holds the rate limit, pause and shutdown notice sent with the response.
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -48,6 +48,9 @@
 	if r.Request.limited {
 		attrs = append(attrs, "share", r.Request.share)
 	}
+	if r.Framing != "" {
+		attrs = append(attrs, "framing", string(r.Framing))
+	}
 	if r.Via != "" {
 		attrs = append(attrs, "via", r.Via)
 	}
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -61,6 +61,8 @@
 	Resumed int
 	// Via is the name of the host by way of which the last response came, or "" if it came directly.
 	Via string
+	// Framing is how the end of the last response's body was marked, or "" without a response.
+	Framing Framing
 	// Complete reports whether the complete response was sent to the client.
 	Complete bool
 	// Note describes the last failure at an endpoint.
