--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -34,8 +34,30 @@
 	Reject bool
 	// RetryAfter is the Retry-After value of a rejection, in seconds. It is optional.
 	RetryAfter string
+	// Unframed sends the response with neither a length nor chunks if it is not nil.
+	Unframed *Unframed
 }
 
+// Unframed is a response whose body ends with its connection.
+type Unframed struct {
+	// Cut is where the body ends.
+	Cut Cut
+	// Reset resets the connection instead of closing it.
+	Reset bool
+}
+
+// Cut is where a response ends.
+type Cut int
+
+const (
+	// CutNowhere sends the complete body.
+	CutNowhere Cut = iota
+	// CutBetweenEvents ends a stream after its first event, CutInsideEvent within its second one. Both
+	// end other bodies after a part.
+	CutBetweenEvents
+	CutInsideEvent
+)
+
 // EndpointConfig configures an Endpoint.
 type EndpointConfig struct {
 	ID      string
--- a/internal/standin/site/requests.go
+++ b/internal/standin/site/requests.go
@@ -1,8 +1,10 @@
 package site
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -47,6 +49,10 @@
 		w.WriteHeader(b.Status)
 		return
 	}
+	if b.Unframed != nil {
+		e.sendUnframed(w, r, id, *b.Unframed)
+		return
+	}
 	if e.config.Events == 0 {
 		_, _ = io.WriteString(w, "answer to "+id)
 		return
@@ -111,3 +117,48 @@
 		}
 	}
 }
+
+// sendUnframed sends a response that ends with its connection.
+func (e *Endpoint) sendUnframed(w http.ResponseWriter, r *http.Request, id string, u Unframed) {
+	header := w.Header().Clone()
+	header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	parts := []string{"answer ", "to ", id}
+	if e.config.Events > 0 {
+		header.Set("Content-Type", "text/event-stream")
+		parts = eventsAfter(r.Header.Get("Last-Event-Id"), e.config.Events)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	head := &bytes.Buffer{}
+	_ = header.Write(head) // A buffer does not fail.
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", head)
+	for i, p := range parts {
+		if i == 1 && u.Cut == CutInsideEvent {
+			_, _ = io.WriteString(conn, p[:len(p)/2])
+		}
+		if i == 1 && u.Cut != CutNowhere {
+			break
+		}
+		// A write fails if the host has closed the connection.
+		if _, err := io.WriteString(conn, p); err != nil {
+			return
+		}
+		time.Sleep(e.config.EventInterval)
+	}
+	if u.Reset {
+		_ = conn.(*net.TCPConn).SetLinger(0) // Otherwise the connection is closed.
+	}
+}
+
+// eventsAfter returns the events of a stream after the one with the ID last.
+func eventsAfter(last string, events int) []string {
+	n, _ := strconv.Atoi(last) // A missing ID starts the stream at its first event.
+	var out []string
+	for n++; n <= events; n++ {
+		out = append(out, fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n))
+	}
+	return out
+}
