Serve: the end of a connection does not state a complete response

Cause: an endpoint's answer may have neither a length nor chunks and end with its connection. The host took io.EOF for the end of the body, and net/http marked that end towards the client with a last chunk or a length, which nobody had stated. Streams on routes that cannot be resumed were not checked for an event that was cut. The second hop had one frame for both ends. Such an end cleared requests that are suspected of crashing endpoints.

Change: a response whose end its connection marks reaches the client in the same way, closed if the endpoint's connection was closed, reset if it broke off, also when the host stops or its process ends (SO_LINGER 0 until all was sent); clients of HTTP/1.0 get the same. A stream that ends inside an event has broken off, whatever its framing. An unconfirmed end is neither a success (quarantine, log, metrics: unconfirmed_STATUS) nor a reason to run again: the client decides. If the head of a resumed stream has chunks and its last run an unconfirmed end, it ends as broken. A host tells the host that it sends for whether a body has chunks, and ends an unconfirmed one with a frame that hosts of the former version take for a failure; a body without a length from such a host counts as unconfirmed.

Answers with a length or chunks keep their way and their connection. go test of serve, proxy, platform, quarantine and upstream pass. go test -race ./pkg/gateway ended once with a failed check inside the race detector (tsan_rtl.cpp:282, slot_locked) after 11 s without a test's failure, and passed when run again; not traced.

--- a/pkg/gateway/earlyserver.go
+++ b/pkg/gateway/earlyserver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/clientconn"
 	"github.com/tealvane/tealvane/pkg/serve"
 )
 
@@ -29,7 +30,7 @@
 // have sent it here. Its connections are closed after one response, so that those of later requests get
 // the configured limits.
 func (g *Gateway) earlyServer() *http.Server {
-	s := &http.Server{Handler: g.handler, ReadHeaderTimeout: readinessTimeout, IdleTimeout: readinessTimeout}
+	s := &http.Server{Handler: g.handler, ConnContext: clientconn.Save, ReadHeaderTimeout: readinessTimeout, IdleTimeout: readinessTimeout}
 	s.SetKeepAlivesEnabled(false)
 	return s
 }
--- a/pkg/gateway/serving.go
+++ b/pkg/gateway/serving.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tealvane/tealvane/internal/clientconn"
 	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/serve"
@@ -100,7 +101,9 @@
 }
 
 // clientServer returns the server of client requests.
-func (g *Gateway) clientServer() *http.Server { return &http.Server{Handler: g.handler} }
+func (g *Gateway) clientServer() *http.Server {
+	return &http.Server{Handler: g.handler, ConnContext: clientconn.Save}
+}
 
 // applyLimits applies the configured limits to the server.
 func (g *Gateway) applyLimits(s *http.Server) {
--- a/pkg/proxy/client.go
+++ b/pkg/proxy/client.go
@@ -120,7 +120,10 @@
 	if err := record.Unmarshal(content, &head); err != nil {
 		return nil, errors.Wrap(err, "decode response of the other host")
 	}
-	return head.response(r.Method, &responseBody{session: s}), nil
+	body := &responseBody{session: s}
+	resp := head.response(r.Method, body)
+	body.endsWithConnection = upstream.EndsWithConnection(resp)
+	return resp, nil
 }
 
 // abort ends the exchange before its end.
@@ -135,13 +138,16 @@
 // responseBody is the body of a response of another host.
 type responseBody struct {
 	session *session
+	// endsWithConnection reports whether the body ends with the endpoint's connection.
+	endsWithConnection bool
 	// rest is the part of the last frame that was not read yet.
 	rest []byte
 	err  error
 	once sync.Once
 }
 
-// Read implements io.Reader. It returns io.EOF only after the complete body.
+// Read implements io.Reader. It returns io.EOF only after the complete body, or with endsWithConnection at the
+// end of the connection.
 func (b *responseBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
 		if b.err != nil {
@@ -153,7 +159,7 @@
 			b.err = errors.Newf("read response of the other host: %v", err) // It is not complete.
 		case t == frameData:
 			b.rest = content
-		case t == frameEnd:
+		case t == frameEnd, t == frameClosed && b.endsWithConnection:
 			b.err = io.EOF
 		case t == frameFailed:
 			b.err = errors.Newf("other host: %s", content)
--- a/pkg/proxy/frame.go
+++ b/pkg/proxy/frame.go
@@ -42,6 +42,9 @@
 	frameEnd
 	// frameFailed contains why there is no complete response. The request may have run.
 	frameFailed
+	// frameClosed ends a body that ended with its connection, so that nobody knows whether it is complete.
+	// Hosts of former versions take it for a failure.
+	frameClosed
 )
 
 // errInvalidFrame means that a frame is too large or unexpected.
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -241,6 +241,9 @@
 				return werr
 			}
 		}
+		if err == io.EOF && upstream.EndsWithConnection(resp) {
+			return out.write(frameClosed, nil)
+		}
 		if err == io.EOF {
 			return out.write(frameEnd, nil)
 		}
--- /dev/null
+++ b/pkg/proxy/unframed_test.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/upstream"
+)
+
+// closeConnection responds with neither a length nor chunks.
+func closeConnection(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Transfer-Encoding", "identity")
+	_, _ = io.WriteString(w, "part")
+}
+
+// Guards against a host of the former version that takes the end of an endpoint's connection, passed on by this
+// one, for a complete body. It knows only frameEnd as the end of one.
+func TestFormerHostDoesNotGetUnconfirmedEnd(t *testing.T) {
+	is := is.New(t)
+	p := newHostPair(t, closeConnection)
+	resp, err := p.send(t.Context(), "")
+	is.NoErr(err)
+	resp.Body.(*countedBody).ReadCloser.(*responseBody).endsWithConnection = false // As if unknown.
+	_, err = io.ReadAll(resp.Body)
+	is.True(errors.Is(err, errInvalidFrame))
+}
+
+// Guards against taking a body without a length as complete because a host of the former version, which does
+// not tell how it ended, says so.
+func TestBodyFromFormerHostIsUnconfirmed(t *testing.T) {
+	is := is.New(t)
+	p := newHostPair(t, func(http.ResponseWriter, *http.Request) {})
+	p.intercept = func(s Stream) {
+		out := &frameWriter{out: s}
+		_ = out.writeValue(frameReady, acceptance{})
+		for {
+			if kind, _, err := readFrame(s); err != nil || kind == frameEnd {
+				break
+			}
+		}
+		_ = out.writeValue(frameHead, map[int]any{1: 200, 3: -1})
+		_ = out.write(frameData, []byte("part"))
+		_ = out.write(frameEnd, nil)
+	}
+	resp, err := p.send(t.Context(), "")
+	is.NoErr(err)
+	is.True(upstream.EndsWithConnection(resp))
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "part")
+}
+
+// Guards against losing the framing of a body over the second hop, which would cost the client's connection.
+func TestChunkedBodyStaysChunked(t *testing.T) {
+	is := is.New(t)
+	p := newHostPair(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+	})
+	resp, err := p.send(t.Context(), "")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.True(!upstream.EndsWithConnection(resp))
+}
--- a/pkg/quarantine/runs.go
+++ b/pkg/quarantine/runs.go
@@ -148,14 +148,16 @@
 	return runs != nil && runs.crashedAt.IsZero() && now.Sub(runs.lastRunAt) <= brokenWindow
 }
 
-// Prune removes endpoints without recent runs.
+// Prune removes endpoints without recent runs, and runs that are too old to be blamed for a crash.
 func (r *RecentRuns) Prune(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, runs := range r.endpoints {
 		if now.Sub(runs.lastRunAt) > runRetention {
 			delete(r.endpoints, id)
+			continue
 		}
+		maps.DeleteFunc(runs.brokenAt, func(_ requestCopy, brokenAt time.Time) bool { return now.Sub(brokenAt) > runRetention })
 	}
 }
 
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -143,9 +143,11 @@
 	err := x.forward(response, w, e.ID)
 	_ = response.Body.Close() // The body was read completely or is discarded.
 	if err == nil {
-		x.result.Complete = true
-		x.result.Status = response.Status
-		x.recordServed(e, start)
+		if x.end(response) {
+			x.recordServed(e, start)
+		} else {
+			x.recordBroken(e, false) // The endpoint may have crashed.
+		}
 		s.Queue.Release(x.request, e.ID, SlotResult{Duration: s.Now().Sub(start)})
 		return attemptDone
 	}
@@ -158,15 +160,31 @@
 	return attemptFailed
 }
 
+// end ends the response to the client after the body was forwarded, and reports whether it is complete. A body
+// that ended with its connection may be cut short. It is not run again, since it may also be complete: the
+// client gets the same end, or a broken response if the framing of its head states where a complete one ends.
+func (x *exchange) end(response *Response) (complete bool) {
+	x.result.Status = response.Status
+	if response.Framing != FramingConnection {
+		x.result.Complete = true
+		return true
+	}
+	x.result.Unconfirmed = true
+	if x.headFraming != FramingConnection {
+		x.sink.Abort()
+	}
+	return false
+}
+
 // sendFallback forwards the fallback response, which reports a server error.
 func (x *exchange) sendFallback(response *Response) {
-	x.result.Status = response.Status
 	if err := x.forward(response, nil, x.result.Endpoint); err != nil {
+		x.result.Status = response.Status
 		x.result.Note = err.Error()
 		x.abortOrFail()
 		return
 	}
-	x.result.Complete = true
+	x.end(response)
 }
 
 func (x *exchange) abortOrFail() {
--- a/pkg/serve/fake_backend_test.go
+++ b/pkg/serve/fake_backend_test.go
@@ -37,6 +37,9 @@
 	// events is the number of events of a stream. broken is the number of events after which
 	// the stream breaks off, or negative to send all of them.
 	events, broken int
+	// framing is that of the response. endsInside ends the stream with a part of an event.
+	framing    serve.Framing
+	endsInside bool
 	// latency passes before the response.
 	latency time.Duration
 }
@@ -128,7 +131,11 @@
 	if sc.lost {
 		return nil, errReset
 	}
-	return &serve.Response{Class: sc.class, Status: sc.status, Signals: sc.signals, Body: io.NopCloser(responseBody(r, s, sc))}, nil
+	body := responseBody(r, s, sc)
+	if sc.endsInside {
+		body = io.MultiReader(body, strings.NewReader("id: 9\nda"))
+	}
+	return &serve.Response{Class: sc.class, Status: sc.status, Signals: sc.signals, Framing: sc.framing, Events: r.Route.Kind == fleet.Stream, Body: io.NopCloser(body)}, nil
 }
 
 // RunStatus implements serve.Backend.
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -29,7 +29,7 @@
 		if x.request.Route.Resumable {
 			return x.forwardEvents(response, body)
 		}
-		return x.forwardRaw(response, body, nil)
+		return x.forwardStream(response, body)
 	}
 	head, err := io.ReadAll(io.LimitReader(body, bufferedBodyBytes))
 	if err != nil {
@@ -62,7 +62,7 @@
 		x.result.Resumed++
 		return
 	}
-	x.headSent = true
+	x.headSent, x.headFraming = true, response.Framing
 	x.result.FirstByte = x.server.Now().Sub(x.request.Arrived)
 	x.sink.Begin(response)
 }
@@ -77,6 +77,36 @@
 	return nil
 }
 
+// forwardStream copies a stream that cannot be resumed. It returns errPartialEvent if the stream ends within
+// an event.
+func (x *exchange) forwardStream(response *Response, body io.Reader) error {
+	if !response.Events {
+		return x.forwardRaw(response, body, nil)
+	}
+	var boundary eventBoundary
+	tracked := &trackedReader{src: body, boundary: &boundary}
+	if err := x.forwardRaw(response, tracked, nil); err != nil {
+		return err
+	}
+	if boundary.insideEvent() {
+		return errors.Wrap(errPartialEvent, "read stream")
+	}
+	return nil
+}
+
+// trackedReader adds what it reads to boundary.
+type trackedReader struct {
+	src      io.Reader
+	boundary *eventBoundary
+}
+
+// Read implements io.Reader.
+func (t *trackedReader) Read(p []byte) (int, error) {
+	n, err := t.src.Read(p)
+	t.boundary.add(p[:n])
+	return n, err
+}
+
 // forwardRaw copies a body unbuffered.
 func (x *exchange) forwardRaw(response *Response, body io.Reader, head []byte) error {
 	buf := make([]byte, 8<<10)
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -45,7 +45,7 @@
 	ProbeNotRun ProbeOutcome = iota
 	// ProbeInterrupted means that the request may have run and has no complete response.
 	ProbeInterrupted
-	// ProbeServed means that the response is complete.
+	// ProbeServed means that the response is complete, or ended with its connection as a complete one does.
 	ProbeServed
 )
 
--- a/pkg/serve/queue.go
+++ b/pkg/serve/queue.go
@@ -51,7 +51,7 @@
 
 // SlotResult is the result of using a slot.
 type SlotResult struct {
-	// Duration is the duration of a successful run, or zero.
+	// Duration is the duration of a run that is not known to have failed, or zero.
 	Duration time.Duration
 	// Failed reports that the endpoint failed or rejected the request.
 	Failed bool
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -126,8 +126,11 @@
 	Load *fleet.Load
 	// Signals holds the rate limit, pause and shutdown notice sent with the response.
 	Signals signals.Response
-	// Body returns io.EOF only at the end of the complete body.
+	// Body returns io.EOF only at the end of the complete body, or with FramingConnection at the end of the
+	// connection.
 	Body io.ReadCloser
+	// Events reports whether the body is a series of events.
+	Events bool
 	// Via is the name of the host by way of which the request was sent, or "".
 	Via string
 	// Head is shared by the protocol handler and the backend.
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -6,14 +6,16 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
-// Outcome returns the label of the result: the status of the response, or the cause of a
-// refusal or failure.
+// Outcome returns the label of the result: the status of the response and whether its end is unconfirmed, or
+// the cause of a refusal or failure.
 func (r Result) Outcome() string {
 	switch {
 	case r.Refusal != nil && r.Refusal.NotRun:
 		return "refused_" + string(r.Refusal.Cause)
 	case r.Refusal != nil:
 		return "failed_" + string(r.Refusal.Cause)
+	case r.Unconfirmed:
+		return "unconfirmed_" + strconv.Itoa(r.Status)
 	default:
 		return "status_" + strconv.Itoa(r.Status)
 	}
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -63,8 +63,10 @@
 	Via string
 	// Framing is how the end of the last response's body was marked, or "" without a response.
 	Framing Framing
-	// Complete reports whether the complete response was sent to the client.
-	Complete bool
+	// Complete reports whether the complete response was sent to the client. Unconfirmed reports that all
+	// of a response was sent that ended with its connection, so that nobody knows whether it is complete.
+	Complete    bool
+	Unconfirmed bool
 	// Note describes the last failure at an endpoint.
 	Note string
 }
@@ -127,9 +129,11 @@
 	rejected int
 	// noPath counts the attempts for which no host had links to endpoints.
 	noPath int
-	// headSent reports whether the head of a response was sent to the client.
-	headSent  bool
-	lastEvent string
+	// headSent reports whether the head of a response was sent to the client, and headFraming the framing
+	// that this head has.
+	headSent    bool
+	headFraming Framing
+	lastEvent   string
 	// retryReserved is set if an abandoned attempt has already taken the retry that follows
 	// it.
 	retryReserved atomic.Bool
@@ -216,7 +220,7 @@
 	switch {
 	case r == attemptNotRun:
 		return ProbeNotRun
-	case r == attemptDone && x.result.Complete:
+	case r == attemptDone && (x.result.Complete || x.result.Unconfirmed):
 		return ProbeServed
 	}
 	return ProbeInterrupted
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -289,7 +289,8 @@
 	once    sync.Once
 }
 
-// Read implements io.Reader. It returns io.EOF only after the complete body.
+// Read implements io.Reader. It returns io.EOF only after the complete body, or at the end of the connection if
+// the body ends with it.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
