Logs: the endpoint's software version and whose stream a client takes up

A request's line named the last endpoint but not its version, nor the attempt whose stream a client takes up, so that the hypotheses of the incident cannot be told apart from logs. No decision depends on them.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -49,6 +49,8 @@
 	// terminated.
 	Addr string
 	Zone string
+	// Version is the version of its software, an opaque string.
+	Version string
 	// Slots is the maximum number of concurrent requests.
 	Slots int
 	// Draining endpoints take no new requests.
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -24,7 +24,7 @@
 	defer cancel(nil)
 	watcher := x.watchForStall(ctx, cancel, e)
 	defer watcher.stop()
-	x.result.Endpoint = e.ID
+	x.result.Endpoint, x.result.EndpointVersion = e.ID, e.Version
 	response, err := s.Backend.Send(ctx, x.request, Send{
 		Endpoint:  e,
 		Deadline:  x.request.ClientDeadline,
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -54,6 +54,9 @@
 	// LastEvent is the ID of the last event that the client received before this attempt, or
 	// empty.
 	LastEvent string
+	// Resumes is the ID of the client attempt that brought the first event of the stream that this one
+	// resumes, or empty if the client does not say.
+	Resumes string
 	// Wire is shared by the protocol handler and the backend. This package does not use it.
 	Wire any
 	// returned reports that this host has refused the request before and that it returned no
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -56,6 +56,12 @@
 	if r.Via != "" {
 		attrs = append(attrs, "via", r.Via)
 	}
+	if r.EndpointVersion != "" {
+		attrs = append(attrs, "endpoint_version", r.EndpointVersion)
+	}
+	if r.Request.Resumes != "" {
+		attrs = append(attrs, "resumes", r.Request.Resumes)
+	}
 	if r.Request.returned {
 		attrs = append(attrs, "returned", true)
 	}
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -47,6 +47,8 @@
 	Status   int
 	Refusal  *Refusal
 	Endpoint fleet.EndpointID
+	// EndpointVersion is the software version of the endpoint.
+	EndpointVersion string
 	// Sent counts attempts that reached an endpoint, Runs those that may have run the request.
 	Sent int
 	Runs int
