Test: streams across software versions (known red)

The stand-in of an endpoint now has a version that its events name. TestStreamsAcrossSoftwareVersions breaks streams within an answer, takes them up at another host, also after the death of the one that began them, with unknown, missing and garbled attempts, and at a host that is cut off from the others; at least half have to go on.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -64,6 +65,9 @@
 	Service string
 	Zone    string
 	Slots   int
+	// Version is the software version, which each event of a stream names. Empty means "v1", and events do
+	// not name it.
+	Version string
 	// StartMillis is the reported start time in Unix milliseconds. Zero means that none is reported.
 	StartMillis int64
 	// WeightsMB and AdapterSlots are the capacity for models and adapters. An endpoint without
@@ -164,6 +168,15 @@
 	e.publishEntry()
 }
 
+// Name returns the name of the endpoint.
+func (e *Endpoint) Name() string { return e.config.ID }
+
+// Remove stops the endpoint and removes its entry from the store.
+func (e *Endpoint) Remove() {
+	e.Close()
+	e.store.Put(topicEndpoints, e.config.ID, nil)
+}
+
 // Heartbeat writes the entry of the endpoint again, as endpoints do from time to time.
 func (e *Endpoint) Heartbeat() {
 	e.mu.Lock()
@@ -266,7 +279,7 @@
 		"service":  e.config.Service,
 		"address":  e.Addr,
 		"zone":     e.config.Zone,
-		"version":  "v1",
+		"version":  cmp.Or(e.config.Version, "v1"),
 		"slots":    e.config.Slots,
 		"state":    state,
 		"models":   e.loadedModels(),
--- a/internal/standin/site/requests.go
+++ b/internal/standin/site/requests.go
@@ -103,7 +103,7 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+		if _, err := io.WriteString(w, e.event(n)); err != nil {
 			return
 		}
 		if control.Flush() != nil {
@@ -125,7 +125,7 @@
 	parts := []string{"answer ", "to ", id}
 	if e.config.Events > 0 {
 		header.Set("Content-Type", "text/event-stream")
-		parts = eventsAfter(r.Header.Get("Last-Event-Id"), e.config.Events)
+		parts = e.eventsAfter(r.Header.Get("Last-Event-Id"))
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -154,11 +154,19 @@
 }
 
 // eventsAfter returns the events of a stream after the one with the ID last.
-func eventsAfter(last string, events int) []string {
+func (e *Endpoint) eventsAfter(last string) []string {
 	n, _ := strconv.Atoi(last) // A missing ID starts the stream at its first event.
 	var out []string
-	for n++; n <= events; n++ {
-		out = append(out, fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n))
+	for n++; n <= e.config.Events; n++ {
+		out = append(out, e.event(n))
 	}
 	return out
 }
+
+// event returns the event with an ID.
+func (e *Endpoint) event(n int) string {
+	if e.config.Version != "" {
+		return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n, n, e.config.Version)
+	}
+	return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+}
--- /dev/null
+++ b/pkg/gateway/versions_test.go
@@ -0,0 +1,249 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/standin/site"
+)
+
+const streamEvents = 6
+
+// startVersion starts an engine of a software version.
+func (d *deployment) startVersion(id, version string, behave func(id, model string, n int) site.Behavior) *site.Endpoint {
+	d.t.Helper()
+	return d.startEndpoint(site.EndpointConfig{
+		ID: id, Service: "llm", Zone: "zone-a", Slots: 32, WeightsMB: 125, AdapterSlots: 4, Models: models, Version: version,
+		LoadedModels: []string{"warm"}, Events: streamEvents, EventInterval: 20 * time.Millisecond, Behave: behave,
+	})
+}
+
+var eventVersion = regexp.MustCompile(`of (\S+)`)
+
+// versionsIn returns the software versions that wrote the events of a stream.
+func versionsIn(stream string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range eventVersion.FindAllStringSubmatch(stream, -1) {
+		out[m[1]] = true
+	}
+	return out
+}
+
+// streamRequest returns a request for a stream. A stream that is resumed has the ID of its last event and those
+// of the attempts that its client says began it.
+func (d *deployment) streamRequest(ctx context.Context, h *host, id, lastEvent string, resumes ...string) *http.Request {
+	d.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Addr()+"/chat/", strings.NewReader(id))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Attempt-Id", id)
+	req.Header.Set("X-Model-Name", "warm")
+	if lastEvent != "" {
+		req.Header.Set("Last-Event-Id", lastEvent)
+		req.Header["Resumes"] = resumes
+	}
+	return req
+}
+
+// begin begins a stream, leaves after its first event and returns that.
+func (d *deployment) begin(h *host, id string) string {
+	d.t.Helper()
+	ctx, leave := context.WithCancel(d.t.Context())
+	defer leave()
+	resp, err := http.DefaultClient.Do(d.streamRequest(ctx, h, id, ""))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	in := bufio.NewReader(resp.Body)
+	var event string
+	for range 3 { // An event has two lines and a blank one.
+		line, err := in.ReadString('\n')
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		event += line
+	}
+	return event
+}
+
+// resume takes a stream up after its first event.
+func (d *deployment) resume(h *host, id string, resumes ...string) reply {
+	d.t.Helper()
+	resp, err := http.DefaultClient.Do(d.streamRequest(d.t.Context(), h, id, "1", resumes...))
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{status: resp.StatusCode, body: string(body) + err.Error()}
+	}
+	return reply{resp.StatusCode, string(body), resp.Header}
+}
+
+// startVersions starts three hosts and two engines of each of two software versions.
+func (d *deployment) startVersions() ([]*host, []*site.Endpoint) {
+	d.t.Helper()
+	d.publish(config(1))
+	var engines []*site.Endpoint
+	for _, version := range []string{"1.0", "2.0"} {
+		for n := range 2 {
+			engines = append(engines, d.startVersion(fmt.Sprint("e", version, "-", n), version, nil))
+		}
+	}
+	hosts := []*host{d.startHost("a"), d.startHost("b"), d.startHost("c")}
+	d.waitForPeers(hosts...)
+	d.waitFor("streams begin at both versions", func() bool {
+		seen := map[string]bool{}
+		for i := range 8 {
+			for v := range versionsIn(d.begin(hosts[i%3], fmt.Sprint("warm-up-", i))) {
+				seen[v] = true
+			}
+		}
+		return len(seen) == 2
+	})
+	return hosts, engines
+}
+
+// Guards against streams that hold events of two software versions, which do not fit together.
+func TestStreamsAcrossSoftwareVersions(t *testing.T) {
+	t.Parallel()
+	t.Run("broken stream goes on at its version", brokenStreamGoesOnAtItsVersion)
+	t.Run("resumed stream goes on at its version", resumedStreamGoesOnAtItsVersion)
+	t.Run("stream of unknown version is refused", streamOfUnknownVersionIsRefused)
+	t.Run("stream is refused while hosts are cut off", streamIsRefusedWhileHostsAreCutOff)
+}
+
+// Guards against a stream whose endpoint breaks it off and that goes on, within the same answer, at an endpoint of
+// another software version.
+func brokenStreamGoesOnAtItsVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	breaks := func(string, string, int) site.Behavior { return site.Behavior{BreakAfter: 1} }
+	d.startVersion("e1", "1.0", breaks)
+	whole := d.startVersion("e2", "2.0", nil)
+	h := d.startHost("a")
+	broken := 0
+	for i := range 12 {
+		id := fmt.Sprint("broken-", i)
+		got := d.requestWithBody(h, "/chat/", "warm", id)
+		is.True(len(versionsIn(got.body)) <= 1)
+		if !versionsIn(got.body)["2.0"] {
+			broken++
+		}
+	}
+	is.True(broken > 0)
+	is.True(len(whole.Runs()) < 12)
+}
+
+// Guards against a stream that its client takes up at another host, and that goes on at an endpoint of another
+// software version. At least half of the streams have to go on, also after the death of the host that began them.
+func resumedStreamGoesOnAtItsVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	hosts, _ := d.startVersions()
+	const streams = 24
+	resumeAll := func(round string, kill bool) {
+		first := map[string]string{}
+		for i := range streams {
+			id := fmt.Sprint(round, "-", i)
+			first[id] = d.begin(hosts[0], id)
+		}
+		if kill {
+			hosts[0].Kill()
+		}
+		complete := 0
+		for i := range streams {
+			id := fmt.Sprint(round, "-", i)
+			got := d.resume(hosts[1+i%2], id+"-again", id)
+			if got.status != http.StatusOK {
+				is.Equal(got.status, http.StatusServiceUnavailable) // The request has not run.
+				continue
+			}
+			all := first[id] + got.body
+			is.Equal(len(versionsIn(all)), 1)
+			if strings.Count(all, "data:") == streamEvents {
+				complete++
+			}
+		}
+		t.Logf("%s: %d of %d streams went on", round, complete, streams)
+		is.True(complete >= streams/2)
+	}
+	resumeAll("alive", false)
+	resumeAll("killed", true)
+}
+
+// Guards against guessing the software version that began a stream.
+func streamOfUnknownVersionIsRefused(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	hosts, engines := d.startVersions()
+	d.begin(hosts[0], "begun")
+	for name, resumes := range map[string][]string{
+		"unknown":       {"never-seen"},
+		"missing":       nil,
+		"empty":         {""},
+		"several":       {"begun", "other"},
+		"list":          {"begun,other"},
+		"very long":     {strings.Repeat("x", 4000)},
+		"of other case": {"BEGUN"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			id := "refused-" + name
+			got := d.resume(hosts[1], id, resumes...)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.Equal(len(runsOf(engines, id)), 0)
+		})
+	}
+}
+
+// Guards against guessing while the hosts that know cannot be asked.
+func streamIsRefusedWhileHostsAreCutOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	hosts, engines := d.startVersions()
+	hosts[2].DisconnectPeers()
+	const streams = 12
+	for i := range streams {
+		id := fmt.Sprint("cut-", i)
+		first := d.begin(hosts[0], id)
+		got := d.resume(hosts[2], id+"-again", id)
+		if got.status == http.StatusOK {
+			is.Equal(len(versionsIn(first+got.body)), 1)
+			continue
+		}
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.Equal(len(runsOf(engines, id+"-again")), 0)
+	}
+}
+
+// Guards against refusing streams, or asking other hosts, where all endpoints have one software version.
+func TestOneVersionNeedsNoLookup(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	d.startVersion("e1", "1.0", nil)
+	d.startVersion("e2", "1.0", nil)
+	h := d.startHost("a")
+	d.waitFor("streams are served", func() bool { return d.request(h, "/chat/", "warm").status == http.StatusOK })
+	got := d.resume(h, "again", "never-seen")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(strings.Count(got.body, "data:"), streamEvents-1)
+}
