Serve: a stream goes on only at the software version that began it

Cause: nothing in a host knew the software version of an endpoint. What goes on was chosen by model alone, within an answer and for a client that takes a stream up at another host.

Change: the endpoint of the first event that a client gets decides the version; the rest of the stream requires it (serve.Need). Where a service has, or had in the last minute, several versions, a host tells two others chosen by hash where each resumable stream began (pkg/streamorigin), and a host that takes one up asks four. What nobody knows, or several know differently, is refused with 503, as is a stream whose version has no endpoint with its model in time. An adapter is ordered at an endpoint of the version: the demand names it. Hosts that have just started read from the store which services had several versions. With one version nothing is told or asked.

Why this works: the version is recorded before the client gets the first event, so a client that can name an attempt names one that its host knew; unknown means refused.

The delay is 3 ms now, and the test waits until half are told, since what is on its way when a host dies is lost by design.

--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -143,7 +143,7 @@
 
 // HasAlternative implements serve.Queue. It always returns false: without a latency limit in
 // contracts, an unresponsive replica cannot be distinguished from a slow one.
-func (s *Queues) HasAlternative(*serve.Request, fleet.EndpointID) bool { return false }
+func (s *Queues) HasAlternative(serve.Need, fleet.EndpointID) bool { return false }
 
 // ServiceTime implements serve.Queue. It is not used, since HasAlternative returns false.
 func (s *Queues) ServiceTime(string) time.Duration { return 0 }
--- a/pkg/fleet/index.go
+++ b/pkg/fleet/index.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // index finds endpoints by service and by model. It is updated incrementally: a change costs
 // time proportional to the models of the changed endpoint, and the result of a lookup is
 // cached until it changes. Returned slices are never modified.
@@ -15,12 +17,14 @@
 	byService map[string]*memberSet[*Endpoint]
 	byModel   map[ModelRef]*memberSet[modelState]
 	// copies caches the endpoints of a service as values.
-	copies map[string][]Endpoint
+	copies   map[string][]Endpoint
+	versions versionUses
 }
 
 // indexKeys holds the keys under which an endpoint is indexed.
 type indexKeys struct {
 	service string
+	version string
 	models  []ModelRef
 }
 
@@ -38,6 +42,7 @@
 		byService: map[string]*memberSet[*Endpoint]{},
 		byModel:   map[ModelRef]*memberSet[modelState]{},
 		copies:    map[string][]Endpoint{},
+		versions:  versionUses{},
 	}
 }
 
@@ -60,9 +65,9 @@
 }
 
 // update indexes all dirty endpoints again.
-func (x *index) update(placements map[EndpointID][]modelState) {
+func (x *index) update(now time.Time, placements map[EndpointID][]modelState) {
 	for id := range x.dirty {
-		x.removeEndpoint(id)
+		x.removeEndpoint(now, id)
 		if e, ok := x.listed[id]; ok {
 			models, known := placements[id]
 			if !known || !x.useNotices {
@@ -74,13 +79,14 @@
 	clear(x.dirty)
 }
 
-func (x *index) removeEndpoint(id EndpointID) {
+func (x *index) removeEndpoint(now time.Time, id EndpointID) {
 	keys, ok := x.indexed[id]
 	if !ok {
 		return
 	}
 	delete(x.indexed, id)
 	delete(x.copies, keys.service)
+	x.versions.remove(now, keys.service, keys.version)
 	removeMember(x.byService, keys.service, id)
 	for _, key := range keys.models {
 		removeMember(x.byModel, key, id)
@@ -88,8 +94,9 @@
 }
 
 func (x *index) addEndpoint(e *Endpoint, models []modelState) {
-	keys := indexKeys{service: e.Service}
+	keys := indexKeys{service: e.Service, version: e.Version}
 	delete(x.copies, e.Service)
+	x.versions.add(e.Service, e.Version)
 	addMember(x.byService, e.Service, e.ID, e)
 	for _, r := range models {
 		key := ModelRef{e.Service, r.model}
--- a/pkg/fleet/locator.go
+++ b/pkg/fleet/locator.go
@@ -201,6 +201,9 @@
 	ColdReadyAt time.Time
 	// HasEndpoints reports whether any endpoint of the service takes requests.
 	HasEndpoints bool
+	// LoadsAdapter reports that no endpoint serves the adapter, but one has its model and can load the adapter
+	// in a short time.
+	LoadsAdapter bool
 }
 
 // Locate returns the location of a model, or of one of its adapters if adapter is set. An
@@ -208,20 +211,57 @@
 func (l *Locator) Locate(now time.Time, service, model, adapter string) Location {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.stale || now.Sub(l.indexedAt) > maxIndexAge {
-		l.refresh(now)
-	}
+	l.refreshIfStale(now)
 	loc := Location{HasEndpoints: l.index.serves(service)}
 	if model == "" {
 		loc.Ready = l.index.endpoints(service)
 		return loc
 	}
+	l.locateModel(now, ModelRef{service, model}, adapter, VersionRequirement{}, &loc)
+	return loc
+}
+
+// LocateVersion is like Locate for the endpoints that meet a requirement only. No load brings a model to them in
+// time for a stream that has begun, so ColdReadyAt is not set.
+func (l *Locator) LocateVersion(now time.Time, service, model, adapter string, version VersionRequirement) Location {
+	if !version.Set {
+		return l.Locate(now, service, model, adapter)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refreshIfStale(now)
+	loc := Location{HasEndpoints: l.index.versions.serves(service, version.Version)}
+	if model == "" {
+		for _, e := range l.index.endpoints(service) {
+			if version.Allows(e) {
+				loc.Ready = append(loc.Ready, e)
+			}
+		}
+		return loc
+	}
+	l.locateModel(now, ModelRef{service, model}, adapter, version, &loc)
+	loc.ColdReadyAt = time.Time{}
+	return loc
+}
+
+// refreshIfStale must be called with mu held.
+func (l *Locator) refreshIfStale(now time.Time) {
+	if l.stale || now.Sub(l.indexedAt) > maxIndexAge {
+		l.refresh(now)
+	}
+}
+
+// locateModel adds to loc where a model is available at endpoints that meet a requirement. It must be called
+// with mu held.
+func (l *Locator) locateModel(now time.Time, model ModelRef, adapter string, version VersionRequirement, loc *Location) {
 	if now.Sub(l.heartbeatAt) < controllerTimeout {
-		loc.ColdReadyAt = l.coldReadyAt[ModelRef{service, model}]
+		loc.ColdReadyAt = l.coldReadyAt[model]
 	}
-	for _, r := range l.index.holders(ModelRef{service, model}) {
+	for _, r := range l.index.holders(model) {
 		switch {
-		case r.unloading || adapter != "" && !r.adapters[adapter]:
+		case r.unloading || !version.Allows(*r.endpoint):
+		case adapter != "" && !r.adapters[adapter]:
+			loc.LoadsAdapter = loc.LoadsAdapter || !r.readyAt.After(now)
 		case r.readyAt.After(now):
 			if loc.ReadyAt.IsZero() || r.readyAt.Before(loc.ReadyAt) {
 				loc.ReadyAt = r.readyAt
@@ -230,7 +270,7 @@
 			loc.Ready = append(loc.Ready, *r.endpoint)
 		}
 	}
-	return loc
+	loc.LoadsAdapter = loc.LoadsAdapter && len(loc.Ready) == 0
 }
 
 // refresh applies changes of the list and the notices to the index. It must be called with mu
@@ -245,7 +285,7 @@
 	for _, c := range l.directory.takeChanges(now) {
 		l.index.applyChange(c)
 	}
-	l.index.update(l.placements)
+	l.index.update(now, l.placements)
 }
 
 func listedModels(e Endpoint) []modelState {
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -197,6 +197,9 @@
 	Completed int    `cbor:"11,keyasint,omitempty"`
 	Rejected  int    `cbor:"12,keyasint,omitempty"`
 	Flows     []Flow `cbor:"13,keyasint,omitempty"`
+	// Version is the software version that waiting requests for an adapter require of the endpoint that loads
+	// it. Hosts of former versions ignore it.
+	Version VersionRequirement `cbor:"14,keyasint,omitzero"`
 }
 
 // Counts returns only the events of a report that are passed on once, such as arrivals, and whether
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -27,8 +27,8 @@
 // Topic is one keyed topic of the platform's store.
 type Topic int
 
-// The topics that a host reads. A host writes only to TopicHosts, TopicClaims and
-// TopicCrashes.
+// The topics that a host reads. A host writes only to TopicHosts, TopicClaims, TopicCrashes and
+// TopicVersions.
 const (
 	// TopicConfig holds the operator's configuration.
 	TopicConfig Topic = iota
@@ -40,14 +40,17 @@
 	TopicClaims
 	// TopicCrashes holds the requests that crash endpoints.
 	TopicCrashes
+	// TopicVersions holds the software versions of the services that have several. It is read only by hosts
+	// that have just started.
+	TopicVersions
 )
 
-// Topics lists all topics.
+// Topics lists the topics that hosts follow.
 var Topics = []Topic{TopicConfig, TopicEndpoints, TopicHosts, TopicClaims, TopicCrashes}
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"config", "endpoints", "hosts", "claims", "crashes"}[t]
+	return [...]string{"config", "endpoints", "hosts", "claims", "crashes", "versions"}[t]
 }
 
 // Entry is a record of a keyed topic. An entry without a value deletes the key.
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -207,7 +207,7 @@
 		if n.Waiting == 0 {
 			continue
 		}
-		if at := g.locator.Locate(now, n.Service, n.Model, n.Adapter); len(at.Ready) == 0 && at.ReadyAt.IsZero() {
+		if at := g.locator.LocateVersion(now, n.Service, n.Model, n.Adapter, n.Version); len(at.Ready) == 0 && at.ReadyAt.IsZero() {
 			return true
 		}
 	}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -159,6 +159,7 @@
 		g.checkLinks(ctx, now)
 		g.updateBlocks(now)
 		g.updateAccountLevels(now)
+		g.streams.checkVersions(now)
 		g.budget.SetHosts(g.sharingHosts())
 		due := now.Sub(lastQuery) >= time.Duration(g.mesh.hosts())*staleListQueryIntervalPerHost
 		if due && g.storeReads.Loaded(fleet.TopicEndpoints) && g.listViewAge(now) > maxListAge {
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -103,3 +103,8 @@
 
 // PeerAddr returns the address for requests of other hosts.
 func (g *Gateway) PeerAddr() string { return g.self.Addr }
+
+// KnowsStream reports whether the host remembers where the stream of an attempt began.
+func (g *Gateway) KnowsStream(attempt string) bool {
+	return g.streams.table.Find(g.Now(), attempt).Origin != nil
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -124,6 +124,8 @@
 	// hosts.
 	blocks  replicatedSet[fleet.Block]
 	signals replicatedSet[fleet.EndpointSignal]
+	// streams knows which software versions began streams.
+	streams *streamVersions
 	// accounts enforces the rate limits of client accounts.
 	accounts *accounts
 	// reportSeq is the sequence number of the last demand report. lastStamp is the last
@@ -220,6 +222,8 @@
 		Now:     g.Now,
 		Tracer:  cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
 	}
+	g.streams = newStreamVersions(g)
+	g.server.Versions = g.streams
 	g.budget.SetHosts(maxAssumedHosts) // until the hosts are read
 	g.guard = g.newGuard()
 	g.server.Guard = g.guard
@@ -314,13 +318,14 @@
 
 // Find implements serve.Placement.
 func (l placementLocator) Find(now time.Time, n serve.Need) serve.Location {
-	at := l.locator.Locate(now, n.Service, n.Model, n.Adapter)
+	at := l.locator.LocateVersion(now, n.Service, n.Model, n.Adapter, n.Version)
 	c := l.config()
 	return serve.Location{
 		Ready:         at.Ready,
 		ReadyAt:       at.ReadyAt,
 		ColdReadyAt:   at.ColdReadyAt,
 		HasEndpoints:  at.HasEndpoints,
+		LoadsAdapter:  at.LoadsAdapter,
 		NotConfigured: c != nil && !c.HasModel(n.Service, n.Model, n.Adapter),
 	}
 }
@@ -415,6 +420,8 @@
 		g.followClaims,
 		g.followCrashes,
 		g.storeCrashes,
+		g.streams.run,
+		g.streams.storeVersions,
 		g.announce,
 		g.mesh.serve,
 		g.followController,
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -33,6 +33,10 @@
 		state = g.respondToStateRequest(*r.State)
 	case r.Check != nil:
 		response.Endpoint = g.respondToCheck(*r.Check)
+	case r.StreamLookup != nil:
+		response.StreamLookup = g.streams.respond(*r.StreamLookup)
+	case len(r.StreamStarts) > 0:
+		g.streams.add(r.StreamStarts)
 	}
 	response.LinksLost = g.links.table.Lost()
 	claim := g.election.Newest()
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -253,6 +253,7 @@
 			Service:       d.Service,
 			Model:         d.Model,
 			Adapter:       d.Adapter,
+			Version:       d.Version,
 			Waiting:       d.Waiting,
 			OnTime:        d.OnTime,
 			Inflight:      d.Inflight,
--- /dev/null
+++ b/pkg/gateway/streamversions.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/wait"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/streamorigin"
+)
+
+const (
+	// streamKeepers is the number of other hosts that are told where a stream began, and askedKeepers of those
+	// that are asked: hosts may know of different others for a while.
+	streamKeepers = 2
+	askedKeepers  = 4
+	// streamBatchDelay is how long streams are collected before the hosts that keep them are told.
+	streamBatchDelay = 3 * time.Millisecond
+	// maxStreamBatch bounds the streams in one message.
+	maxStreamBatch = 512
+	// streamLookupTimeout bounds the questions to other hosts.
+	streamLookupTimeout = 400 * time.Millisecond
+	// streamKeeperBackoff is how long a host that did not respond is not told of streams.
+	streamKeeperBackoff = time.Second
+	// earlierStreamsTime is how far back streams are told to others once a second version appears, and
+	// maxEarlierStreams how many of them.
+	earlierStreamsTime = 30 * time.Second
+	maxEarlierStreams  = 4096
+
+	// sourceOneVersion and sourceSelf are the sources of knowledge that are not another host.
+	sourceOneVersion = "one_version"
+	sourceSelf       = "self"
+)
+
+// streamVersions knows which software versions began streams, by asking other hosts if need be. It implements
+// serve.StreamVersions.
+type streamVersions struct {
+	g     *Gateway
+	table *streamorigin.Table
+	// wake ends the wait for streams to tell others of.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// pending holds the streams to tell others of.
+	pending []fleet.StreamStart
+	// backoffUntil is the time until which a host is not told of streams.
+	backoffUntil map[string]time.Time
+	// several holds the services with several versions, as of the last check.
+	several map[string]bool
+	history versionHistory
+}
+
+func newStreamVersions(g *Gateway) *streamVersions {
+	return &streamVersions{
+		g:            g,
+		table:        streamorigin.NewTable(),
+		wake:         make(chan struct{}, 1),
+		backoffUntil: map[string]time.Time{},
+		several:      map[string]bool{},
+	}
+}
+
+// RecordStart implements serve.StreamVersions.
+func (v *streamVersions) RecordStart(r *serve.Request, o fleet.StreamOrigin) {
+	now := v.g.Now()
+	start := fleet.StreamStart{Attempt: r.ID, Origin: o}
+	v.table.Add(now, start)
+	if len(v.versions(now, o.Service)) > 1 {
+		v.tell(start)
+	}
+}
+
+// tell queues streams for the hosts that keep them.
+func (v *streamVersions) tell(starts ...fleet.StreamStart) {
+	v.mu.Lock()
+	v.pending = append(v.pending, starts...)
+	v.mu.Unlock()
+	trySend(v.wake)
+}
+
+// versions returns the software versions of a service that may have begun streams which still go on.
+func (v *streamVersions) versions(now time.Time, service string) []string {
+	out := v.g.locator.Versions(now, service)
+	if now.Sub(v.g.startedAt) >= versionHistoryTime {
+		return out
+	}
+	out = append(out, v.history.of(service)...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Find implements serve.StreamVersions.
+func (v *streamVersions) Find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
+	found, err := v.find(ctx, r)
+	source := found.Source
+	switch {
+	case err != nil:
+		source = "unknown"
+	case source != sourceSelf && source != sourceOneVersion:
+		source = "peer"
+	}
+	v.g.metrics.count("stream_lookups", map[string]string{"source": source})
+	return found, err
+}
+
+func (v *streamVersions) find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
+	certain := v.knowsHistory(ctx)
+	if certain && v.oneVersion(v.g.Now(), r.Service) {
+		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
+	}
+	if r.Resumes == "" {
+		return serve.StreamVersion{}, errors.Wrap(serve.ErrVersionUnknown, "the client does not name the attempt that began the stream")
+	}
+	return v.lookUp(ctx, r)
+}
+
+// oneVersion reports whether, as far as this host knows, all streams of a service began at one version.
+func (v *streamVersions) oneVersion(now time.Time, service string) bool {
+	return len(v.versions(now, service)) <= 1
+}
+
+// lookUp finds the version that began a stream in this host's own table or by asking others.
+func (v *streamVersions) lookUp(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
+	own := v.table.Find(v.g.Now(), r.Resumes)
+	if own.Conflict {
+		return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "attempt %s began at several versions", r.Resumes)
+	}
+	if own.Origin != nil {
+		return streamVersion(own, sourceSelf), nil
+	}
+	found, oneVersion, err := v.ask(ctx, fleet.StreamLookup{Attempt: r.Resumes, Service: r.Service})
+	if err != nil {
+		return serve.StreamVersion{}, err
+	}
+	switch {
+	case found != nil:
+		start := fleet.StreamStart{Attempt: r.Resumes, Origin: fleet.StreamOrigin{Service: found.Service, Version: found.Required.Version}}
+		v.table.Add(v.g.Now(), start)
+		v.tell(start) // A host that has kept it may be gone.
+		return *found, nil
+	case oneVersion && v.oneVersion(v.g.Now(), r.Service):
+		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
+	}
+	return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "no host that was asked knows attempt %s", r.Resumes)
+}
+
+func streamVersion(found fleet.StreamLookupResult, source string) serve.StreamVersion {
+	return serve.StreamVersion{
+		Service:  found.Origin.Service,
+		Required: fleet.RequireVersion(found.Origin.Version),
+		Source:   source,
+		Age:      milliseconds(found.Age),
+	}
+}
+
+// ask asks the hosts that keep a stream where it began. It returns nil if none knows; oneVersion then reports
+// whether one of them knows that the service has had one version.
+func (v *streamVersions) ask(ctx context.Context, q fleet.StreamLookup) (found *serve.StreamVersion, oneVersion bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, streamLookupTimeout)
+	defer cancel()
+	type answer struct {
+		host   string
+		result *fleet.StreamLookupResult
+	}
+	keepers := v.keepers(q.Attempt, askedKeepers)
+	answers := make(chan answer, len(keepers))
+	for _, k := range keepers {
+		go func() {
+			response, err := v.g.mesh.send(ctx, k.Addr, peer.Request{StreamLookup: &q})
+			if err != nil {
+				answers <- answer{host: k.Name}
+				return
+			}
+			answers <- answer{k.Name, response.StreamLookup}
+		}()
+	}
+	for range keepers {
+		a := <-answers
+		switch {
+		case a.result == nil:
+		case a.result.Conflict:
+			return nil, false, errors.Wrapf(serve.ErrVersionUnknown, "attempt %s began at several versions, says host %s", q.Attempt, a.host)
+		case a.result.Origin != nil:
+			version := streamVersion(*a.result, a.host)
+			return &version, false, nil
+		default:
+			oneVersion = oneVersion || a.result.OneVersion
+		}
+	}
+	return nil, oneVersion, nil
+}
+
+// keepers returns up to n other hosts that keep a stream, in the order in which all hosts choose them.
+func (v *streamVersions) keepers(attempt string, n int) []streamorigin.Host {
+	self := v.g.mesh.member
+	hosts := []streamorigin.Host{{Name: self.Name, Zone: self.Zone}}
+	for _, m := range v.g.mesh.others() {
+		hosts = append(hosts, streamorigin.Host{Name: m.Name, Addr: m.Addr, Zone: m.Zone})
+	}
+	chosen := streamorigin.Keepers(attempt, hosts, n+1)
+	chosen = slices.DeleteFunc(chosen, func(h streamorigin.Host) bool { return h.Name == self.Name })
+	return chosen[:min(n, len(chosen))]
+}
+
+// respond answers the question of another host where a stream began.
+func (v *streamVersions) respond(q fleet.StreamLookup) *fleet.StreamLookupResult {
+	now := v.g.Now()
+	result := v.table.Find(now, q.Attempt)
+	result.OneVersion = v.history.complete(now, v.g.startedAt) && v.oneVersion(now, q.Service)
+	return &result
+}
+
+// add adds streams that another host has begun.
+func (v *streamVersions) add(starts []fleet.StreamStart) {
+	now := v.g.Now()
+	for _, s := range starts {
+		v.table.Add(now, s)
+	}
+}
+
+// run tells other hosts of streams until ctx is done.
+func (v *streamVersions) run(ctx context.Context) {
+	for {
+		select {
+		case <-v.wake:
+		case <-ctx.Done():
+			return
+		}
+		if !wait.For(ctx, streamBatchDelay) {
+			return
+		}
+		v.flush(ctx)
+	}
+}
+
+// flush tells the hosts that keep the pending streams of them.
+func (v *streamVersions) flush(ctx context.Context) {
+	v.mu.Lock()
+	starts := v.pending
+	v.pending = nil
+	v.mu.Unlock()
+	batches := map[string][]fleet.StreamStart{}
+	for _, s := range starts {
+		told := 0
+		for _, k := range v.keepers(s.Attempt, askedKeepers) {
+			if told < streamKeepers && !v.backedOff(k.Addr) {
+				batches[k.Addr] = append(batches[k.Addr], s)
+				told++
+			}
+		}
+	}
+	for addr, batch := range batches {
+		for part := range slices.Chunk(batch, maxStreamBatch) {
+			go v.send(ctx, addr, part)
+		}
+	}
+}
+
+// send tells another host of streams. What is lost is kept by one host less.
+func (v *streamVersions) send(ctx context.Context, addr string, starts []fleet.StreamStart) {
+	v.g.metrics.scope.Counter("stream_starts_told").Inc(int64(len(starts)))
+	if _, err := v.g.mesh.send(ctx, addr, peer.Request{StreamStarts: starts}); err != nil {
+		v.g.metrics.scope.Counter("stream_starts_lost").Inc(int64(len(starts)))
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.backoffUntil[addr] = v.g.Now().Add(streamKeeperBackoff)
+	}
+}
+
+func (v *streamVersions) backedOff(addr string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.g.Now().Before(v.backoffUntil[addr])
+}
+
+// checkVersions tells other hosts of earlier streams of services that have got a second version, since those
+// were not told.
+func (v *streamVersions) checkVersions(now time.Time) {
+	for service, versions := range v.g.locator.VersionedServices(now) {
+		several := len(versions) > 1
+		v.mu.Lock()
+		before := v.several[service]
+		v.several[service] = several
+		v.mu.Unlock()
+		if several && !before {
+			v.tell(v.table.Of(service, now.Add(-earlierStreamsTime), maxEarlierStreams)...)
+		}
+	}
+}
--- a/pkg/gateway/versions_test.go
+++ b/pkg/gateway/versions_test.go
@@ -164,6 +164,16 @@
 			first[id] = d.begin(hosts[0], id)
 		}
 		if kill {
+			// The last streams may not have been told to others yet, or be on their way.
+			d.waitFor("others know half of the streams", func() bool {
+				known := 0
+				for id := range first {
+					if hosts[1].KnowsStream(id) || hosts[2].KnowsStream(id) {
+						known++
+					}
+				}
+				return known >= streams/2
+			})
 			hosts[0].Kill()
 		}
 		complete := 0
@@ -172,6 +182,7 @@
 			got := d.resume(hosts[1+i%2], id+"-again", id)
 			if got.status != http.StatusOK {
 				is.Equal(got.status, http.StatusServiceUnavailable) // The request has not run.
+				t.Logf("%s: %s refused: %s", round, id, got.body)
 				continue
 			}
 			all := first[id] + got.body
@@ -247,3 +258,90 @@
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(strings.Count(got.body, "data:"), streamEvents-1)
 }
+
+// Guards against hosts that start after all were lost and take the only version that is left for the one that
+// began a stream.
+func TestVersionThatIsGoneIsKnownAfterRestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	hosts, engines := d.startVersions()
+	d.waitFor("the store has the versions", func() bool { return d.store.KeyCount("keyed.versions") == 1 })
+	for _, h := range hosts {
+		h.Kill()
+		h.stop()
+	}
+	for _, e := range engines {
+		if strings.HasPrefix(e.Name(), "e1.0") {
+			e.Remove()
+		}
+	}
+	h := d.startHost("d")
+	got := d.resume(h, "after-restart", "begun-before")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(len(runsOf(engines, "after-restart")), 0)
+	is.Equal(versionsIn(d.begin(h, "new")), map[string]bool{"2.0": true})
+}
+
+// Guards against a stream that cannot go on at its version because its adapter was loaded only at an endpoint that is
+// gone, although loading it takes a moment.
+func TestAdapterIsLoadedAtVersionOfStream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	hosts, engines := d.startVersions()
+	send := func(h *host, id, adapter, lastEvent string, resumes ...string) (int, string) {
+		req := d.streamRequest(t.Context(), h, id, lastEvent, resumes...)
+		req.Header.Set("X-Model-Name", "warm/"+adapter)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		return resp.StatusCode, string(body)
+	}
+	// Each endpoint gets one adapter, so that without its version the first one would get the next.
+	events, ranAt := map[string]string{}, map[string]*site.Endpoint{}
+	for _, adapter := range []string{"a1", "a2", "a3", "a4"} {
+		status, body := send(hosts[0], adapter, adapter, "")
+		is.Equal(status, http.StatusOK)
+		events[adapter] = body
+		for _, e := range engines {
+			if len(runsOf([]*site.Endpoint{e}, adapter)) > 0 {
+				ranAt[adapter] = e
+			}
+		}
+	}
+	for adapter, e := range ranAt {
+		if versionsIn(events[adapter])["2.0"] {
+			e.Remove()
+			d.waitFor("the endpoint is gone everywhere", func() bool { return hosts[1].LiveEndpoints() == 3 && hosts[0].LiveEndpoints() == 3 })
+			status, rest := send(hosts[1], adapter+"-again", adapter, "3", adapter)
+			is.Equal(status, http.StatusOK)
+			is.Equal(versionsIn(rest), versionsIn(events[adapter]))
+			return
+		}
+	}
+	t.Fatal("no adapter was loaded at version 2.0")
+}
+
+// Guards against streams that nobody knows any more because they began before a second version appeared and the
+// host that began them is dead.
+func TestStreamsBegunBeforeSecondVersionAreKnown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	engines := []*site.Endpoint{d.startVersion("e1", "1.0", nil), d.startVersion("e2", "1.0", nil)}
+	hosts := []*host{d.startHost("a"), d.startHost("b"), d.startHost("c")}
+	d.waitForPeers(hosts...)
+	d.waitFor("streams are served", func() bool { return d.request(hosts[0], "/chat/", "warm").status == http.StatusOK })
+	d.begin(hosts[0], "early")
+	d.startVersion("e3", "2.0", nil)
+	d.waitFor("others know the stream", func() bool { return hosts[1].KnowsStream("early") || hosts[2].KnowsStream("early") })
+	hosts[0].Kill()
+	got := d.resume(hosts[1], "early-again", "early")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(versionsIn(got.body), map[string]bool{"1.0": true})
+	is.Equal(len(runsOf(engines, "early-again")), 1)
+}
--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,12 +30,46 @@
 		t.updateAdapterUse(now, totals, service.Name)
 	}
 	for _, r := range requests {
-		if r.waiting > 0 {
-			c.placeAdapter(ctx, now, token, service.Engine, trackers, r.model, r.adapter)
+		for _, version := range r.requiredVersions() {
+			c.placeAdapter(ctx, now, token, service.Engine, ofVersion(trackers, version), r.model, r.adapter)
 		}
 	}
 }
 
+// requiredVersions returns the versions that waiting requests require. None comes last: an endpoint of any version
+// serves those that require none.
+func (d *modelDemand) requiredVersions() []fleet.VersionRequirement {
+	return slices.SortedFunc(maps.Keys(d.versions), func(a, b fleet.VersionRequirement) int {
+		return cmp.Or(cmp.Compare(b.Version, a.Version), compareSet(a.Set, b.Set))
+	})
+}
+
+// compareSet orders set requirements before unset ones.
+func compareSet(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// ofVersion returns the trackers of the endpoints that meet a requirement.
+func ofVersion(trackers []*endpointTracker, version fleet.VersionRequirement) []*endpointTracker {
+	if !version.Set {
+		return trackers
+	}
+	return slices.DeleteFunc(slices.Clone(trackers), func(t *endpointTracker) bool { return !version.Allows(t.current()) })
+}
+
+// current returns the endpoint as last listed.
+func (t *endpointTracker) current() fleet.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.endpoint
+}
+
 // updateAdapterUse records when each adapter was last used.
 func (t *endpointTracker) updateAdapterUse(now time.Time, totals map[demandKey]*modelDemand, service string) {
 	t.mu.Lock()
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -130,6 +130,8 @@
 	fast, slow        float64
 	awaitingFirstByte float64
 	lastUsed          time.Time
+	// versions holds the software versions that waiting requests require, unset for those that require none.
+	versions map[fleet.VersionRequirement]bool
 }
 
 // totals sums the reports that have not expired.
@@ -181,6 +183,12 @@
 	if n.Waiting > 0 {
 		d.due = firstDue(d.due, d.waiting, d.onTime, n.Due(at), n.OnTime)
 	}
+	if n.Waiting > 0 {
+		if d.versions == nil {
+			d.versions = map[fleet.VersionRequirement]bool{}
+		}
+		d.versions[n.Version] = true
+	}
 	d.waiting += n.Waiting
 	d.onTime += n.OnTime
 	d.inflight += n.Inflight
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -36,6 +36,9 @@
 	Proxy *ProxyRequest `cbor:"10,keyasint,omitempty"`
 	// Check asks for the state of an endpoint.
 	Check *EndpointCheck `cbor:"11,keyasint,omitempty"`
+	// StreamStarts tells where streams began, and StreamLookup asks for it.
+	StreamStarts []fleet.StreamStart `cbor:"12,keyasint,omitempty"`
+	StreamLookup *fleet.StreamLookup `cbor:"13,keyasint,omitempty"`
 	// Known is set by the receiving node if the sender is a known host.
 	Known bool `cbor:"-"`
 }
@@ -107,6 +110,8 @@
 	LinksLost bool `cbor:"12,keyasint,omitempty"`
 	// Endpoint is the response to a Check.
 	Endpoint *EndpointState `cbor:"13,keyasint,omitempty"`
+	// StreamLookup is the response to a StreamLookup.
+	StreamLookup *fleet.StreamLookupResult `cbor:"14,keyasint,omitempty"`
 }
 
 // Handler handles the requests of other hosts.
--- a/pkg/relay/aggregator.go
+++ b/pkg/relay/aggregator.go
@@ -17,10 +17,13 @@
 	seqTTL = 10 * time.Second
 )
 
-// needKey identifies the service, model and adapter of a reported need.
-type needKey struct{ service, model, adapter string }
+// needKey identifies the service, model, adapter and required software version of a reported need.
+type needKey struct {
+	service, model, adapter string
+	version                 fleet.VersionRequirement
+}
 
-func needKeyOf(n fleet.NeedReport) needKey { return needKey{n.Service, n.Model, n.Adapter} }
+func needKeyOf(n fleet.NeedReport) needKey { return needKey{n.Service, n.Model, n.Adapter, n.Version} }
 
 // Aggregator aggregates the demand reports of the hosts behind a relay. Arrivals are counted as
 // they are reported and passed on once. Numbers of waiting and running requests are those of each
@@ -123,7 +126,7 @@
 		maps.Copy(backoffRequested, setOf(c.backoffRequested))
 	}
 	for key, n := range s.arrivals {
-		n.Service, n.Model, n.Adapter = key.service, key.model, key.adapter
+		n.Service, n.Model, n.Adapter, n.Version = key.service, key.model, key.adapter, key.version
 		add(n, 0)
 	}
 	clear(s.arrivals)
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -140,7 +140,7 @@
 		return attemptFailed
 	}
 	x.dropFallback()
-	err := x.forward(response, w, e.ID)
+	err := x.forward(response, w, e)
 	_ = response.Body.Close() // The body was read completely or is discarded.
 	if err == nil {
 		if x.end(response) {
@@ -178,7 +178,7 @@
 
 // sendFallback forwards the fallback response, which reports a server error.
 func (x *exchange) sendFallback(response *Response) {
-	if err := x.forward(response, nil, x.result.Endpoint); err != nil {
+	if err := x.forward(response, nil, fleet.Endpoint{ID: x.result.Endpoint}); err != nil {
 		x.result.Status = response.Status
 		x.result.Note = err.Error()
 		x.abortOrFail()
--- a/pkg/serve/demand.go
+++ b/pkg/serve/demand.go
@@ -92,10 +92,14 @@
 		if w.need.Model == "" {
 			continue
 		}
-		d := byNeed[w.need]
+		n := w.need
+		if n.Adapter == "" {
+			n = n.anyVersion() // A model is not loaded for a version.
+		}
+		d := byNeed[n]
 		if d == nil {
-			d = &Demand{Need: w.need, Priority: w.request.Route.Priority}
-			byNeed[w.need] = d
+			d = &Demand{Need: n, Priority: w.request.Route.Priority}
+			byNeed[n] = d
 		}
 		d.addWaiting(DemandRank(w.request, now))
 	}
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -30,11 +30,18 @@
 	initialServiceTime = 200 * time.Millisecond
 )
 
-// Need identifies the service, model and adapter that a request requires.
+// Need identifies the service, model, adapter and software version that a request requires.
 type Need struct {
 	Service string
 	Model   string
 	Adapter string
+	Version fleet.VersionRequirement
+}
+
+// anyVersion returns the need without its software version. Demand and statistics are those of all versions.
+func (n Need) anyVersion() Need {
+	n.Version = fleet.VersionRequirement{}
+	return n
 }
 
 // QualifiedName returns the name of the model, or of the adapter prefixed with its model.
@@ -57,6 +64,9 @@
 	ColdReadyAt time.Time
 	// HasEndpoints reports whether the service has any endpoint.
 	HasEndpoints bool
+	// LoadsAdapter reports that no endpoint serves the adapter, but one has its model and can load the adapter
+	// in a short time.
+	LoadsAdapter bool
 	// NotConfigured reports that no configuration names the model or adapter.
 	NotConfigured bool
 }
@@ -176,6 +186,7 @@
 }
 
 func (s *shard) statsOf(n Need) *needStats {
+	n = n.anyVersion()
 	st := s.stats[n]
 	if st == nil {
 		st = &needStats{priority: math.MaxInt}
@@ -202,6 +213,7 @@
 	s := d.shard(r.Service)
 	now := d.now()
 	w := &waiter{need: r.Need(), request: r, avoid: prior.Avoid, granted: make(chan grant, 1)}
+	w.need.Version = prior.Version
 	if prior.ResponseStarted {
 		w.resumed, w.resumeUntil = true, resumeUntil(r, now)
 	}
@@ -219,7 +231,7 @@
 		if missing {
 			d.onMissingModel()
 		}
-		return fleet.Endpoint{}, newRefusal(input, max(retryAfter, minRetryAfter))
+		return fleet.Endpoint{}, newRefusal(w, input, max(retryAfter, minRetryAfter))
 	}
 	w.since = now
 	s.waiting.push(w)
@@ -234,6 +246,9 @@
 // CloseAt.
 func (d *Dispatcher) hold(w *waiter, s HoldInput) (until time.Time, retryAfter time.Duration, hold bool) {
 	r := w.request
+	if w.need.Version.Set && s.versionGone(w) {
+		return s.Now, maxRetryAfter, false
+	}
 	if w.resumed {
 		until, hold = w.resumeUntil, s.Now.Before(w.resumeUntil) && !s.NotConfigured
 	} else {
@@ -250,11 +265,23 @@
 	return until, retryAfter, hold
 }
 
-func newRefusal(s HoldInput, retryAfter time.Duration) *Refusal {
+// versionGone reports whether no endpoint of the required software version can serve the waiter in time. Its
+// adapter is loaded there if need be, but not its model, which would take too long.
+func (s HoldInput) versionGone(w *waiter) bool {
+	latest := w.request.StartDeadline()
+	if w.resumed {
+		latest = w.resumeUntil
+	}
+	return !s.Ready && !s.Limited && !s.LoadsAdapter && (s.ReadyAt.IsZero() || s.ReadyAt.After(latest))
+}
+
+func newRefusal(w *waiter, s HoldInput, retryAfter time.Duration) *Refusal {
 	cause := CauseNotLoaded
 	switch {
 	case s.NotConfigured:
 		cause = CauseNoModel
+	case w.need.Version.Set && s.versionGone(w):
+		cause = CauseVersionGone
 	case !s.HasEndpoints:
 		cause = CauseNoEndpoint
 	case s.Ready && s.Contention != nil:
@@ -309,7 +336,7 @@
 		if ctx.Err() != nil {
 			return fleet.Endpoint{}, &Refusal{Cause: CauseClientGone, NotRun: true}
 		}
-		return fleet.Endpoint{}, newRefusal(input, retryAfter)
+		return fleet.Endpoint{}, newRefusal(w, input, retryAfter)
 	}
 }
 
@@ -318,14 +345,14 @@
 func (d *Dispatcher) holdInput(now time.Time, sh *shard, w *waiter) (s HoldInput, missing bool) {
 	location := d.placement.Find(now, w.need)
 	limitedUntil, limited := d.limitedUntil(now, w.need, location.Ready)
-	s = HoldInput{Now: now, Ready: len(location.Ready) > 0 && !limited, ReadyAt: location.ReadyAt, ColdReadyAt: location.ColdReadyAt, HasEndpoints: location.HasEndpoints, NotConfigured: location.NotConfigured, Limited: limited}
+	s = HoldInput{Now: now, Ready: len(location.Ready) > 0 && !limited, ReadyAt: location.ReadyAt, ColdReadyAt: location.ColdReadyAt, HasEndpoints: location.HasEndpoints, LoadsAdapter: location.LoadsAdapter, NotConfigured: location.NotConfigured, Limited: limited}
 	if s.ReadyAt.IsZero() || !limitedUntil.IsZero() && limitedUntil.Before(s.ReadyAt) {
 		s.ReadyAt = limitedUntil
 	}
 	if d.contention(w.need.Service) {
 		s.Contention = d.contentionInput(now, sh, w)
 	}
-	return s, !s.Ready && !s.NotConfigured && w.need.Model != ""
+	return s, !s.Ready && !s.NotConfigured && w.need.Model != "" && (!w.need.Version.Set || s.LoadsAdapter)
 }
 
 // keepDemand keeps counting a refused request as demand if its model has to be loaded from the
--- a/pkg/serve/fake_backend_test.go
+++ b/pkg/serve/fake_backend_test.go
@@ -54,8 +54,10 @@
 	// canceled counts runs that the host canceled.
 	canceled int
 	// status is what endpoints report for a request without a response.
-	status      serve.RunStatus
-	ready       []fleet.Endpoint
+	status serve.RunStatus
+	ready  []fleet.Endpoint
+	// otherModels is set if there are endpoints of all versions, with other models.
+	otherModels bool
 	readyAt     time.Time
 	coldReadyAt time.Time
 }
@@ -74,10 +76,11 @@
 func (b *fakeBackend) setScript(id string, s ...script) { b.scripts[fleet.EndpointID(id)] = s }
 
 // Find implements serve.Placement.
-func (b *fakeBackend) Find(time.Time, serve.Need) serve.Location {
+func (b *fakeBackend) Find(_ time.Time, n serve.Need) serve.Location {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return serve.Location{Ready: slices.Clone(b.ready), ReadyAt: b.readyAt, ColdReadyAt: b.coldReadyAt, HasEndpoints: true}
+	ready := slices.DeleteFunc(slices.Clone(b.ready), func(e fleet.Endpoint) bool { return !n.Version.Allows(e) })
+	return serve.Location{Ready: ready, ReadyAt: b.readyAt, ColdReadyAt: b.coldReadyAt, HasEndpoints: len(ready) > 0 || !n.Version.Set || b.otherModels}
 }
 
 func (b *fakeBackend) setReady(ids ...string) {
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -18,16 +19,16 @@
 var errAttemptAbandoned = errors.New("try was given up")
 
 // forward sends a response to the client.
-func (x *exchange) forward(response *Response, w *stallWatcher, id fleet.EndpointID) error {
+func (x *exchange) forward(response *Response, w *stallWatcher, e fleet.Endpoint) error {
 	body := &notifyReader{src: response.Body, onRead: func() {
-		x.server.Health.RecordByte(x.server.Now(), id)
+		x.server.Health.RecordByte(x.server.Now(), e.ID)
 		if w != nil {
 			w.progress()
 		}
 	}}
 	if x.request.Route.Kind == fleet.Stream && response.Status < 300 {
 		if x.request.Route.Resumable {
-			return x.forwardEvents(response, body)
+			return x.forwardEvents(response, body, e)
 		}
 		return x.forwardStream(response, body)
 	}
@@ -135,9 +136,9 @@
 	}
 }
 
-// forwardEvents forwards complete events only, so that a broken stream can be resumed after
+// forwardEvents forwards complete events of an endpoint only, so that a broken stream can be resumed after
 // the last delivered event.
-func (x *exchange) forwardEvents(response *Response, body io.Reader) error {
+func (x *exchange) forwardEvents(response *Response, body io.Reader, e fleet.Endpoint) error {
 	r := &eventReader{src: body}
 	first := true
 	for {
@@ -155,6 +156,9 @@
 			x.begin(response)
 			first = false
 		}
+		if len(bytes.TrimSpace(complete)) > 0 {
+			x.recordEvent(e) // Before the client has the event: it may resume the stream at once.
+		}
 		if err := x.write(complete); err != nil {
 			return err
 		}
@@ -199,7 +203,7 @@
 		stalled := silence >= timeout || (silence >= stalledAfter && s.Health.StallTime(s.Now(), e.ID) >= stalledAfter)
 		// Without another endpoint, canceling the attempt would discard its progress and a
 		// second run would add load to the same endpoint.
-		if stalled && s.Queue.HasAlternative(x.request, e.ID) && x.reserveRetry() {
+		if stalled && s.Queue.HasAlternative(x.need(), e.ID) && x.reserveRetry() {
 			s.Health.RecordConnectionFailure(s.Now(), e.ID)
 			cancel(errors.Wrapf(errAttemptAbandoned, "nothing came for %v", silence.Round(time.Millisecond)))
 			return
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -82,6 +82,8 @@
 	// Limited reports that all endpoints with the model loaded are rate limited for this host
 	// or asked for a pause.
 	Limited bool
+	// LoadsAdapter reports that an endpoint can load the adapter in a short time.
+	LoadsAdapter bool
 	// NotConfigured reports that no configuration names the model or adapter.
 	NotConfigured bool
 	// Contention is set if the service of the request is scheduled for contention.
--- a/pkg/serve/hold_contended.go
+++ b/pkg/serve/hold_contended.go
@@ -74,7 +74,7 @@
 		c.Wait = max(0, milliseconds(level.Wait)-waited)
 		return c
 	}
-	if st := s.contended[w.need]; st != nil && now.Sub(st.grantedAt) <= grantIntervalTTL {
+	if st := s.contended[w.need.anyVersion()]; st != nil && now.Sub(st.grantedAt) <= grantIntervalTTL {
 		c.Wait = time.Duration(s.waiting.place(w)) * st.grantInterval
 	}
 	return c
--- a/pkg/serve/level.go
+++ b/pkg/serve/level.go
@@ -31,6 +31,7 @@
 }
 
 func (s *shard) contendedOf(n Need) *contendedStats {
+	n = n.anyVersion()
 	st := s.contended[n]
 	if st == nil {
 		if s.contended == nil {
--- a/pkg/serve/queue.go
+++ b/pkg/serve/queue.go
@@ -21,14 +21,16 @@
 	// RecordFirstByte records the time from sending a request to the first byte of its
 	// response.
 	RecordFirstByte(r *Request, after time.Duration)
-	// HasAlternative reports whether an endpoint other than e can serve the request now.
-	HasAlternative(r *Request, e fleet.EndpointID) bool
+	// HasAlternative reports whether an endpoint other than e can meet a need now.
+	HasAlternative(n Need, e fleet.EndpointID) bool
 	// ServiceTime returns the moving average of the service time of a service.
 	ServiceTime(service string) time.Duration
 }
 
 // PriorAttempts describes the earlier attempts of a request.
 type PriorAttempts struct {
+	// Version is the software version that the rest of the response requires.
+	Version fleet.VersionRequirement
 	// Avoid holds the endpoints to avoid.
 	Avoid Avoidance
 	// ResponseStarted reports whether a part of the response was sent to the client.
--- a/pkg/serve/rate_limit_test.go
+++ b/pkg/serve/rate_limit_test.go
@@ -87,8 +87,8 @@
 		s := newServer(b)
 		s.Health.Signals.Observe(time.Now(), "b", signals.Response{RetryAfter: time.Minute}, time.Now(), false)
 		r := request("r", fleet.Idempotent, false)
-		is.True(!s.Queue.HasAlternative(r, "a"))
-		is.True(s.Queue.HasAlternative(r, "b"))
+		is.True(!s.Queue.HasAlternative(r.Need(), "a"))
+		is.True(s.Queue.HasAlternative(r.Need(), "b"))
 	})
 }
 
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -257,6 +257,10 @@
 	// CauseContention means that the replicas of the model cannot take the demand, and that the
 	// request is not among the admitted share.
 	CauseContention Cause = "contention"
+	// CauseVersionUnknown means that nobody who can be asked knows which software version began a stream, and
+	// CauseVersionGone that no endpoint of that version has the model and is able to take the stream in time.
+	CauseVersionUnknown Cause = "version_unknown"
+	CauseVersionGone    Cause = "version_gone"
 	// CauseNoPath means that this host, and all others that it could ask, have lost their links to
 	// endpoints.
 	CauseNoPath Cause = "no_path"
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -59,8 +59,8 @@
 	if r.EndpointVersion != "" {
 		attrs = append(attrs, "endpoint_version", r.EndpointVersion)
 	}
-	if r.Request.Resumes != "" {
-		attrs = append(attrs, "resumes", r.Request.Resumes)
+	if r.Request.resumesStream() {
+		attrs = append(attrs, "resumes", r.Request.Resumes, "version", r.StreamVersion.Required.Version, "version_source", r.StreamVersion.Source, "version_age_ms", r.StreamVersion.Age.Milliseconds())
 	}
 	if r.Request.returned {
 		attrs = append(attrs, "returned", true)
--- a/pkg/serve/select_endpoint.go
+++ b/pkg/serve/select_endpoint.go
@@ -78,8 +78,7 @@
 }
 
 // HasAlternative implements Queue.
-func (d *Dispatcher) HasAlternative(r *Request, id fleet.EndpointID) bool {
-	n := r.Need()
+func (d *Dispatcher) HasAlternative(n Need, id fleet.EndpointID) bool {
 	now := d.now()
 	sel := selection{now: now, need: n, view: d.sharedView(now, n.Service, initialServiceTime), service: initialServiceTime}
 	var options []option
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -69,6 +69,9 @@
 	// of a response was sent that ended with its connection, so that nobody knows whether it is complete.
 	Complete    bool
 	Unconfirmed bool
+	// StreamVersion is where the knowledge of a resumed stream's software version comes from, zero for other
+	// requests.
+	StreamVersion StreamVersion
 	// Note describes the last failure at an endpoint.
 	Note string
 }
@@ -84,9 +87,10 @@
 	Health  *Health
 	Budget  *retry.Budget
 	Now     func() time.Time
-	// Guard and AccountLimiter may be nil.
+	// Guard, AccountLimiter and Versions may be nil.
 	Guard          Guard
 	AccountLimiter AccountLimiter
+	Versions       StreamVersions
 	// Tracer creates a span for each wait in the queue and each attempt.
 	Tracer trace.Tracer
 }
@@ -111,7 +115,7 @@
 	}
 	defer x.dropFallback()
 	// A blocked request must not count as demand for its model.
-	if !x.refuseIfBlocked(ctx) && x.chargeAccount(ctx) {
+	if !x.refuseIfBlocked(ctx) && x.requireVersion(ctx) && x.chargeAccount(ctx) {
 		s.Queue.RecordArrival(r)
 		if !x.refuseContended(ctx) {
 			x.run(ctx)
@@ -136,6 +140,10 @@
 	headSent    bool
 	headFraming Framing
 	lastEvent   string
+	// version is the software version that began the stream, nil while it is not known. eventSent reports
+	// whether an event was sent to the client.
+	version   atomic.Pointer[fleet.VersionRequirement]
+	eventSent bool
 	// retryReserved is set if an abandoned attempt has already taken the retry that follows
 	// it.
 	retryReserved atomic.Bool
@@ -272,7 +280,7 @@
 		ctx, cancel = context.WithTimeout(ctx, minRetryTime)
 		defer cancel()
 	}
-	return x.server.Queue.Acquire(ctx, x.request, PriorAttempts{Avoid: x.avoid, ResponseStarted: x.headSent})
+	return x.server.Queue.Acquire(ctx, x.request, PriorAttempts{Version: x.requiredVersion(), Avoid: x.avoid, ResponseStarted: x.headSent})
 }
 
 // mayRunAgain reports whether the request may be sent again after it may have run.
