Streams: long attempt IDs are not remembered; hosts that start trust others on one version

The table of streams took IDs of any length, which clients choose: 128 bytes at most now. A host that has just started, cannot read the store and gets a stream whose client names no attempt refused it, although others know that the service has one version; it asks them now. TestStreamsAreForgottenInTime and TestStartedHostTrustsOthersOnOneVersion cover both.

--- a/pkg/gateway/streamversions.go
+++ b/pkg/gateway/streamversions.go
@@ -113,7 +113,7 @@
 	if certain && v.oneVersion(v.g.Now(), r.Service) {
 		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
 	}
-	if r.Resumes == "" {
+	if certain && r.Resumes == "" {
 		return serve.StreamVersion{}, errors.Wrap(serve.ErrVersionUnknown, "the client does not name the attempt that began the stream")
 	}
 	return v.lookUp(ctx, r)
--- a/pkg/gateway/versions_test.go
+++ b/pkg/gateway/versions_test.go
@@ -345,3 +345,23 @@
 	is.Equal(versionsIn(got.body), map[string]bool{"1.0": true})
 	is.Equal(len(runsOf(engines, "early-again")), 1)
 }
+
+// Guards against refusing streams of a service with one version at a host that has just started and cannot read the
+// store, although others know that there is one version.
+func TestStartedHostTrustsOthersOnOneVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	d.startVersion("e1", "1.0", nil)
+	a := d.startHost("a")
+	d.waitFor("streams are served", func() bool { return d.request(a, "/chat/", "warm").status == http.StatusOK })
+	is.Equal(d.resume(a, "first", "never-seen").status, http.StatusOK) // It has read the store now.
+	b := d.startHost("b")
+	d.waitForPeers(a, b)
+	b.storeListener.SetFault(site.FaultReject)
+	for _, resumes := range [][]string{{"never-seen"}, nil} {
+		got := d.resume(b, "started", resumes...)
+		is.Equal(got.status, http.StatusOK)
+	}
+}
--- a/pkg/streamorigin/streamorigin_test.go
+++ b/pkg/streamorigin/streamorigin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,6 +48,10 @@
 	}
 	is.True(table.Len() <= 2<<16)
 	is.Equal(len(table.Of("s", now, 10)), 10)
+	for _, attempt := range []string{"", strings.Repeat("x", 4000)} {
+		table.Add(now, start(attempt, "1"))
+		is.True(table.Find(now, attempt).Origin == nil)
+	}
 	is.Equal(len(table.Of("other", now, 10)), 0)
 }
 
--- a/pkg/streamorigin/table.go
+++ b/pkg/streamorigin/table.go
@@ -13,6 +13,8 @@
 	// generationTime is the least time for which a stream is remembered, the longest that clients try to finish
 	// one. It is remembered for twice that time at most.
 	generationTime = 30 * time.Second
+	// maxAttemptBytes bounds the IDs of attempts, which clients choose.
+	maxAttemptBytes = 128
 	// maxGenerationStreams bounds the streams of a generation. Beyond it, older ones are forgotten sooner.
 	maxGenerationStreams = 1 << 16
 )
@@ -35,8 +37,12 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{current: map[string]entry{}, previous: map[string]entry{}} }
 
-// Add adds the origin of a stream. A stream with two different origins has none that is known.
+// Add adds the origin of a stream. A stream with two different origins has none that is known. Attempts without
+// an ID, or with a very long one, are not remembered.
 func (t *Table) Add(now time.Time, s fleet.StreamStart) {
+	if s.Attempt == "" || len(s.Attempt) > maxAttemptBytes {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.rotatedAt) >= generationTime || len(t.current) >= maxGenerationStreams {
