Test: an isolated host refuses streams that it does not know

A host that hears of no endpoints any more does not know whether a second version serves. TestIsolatedHostRefusesUnknownStreams passes on the code of the change; it covers the branch of isolated hosts, which no test reached.

--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -108,3 +108,6 @@
 func (g *Gateway) KnowsStream(attempt string) bool {
 	return g.streams.table.Find(g.Now(), attempt).Origin != nil
 }
+
+// Isolated reports whether the host neither reads the list of endpoints nor hears of its changes.
+func (g *Gateway) Isolated() bool { return g.isolated(g.Now()) }
--- a/pkg/gateway/versions_test.go
+++ b/pkg/gateway/versions_test.go
@@ -365,3 +365,28 @@
 		is.Equal(got.status, http.StatusOK)
 	}
 }
+
+// Guards against a host that hears of no endpoints any more, and therefore not of a second version, and goes on
+// guessing.
+func TestIsolatedHostRefusesUnknownStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	engine := d.startVersion("e1", "1.0", nil)
+	hosts := []*host{d.startHost("a"), d.startHost("b"), d.startHost("c")}
+	d.waitForPeers(hosts...)
+	d.waitFor("there is a controller", func() bool { return hosts[0].IsController() || hosts[1].IsController() || hosts[2].IsController() })
+	isolated := hosts[0]
+	if isolated.IsController() {
+		isolated = hosts[1]
+	}
+	d.waitFor("streams are served", func() bool { return d.request(isolated, "/chat/", "warm").status == http.StatusOK })
+	d.begin(isolated, "own")
+	isolated.storeListener.SetFault(site.FaultReject)
+	isolated.DisconnectPeers()
+	d.waitFor("the host knows that it is isolated", func() bool { return isolated.Isolated() })
+	is.Equal(d.resume(isolated, "unknown-again", "begun-elsewhere").status, http.StatusServiceUnavailable)
+	is.Equal(len(runsOf([]*site.Endpoint{engine}, "unknown-again")), 0)
+	is.Equal(d.resume(isolated, "own-again", "own").status, http.StatusOK)
+}
