--- a/pkg/gateway/versions_test.go
+++ b/pkg/gateway/versions_test.go
@@ -383,6 +383,7 @@
 	}
 	d.waitFor("streams are served", func() bool { return d.request(isolated, "/chat/", "warm").status == http.StatusOK })
 	d.begin(isolated, "own")
+	is.Equal(d.resume(isolated, "early", "never-seen").status, http.StatusOK) // It has read the store now.
 	isolated.storeListener.SetFault(site.FaultReject)
 	isolated.DisconnectPeers()
 	d.waitFor("the host knows that it is isolated", func() bool { return isolated.Isolated() })
