Logs: prompt parts of requests and of crashed endpoints

The logs of the incident could not tell whether requests that crash endpoints share a part of their prompts: request lines and "endpoint crashed while running requests" name contents only. Both name the digests of the prompt parts now, the second one those of requests whose response had not begun. Nothing decides by them yet. The stand-in's endpoints crash on a prompt part if their configuration says so.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -83,6 +83,9 @@
 	EventInterval time.Duration
 	// CrashOn is the body of requests that crash the endpoint.
 	CrashOn string
+	// CrashOnPart is the ID of a part of prompts. The endpoint crashes as it begins to respond to a request
+	// with this prompt part: a stream has a head then, but no event.
+	CrashOnPart string
 	// Behave selects the behavior for a request. n is the number of previous runs. If Behave is
 	// nil, all requests are served normally.
 	Behave func(id, model string, n int) Behavior
--- a/internal/standin/site/requests.go
+++ b/internal/standin/site/requests.go
@@ -45,6 +45,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Server-Signature", "sig-"+id)
+	if e.config.CrashOnPart != "" && hasPromptPart(r, e.config.CrashOnPart) {
+		if e.config.Events > 0 {
+			// The client may have disconnected.
+			_ = http.NewResponseController(w).Flush()
+		}
+		e.Close()
+		panic(http.ErrAbortHandler)
+	}
 	if b.Status != 0 {
 		w.WriteHeader(b.Status)
 		return
@@ -60,6 +68,16 @@
 	e.stream(w, r, b)
 }
 
+// hasPromptPart reports whether the prompt of the request has the part with the given ID.
+func hasPromptPart(r *http.Request, id string) bool {
+	for part := range strings.SplitSeq(r.Header.Get("X-Prompt-Prefix"), ",") {
+		if name, _, _ := strings.Cut(part, ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
 // admit records the run of a request and returns its behavior. If the request is rejected, the
 // status is not zero.
 func (e *Endpoint) admit(r *http.Request, id, body string) (Behavior, int) {
--- a/pkg/entryhost/guard.go
+++ b/pkg/entryhost/guard.go
@@ -60,6 +60,9 @@
 	g.Guard.RecordUnreachable(e)
 }
 
+// RecordUnbegun implements serve.Guard. Calls of this interface have no prompt parts.
+func (g *guard) RecordUnbegun(fleet.Endpoint, fleet.Prompt) {}
+
 // RecordServed implements serve.Guard.
 func (g *guard) RecordServed(e fleet.Endpoint, f fleet.Fingerprint, began time.Time) {
 	e.ID = g.host.withIncarnation(e.ID)
--- a/pkg/fleet/quarantine.go
+++ b/pkg/fleet/quarantine.go
@@ -23,6 +23,18 @@
 	return Fingerprint{Content: digest(content...), Caller: digest(caller)}
 }
 
+// Prompt identifies the parts of a request's prompt that other requests may share.
+type Prompt struct {
+	// Caller is a digest of the caller's identity.
+	Caller uint64
+	// Parts holds a digest of each part, in the order of the prompt.
+	Parts []uint64
+}
+
+// NewPromptPart returns the digest of a part of prompts for a service. It differs from the digests of all
+// contents.
+func NewPromptPart(service, id string) uint64 { return digest("prompt part", service, id) }
+
 func digest(parts ...string) uint64 {
 	h := sha256.New()
 	for _, p := range parts {
@@ -37,6 +49,15 @@
 // Hex formats a digest for logs and store keys.
 func Hex(digest uint64) string { return strconv.FormatUint(digest, 16) }
 
+// HexAll formats digests for logs.
+func HexAll(digests []uint64) []string {
+	out := make([]string, len(digests))
+	for i, d := range digests {
+		out[i] = Hex(d)
+	}
+	return out
+}
+
 // CrashReport records that an endpoint crashed while it ran a request.
 type CrashReport struct {
 	Request  Fingerprint `cbor:"1,keyasint"`
@@ -45,6 +66,10 @@
 	Ago int64 `cbor:"3,keyasint,omitempty"`
 	// CopyID identifies the copy of the request that ran on the endpoint; 0 if unknown.
 	CopyID CopyID `cbor:"4,keyasint,omitempty"`
+	// PromptPart is 0 if Request stands for the requests with a content. Otherwise it stands for the requests
+	// with a prompt part, whose digest is in the place of the content, and PromptPart is the position of that
+	// part: 1 for the last one that other requests may share, 2 for the one before it.
+	PromptPart int `cbor:"5,keyasint,omitempty"`
 }
 
 // CopyID is a digest of an attempt ID. It is never 0.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -211,6 +211,19 @@
 
 // requestWithKey sends a request with a key, or without one if it is empty.
 func (d *deployment) requestWithKey(key string, h *host, path, model, body string) reply {
+	d.t.Helper()
+	header := http.Header{}
+	if key != "" {
+		header.Set("X-Key", key)
+	}
+	if model != "" {
+		header.Set("X-Model-Name", model)
+	}
+	return d.requestWithHeader(h, path, header, body)
+}
+
+// requestWithHeader sends a request with further headers and a body, or with a unique body if it is empty.
+func (d *deployment) requestWithHeader(h *host, path string, header http.Header, body string) reply {
 	d.t.Helper()
 	ids.Lock()
 	ids.n++
@@ -224,14 +237,9 @@
 		d.t.Fatal(err)
 	}
 	req.Host = "h.example"
+	req.Header = header.Clone()
 	req.Header.Set("X-Request-Attempt-Id", id)
 	req.Header.Set("X-Remaining-Milliseconds", "6000")
-	if key != "" {
-		req.Header.Set("X-Key", key)
-	}
-	if model != "" {
-		req.Header.Set("X-Model-Name", model)
-	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return reply{body: err.Error()}
--- a/pkg/quarantine/checker.go
+++ b/pkg/quarantine/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,13 @@
 	}
 }
 
+// RecordUnbegun records a run that broke off before its response had begun.
+func (c *checker) RecordUnbegun(e fleet.Endpoint, p fleet.Prompt) {
+	if crashes := c.runs.RecordUnbegun(c.cfg.Now(), e.ID, p); len(crashes) > 0 {
+		c.report(e.ID, crashes)
+	}
+}
+
 // RecordUnreachable records a refused connection. It starts checks if a run at the endpoint
 // has ended recently.
 func (c *checker) RecordUnreachable(e fleet.Endpoint) {
@@ -147,16 +155,21 @@
 // recordCrash records that the endpoint crashed at the given time.
 func (c *checker) recordCrash(e fleet.Endpoint, at time.Time) {
 	crashes := c.runs.RecordCrash(c.cfg.Now(), at, e.ID)
-	contents := make([]string, len(crashes))
-	for i, x := range crashes {
-		contents[i] = fleet.Hex(x.Request.Content)
+	contents, parts := []string{}, []string{}
+	for _, x := range crashes {
+		if x.PromptPart > 0 {
+			parts = append(parts, fleet.Hex(x.Request.Content))
+		} else {
+			contents = append(contents, fleet.Hex(x.Request.Content))
+		}
 	}
-	c.cfg.Log.Info("endpoint crashed while running requests", "endpoint", e.ID, "announced", c.cfg.ShutdownAnnounced(e.ID), "contents", contents)
+	c.cfg.Log.Info("endpoint crashed while running requests", "endpoint", e.ID, "announced", c.cfg.ShutdownAnnounced(e.ID), "contents", contents, "prompt_parts", parts)
 	c.report(e.ID, crashes)
 }
 
 // report passes on the crashes, unless the endpoint had announced its shutdown.
 func (c *checker) report(id fleet.EndpointID, crashes []fleet.CrashReport) {
+	crashes = slices.DeleteFunc(crashes, func(x fleet.CrashReport) bool { return x.PromptPart > 0 })
 	if len(crashes) > 0 && !c.cfg.ShutdownAnnounced(id) {
 		c.onCrash(crashes)
 	}
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -58,6 +58,12 @@
 	g.checker.RecordBroken(e, f, id, suspected)
 }
 
+// RecordUnbegun implements serve.Guard.
+func (g *Guard) RecordUnbegun(e fleet.Endpoint, p fleet.Prompt) { g.checker.RecordUnbegun(e, p) }
+
+// RecordBegun implements serve.Guard.
+func (g *Guard) RecordBegun(fleet.Prompt) {}
+
 // RecordUnreachable implements serve.Guard.
 func (g *Guard) RecordUnreachable(e fleet.Endpoint) { g.checker.RecordUnreachable(e) }
 
--- a/pkg/quarantine/runs.go
+++ b/pkg/quarantine/runs.go
@@ -38,6 +38,9 @@
 type endpointRuns struct {
 	// brokenAt holds when the run of each copy broke off.
 	brokenAt map[requestCopy]time.Time
+	// unbegun holds, by the digests of a prompt part and a caller, the last run with that part that broke off
+	// before its response had begun.
+	unbegun map[fleet.Fingerprint]unbegunRun
 	// servedAt holds when each request was first answered, until it is cleared.
 	servedAt map[fleet.Fingerprint]time.Time
 	// lastRunAt is when a run last ended.
@@ -46,6 +49,13 @@
 	crashedAt time.Time
 }
 
+// unbegunRun is a run that broke off before its response had begun. position is that of the prompt part, counted
+// as in fleet.CrashReport.
+type unbegunRun struct {
+	brokenAt time.Time
+	position int
+}
+
 // requestCopy identifies one copy of a request.
 type requestCopy struct {
 	request fleet.Fingerprint
@@ -69,12 +79,34 @@
 	return []fleet.CrashReport{newCrash(now, id, requestCopy{f, c}, runs.crashedAt)}
 }
 
+// RecordUnbegun records that a run with the given prompt parts broke off before its response had begun. It
+// returns crash reports if the endpoint is known to have crashed.
+func (r *RecentRuns) RecordUnbegun(now time.Time, id fleet.EndpointID, p fleet.Prompt) []fleet.CrashReport {
+	if len(p.Parts) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.forEndpoint(id)
+	var out []fleet.CrashReport
+	for i, part := range p.Parts {
+		f := fleet.Fingerprint{Content: part, Caller: p.Caller}
+		run := unbegunRun{brokenAt: now, position: len(p.Parts) - i}
+		if runs.crashedAt.IsZero() {
+			runs.unbegun[f] = run
+			continue
+		}
+		out = append(out, newPartCrash(now, id, f, run, runs.crashedAt))
+	}
+	return out
+}
+
 // forEndpoint returns the runs at an endpoint, which it creates if there are none. It must be
 // called with r.mu held.
 func (r *RecentRuns) forEndpoint(id fleet.EndpointID) *endpointRuns {
 	runs := r.endpoints[id]
 	if runs == nil {
-		runs = &endpointRuns{brokenAt: map[requestCopy]time.Time{}, servedAt: map[fleet.Fingerprint]time.Time{}}
+		runs = &endpointRuns{brokenAt: map[requestCopy]time.Time{}, unbegun: map[fleet.Fingerprint]unbegunRun{}, servedAt: map[fleet.Fingerprint]time.Time{}}
 		r.endpoints[id] = runs
 	}
 	return runs
@@ -117,12 +149,18 @@
 			out = append(out, newCrash(now, id, c, at))
 		}
 	}
+	for f, run := range runs.unbegun {
+		if at.Sub(run.brokenAt) <= brokenWindow {
+			out = append(out, newPartCrash(now, id, f, run, at))
+		}
+	}
 	for f, servedAt := range runs.servedAt {
 		if at.Sub(servedAt) <= servedWindow {
 			out = append(out, newCrash(now, id, requestCopy{request: f}, at))
 		}
 	}
 	clear(runs.brokenAt)
+	clear(runs.unbegun)
 	clear(runs.servedAt)
 	return out
 }
@@ -136,7 +174,7 @@
 	if runs == nil {
 		return
 	}
-	maps.DeleteFunc(runs.brokenAt, func(_ requestCopy, brokenAt time.Time) bool { return now.Sub(brokenAt) > exitDelay })
+	runs.deleteOlder(now, exitDelay)
 }
 
 // RanRecently reports whether a run at the endpoint ended recently enough to be the cause if the
@@ -157,10 +195,20 @@
 			delete(r.endpoints, id)
 			continue
 		}
-		maps.DeleteFunc(runs.brokenAt, func(_ requestCopy, brokenAt time.Time) bool { return now.Sub(brokenAt) > runRetention })
+		runs.deleteOlder(now, runRetention)
 	}
 }
 
+// deleteOlder deletes the runs that broke off longer than maxAge ago.
+func (e *endpointRuns) deleteOlder(now time.Time, maxAge time.Duration) {
+	maps.DeleteFunc(e.brokenAt, func(_ requestCopy, brokenAt time.Time) bool { return now.Sub(brokenAt) > maxAge })
+	maps.DeleteFunc(e.unbegun, func(_ fleet.Fingerprint, run unbegunRun) bool { return now.Sub(run.brokenAt) > maxAge })
+}
+
+func newPartCrash(now time.Time, id fleet.EndpointID, f fleet.Fingerprint, run unbegunRun, at time.Time) fleet.CrashReport {
+	return fleet.CrashReport{Request: f, Endpoint: id, Ago: now.Sub(at).Milliseconds(), PromptPart: run.position}
+}
+
 func newCrash(now time.Time, id fleet.EndpointID, c requestCopy, at time.Time) fleet.CrashReport {
 	return fleet.CrashReport{Request: c.request, Endpoint: id, Ago: now.Sub(at).Milliseconds(), CopyID: c.id}
 }
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -25,6 +25,7 @@
 	watcher := x.watchForStall(ctx, cancel, e)
 	defer watcher.stop()
 	x.result.Endpoint, x.result.EndpointVersion = e.ID, e.Version
+	x.begun = false
 	response, err := s.Backend.Send(ctx, x.request, Send{
 		Endpoint:  e,
 		Deadline:  x.request.ClientDeadline,
@@ -143,6 +144,9 @@
 	err := x.forward(response, w, e)
 	_ = response.Body.Close() // The body was read completely or is discarded.
 	if err == nil {
+		if response.Framing != FramingConnection {
+			x.recordBegun(response.Status)
+		}
 		if x.end(response) {
 			x.recordServed(e, start)
 		} else {
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -85,7 +85,7 @@
 		return x.forwardRaw(response, body, nil)
 	}
 	var boundary eventBoundary
-	tracked := &trackedReader{src: body, boundary: &boundary}
+	tracked := &trackedReader{src: body, boundary: &boundary, onBegun: func() { x.recordBegun(response.Status) }}
 	if err := x.forwardRaw(response, tracked, nil); err != nil {
 		return err
 	}
@@ -99,12 +99,17 @@
 type trackedReader struct {
 	src      io.Reader
 	boundary *eventBoundary
+	// onBegun is called after each read that ends with a complete event.
+	onBegun func()
 }
 
 // Read implements io.Reader.
 func (t *trackedReader) Read(p []byte) (int, error) {
 	n, err := t.src.Read(p)
 	t.boundary.add(p[:n])
+	if t.boundary.started && !t.boundary.insideEvent() {
+		t.onBegun()
+	}
 	return n, err
 }
 
@@ -157,6 +162,7 @@
 			first = false
 		}
 		if len(bytes.TrimSpace(complete)) > 0 {
+			x.recordBegun(response.Status)
 			x.recordEvent(e) // Before the client has the event: it may resume the stream at once.
 		}
 		if err := x.write(complete); err != nil {
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -16,6 +16,12 @@
 	// RecordBroken records that a run of a request at an endpoint ended without a complete
 	// response. suspected reports whether no other cause than a crash of the endpoint is known.
 	RecordBroken(e fleet.Endpoint, f fleet.Fingerprint, id fleet.CopyID, suspected bool)
+	// RecordUnbegun records that a run at an endpoint broke off before its response had begun: no event of a
+	// stream was read, or not all of another response. It is called before RecordBroken.
+	RecordUnbegun(e fleet.Endpoint, p fleet.Prompt)
+	// RecordBegun records that the first event of a successful stream was read, or all of another successful
+	// response.
+	RecordBegun(p fleet.Prompt)
 	// RecordUnreachable records that no connection to the endpoint could be made.
 	RecordUnreachable(e fleet.Endpoint)
 	// RecordServed records that the endpoint completed the response to a request that was sent at
@@ -67,10 +73,24 @@
 // recordBroken reports a run without a complete response to the guard.
 func (x *exchange) recordBroken(e fleet.Endpoint, suspected bool) {
 	if x.guarded() {
+		if !x.begun {
+			x.server.Guard.RecordUnbegun(e, x.request.Prompt)
+		}
 		x.server.Guard.RecordBroken(e, x.request.Fingerprint, fleet.NewCopyID(x.request.ID), suspected)
 	}
 }
 
+// recordBegun reports to the guard, once for each attempt, that the response has begun.
+func (x *exchange) recordBegun(status int) {
+	if x.begun || status >= 300 {
+		return
+	}
+	x.begun = true
+	if x.guarded() {
+		x.server.Guard.RecordBegun(x.request.Prompt)
+	}
+}
+
 // recordUnreachable reports to the guard that no connection could be made.
 func (x *exchange) recordUnreachable(e fleet.Endpoint) {
 	if x.server.Guard != nil {
--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -63,6 +63,10 @@
 
 func (g *fakeGuard) Suspected(fleet.Fingerprint) bool { return g.suspect }
 
+func (g *fakeGuard) RecordUnbegun(fleet.Endpoint, fleet.Prompt) {}
+
+func (g *fakeGuard) RecordBegun(fleet.Prompt) {}
+
 func (g *fakeGuard) RecordServed(fleet.Endpoint, fleet.Fingerprint, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -42,6 +42,9 @@
 	Adapter string
 	// Fingerprint is the same for all repeats of the request.
 	Fingerprint fleet.Fingerprint
+	// Prompt identifies the parts of the prompt that other requests may share. Requests without parts are
+	// told apart by Fingerprint only.
+	Prompt fleet.Prompt
 	// Affinity identifies a prompt prefix shared with other requests, or is empty. An endpoint
 	// that has processed the prefix responds sooner.
 	Affinity string
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -46,6 +46,9 @@
 		"budget_ms", r.Request.Deadline.Sub(r.Request.Arrived).Milliseconds(),
 		"note", r.Note,
 	}
+	if len(r.Request.Prompt.Parts) > 0 {
+		attrs = append(attrs, "prompt_parts", fleet.HexAll(r.Request.Prompt.Parts))
+	}
 	// These are set only for services that are scheduled for contention.
 	if r.Request.limited {
 		attrs = append(attrs, "share", r.Request.share)
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -144,6 +144,9 @@
 	// whether an event was sent to the client.
 	version   atomic.Pointer[fleet.VersionRequirement]
 	eventSent bool
+	// begun reports whether the response of the current attempt has begun: an event of a stream was read, or
+	// all of another response.
+	begun bool
 	// retryReserved is set if an abandoned attempt has already taken the retry that follows
 	// it.
 	retryReserved atomic.Bool
