--- /dev/null
+++ b/pkg/gateway/crashpart_test.go
@@ -0,0 +1,117 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/standin/site"
+)
+
+const (
+	// crashingPart is the ID of the prompt part that crashes endpoints, firstPart that of a part which it shares
+	// the prompts with.
+	crashingPart = "bad"
+	firstPart    = "f0"
+	// crashesUntilBlock is the number of crashes after which a prompt part must be blocked within
+	// blockPropagation.
+	crashesUntilBlock = 5
+)
+
+// requestWithPart sends a request whose prompt has the first part, the given part and one of its own.
+func (d *deployment) requestWithPart(h *host, part string) reply {
+	d.t.Helper()
+	ids.Lock()
+	own := ids.n
+	ids.Unlock()
+	header := http.Header{}
+	header.Set("X-Model-Name", "warm")
+	header.Set("X-Prompt-Prefix", fmt.Sprintf("%s:100,%s:50,a%d:20", firstPart, part, own))
+	return d.requestWithHeader(h, "/chat/", header, "")
+}
+
+// startPartCrashableEndpoints starts endpoints of a model that crash on crashingPart.
+func (d *deployment) startPartCrashableEndpoints(n int) []*site.Endpoint {
+	var out []*site.Endpoint
+	for i := range n {
+		out = append(out, d.startEndpoint(site.EndpointConfig{
+			ID: fmt.Sprint("e", i), Service: "llm", Zone: "zone-a", Slots: 8, WeightsMB: 125, AdapterSlots: 4, Models: models,
+			LoadedModels: []string{"warm"}, Events: 3, EventInterval: 5 * time.Millisecond, CrashOnPart: crashingPart,
+		}))
+	}
+	return out
+}
+
+// countPartCrashes returns the number of endpoints that ran a request with crashingPart.
+func countPartCrashes(endpoints []*site.Endpoint) int {
+	n := 0
+	for _, e := range endpoints {
+		for _, r := range e.Runs() {
+			if strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashingPart) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// partLoad sends sound requests to all hosts, which share firstPart, until it is stopped.
+type partLoad struct {
+	stop   func()
+	served atomic.Int64
+}
+
+func (d *deployment) startPartLoad(hosts ...*host) *partLoad {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &partLoad{}
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				if d.requestWithPart(h, fmt.Sprintf("c%d%d", i, n%10)).status == http.StatusOK {
+					l.served.Add(1)
+				}
+			}
+		})
+	}
+	l.stop = sync.OnceFunc(func() { cancel(); wg.Wait() })
+	d.t.Cleanup(l.stop)
+	return l
+}
+
+// Guards against requests of different content that share a prompt part which crashes endpoints reaching one
+// endpoint after the other, and against refusing sound requests that share their other parts.
+func TestPromptPartThatCrashesEndpointsIsBlocked(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	endpoints := d.startPartCrashableEndpoints(30)
+	hosts := []*host{d.startHost("a"), d.startHost("b"), d.startHost("c")}
+	d.waitForPeers(hosts...)
+	load := d.startPartLoad(hosts...)
+	for i := 0; countPartCrashes(endpoints) < crashesUntilBlock; i++ {
+		d.requestWithPart(hosts[i%len(hosts)], crashingPart)
+	}
+	<-time.After(blockPropagation)
+	load.stop()
+	before := countPartCrashes(endpoints)
+	for range 3 {
+		for _, h := range hosts {
+			got := d.requestWithPart(h, crashingPart)
+			is.True(got.status != http.StatusOK)
+		}
+	}
+	if n := countPartCrashes(endpoints) - before; n > maxStrayRuns {
+		t.Errorf("requests with a prompt part that had crashed %d endpoints reached %d more, want at most %d", before, n, maxStrayRuns)
+	}
+	for _, h := range hosts {
+		is.Equal(d.requestWithPart(h, "other").status, http.StatusOK)
+	}
+}
