Quarantine: blame prompt parts that crash endpoints

The crash log now counts several keys a request: its content and each shared prompt part of requests whose response had not begun at the crash. The rest stays one mechanism: reports, blocks, rounds, store records. A part goes on no trial, since that would be an outage of its route; when it ran at three crashes, the hosts are asked whether responses to requests with it begin, and the newest answer exonerates it of the crashes before. The controller blocks a part 0.6 s later if three crashes are attributed to it: a crash belongs to the key that explains the most, of two that explain the same to the later one in the prompt, and not to a part on which a response began within 3 s before if another one with three crashes fits. The crashes of a blocked part clear what else ran there. Hosts without the reports of all others decide on no parts. Reports of parts travel and are stored in fields of their own, which hosts of former versions ignore.

--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -88,6 +88,9 @@
 	// Crashes lists the crashes, seen by the requesting host and by the hosts that pull from
 	// it, that have not been sent to the responding host yet.
 	Crashes []CrashReport `cbor:"9,keyasint,omitempty"`
+	// PartCrashes are those crashes whose reports name a prompt part. Hosts of former versions would take them
+	// for crashes of a content, and ignore this field.
+	PartCrashes []CrashReport `cbor:"17,keyasint,omitempty"`
 	// BlocksChecksum is the checksum over all blocks known to the requesting host. Blocks holds
 	// these blocks if the responding host's last checksum differed.
 	BlocksChecksum uint64  `cbor:"10,keyasint,omitempty"`
--- a/pkg/fleet/quarantine.go
+++ b/pkg/fleet/quarantine.go
@@ -72,6 +72,18 @@
 	PromptPart int `cbor:"5,keyasint,omitempty"`
 }
 
+// SplitCrashes separates the reports that name a content from those that name a prompt part.
+func SplitCrashes(crashes []CrashReport) (contents, parts []CrashReport) {
+	for _, c := range crashes {
+		if c.PromptPart > 0 {
+			parts = append(parts, c)
+		} else {
+			contents = append(contents, c)
+		}
+	}
+	return contents, parts
+}
+
 // CopyID is a digest of an attempt ID. It is never 0.
 type CopyID uint32
 
@@ -92,6 +104,9 @@
 	// Suspect requests are not blocked but on trial: one copy runs at a time.
 	Suspect bool  `cbor:"3,keyasint,omitempty"`
 	Trial   Trial `cbor:"4,keyasint,omitempty"`
+	// PromptPart is the position of the prompt part whose digest is in the place of the content, as in
+	// CrashReport, or 0 for a content.
+	PromptPart int `cbor:"5,keyasint,omitempty"`
 }
 
 // Trial is the progress of a suspect request's trial. Hosts resolve conflicting states by
@@ -106,6 +121,9 @@
 	// LastCrashAgo is the time in milliseconds since an endpoint last crashed while it ran the
 	// request.
 	LastCrashAgo int64 `cbor:"4,keyasint,omitempty"`
+	// BegunAgo is, for a prompt part, the time in milliseconds since the last known response to a request with
+	// the part began; 0 if none is known.
+	BegunAgo int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // TrialStage is the stage of a trial's current round.
--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,8 +46,13 @@
 	Written int64               `cbor:"1,keyasint"`
 	Crashes []fleet.CrashReport `cbor:"2,keyasint,omitempty"`
 	Blocks  []fleet.Block       `cbor:"3,keyasint,omitempty"`
+	// PartCrashes replaces Crashes if the content is a prompt part. Hosts of former versions ignore it.
+	PartCrashes []fleet.CrashReport `cbor:"4,keyasint,omitempty"`
 }
 
+// crashes returns the crashes of the content or prompt part.
+func (r crashRecord) crashes() []fleet.CrashReport { return slices.Concat(r.Crashes, r.PartCrashes) }
+
 // expired reports whether the record is too old to count: any block in it has expired.
 func (r crashRecord) expired(now time.Time) bool {
 	return now.UnixMilli()-r.Written > quarantine.BlockTTL.Milliseconds()
@@ -108,7 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stored := s.byContent[content]
-	return len(r.Blocks) > len(stored.Blocks) || len(stored.Blocks) == 0 && len(r.Crashes) > len(stored.Crashes)
+	return len(r.Blocks) > len(stored.Blocks) || len(stored.Blocks) == 0 && len(r.crashes()) > len(stored.crashes())
 }
 
 func (s *storedCrashes) markStale(key string) {
@@ -193,10 +199,11 @@
 	age := now.UnixMilli() - r.Written
 	content := contentOf(r)
 	g.storedCrashes.set(content, r)
-	for i := range r.Crashes {
-		r.Crashes[i].Ago += max(0, age)
+	crashes := r.crashes()
+	for i := range crashes {
+		crashes[i].Ago += max(0, age)
 	}
-	if g.guard.CrashLog.Add(now, r.Crashes) {
+	if g.guard.CrashLog.Add(now, crashes) {
 		g.requestReport()
 	}
 	g.mergeBlocks(now, r.Blocks)
@@ -207,8 +214,8 @@
 	switch {
 	case len(r.Blocks) > 0:
 		return r.Blocks[0].Request.Content
-	case len(r.Crashes) > 0:
-		return r.Crashes[0].Request.Content
+	case len(r.crashes()) > 0:
+		return r.crashes()[0].Request.Content
 	}
 	return 0
 }
@@ -271,7 +278,9 @@
 			minCrashes = minStoredCrashesIsolated
 		}
 		for content, crashes := range g.guard.CrashesToPersist(now, minCrashes, minStoredTrialAge) {
-			byContent[content] = crashRecord{Written: now.UnixMilli(), Crashes: crashes}
+			r := crashRecord{Written: now.UnixMilli()}
+			r.Crashes, r.PartCrashes = fleet.SplitCrashes(crashes)
+			byContent[content] = r
 		}
 	}
 	if isController || isolated || backup && g.mesh.isRelay() {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -46,7 +47,11 @@
 	if !isController && g.notices.recent(now) {
 		return
 	}
-	if g.guard.Decide(now) {
+	decide := g.guard.Decide
+	if isController {
+		decide = g.guard.DecideForAll
+	}
+	if decide(now) {
 		g.announceBlocks()
 	}
 	switch {
@@ -102,15 +107,15 @@
 // addCrashesTo adds blocks to a pull, and the crashes that the host at addr has not received.
 // It returns the number of the first crash after them.
 func (g *Gateway) addCrashesTo(now time.Time, addr string, p *fleet.Pull) int64 {
-	var next int64
-	p.Crashes, next = g.guard.CrashLog.Since(now, g.crashCursors.next(addr), maxCrashesPerPull)
+	crashes, next := g.guard.CrashLog.Since(now, g.crashCursors.next(addr), maxCrashesPerPull)
+	p.Crashes, p.PartCrashes = fleet.SplitCrashes(crashes)
 	p.BlocksChecksum, p.Blocks = g.blocks.forRequest(now)
 	return next
 }
 
 // mergeCrashes merges the crashes and blocks of a pull.
 func (g *Gateway) mergeCrashes(now time.Time, p fleet.Pull) {
-	if g.guard.CrashLog.Add(now, p.Crashes) && g.election.HeldToken() == 0 {
+	if g.guard.CrashLog.Add(now, slices.Concat(p.Crashes, p.PartCrashes)) && g.election.HeldToken() == 0 {
 		g.requestReport()
 	}
 	g.mergeBlocks(now, p.Blocks)
@@ -127,7 +132,14 @@
 func (g *Gateway) addBlocks(now time.Time, blocks []fleet.Block) bool {
 	added := g.guard.Merge(now, blocks)
 	for _, b := range added {
-		if b.Suspect {
+		switch {
+		case b.Suspect && b.PromptPart > 0:
+			g.log.Info("suspect prompt part", "prompt_part", fleet.Hex(b.Request.Content), "round", b.Trial.Round, "stage", b.Trial.Stage.String(), "host", b.Trial.Host, "begun_ms_ago", b.Trial.BegunAgo)
+			continue
+		case b.PromptPart > 0:
+			g.log.Info("prompt part blocked", "prompt_part", fleet.Hex(b.Request.Content), "caller", fleet.Hex(b.Request.Caller), "age_s", now.Unix()-b.Since)
+			continue
+		case b.Suspect:
 			g.log.Info("trial of suspect request", "content", fleet.Hex(b.Request.Content), "round", b.Trial.Round, "stage", b.Trial.Stage.String(), "host", b.Trial.Host)
 			continue
 		}
--- a/pkg/quarantine/blocklist.go
+++ b/pkg/quarantine/blocklist.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	mu sync.Mutex
 	// blockedAt maps each blocked request to when it was blocked, in Unix seconds.
 	blockedAt map[fleet.BlockedRequest]int64
+	// parts holds the positions of the blocked prompt parts, by digest.
+	parts map[uint64]int
 	// trials maps content digests to trials.
 	trials map[uint64]trial
 	// version is incremented on each local change. checksum is an order-independent hash of all
@@ -37,6 +40,7 @@
 func NewBlocklist() *Blocklist {
 	return &Blocklist{
 		blockedAt: map[fleet.BlockedRequest]int64{},
+		parts:     map[uint64]int{},
 		trials:    map[uint64]trial{},
 		changes:   make(chan struct{}),
 	}
@@ -63,6 +67,9 @@
 		return false
 	}
 	b.blockedAt[x.Request] = max(blockedAt, x.Since)
+	if x.PromptPart > 0 {
+		b.parts[x.Request.Content] = x.PromptPart
+	}
 	if !ok {
 		b.recordChange(hashBlock(x))
 	}
@@ -120,6 +127,7 @@
 func (b *Blocklist) Expire(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.pruneParts()
 	for _, x := range b.all(now) {
 		if !expired(now, x) {
 			continue
@@ -133,11 +141,21 @@
 	}
 }
 
+// pruneParts forgets the positions of prompt parts that are not blocked any more. It must be called with b.mu
+// held.
+func (b *Blocklist) pruneParts() {
+	blocked := map[uint64]bool{}
+	for r := range b.blockedAt {
+		blocked[r.Content] = true
+	}
+	maps.DeleteFunc(b.parts, func(part uint64, _ int) bool { return !blocked[part] })
+}
+
 // all returns all blocks and trials. It must be called with b.mu held.
 func (b *Blocklist) all(now time.Time) []fleet.Block {
 	var out []fleet.Block
 	for r, since := range b.blockedAt {
-		out = append(out, fleet.Block{Request: r, Since: since})
+		out = append(out, fleet.Block{Request: r, Since: since, PromptPart: b.parts[r.Content]})
 	}
 	for content, t := range b.trials {
 		out = append(out, t.toBlock(now, content))
@@ -182,10 +200,30 @@
 	return b.checksum
 }
 
+// BlockedPart returns the first blocked part of a prompt.
+func (b *Blocklist) BlockedPart(p fleet.Prompt) (part uint64, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.parts) == 0 {
+		return 0, false
+	}
+	for _, part := range p.Parts {
+		if b.parts[part] > 0 && b.blockedLocked(fleet.Fingerprint{Content: part, Caller: p.Caller}) {
+			return part, true
+		}
+	}
+	return 0, false
+}
+
 // Blocked reports whether the request is blocked for its caller or for all callers.
 func (b *Blocklist) Blocked(f fleet.Fingerprint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.blockedLocked(f)
+}
+
+// blockedLocked is Blocked with b.mu held.
+func (b *Blocklist) blockedLocked(f fleet.Fingerprint) bool {
 	_, byCaller := b.blockedAt[fleet.BlockedRequest(f)]
 	_, byAnyCaller := b.blockedAt[fleet.BlockedRequest{Content: f.Content, Caller: fleet.AnyCaller}]
 	return byCaller || byAnyCaller
--- a/pkg/quarantine/checker.go
+++ b/pkg/quarantine/checker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -169,7 +168,6 @@
 
 // report passes on the crashes, unless the endpoint had announced its shutdown.
 func (c *checker) report(id fleet.EndpointID, crashes []fleet.CrashReport) {
-	crashes = slices.DeleteFunc(crashes, func(x fleet.CrashReport) bool { return x.PromptPart > 0 })
 	if len(crashes) > 0 && !c.cfg.ShutdownAnnounced(id) {
 		c.onCrash(crashes)
 	}
--- a/pkg/quarantine/crashlog.go
+++ b/pkg/quarantine/crashlog.go
@@ -35,6 +35,8 @@
 	// correlationWindow is the time within which crashes are taken to have a common cause, such as
 	// a rack that loses power. It allows for differences in when hosts detect and report them.
 	correlationWindow = 60 * time.Millisecond
+	// evaluationPeriod is how long after a crash verdicts are evaluated.
+	evaluationPeriod = 3 * time.Second
 	// evaluationInterval is the least interval between two evaluations, which bounds their CPU
 	// cost.
 	evaluationInterval = 50 * time.Millisecond
@@ -51,6 +53,9 @@
 	// endpoint crashed while running one.
 	Suspect   bool
 	LastCrash time.Time
+	// PromptPart is the position of the prompt part that the verdict is on, as in fleet.CrashReport, or 0. A
+	// suspect part is not put on trial: hosts are asked whether responses to requests with it begin.
+	PromptPart int
 	// Endpoints are those that crashed while running the request.
 	Endpoints []fleet.EndpointID
 }
@@ -71,6 +76,8 @@
 	crashCounts map[uint64]int
 	copyCounts  map[uint64]int
 	candidates  map[uint64]bool
+	// parts holds what is known of the contents that are prompt parts.
+	parts map[uint64]*promptPart
 	// pending is set while a new verdict is possible. evaluatedAt is when verdicts were last
 	// evaluated.
 	pending     bool
@@ -85,6 +92,10 @@
 	// requests holds the requests that were running there, by content and caller. Cleared ones are
 	// kept to recognize duplicate reports.
 	requests map[uint64]map[uint64]*crashedRequest
+	// cause is the blocked prompt part that has caused the crash, or 0.
+	cause uint64
+	// parts is the number of prompt parts in requests.
+	parts int
 }
 
 // crashedRequest holds one caller's requests of one content that were running at a crash.
@@ -105,6 +116,9 @@
 
 // mayBeCause reports whether a request with the content may have caused the crash.
 func (e *endpointCrash) mayBeCause(content uint64) bool {
+	if e.cause != 0 && e.cause != content {
+		return false
+	}
 	for _, r := range e.requests[content] {
 		if r.mayBeCause {
 			return true
@@ -142,6 +156,7 @@
 		crashCounts: map[uint64]int{},
 		copyCounts:  map[uint64]int{},
 		candidates:  map[uint64]bool{},
+		parts:       map[uint64]*promptPart{},
 	}
 }
 
@@ -170,6 +185,9 @@
 	if at.Before(e.at) {
 		e.at = at
 	}
+	if c.PromptPart > 0 && e.requests[c.Request.Content] == nil && e.parts >= maxPartsPerCrash {
+		return false
+	}
 	r := e.request(c.Request)
 	if r.copies[c.CopyID] {
 		return false
@@ -178,10 +196,15 @@
 		r.copies[c.CopyID] = true
 		return false
 	}
+	harmless := l.addPart(e, c)
 	l.update(e, c.Request.Content, func() {
-		r.mayBeCause = true
+		r.mayBeCause = !harmless
 		r.copies[c.CopyID] = true
 	})
+	if harmless {
+		return false
+	}
+	l.setCause(e, c.Request.Content)
 	l.log = append(l.log, c)
 	return true
 }
@@ -266,7 +289,7 @@
 		delete(l.crashCounts, content)
 		delete(l.copyCounts, content)
 	}
-	if n >= suspectCrashes || c >= suspectCopies {
+	if n >= suspectCrashes || c >= suspectCopies && l.parts[content] == nil {
 		l.candidates[content] = true
 	} else {
 		delete(l.candidates, content)
@@ -296,6 +319,7 @@
 			l.remove(e)
 		}
 	}
+	l.expireParts(now)
 	kept := slices.IndexFunc(l.log, func(c fleet.CrashReport) bool { return l.crashes[c.Endpoint] != nil })
 	if kept < 0 {
 		kept = len(l.log)
@@ -333,7 +357,12 @@
 //
 // A crash is attributed to a request unless another request that ran there also ran at more crashes
 // in total. Crashes that occur together count as one unless the request ran at all of them.
-func (l *CrashLog) Decide(now time.Time) []Verdict {
+func (l *CrashLog) Decide(now time.Time) []Verdict { return l.decide(now, false) }
+
+// DecideWithParts is like Decide, and also returns the prompt parts that cause crashes.
+func (l *CrashLog) DecideWithParts(now time.Time) []Verdict { return l.decide(now, true) }
+
+func (l *CrashLog) decide(now time.Time, withParts bool) []Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.pending || now.Sub(l.evaluatedAt) < evaluationInterval {
@@ -341,12 +370,22 @@
 	}
 	l.evaluatedAt = now
 	crashes := l.sortedCrashes()
-	l.pending = slices.ContainsFunc(crashes, func(e *endpointCrash) bool { return now.Sub(e.learnedAt) < tieDelay })
+	l.pending = slices.ContainsFunc(crashes, func(e *endpointCrash) bool { return now.Sub(e.learnedAt) < evaluationPeriod })
 	reported := slices.DeleteFunc(slices.Clone(crashes), func(e *endpointCrash) bool { return now.Sub(e.learnedAt) < reportDelay })
-	ev := evaluation{now: now, all: groupByTime(crashes), reported: groupByTime(reported), counts: l.crashCounts}
+	ev := evaluation{now: now, all: groupByTime(crashes), reported: groupByTime(reported), counts: l.crashCounts, parts: l.parts, withParts: withParts}
+	if withParts && len(l.parts) > 0 {
+		ev.unreported = countUnreported(now, crashes)
+	}
 	var out []Verdict
 	for content := range l.candidates {
-		out = append(out, ev.verdicts(content)...)
+		if l.parts[content] == nil {
+			out = append(out, ev.verdicts(content)...)
+		}
+	}
+	if withParts {
+		for _, part := range l.suspectParts() {
+			out = append(out, ev.partVerdicts(part, l.parts[part])...)
+		}
 	}
 	return out
 }
@@ -357,27 +396,34 @@
 func (l *CrashLog) Attributed(now time.Time, include func(content uint64, crashes int) bool) map[uint64][]fleet.CrashReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	ev := evaluation{now: now, counts: l.crashCounts, parts: l.parts, withParts: true}
 	groups := groupByTime(l.sortedCrashes())
 	out := map[uint64][]fleet.CrashReport{}
 	for content, n := range l.crashCounts {
 		if !include(content, n) {
 			continue
 		}
-		if attributed := attributedTo(content, groups, l.crashCounts); len(attributed) > 0 && include(content, len(attributed)) {
-			out[content] = crashReports(now, content, attributed)
+		if attributed := ev.attributedTo(content, groups); len(attributed) > 0 && include(content, len(attributed)) {
+			out[content] = l.crashReports(now, content, attributed)
 		}
 	}
 	return out
 }
 
 // crashReports returns the reports of the given crashes for one content.
-func crashReports(now time.Time, content uint64, crashes []*endpointCrash) []fleet.CrashReport {
+func (l *CrashLog) crashReports(now time.Time, content uint64, crashes []*endpointCrash) []fleet.CrashReport {
+	position := 0
+	if part := l.parts[content]; part != nil {
+		position = part.position
+	}
 	var out []fleet.CrashReport
 	for _, e := range crashes {
 		for _, caller := range e.callers(content) {
 			f := fleet.Fingerprint{Content: content, Caller: caller}
 			for id := range e.requests[content][caller].copies {
-				out = append(out, newCrash(now, e.id, requestCopy{f, id}, e.at))
+				r := newCrash(now, e.id, requestCopy{f, id}, e.at)
+				r.PromptPart = position
+				out = append(out, r)
 			}
 		}
 	}
--- a/pkg/quarantine/evaluation.go
+++ b/pkg/quarantine/evaluation.go
@@ -15,6 +15,34 @@
 	// reported them.
 	all, reported [][]*endpointCrash
 	counts        map[uint64]int
+	// parts holds what is known of prompt parts. They are ignored unless withParts is set: a host that does
+	// not receive the reports of all hosts cannot tell which of them are sound.
+	parts     map[uint64]*promptPart
+	withParts bool
+	// unreported is the number of crashes, among those that not all hosts have reported yet, at which each content
+	// ran.
+	unreported map[uint64]int
+}
+
+// countUnreported returns the number of crashes learned less than reportDelay ago at which each content ran.
+func countUnreported(now time.Time, crashes []*endpointCrash) map[uint64]int {
+	out := map[uint64]int{}
+	for _, e := range crashes {
+		if now.Sub(e.learnedAt) >= reportDelay {
+			continue
+		}
+		for content := range e.requests {
+			if e.mayBeCause(content) {
+				out[content]++
+			}
+		}
+	}
+	return out
+}
+
+// reportedCount returns the number of crashes at which the content ran, of those that all hosts have reported.
+func (ev evaluation) reportedCount(content uint64) int {
+	return ev.counts[content] - ev.unreported[content]
 }
 
 // verdicts returns the verdicts on a content: that it is suspect, and for which callers to block
@@ -27,7 +55,7 @@
 	allCallers := fleet.BlockedRequest{Content: content, Caller: fleet.AnyCaller}
 	out := []Verdict{{Request: allCallers, Suspect: true, Endpoints: endpointIDs(all), LastCrash: all[len(all)-1].at}}
 	crashes := all
-	if len(all) < certainCrashes {
+	if len(all) < certainCrashes || ev.awaitsPart(content, all) {
 		crashes = ev.attributed(content)
 	}
 	if len(crashes) < blockCrashes {
@@ -58,8 +86,8 @@
 // attributed returns the crashes that are attributed to the content and that all hosts have
 // reported. If another content ran at as many, only crashes older than tieDelay count.
 func (ev evaluation) attributed(content uint64) []*endpointCrash {
-	crashes := attributedTo(content, ev.reported, ev.counts)
-	if hasTie(content, crashes, ev.counts) {
+	crashes := ev.attributedTo(content, ev.reported)
+	if ev.hasTie(content, crashes) {
 		crashes = slices.DeleteFunc(crashes, func(e *endpointCrash) bool { return ev.now.Sub(e.learnedAt) < tieDelay })
 	}
 	return crashes
@@ -98,8 +126,8 @@
 
 // attributedTo returns the crashes that are attributed to the content: those at which no content
 // ran that ran at more crashes.
-func attributedTo(content uint64, groups [][]*endpointCrash, counts map[uint64]int) []*endpointCrash {
-	return slices.DeleteFunc(crashesRunning(content, groups), func(e *endpointCrash) bool { return betterExplained(content, e, counts) })
+func (ev evaluation) attributedTo(content uint64, groups [][]*endpointCrash) []*endpointCrash {
+	return slices.DeleteFunc(crashesRunning(content, groups), func(e *endpointCrash) bool { return ev.betterExplained(content, e) })
 }
 
 // crashesRunning returns the crashes at which the content ran. A group in which some endpoint did
@@ -136,21 +164,50 @@
 	return groups
 }
 
-// betterExplained reports whether another content that ran at the crash ran at more crashes.
-func betterExplained(content uint64, e *endpointCrash, counts map[uint64]int) bool {
+// betterExplained reports whether another content that ran at the crash explains it better.
+func (ev evaluation) betterExplained(content uint64, e *endpointCrash) bool {
 	for other := range e.requests {
-		if counts[other] > counts[content] && e.mayBeCause(other) {
+		if other != content && e.mayBeCause(other) && ev.explainsBetter(other, content, e) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasTie reports whether another content ran at one of the crashes and at as many in total.
-func hasTie(content uint64, crashes []*endpointCrash, counts map[uint64]int) bool {
+// explainsBetter reports whether other explains the crash better than the content, both of which ran there:
+// the one that ran at more crashes. Of a prompt part and contents or parts that follow it in the prompts of
+// the same crashes, the latter are more specific.
+func (ev evaluation) explainsBetter(other, content uint64, e *endpointCrash) bool {
+	o, c := ev.parts[other], ev.parts[content]
+	if c == nil && o == nil {
+		return ev.counts[other] > ev.counts[content]
+	}
+	// A host may have reported one of them and not the other yet.
+	byCount := ev.reportedCount(other) - ev.reportedCount(content)
+	switch {
+	case !ev.withParts:
+		return false
+	case c == nil:
+		return byCount > 0 && !o.recentlySound(e)
+	case o == nil:
+		return byCount >= 0
+	case c.recentlySound(e) && !o.recentlySound(e) && ev.reportedCount(other) >= blockCrashes:
+		return true
+	case o.recentlySound(e) && !c.recentlySound(e) && ev.reportedCount(content) >= blockCrashes:
+		return false
+	}
+	return byCount > 0 || byCount == 0 && o.position < c.position
+}
+
+// hasTie reports whether another content, or for a prompt part another part, explains one of the crashes equally
+// well.
+func (ev evaluation) hasTie(content uint64, crashes []*endpointCrash) bool {
 	for _, e := range crashes {
 		for other := range e.requests {
-			if other != content && counts[other] == counts[content] && e.mayBeCause(other) {
+			if other == content || !e.mayBeCause(other) || (ev.parts[other] == nil) != (ev.parts[content] == nil) {
+				continue
+			}
+			if !ev.explainsBetter(other, content, e) && !ev.explainsBetter(content, other, e) {
 				return true
 			}
 		}
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -44,11 +44,15 @@
 	checker   *checker
 	probes    *probes
 	responses *recentResponses
+	begun     *begunParts
+	// decidesForAllSince is since when this host decides for all hosts, decidedForAllAt when it last did. They
+	// are used by a single goroutine.
+	decidesForAllSince, decidedForAllAt time.Time
 }
 
 // NewGuard returns a guard that blocks nothing.
 func NewGuard(cfg Config) *Guard {
-	g := &Guard{CrashLog: NewCrashLog(), Blocklist: NewBlocklist(), cfg: cfg, probes: newProbes(), responses: newRecentResponses()}
+	g := &Guard{CrashLog: NewCrashLog(), Blocklist: NewBlocklist(), cfg: cfg, probes: newProbes(), responses: newRecentResponses(), begun: newBegunParts()}
 	g.checker = newChecker(cfg, g.addDetected)
 	return g
 }
@@ -61,9 +65,6 @@
 // RecordUnbegun implements serve.Guard.
 func (g *Guard) RecordUnbegun(e fleet.Endpoint, p fleet.Prompt) { g.checker.RecordUnbegun(e, p) }
 
-// RecordBegun implements serve.Guard.
-func (g *Guard) RecordBegun(fleet.Prompt) {}
-
 // RecordUnreachable implements serve.Guard.
 func (g *Guard) RecordUnreachable(e fleet.Endpoint) { g.checker.RecordUnreachable(e) }
 
@@ -93,8 +94,11 @@
 func (g *Guard) Merge(now time.Time, blocks []fleet.Block) []fleet.Block {
 	added := g.Blocklist.Add(now, blocks)
 	for _, b := range added {
-		if b.Suspect {
+		switch {
+		case b.Suspect:
 			g.applyTrial(b.Request.Content)
+		case b.PromptPart > 0:
+			g.CrashLog.RecordBlockedPart(now, b.Request.Content)
 		}
 	}
 	return added
@@ -102,16 +106,28 @@
 
 // applyTrial applies a new stage of a trial to the crash log.
 func (g *Guard) applyTrial(content uint64) {
-	if t, ok := g.Blocklist.trialOf(content); ok && t.cleared() {
+	t, ok := g.Blocklist.trialOf(content)
+	switch {
+	case !ok || !t.cleared():
+	case t.part > 0:
+		g.CrashLog.RecordBegun(content, t.begunAt)
+	default:
 		g.CrashLog.ClearContent(content)
 	}
 }
 
 // Decide blocks the requests that cause crashes and starts trials of suspect ones. It reports
 // whether there are any new blocks or trials.
-func (g *Guard) Decide(now time.Time) bool {
+func (g *Guard) Decide(now time.Time) bool { return g.apply(now, g.CrashLog.Decide(now)) }
+
+// apply applies verdicts and reports whether there are any new blocks or trials.
+func (g *Guard) apply(now time.Time, verdicts []Verdict) bool {
 	changed := false
-	for _, v := range g.CrashLog.Decide(now) {
+	for _, v := range verdicts {
+		if v.PromptPart > 0 {
+			changed = g.applyPart(now, v) || changed
+			continue
+		}
 		if v.Suspect {
 			changed = g.startTrial(now, v) || changed
 			continue
--- a/pkg/quarantine/probe.go
+++ b/pkg/quarantine/probe.go
@@ -200,15 +200,14 @@
 		case t.Host != g.cfg.Host && t.Stage != fleet.TrialWaiting && expired:
 			g.advanceTrial(content, t.Trial, t.nextRound())
 		case t.Host != g.cfg.Host || t.Stage != fleet.TrialRequested:
-		case now.Sub(t.lastCrashAt) >= g.localGrantDelay(t.Trial, content, span) && now.Sub(g.CrashLog.LastReportedAt(content)) >= tieDelay:
+		case now.Sub(t.lastCrashAt) >= g.spreadDelay(t.Trial, content, span) && now.Sub(g.CrashLog.LastReportedAt(content)) >= tieDelay:
 			g.advanceTrial(content, t.Trial, fleet.Trial{Round: t.Round, Stage: fleet.TrialGranted, Host: t.Host})
 		}
 	}
 }
 
-// localGrantDelay returns how long after the last crash this host may run a copy while it is
-// isolated. Hosts and rounds are spread evenly over span.
-func (g *Guard) localGrantDelay(t fleet.Trial, content uint64, span time.Duration) time.Duration {
+// spreadDelay returns a delay by which hosts and rounds are spread evenly over span.
+func (g *Guard) spreadDelay(t fleet.Trial, content uint64, span time.Duration) time.Duration {
 	h := fnv.New32a()
 	_, _ = io.WriteString(h, g.cfg.Host+strconv.FormatUint(content, 16)+strconv.FormatInt(t.Round, 16)) // A hash never returns an error.
 	return time.Duration(float64(span) * float64(h.Sum32()) / math.MaxUint32)
@@ -217,6 +216,10 @@
 // UpdateTrials clears the suspects that this host has served, and releases unused grants.
 func (g *Guard) UpdateTrials(now time.Time) {
 	for content, t := range g.Blocklist.openTrials() {
+		if t.part > 0 {
+			g.answerIfSound(now, content, t)
+			continue
+		}
 		g.clearIfServed(now, content, t)
 		if t.Host == g.cfg.Host && now.Sub(t.changedAt) >= unusedGrantTimeout && !g.probes.has(content) {
 			g.releaseGrant(content)
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -18,6 +18,10 @@
 // crash is detected.
 type trial struct {
 	fleet.Trial
+	// part is the position of the prompt part that is suspect, 0 for a content. begunAt is when a response to a
+	// request with that part last began, zero if that is not known.
+	part    int
+	begunAt time.Time
 	// suspectedAt is when the request became suspect, in Unix seconds.
 	suspectedAt int64
 	// lastCrashAt is when the last endpoint crashed while running the suspect, changedAt when this
@@ -32,8 +36,11 @@
 
 // toBlock returns the trial in the form in which hosts exchange it.
 func (t trial) toBlock(now time.Time, content uint64) fleet.Block {
-	b := fleet.Block{Request: forAnyCaller(content), Since: t.suspectedAt, Suspect: true, Trial: t.Trial}
+	b := fleet.Block{Request: forAnyCaller(content), Since: t.suspectedAt, Suspect: true, Trial: t.Trial, PromptPart: t.part}
 	b.Trial.LastCrashAgo = now.Sub(t.lastCrashAt).Milliseconds()
+	if !t.begunAt.IsZero() {
+		b.Trial.BegunAgo = max(1, now.Sub(t.begunAt).Milliseconds())
+	}
 	return b
 }
 
@@ -60,8 +67,11 @@
 	if known {
 		before = hashBlock(old.toBlock(now, content))
 	}
-	t := trial{Trial: x.Trial, suspectedAt: max(x.Since, old.suspectedAt), changedAt: now}
-	t.LastCrashAgo = 0
+	t := trial{Trial: x.Trial, part: x.PromptPart, begunAt: old.begunAt, suspectedAt: max(x.Since, old.suspectedAt), changedAt: now}
+	if begunAt := now.Add(-time.Duration(x.Trial.BegunAgo) * time.Millisecond); x.Trial.BegunAgo > 0 && begunAt.After(t.begunAt) {
+		t.begunAt = begunAt
+	}
+	t.LastCrashAgo, t.BegunAgo = 0, 0
 	t.lastCrashAt = now.Add(-time.Duration(x.Trial.LastCrashAgo) * time.Millisecond)
 	b.trials[content] = t
 	b.recordChange(before ^ hashBlock(t.toBlock(now, content)))
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -13,6 +13,8 @@
 type Guard interface {
 	// Blocked reports whether the request must not be sent to any endpoint.
 	Blocked(f fleet.Fingerprint) bool
+	// BlockedPart returns a part of the prompt with which no request must be sent to any endpoint.
+	BlockedPart(p fleet.Prompt) (part uint64, ok bool)
 	// RecordBroken records that a run of a request at an endpoint ended without a complete
 	// response. suspected reports whether no other cause than a crash of the endpoint is known.
 	RecordBroken(e fleet.Endpoint, f fleet.Fingerprint, id fleet.CopyID, suspected bool)
@@ -63,7 +65,12 @@
 // refuseIfBlocked refuses the request if the guard blocks it, and reports whether it did. The
 // client gets the longest Retry-After, since a block does not end soon.
 func (x *exchange) refuseIfBlocked(ctx context.Context) bool {
-	if !x.guarded() || !x.server.Guard.Blocked(x.request.Fingerprint) {
+	if !x.guarded() {
+		return false
+	}
+	part, blocked := x.server.Guard.BlockedPart(x.request.Prompt)
+	x.result.BlockedPart = part
+	if !blocked && !x.server.Guard.Blocked(x.request.Fingerprint) {
 		return false
 	}
 	x.finish(ctx, Refusal{Cause: CauseCrashes, NotRun: true, RetryAfter: maxRetryAfter})
--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -65,6 +65,8 @@
 
 func (g *fakeGuard) RecordUnbegun(fleet.Endpoint, fleet.Prompt) {}
 
+func (g *fakeGuard) BlockedPart(fleet.Prompt) (uint64, bool) { return 0, false }
+
 func (g *fakeGuard) RecordBegun(fleet.Prompt) {}
 
 func (g *fakeGuard) RecordServed(fleet.Endpoint, fleet.Fingerprint, time.Time) {
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -49,6 +49,9 @@
 	if len(r.Request.Prompt.Parts) > 0 {
 		attrs = append(attrs, "prompt_parts", fleet.HexAll(r.Request.Prompt.Parts))
 	}
+	if r.BlockedPart != 0 {
+		attrs = append(attrs, "blocked_part", fleet.Hex(r.BlockedPart))
+	}
 	// These are set only for services that are scheduled for contention.
 	if r.Request.limited {
 		attrs = append(attrs, "share", r.Request.share)
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -72,6 +72,8 @@
 	// StreamVersion is where the knowledge of a resumed stream's software version comes from, zero for other
 	// requests.
 	StreamVersion StreamVersion
+	// BlockedPart is the digest of the prompt part for which the request was refused, or 0.
+	BlockedPart uint64
 	// Note describes the last failure at an endpoint.
 	Note string
 }
