Serve: the refusal of a blocked request tells when the block ends

Callers of a blocked request or prompt part were told to return after 4 s, again and again for an hour. Retry-After is now the rest of the block's time. Clients that bound it by their own deadline return as before.

Tests: TestBlockedRequestReachesNoEndpoint and TestBlockedPromptPartTellsWhenToReturn fail without the change (4 s instead of the rest of the block).

--- a/pkg/gateway/crashpart_test.go
+++ b/pkg/gateway/crashpart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -115,3 +116,60 @@
 		is.Equal(d.requestWithPart(h, "other").status, http.StatusOK)
 	}
 }
+
+// Guards against losing the crashes of a prompt part when all hosts lose power at once: the part would crash as many
+// endpoints again.
+func TestPromptPartCrashesSurviveRestartOfAllHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	endpoints := d.startPartCrashableEndpoints(30)
+	hosts := []*host{d.startHost("a"), d.startHost("b")}
+	d.waitForPeers(hosts...)
+	for i := 0; countPartCrashes(endpoints) < crashesUntilBlock-1; i++ {
+		d.requestWithPart(hosts[i%len(hosts)], crashingPart)
+	}
+	d.waitFor("the crashes are stored", func() bool { return d.store.KeyCount("keyed.crashes") > 0 })
+	<-time.After(blockPropagation)
+	for _, h := range hosts {
+		h.Kill()
+	}
+	hosts = []*host{d.startHost("a"), d.startHost("b")}
+	d.waitForPeers(hosts...)
+	for i := 0; countPartCrashes(endpoints) < crashesUntilBlock; i++ {
+		if got := d.requestWithPart(hosts[i%len(hosts)], crashingPart); got.status == http.StatusServiceUnavailable {
+			break // The part is blocked already.
+		}
+	}
+	<-time.After(blockPropagation)
+	before := countPartCrashes(endpoints)
+	for range 4 {
+		for _, h := range hosts {
+			d.requestWithPart(h, crashingPart)
+		}
+	}
+	is.True(countPartCrashes(endpoints)-before <= maxStrayRuns)
+	for _, h := range hosts {
+		is.Equal(d.requestWithPart(h, "other").status, http.StatusOK)
+	}
+}
+
+// Guards against an answer to a client of a blocked prompt part that does not say how long the block lasts.
+func TestBlockedPromptPartTellsWhenToReturn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	endpoints := d.startPartCrashableEndpoints(30)
+	h := d.startHost("a")
+	for countPartCrashes(endpoints) < crashesUntilBlock {
+		d.requestWithPart(h, crashingPart)
+	}
+	d.waitFor("the refusal tells when the block ends", func() bool {
+		got := d.requestWithPart(h, crashingPart)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		return got.status == http.StatusServiceUnavailable && err == nil && after > 3500 && after <= 3600
+	})
+	is.True(h.BlockCount() > 0)
+}
--- a/pkg/quarantine/blocklist.go
+++ b/pkg/quarantine/blocklist.go
@@ -215,6 +215,19 @@
 	return 0, false
 }
 
+// EndsIn returns the time until no block applies any more to a request with this fingerprint and prompt.
+func (b *Blocklist) EndsIn(now time.Time, f fleet.Fingerprint, p fleet.Prompt) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var last int64
+	for _, digest := range append([]uint64{f.Content}, p.Parts...) {
+		for _, caller := range []uint64{f.Caller, fleet.AnyCaller} {
+			last = max(last, b.blockedAt[fleet.BlockedRequest{Content: digest, Caller: caller}])
+		}
+	}
+	return max(0, time.Unix(last, 0).Add(BlockTTL).Sub(now))
+}
+
 // Blocked reports whether the request is blocked for its caller or for all callers.
 func (b *Blocklist) Blocked(f fleet.Fingerprint) bool {
 	b.mu.Lock()
--- a/pkg/quarantine/promptparts.go
+++ b/pkg/quarantine/promptparts.go
@@ -258,6 +258,11 @@
 // BlockedPart implements serve.Guard.
 func (g *Guard) BlockedPart(p fleet.Prompt) (part uint64, ok bool) { return g.Blocklist.BlockedPart(p) }
 
+// BlockEndsIn implements serve.Guard.
+func (g *Guard) BlockEndsIn(f fleet.Fingerprint, p fleet.Prompt) time.Duration {
+	return g.Blocklist.EndsIn(g.cfg.Now(), f, p)
+}
+
 // DecideForAll is like Decide, for the host that receives the reports and answers of all hosts: it also blocks
 // prompt parts.
 func (g *Guard) DecideForAll(now time.Time) bool {
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -18,6 +18,8 @@
 	// RecordBroken records that a run of a request at an endpoint ended without a complete
 	// response. suspected reports whether no other cause than a crash of the endpoint is known.
 	RecordBroken(e fleet.Endpoint, f fleet.Fingerprint, id fleet.CopyID, suspected bool)
+	// BlockEndsIn returns the time until no block applies any more to a request with this fingerprint and prompt.
+	BlockEndsIn(f fleet.Fingerprint, p fleet.Prompt) time.Duration
 	// RecordUnbegun records that a run at an endpoint broke off before its response had begun: no event of a
 	// stream was read, or not all of another response. It is called before RecordBroken.
 	RecordUnbegun(e fleet.Endpoint, p fleet.Prompt)
@@ -63,7 +65,7 @@
 }
 
 // refuseIfBlocked refuses the request if the guard blocks it, and reports whether it did. The
-// client gets the longest Retry-After, since a block does not end soon.
+// client is told to return when the block ends.
 func (x *exchange) refuseIfBlocked(ctx context.Context) bool {
 	if !x.guarded() {
 		return false
@@ -73,7 +75,8 @@
 	if !blocked && !x.server.Guard.Blocked(x.request.Fingerprint) {
 		return false
 	}
-	x.finish(ctx, Refusal{Cause: CauseCrashes, NotRun: true, RetryAfter: maxRetryAfter})
+	endsIn := x.server.Guard.BlockEndsIn(x.request.Fingerprint, x.request.Prompt)
+	x.finish(ctx, Refusal{Cause: CauseCrashes, NotRun: true, RetryAfter: max(endsIn, minRetryAfter)})
 	return true
 }
 
--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -20,6 +20,7 @@
 	blockOnBreak       bool
 	brokenReports      []bool
 	served             int
+	begun, unbegun     int
 	unreachableReports int
 	suspect            bool
 	probe              probe
@@ -63,11 +64,24 @@
 
 func (g *fakeGuard) Suspected(fleet.Fingerprint) bool { return g.suspect }
 
-func (g *fakeGuard) RecordUnbegun(fleet.Endpoint, fleet.Prompt) {}
+func (g *fakeGuard) RecordUnbegun(fleet.Endpoint, fleet.Prompt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unbegun++
+}
 
 func (g *fakeGuard) BlockedPart(fleet.Prompt) (uint64, bool) { return 0, false }
 
-func (g *fakeGuard) RecordBegun(fleet.Prompt) {}
+// blockEndsIn is the remaining time of the blocks of a fakeGuard.
+const blockEndsIn = 40 * time.Minute
+
+func (g *fakeGuard) BlockEndsIn(fleet.Fingerprint, fleet.Prompt) time.Duration { return blockEndsIn }
+
+func (g *fakeGuard) RecordBegun(fleet.Prompt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begun++
+}
 
 func (g *fakeGuard) RecordServed(fleet.Endpoint, fleet.Fingerprint, time.Time) {
 	g.mu.Lock()
@@ -127,6 +141,7 @@
 				}
 				result := <-done
 				is.Equal(result.Refusal.Cause, serve.CauseCrashes)
+				is.Equal(result.Refusal.RetryAfter, blockEndsIn)
 				is.Equal(out.promisesNotRun(), c.notRun)
 				is.Equal(len(b.sends), c.sends)
 				is.Equal(len(dispatcher(s).Demand()) > 0, !c.onArrival) // a request blocked on arrival does not count as demand
