Serve: a stream has begun with its first event, wherever a read ends

The part of a stream that cannot be resumed counted as begun only if a read ended with an event, so that the prompt parts of a stream that broke off within its second event were blamed for the crash. TestBegunResponses failed in that case before. It also guards the other ways in which a response has or has not begun: a head alone, a plain response, a server error.

--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -99,7 +99,7 @@
 type trackedReader struct {
 	src      io.Reader
 	boundary *eventBoundary
-	// onBegun is called after each read that ends with a complete event.
+	// onBegun is called after each read from the first complete event on.
 	onBegun func()
 }
 
@@ -107,7 +107,7 @@
 func (t *trackedReader) Read(p []byte) (int, error) {
 	n, err := t.src.Read(p)
 	t.boundary.add(p[:n])
-	if t.boundary.started && !t.boundary.insideEvent() {
+	if t.boundary.hasEvent {
 		t.onBegun()
 	}
 	return n, err
