--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -84,17 +84,21 @@
 	output
 	callers, operators string
 	platform           bool
+	crashOnPart        string
 }
 
 func (*devCommand) Name() string     { return "dev" }
 func (*devCommand) Synopsis() string { return "run one entry host with embedded stand-ins" }
-func (*devCommand) Usage() string    { return "dev [-platform] [-listen ADDR] [-operators ADDR]\n" }
+func (*devCommand) Usage() string {
+	return "dev [-platform [-crash-on-part ID]] [-listen ADDR] [-operators ADDR]\n"
+}
 
 // SetFlags implements subcommands.Command.
 func (c *devCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.callers, "listen", "127.0.0.1:7001", "address for callers")
 	f.StringVar(&c.operators, "operators", "127.0.0.1:7101", "address for operators")
 	f.BoolVar(&c.platform, "platform", false, "run tealvane-gateway, with stand-ins of its platform; SIGUSR1 restores the store from a copy some seconds old")
+	f.StringVar(&c.crashOnPart, "crash-on-part", "", "with -platform: `ID` of a part of prompts (X-Prompt-Prefix) that crashes the engine as it begins to respond")
 }
 
 // Execute implements subcommands.Command.
@@ -121,6 +125,7 @@
 	defer signal.Stop(restore)
 	err := dev.RunPlatform(ctx, dev.Options{
 		RestoreStore: restore,
+		CrashOnPart:  c.crashOnPart,
 
 		Callers: c.callers,
 		Out:     c.out,
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -36,6 +36,9 @@
 	// RestoreStore makes the stand-in of the users' store come back from a copy some seconds old, at
 	// each receive. It may be nil, and only RunPlatform uses it.
 	RestoreStore <-chan os.Signal
+	// CrashOnPart is the ID of a part of prompts that crashes the stand-in of the engine, which starts again a
+	// second later. It is optional, and only RunPlatform uses it.
+	CrashOnPart string
 	// Ready is called with the callers' address once the host serves requests. It may
 	// be nil.
 	Ready func(callers string)
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/tealvane/tealvane/internal/standin/site"
@@ -55,13 +56,14 @@
 		return err
 	}
 	defer listener.Close()
-	endpoints, err := startEndpoints(store)
-	if err != nil {
+	if err := publishConfig(store); err != nil {
 		return err
 	}
-	for _, e := range endpoints {
-		defer e.Close()
+	engines := &engines{store: store, crashOnPart: o.CrashOnPart}
+	if err := engines.start(); err != nil {
+		return err
 	}
+	defer engines.close()
 	s, err := gateway.ParseSettings("dev", fmt.Appendf(nil, platformSettings, o.Callers, listener.Addr))
 	if err != nil {
 		return err
@@ -70,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	go restoreOnSignal(ctx, o, store, endpoints)
+	go restoreOnSignal(ctx, o, store, engines)
 	result := make(chan error, 1)
 	go func() { result <- g.Run(ctx) }()
 	if err := pollUntil(ctx, g.Ready); err != nil {
@@ -91,7 +93,7 @@
 
 // restoreOnSignal restores the store from a copy some seconds old at each receive from o.RestoreStore.
 // The operator and the endpoints then write their entries again.
-func restoreOnSignal(ctx context.Context, o Options, store *site.Store, endpoints []*site.Endpoint) {
+func restoreOnSignal(ctx context.Context, o Options, store *site.Store, engines *engines) {
 	copies := []*site.Store{store.Copy()}
 	tick := time.NewTicker(copyInterval)
 	defer tick.Stop()
@@ -107,26 +109,67 @@
 			if err := publishConfig(store); err != nil {
 				fmt.Fprintln(o.Out, "publish the configuration again:", err)
 			}
-			for _, e := range endpoints {
-				e.Heartbeat()
-			}
+			engines.heartbeat()
 			copies = []*site.Store{store.Copy()}
 			fmt.Fprintln(o.Out, "store restored from an older copy")
 		}
 	}
 }
 
-// startEndpoints publishes the configuration and starts one endpoint with three
-// models.
-func startEndpoints(store *site.Store) ([]*site.Endpoint, error) {
-	if err := publishConfig(store); err != nil {
-		return nil, err
+// engineRestart is how long after a crash the engine starts again.
+const engineRestart = time.Second
+
+// engines is the stand-in of an engine with three models, which starts again under a new ID after each crash. It
+// is safe for concurrent use.
+type engines struct {
+	store       *site.Store
+	crashOnPart string
+
+	mu      sync.Mutex
+	starts  int
+	current *site.Endpoint
+	closed  bool
+}
+
+// start starts the engine.
+func (e *engines) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return nil
 	}
-	e, err := site.StartEndpoint(store, site.EndpointConfig{
-		ID: "e1", Service: "llm", Zone: "zone-1", Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, Models: devModels(),
+	e.starts++
+	engine, err := site.StartEndpoint(e.store, site.EndpointConfig{
+		ID: fmt.Sprint("e", e.starts), Service: "llm", Zone: "zone-1", Slots: devSlots, WeightsMB: devMemoryMB, AdapterSlots: 4, Models: devModels(),
 		LoadedModels: []string{"warm", "idle"}, OnDisk: []string{"rare"}, Events: devEventCount, EventInterval: devEventInterval,
+		CrashOnPart: e.crashOnPart, OnCrash: e.restart,
+	})
+	e.current = engine
+	return err
+}
+
+// restart removes the crashed engine and starts it again later. If that fails, requests are refused for lack of
+// an endpoint.
+func (e *engines) restart() {
+	time.AfterFunc(engineRestart, func() {
+		e.mu.Lock()
+		e.current.Remove()
+		e.mu.Unlock()
+		_ = e.start()
 	})
-	return []*site.Endpoint{e}, err
+}
+
+func (e *engines) heartbeat() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.current.Heartbeat()
+}
+
+func (e *engines) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	e.current.Close()
 }
 
 func devModels() []site.Model {
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -86,6 +86,8 @@
 	// CrashOnPart is the ID of a part of prompts. The endpoint crashes as it begins to respond to a request
 	// with this prompt part: a stream has a head then, but no event.
 	CrashOnPart string
+	// OnCrash is called after a crash by CrashOn or CrashOnPart. It may be nil.
+	OnCrash func()
 	// Behave selects the behavior for a request. n is the number of previous runs. If Behave is
 	// nil, all requests are served normally.
 	Behave func(id, model string, n int) Behavior
@@ -163,6 +165,14 @@
 // Close stops the endpoint without deregistering it, like a crash.
 func (e *Endpoint) Close() { _ = e.server.Close() }
 
+// crash stops the endpoint because of a request.
+func (e *Endpoint) crash() {
+	e.Close()
+	if e.config.OnCrash != nil {
+		e.config.OnCrash()
+	}
+}
+
 // Drain announces in the store that the endpoint is draining. The endpoint continues to serve.
 func (e *Endpoint) Drain() {
 	e.mu.Lock()
--- a/internal/standin/site/requests.go
+++ b/internal/standin/site/requests.go
@@ -41,7 +41,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if e.config.CrashOn != "" && string(body) == e.config.CrashOn {
-		e.Close()
+		e.crash()
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Server-Signature", "sig-"+id)
@@ -50,7 +50,7 @@
 			// The client may have disconnected.
 			_ = http.NewResponseController(w).Flush()
 		}
-		e.Close()
+		e.crash()
 		panic(http.ErrAbortHandler)
 	}
 	if b.Status != 0 {
