Serve: a request that is blocked while it waits is refused at once

A request whose content or prompt part was blocked while it waited for a slot or its model went on waiting until it got one, up to more than half of its time, and was refused then. The guard now cancels the wait when a block that applies to the request is added.

TestWaitingRequestsAreNotifiedOfBlocks covers the list of waiting requests.

--- a/pkg/quarantine/blocklist.go
+++ b/pkg/quarantine/blocklist.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	parts map[uint64]int
 	// trials maps content digests to trials.
 	trials map[uint64]trial
+	// watches holds the requests that wait to be sent.
+	watches map[*blockWatch]struct{}
 	// version is incremented on each local change. checksum is an order-independent hash of all
 	// blocks and trials, which hosts compare.
 	version  int64
@@ -41,6 +44,7 @@
 	return &Blocklist{
 		blockedAt: map[fleet.BlockedRequest]int64{},
 		parts:     map[uint64]int{},
+		watches:   map[*blockWatch]struct{}{},
 		trials:    map[uint64]trial{},
 		changes:   make(chan struct{}),
 	}
@@ -57,9 +61,50 @@
 			added = append(added, x)
 		}
 	}
+	if slices.ContainsFunc(added, func(x fleet.Block) bool { return !x.Suspect }) {
+		b.notifyWatches()
+	}
 	return added
 }
 
+// blockWatch is a request that waits to be sent. blocked is called at most once, with the lock of the blocklist held.
+type blockWatch struct {
+	fingerprint fleet.Fingerprint
+	prompt      fleet.Prompt
+	blocked     func()
+}
+
+// Watch calls blocked when a request with this fingerprint and prompt is blocked, now or later, unless stop is called
+// before. blocked must not call the blocklist.
+func (b *Blocklist) Watch(f fleet.Fingerprint, p fleet.Prompt, blocked func()) (stop func()) {
+	w := &blockWatch{f, p, blocked}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watches[w] = struct{}{}
+	b.notifyIfBlocked(w)
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.watches, w)
+	}
+}
+
+// notifyWatches calls the watches of requests that are blocked now. It must be called with b.mu held.
+func (b *Blocklist) notifyWatches() {
+	for w := range b.watches {
+		b.notifyIfBlocked(w)
+	}
+}
+
+// notifyIfBlocked calls the watch if its request is blocked. It must be called with b.mu held.
+func (b *Blocklist) notifyIfBlocked(w *blockWatch) {
+	_, blocked := b.blockedPartLocked(w.prompt)
+	if blocked || b.blockedLocked(w.fingerprint) {
+		delete(b.watches, w)
+		w.blocked()
+	}
+}
+
 // addBlock reports whether the block is new. It must be called with b.mu held.
 func (b *Blocklist) addBlock(x fleet.Block) bool {
 	blockedAt, ok := b.blockedAt[x.Request]
@@ -204,6 +249,11 @@
 func (b *Blocklist) BlockedPart(p fleet.Prompt) (part uint64, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.blockedPartLocked(p)
+}
+
+// blockedPartLocked is BlockedPart with b.mu held.
+func (b *Blocklist) blockedPartLocked(p fleet.Prompt) (part uint64, ok bool) {
 	if len(b.parts) == 0 {
 		return 0, false
 	}
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -319,3 +319,22 @@
 	is.True(!b.Blocked(requestsBy(client, harmful)[0]))
 	is.Equal(b.Checksum(), uint64(0))
 }
+
+// Guards against requests that wait on although they are blocked, by content or by prompt part, before or while they
+// wait, and against notifications of requests that wait no more.
+func TestWaitingRequestsAreNotifiedOfBlocks(t *testing.T) {
+	is := is.New(t)
+	b := quarantine.NewBlocklist()
+	notified := map[string]int{}
+	watch := func(name string, f fleet.Fingerprint, parts ...uint64) func() {
+		return b.Watch(f, fleet.Prompt{Caller: client, Parts: parts}, func() { notified[name]++ })
+	}
+	watch("content", requestsBy(client, harmful)[0])
+	watch("part", requestsBy(client, innocent)[0], 7, 8)
+	watch("other", requestsBy(client, other)[0], 7)
+	watch("stopped", requestsBy(client, harmful)[0])()
+	b.Add(start(), []fleet.Block{{Request: fleet.BlockedRequest{Content: harmful}, Since: start().Unix()}})
+	b.Add(start(), []fleet.Block{{Request: fleet.BlockedRequest{Content: 8}, Since: start().Unix(), PromptPart: 1}})
+	watch("blocked before", requestsBy(client, innocent)[0], 8)
+	is.Equal(notified, map[string]int{"content": 1, "part": 1, "blocked before": 1})
+}
--- a/pkg/quarantine/promptparts.go
+++ b/pkg/quarantine/promptparts.go
@@ -258,6 +258,11 @@
 // BlockedPart implements serve.Guard.
 func (g *Guard) BlockedPart(p fleet.Prompt) (part uint64, ok bool) { return g.Blocklist.BlockedPart(p) }
 
+// WatchBlocks implements serve.Guard.
+func (g *Guard) WatchBlocks(f fleet.Fingerprint, p fleet.Prompt, blocked func()) (stop func()) {
+	return g.Blocklist.Watch(f, p, blocked)
+}
+
 // BlockEndsIn implements serve.Guard.
 func (g *Guard) BlockEndsIn(f fleet.Fingerprint, p fleet.Prompt) time.Duration {
 	return g.Blocklist.EndsIn(g.cfg.Now(), f, p)
--- a/pkg/serve/guard.go
+++ b/pkg/serve/guard.go
@@ -20,6 +20,8 @@
 	RecordBroken(e fleet.Endpoint, f fleet.Fingerprint, id fleet.CopyID, suspected bool)
 	// BlockEndsIn returns the time until no block applies any more to a request with this fingerprint and prompt.
 	BlockEndsIn(f fleet.Fingerprint, p fleet.Prompt) time.Duration
+	// WatchBlocks calls blocked when such a request becomes blocked, unless stop is called before.
+	WatchBlocks(f fleet.Fingerprint, p fleet.Prompt, blocked func()) (stop func())
 	// RecordUnbegun records that a run at an endpoint broke off before its response had begun: no event of a
 	// stream was read, or not all of another response. It is called before RecordBroken.
 	RecordUnbegun(e fleet.Endpoint, p fleet.Prompt)
@@ -120,10 +122,25 @@
 	return x.guarded() && x.server.Guard.Suspected(x.request.Fingerprint)
 }
 
+// cancelWhenBlocked returns a context that is done when the guard blocks the request. stop must be called.
+func (x *exchange) cancelWhenBlocked(ctx context.Context) (_ context.Context, stop func()) {
+	if !x.guarded() {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stopWatch := x.server.Guard.WatchBlocks(x.request.Fingerprint, x.request.Prompt, cancel)
+	return ctx, func() {
+		stopWatch()
+		cancel()
+	}
+}
+
 // acquireSlot waits for a slot at an endpoint and, for a suspected request, until this host
 // may run its probe. It may return a slot for a request that was blocked in the meantime, so
 // the caller must check for that.
 func (x *exchange) acquireSlot(ctx context.Context) (fleet.Endpoint, *Refusal) {
+	ctx, stop := x.cancelWhenBlocked(ctx)
+	defer stop()
 	for {
 		if !x.enter(ctx) {
 			return fleet.Endpoint{}, x.refuseSuspected()
--- a/pkg/serve/guard_test.go
+++ b/pkg/serve/guard_test.go
@@ -21,6 +21,7 @@
 	brokenReports      []bool
 	served             int
 	begun, unbegun     int
+	onBlock            func()
 	unreachableReports int
 	suspect            bool
 	probe              probe
@@ -89,10 +90,43 @@
 	g.served++
 }
 
+func (g *fakeGuard) WatchBlocks(_ fleet.Fingerprint, _ fleet.Prompt, blocked func()) (stop func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onBlock = blocked
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.onBlock = nil
+	}
+}
+
 func (g *fakeGuard) block() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.blocks = true
+	if g.onBlock != nil {
+		g.onBlock()
+	}
+}
+
+// Guards against a request that waits for its model until its deadline although it has been blocked meanwhile.
+func TestWaitingRequestIsRefusedWhenBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("e1")
+		b.setReady()
+		g := &fakeGuard{}
+		r := request("r", fleet.Stream, true)
+		s := newGuardedServer(b, g, r)
+		out := &sink{}
+		time.AfterFunc(time.Second, g.block)
+		result := s.Serve(context.Background(), r, out)
+		is.Equal(result.Refusal.Cause, serve.CauseCrashes)
+		is.Equal(result.Total, time.Second)
+		is.True(out.promisesNotRun())
+		is.True(g.onBlock == nil)
+	})
 }
 
 // newGuardedServer returns a server with a guard, and sets the fingerprint of the request.
