--- a/pkg/gateway/crashpart_test.go
+++ b/pkg/gateway/crashpart_test.go
@@ -34,6 +34,7 @@
 	header := http.Header{}
 	header.Set("X-Model-Name", "warm")
 	header.Set("X-Prompt-Prefix", fmt.Sprintf("%s:100,%s:50,a%d:20", firstPart, part, own))
+	header.Set("X-Sent-To", strings.TrimPrefix(h.name, "host-"))
 	return d.requestWithHeader(h, "/chat/", header, "")
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -46,6 +46,7 @@
 // host is an entry host that runs in the test process.
 type host struct {
 	*gateway.Gateway
+	name          string
 	links         *hostLinks
 	storeListener *site.Listener
 	run           func()
@@ -112,7 +113,7 @@
 		d.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	h := &host{Gateway: g, links: links, storeListener: listener, stop: stop, done: make(chan error, 1)}
+	h := &host{Gateway: g, name: name, links: links, storeListener: listener, stop: stop, done: make(chan error, 1)}
 	h.run = func() { go func() { h.done <- g.Run(ctx) }() }
 	d.t.Cleanup(func() {
 		stop()
