--- a/pkg/quarantine/bench_test.go
+++ b/pkg/quarantine/bench_test.go
@@ -36,3 +36,31 @@
 		l.Decide(now)
 	}
 }
+
+// BenchmarkDecideWithParts measures DecideWithParts on the maximum number of crashes, at each of which ten requests
+// with two prompt parts had not begun.
+func BenchmarkDecideWithParts(b *testing.B) {
+	const endpoints, unbegun, firstParts, secondParts = 512, 10, 3, 375
+	l := quarantine.NewCrashLog()
+	crash := func(now time.Time, i int) {
+		id := fleet.EndpointID(fmt.Sprint("e", i))
+		for j := range unbegun {
+			n := uint64(i*unbegun + j)
+			l.Add(now, []fleet.CrashReport{
+				{Request: fleet.Fingerprint{Content: 1_000_000 + n, Caller: client}, Endpoint: id},
+				{Request: fleet.Fingerprint{Content: 1 + n%firstParts, Caller: client}, Endpoint: id, PromptPart: 2},
+				{Request: fleet.Fingerprint{Content: 1000 + n*7919%secondParts, Caller: client}, Endpoint: id, PromptPart: 1},
+			})
+		}
+	}
+	for i := range endpoints {
+		crash(start().Add(ms(i*100)), i)
+	}
+	now := start().Add(ms(endpoints * 100))
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(100 * time.Millisecond)
+		crash(now, endpoints+i)
+		l.Expire(now)
+		l.DecideWithParts(now)
+	}
+}
--- a/pkg/quarantine/crashlog.go
+++ b/pkg/quarantine/crashlog.go
@@ -375,6 +375,7 @@
 	ev := evaluation{now: now, all: groupByTime(crashes), reported: groupByTime(reported), counts: l.crashCounts, parts: l.parts, withParts: withParts}
 	if withParts && len(l.parts) > 0 {
 		ev.unreported = countUnreported(now, crashes)
+		ev.strong = findStrong(crashes, l.crashCounts)
 	}
 	var out []Verdict
 	for content := range l.candidates {
@@ -396,8 +397,9 @@
 func (l *CrashLog) Attributed(now time.Time, include func(content uint64, crashes int) bool) map[uint64][]fleet.CrashReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ev := evaluation{now: now, counts: l.crashCounts, parts: l.parts, withParts: true}
-	groups := groupByTime(l.sortedCrashes())
+	crashes := l.sortedCrashes()
+	ev := evaluation{now: now, counts: l.crashCounts, parts: l.parts, withParts: true, strong: findStrong(crashes, l.crashCounts)}
+	groups := groupByTime(crashes)
 	out := map[uint64][]fleet.CrashReport{}
 	for content, n := range l.crashCounts {
 		if !include(content, n) {
--- a/pkg/quarantine/evaluation.go
+++ b/pkg/quarantine/evaluation.go
@@ -22,6 +22,9 @@
 	// unreported is the number of crashes, among those that not all hosts have reported yet, at which each content
 	// ran.
 	unreported map[uint64]int
+	// strong holds, by crash, the contents that ran there and at blockCrashes or more in total. Only these can
+	// explain a crash better than a prompt part that may be blocked.
+	strong map[*endpointCrash][]uint64
 }
 
 // countUnreported returns the number of crashes learned less than reportDelay ago at which each content ran.
@@ -166,6 +169,9 @@
 
 // betterExplained reports whether another content that ran at the crash explains it better.
 func (ev evaluation) betterExplained(content uint64, e *endpointCrash) bool {
+	if ev.parts[content] != nil {
+		return slices.ContainsFunc(ev.strong[e], func(other uint64) bool { return other != content && ev.explainsBetter(other, content, e) })
+	}
 	for other := range e.requests {
 		if other != content && e.mayBeCause(other) && ev.explainsBetter(other, content, e) {
 			return true
@@ -199,15 +205,11 @@
 	return byCount > 0 || byCount == 0 && o.position < c.position
 }
 
-// hasTie reports whether another content, or for a prompt part another part, explains one of the crashes equally
-// well.
+// hasTie reports whether another content ran at one of the crashes and at as many in total.
 func (ev evaluation) hasTie(content uint64, crashes []*endpointCrash) bool {
 	for _, e := range crashes {
 		for other := range e.requests {
-			if other == content || !e.mayBeCause(other) || (ev.parts[other] == nil) != (ev.parts[content] == nil) {
-				continue
-			}
-			if !ev.explainsBetter(other, content, e) && !ev.explainsBetter(content, other, e) {
+			if other != content && ev.parts[other] == nil && ev.counts[other] == ev.counts[content] && e.mayBeCause(other) {
 				return true
 			}
 		}
