Quarantine: a prompt part that has just worked is blamed at five crashes

The unit tests of who is to blame found it: of two harmful parts under one popular first part, each with fewer than three crashes reported yet, the first part was to be blocked at its third although a response with it had begun just before. Only the hosts' answers kept that from happening. Such a part now needs five crashes, as one does whose crashes another part explains as well.

Tests: TestPromptPartIsBlamed failed in that case before; with it a focused test for each guard of the decision, each guard seen to fail when taken out by itself on a copy (15).

--- a/pkg/quarantine/evaluation_parts.go
+++ b/pkg/quarantine/evaluation_parts.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// tiedPartCrashes replaces blockCrashes for a prompt part if another one at the same position ran at as
-	// many crashes.
-	tiedPartCrashes = 5
+	// uncertainPartCrashes replaces blockCrashes for a prompt part if another one at the same position ran at as
+	// many crashes, or if a response to a request with the part began shortly before one of them.
+	uncertainPartCrashes = 5
 	// partDecisionDelay is how long a content that ran at certainCrashes is not blocked while a prompt part
 	// explains them better.
 	partDecisionDelay = 1500 * time.Millisecond
@@ -24,7 +24,11 @@
 	}
 	out := []Verdict{{Request: forAnyCaller(digest), Suspect: true, PromptPart: p.position, Endpoints: endpointIDs(all), LastCrash: all[len(all)-1].at}}
 	crashes := ev.attributedTo(digest, ev.reported)
-	if ev.hasPartTie(digest, crashes) && len(crashes) < tiedPartCrashes || len(crashes) < blockCrashes {
+	enough := blockCrashes
+	if ev.hasPartTie(digest, crashes) || slices.ContainsFunc(crashes, p.recentlySound) {
+		enough = uncertainPartCrashes
+	}
+	if len(crashes) < enough {
 		return out
 	}
 	for _, caller := range callersOfAll(digest, crashes) {
