Stream origins: the history of software versions moves out of the gateway

What a host knows of versions before its start, and which of them the store should have, are decisions without I/O and belong beside the other knowledge of a stream's origin.

--- a/pkg/gateway/streamversions.go
+++ b/pkg/gateway/streamversions.go
@@ -52,7 +52,7 @@
 	backoffUntil map[string]time.Time
 	// several holds the services with several versions, as of the last check.
 	several map[string]bool
-	history versionHistory
+	history streamorigin.History
 }
 
 func newStreamVersions(g *Gateway) *streamVersions {
@@ -86,10 +86,10 @@
 // versions returns the software versions of a service that may have begun streams which still go on.
 func (v *streamVersions) versions(now time.Time, service string) []string {
 	out := v.g.locator.Versions(now, service)
-	if now.Sub(v.g.startedAt) >= versionHistoryTime {
+	if now.Sub(v.g.startedAt) >= streamorigin.HistoryTime {
 		return out
 	}
-	out = append(out, v.history.of(service)...)
+	out = append(out, v.history.Of(service)...)
 	slices.Sort(out)
 	return slices.Compact(out)
 }
@@ -211,7 +211,7 @@
 func (v *streamVersions) respond(q fleet.StreamLookup) *fleet.StreamLookupResult {
 	now := v.g.Now()
 	result := v.table.Find(now, q.Attempt)
-	result.OneVersion = v.history.complete(now, v.g.startedAt) && v.oneVersion(now, q.Service)
+	result.OneVersion = v.history.Complete(now, v.g.startedAt) && v.oneVersion(now, q.Service)
 	return &result
 }
 
--- a/pkg/gateway/versionhistory.go
+++ b/pkg/gateway/versionhistory.go
@@ -2,76 +2,23 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/streamorigin"
 )
 
 const (
-	// versionHistoryTime is the time after its start from which a host knows which versions there were lately.
-	versionHistoryTime = time.Minute
-	// historyRetryDelay is the least time between two attempts to read them from the store.
-	historyRetryDelay = time.Second
 	// versionStoreInterval is how often the controller checks whether the store has the software versions.
 	versionStoreInterval = 200 * time.Millisecond
 )
 
-// versionHistory holds the software versions that services had before this host started, as the store says. A host
-// that has run for versionHistoryTime knows them itself. It is safe for concurrent use.
-type versionHistory struct {
-	// reading is held during a read of the store.
-	reading sync.Mutex
-
-	mu       sync.Mutex
-	read     bool
-	versions map[string][]string
-	// failedAt is when a read last failed.
-	failedAt time.Time
-}
-
 // storedVersions is the stored form of the software versions of a service.
 type storedVersions struct {
 	Versions []string `cbor:"1,keyasint"`
 }
 
-// of returns the versions of a service that the store says it had.
-func (h *versionHistory) of(service string) []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.versions[service]
-}
-
-// complete reports whether the versions that services have had lately are known.
-func (h *versionHistory) complete(now, startedAt time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.read || now.Sub(startedAt) >= versionHistoryTime
-}
-
-// set records what the store says.
-func (h *versionHistory) set(versions map[string][]string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.read, h.versions = true, versions
-}
-
-// fail records that the store could not be read.
-func (h *versionHistory) fail(now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.failedAt = now
-}
-
-// due reports whether the store should be read now.
-func (h *versionHistory) due(now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return !h.read && now.Sub(h.failedAt) >= historyRetryDelay
-}
-
 // knowsHistory reports whether this host knows all versions that services have had lately. A host that has
 // started lately reads them from the store, and one that hears of no endpoints does not know the newest.
 func (v *streamVersions) knowsHistory(ctx context.Context) bool {
@@ -79,21 +26,21 @@
 	if v.g.isolated(now) {
 		return false
 	}
-	if v.history.complete(now, v.g.startedAt) {
+	if v.history.Complete(now, v.g.startedAt) {
 		return true
 	}
-	v.history.reading.Lock()
-	defer v.history.reading.Unlock()
-	if !v.history.due(v.g.Now()) {
-		return v.history.complete(v.g.Now(), v.g.startedAt)
+	v.history.Reading.Lock()
+	defer v.history.Reading.Unlock()
+	if !v.history.Due(v.g.Now()) {
+		return v.history.Complete(v.g.Now(), v.g.startedAt)
 	}
 	versions, err := v.readHistory(ctx)
 	if err != nil {
 		v.g.log.Info("reading the software versions that services had failed", "error", err.Error())
-		v.history.fail(v.g.Now())
+		v.history.Fail(v.g.Now())
 		return false
 	}
-	v.history.set(versions)
+	v.history.Set(versions)
 	return true
 }
 
@@ -136,24 +83,15 @@
 		for service := range v.g.locator.VersionedServices(now) {
 			stored, known := written[service]
 			if !known {
-				stored = v.history.of(service)
+				stored = v.history.Of(service)
 			}
-			if w, due := versionsToStore(v.versions(now, service), stored); due && v.storeService(ctx, service, w) {
+			if w, due := streamorigin.VersionsToStore(v.versions(now, service), stored); due && v.storeService(ctx, service, w) {
 				written[service] = w
 			}
 		}
 	})
 }
 
-// versionsToStore returns the software versions of a service to store, none to remove them, and whether the store
-// has others.
-func versionsToStore(recent, stored []string) (write []string, due bool) {
-	if len(recent) <= 1 {
-		return nil, len(stored) > 0
-	}
-	return recent, !slices.Equal(recent, stored)
-}
-
 // storeService writes the software versions of a service, or removes them if there are none, and reports whether it
 // did.
 func (v *streamVersions) storeService(ctx context.Context, service string, versions []string) bool {
--- a/pkg/gateway/versionhistory_inner_test.go
+++ b/pkg/streamorigin/history_test.go
@@ -1,9 +1,10 @@
-package gateway
+package streamorigin_test
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/streamorigin"
 )
 
 // Guards against a record of versions that is missing while there are several, that stays when there is one again,
@@ -23,7 +24,7 @@
 		{nil, two, nil, true},
 	} {
 		is := is.New(t)
-		write, due := versionsToStore(c.recent, c.stored)
+		write, due := streamorigin.VersionsToStore(c.recent, c.stored)
 		is.Equal(write, c.write)
 		is.Equal(due, c.due)
 	}
