Quarantine: crashes of a content are stored beside a prompt part that ran at more

Found while the change was read: a host that is cut off stores each crash, so that such hosts combine theirs through the store. Since prompt parts count, the crashes of a harmful content were left out there if a part, a sound one too, had run at more of them. Contents are again weighed against contents only when crashes are stored.

Test: TestCrashesOfContentAreStoredBesidePart failed before (no report of the content).

--- a/pkg/quarantine/crashlog.go
+++ b/pkg/quarantine/crashlog.go
@@ -398,13 +398,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	crashes := l.sortedCrashes()
-	ev := evaluation{now: now, counts: l.crashCounts, parts: l.parts, withParts: true, strong: findStrong(crashes, l.crashCounts)}
+	ev := evaluation{now: now, counts: l.crashCounts, parts: l.parts, strong: findStrong(crashes, l.crashCounts)}
 	groups := groupByTime(crashes)
 	out := map[uint64][]fleet.CrashReport{}
 	for content, n := range l.crashCounts {
 		if !include(content, n) {
 			continue
 		}
+		// Hosts without the reports of all others store crashes too, and do not know which parts are sound.
+		ev.withParts = l.parts[content] != nil
 		if attributed := ev.attributedTo(content, groups); len(attributed) > 0 && include(content, len(attributed)) {
 			out[content] = l.crashReports(now, content, attributed)
 		}
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -287,3 +287,15 @@
 		is.True(blocked)
 	})
 }
+
+// Guards against crashes of a content that are not stored because a prompt part, which may be sound, ran at more:
+// hosts that are cut off from each other combine their crashes through the store.
+func TestCrashesOfContentAreStoredBesidePart(t *testing.T) {
+	is := is.New(t)
+	l := quarantine.NewCrashLog()
+	l.Add(start(), []fleet.CrashReport{partReport(0, sharedPart, 2, client), contentReport(0, harmful)})
+	l.Add(start().Add(ms(200)), []fleet.CrashReport{partReport(1, sharedPart, 2, client)})
+	stored := l.Attributed(start().Add(ms(500)), func(uint64, int) bool { return true })
+	is.Equal(len(stored[harmful]), 1)
+	is.Equal(len(stored[sharedPart]), 2)
+}
