--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -98,7 +98,7 @@
 	f.StringVar(&c.callers, "listen", "127.0.0.1:7001", "address for callers")
 	f.StringVar(&c.operators, "operators", "127.0.0.1:7101", "address for operators")
 	f.BoolVar(&c.platform, "platform", false, "run tealvane-gateway, with stand-ins of its platform; SIGUSR1 restores the store from a copy some seconds old")
-	f.StringVar(&c.crashOnPart, "crash-on-part", "", "with -platform: `ID` of a part of prompts (X-Prompt-Prefix) that crashes the engine as it begins to respond")
+	f.StringVar(&c.crashOnPart, "crash-on-part", "", "with -platform: `ID` of a part of prompts that crashes the engine as it begins to respond")
 }
 
 // Execute implements subcommands.Command.
