--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -299,3 +299,20 @@
 	is.Equal(len(stored[harmful]), 1)
 	is.Equal(len(stored[sharedPart]), 2)
 }
+
+// Guards against blocking a part before all hosts had the time to answer whether responses with it begin.
+func TestPartIsNotBlockedBeforeHostsCanAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newHost("a")
+		prompt := fleet.Prompt{Caller: client, Parts: []uint64{harmfulPart}}
+		decideFor(2*time.Second, g)
+		crashWithPart(g)
+		decideFor(500*time.Millisecond, g)
+		_, blocked := g.BlockedPart(prompt)
+		is.True(!blocked)
+		decideFor(300*time.Millisecond, g)
+		_, blocked = g.BlockedPart(prompt)
+		is.True(blocked)
+	})
+}
