--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -248,3 +248,11 @@
 	defer e.mu.Unlock()
 	return len(e.holds[model])
 }
+
+// anyHeld returns one of the models that the endpoint holds, or "x" if it holds none.
+func (e *engine) anyHeld(i int) string {
+	if held := e.held(); len(held) > 0 {
+		return held[i%len(held)]
+	}
+	return "x"
+}
