Orders: an adapter order does not take a load for its own effect

An endpoint was ordered to load 180 MB of 130. An order without a response, whose sequence has moved by one at a busy endpoint, counted as accepted, also an order for an adapter. Orders for adapters do not make an endpoint busy and an adapter that is loading is listed: busy shows that another order was accepted there, in the schedule tried the late load of a model that had been given up. The tracker took over the sequence, and the next load went out on models that no longer held.

Such an adapter order is now abandoned, and the endpoint is asked for its models before it gets another order.

TestAdapterOrderDoesNotHideLateLoad failed in every run before and passes.

--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -146,7 +146,8 @@
 	case o.inEffect(r):
 		t.sequence = r.Sequence
 		return accepted
-	case !r.Busy:
+	case !r.Busy || o.Adapter != "":
+		// Orders for adapters do not make an endpoint busy: it executes another one.
 		return abandoned
 	case o.Load:
 		// A report does not name the model that is being loaded. The endpoint gets no further
