Orders: an order ends when the models that it was decided on are not known

The load of a swap that waited for the order slot went out after the adapter order before it had found that another order was executed. It went out with the sequence of the old state, so that only a moved sequence stood between it and a late order that closes the gap.

An order that ends without being accepted now invalidates what is known of the endpoint before it leaves the slot, and an order that gets the slot is not sent until a report was applied.

TestSwapEndsWithItsBasis failed before (10 and more loads sent with the former sequence) and passes.

--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -47,6 +47,8 @@
 	down    bool
 	limited bool
 	orders  int
+	// received holds the orders that hosts sent, including lost ones.
+	received []orders.Order
 }
 
 type pastReport struct {
@@ -120,6 +122,7 @@
 func (e *engine) Order(ctx context.Context, _ fleet.Endpoint, o orders.Order) (orders.Result, error) {
 	e.mu.Lock()
 	e.orders++
+	e.received = append(e.received, o)
 	l, down, limited := e.nextLoss(), e.down, e.limited
 	delay := e.delay
 	e.mu.Unlock()
@@ -155,6 +158,9 @@
 	if e.loading != "" || time.Now().Before(e.drainedAt) || o.Expected != e.sequence {
 		return orders.Conflict
 	}
+	if o.Adapter != "" && o.Load && e.holds[o.Model][o.Adapter] {
+		return orders.Done
+	}
 	e.sequence++
 	switch {
 	case o.Adapter != "" && e.holds[o.Model] == nil:
@@ -218,6 +224,13 @@
 	return time.Time{}
 }
 
+// receivedOrders returns the orders for a model that hosts sent.
+func (e *engine) receivedOrders(model string) []orders.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(e.received), func(o orders.Order) bool { return o.Model != model || o.Adapter != "" })
+}
+
 // orderCount returns the number of orders that were sent.
 func (e *engine) orderCount() int {
 	e.mu.Lock()
--- a/pkg/orders/overcommit_test.go
+++ b/pkg/orders/overcommit_test.go
@@ -112,3 +112,34 @@
 		}
 	})
 }
+
+// Guards against the load of a swap that goes out although an adapter order has just found that another order
+// was executed.
+func TestSwapEndsWithItsBasis(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "y")
+		lost := true
+		e.nextLoss = func() loss {
+			if lost {
+				return lostOrder
+			}
+			return noLoss
+		}
+		c := newController(e, 1, "y")
+		steps(ctx, c, 500*time.Millisecond, inUse(fleet.DemandReport{Host: "h"}, "y"))
+		for e.orderCount() == 0 {
+			steps(ctx, c, 20*time.Millisecond, inUse(rare("y", "a1"), "y"))
+		}
+		wanted := rare("x", "")
+		wanted.Needs = append(wanted.Needs, rare("y", "a1").Needs...)
+		steps(ctx, c, 100*time.Millisecond, inUse(wanted, "y"))
+		is.Equal(e.execute(orders.Order{Load: true, Model: "cold", Token: 1}), orders.Accepted)
+		lost = false
+		steps(ctx, c, 6*time.Second, inUse(wanted, "y"))
+		is.Equal(e.faults, nil)
+		for _, o := range e.receivedOrders("x") {
+			is.True(o.Expected > 0)
+		}
+	})
+}
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -17,6 +17,9 @@
 		return false
 	}
 	defer func() { <-t.orderSlot }()
+	if !t.isSynced() {
+		return false // Another order has found models that are not known here.
+	}
 	o.Holder = c.Election.self.Host
 	o.Token = token
 	s := outgoingOrder{order: o}
@@ -25,9 +28,27 @@
 	for state == pending && c.Now().Before(deadline) && ctx.Err() == nil && c.Election.OrderToken(c.Now()) == token && c.OrdersAllowed() {
 		state = c.sendOnce(ctx, t, &s)
 	}
+	if state != accepted {
+		t.invalidate()
+	}
 	return state == accepted
 }
 
+// isSynced reports whether the models of the endpoint are known.
+func (t *endpointTracker) isSynced() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.synced
+}
+
+// invalidate causes a new report to be requested. Until then the endpoint gets no further orders, also
+// not those of decisions that were made before.
+func (t *endpointTracker) invalidate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.synced = false
+}
+
 // outgoingOrder is the state of an order that is being sent.
 type outgoingOrder struct {
 	order     Order
