Orders: a loaded model takes memory also if the configuration no longer lists it

The controller keeps the sizes that a configuration has stated; a model whose size it never knew counts as the largest that is configured. Such a model is the first to be unloaded.

TestUnlistedModelTakesMemory and TestModelOfUnknownSizeTakesMemory failed before (180 MB of 130) and pass.

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -146,9 +146,8 @@
 func (t *endpointTracker) adapterUse(engine *fleet.Engine) (int, float64) {
 	held, sum := 0, 0.0
 	for name, r := range t.models {
-		m := engine.Models[name]
 		held += len(r.adapters)
-		sum += m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
+		sum += t.memoryUse(engine, name, r)
 	}
 	return held, sum
 }
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -19,6 +19,8 @@
 	sequence int64
 	models   map[string]*resident
 	copies   map[string]residency.Tier
+	// sizes holds the models that the configuration has listed, by name.
+	sizes map[string]fleet.Model
 	// busy is set while a swap or a report request is in progress. incoming is the
 	// model of the swap until its load has started.
 	busy     bool
@@ -65,7 +67,7 @@
 }
 
 func newEndpointTracker(v fleet.View) *endpointTracker {
-	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, changed: true, orderSlot: make(chan struct{}, 1)}
+	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, sizes: map[string]fleet.Model{}, changed: true, orderSlot: make(chan struct{}, 1)}
 	t.replaceModels(time.Time{}, v.Loaded)
 	t.offset = v.Offset
 	t.updateCopies(time.Time{}, v.Endpoint)
@@ -266,9 +268,13 @@
 		e.Copies[name] = tier
 	}
 	for name, r := range t.models {
+		size := t.modelSize(engine, name)
+		if _, listed := engine.Models[name]; !listed {
+			size.WeightsMB = t.memoryUse(engine, name, r)
+		}
 		e.Residents = append(e.Residents, residency.Resident{
 			Model:     name,
-			MB:        engine.Models[name].WeightsMB,
+			MB:        size.WeightsMB,
 			Ready:     !now.Before(r.readyAt) && !r.unconfirmed,
 			Since:     r.since,
 			Unloading: r.unloading,
--- a/pkg/orders/overcommit_test.go
+++ b/pkg/orders/overcommit_test.go
@@ -143,3 +143,34 @@
 		}
 	})
 }
+
+// Guards against counting a loaded model that the configuration no longer lists as free memory.
+func TestUnlistedModelTakesMemory(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		c := newController(e, 1, "x", "y")
+		steps(ctx, c, 500*time.Millisecond, inUse(fleet.DemandReport{Host: "h"}, "x"))
+		reduced := config()
+		delete(reduced.Services["llm"].Engine.Models, "y")
+		c.Config = func() *fleet.Config { return reduced }
+		steps(ctx, c, 3*time.Second, inUse(rare("cold", ""), "x"))
+		is.Equal(e.faults, nil)
+		is.Equal(e.held(), []string{"cold", "x"})
+	})
+}
+
+// Guards against a controller that never knew the size of a loaded model and counts it as free memory.
+func TestModelOfUnknownSizeTakesMemory(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		c := newController(e, 1, "x", "y")
+		reduced := config()
+		delete(reduced.Services["llm"].Engine.Models, "y")
+		c.Config = func() *fleet.Config { return reduced }
+		steps(ctx, c, 3*time.Second, inUse(rare("cold", ""), "x"))
+		is.Equal(e.faults, nil)
+		is.Equal(e.held(), []string{"cold", "x"})
+	})
+}
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -143,8 +143,7 @@
 	defer t.mu.Unlock()
 	used := m.WeightsMB
 	for name, r := range t.models {
-		held := engine.Models[name]
-		used += held.WeightsMB + float64(len(r.adapters))*held.AdapterMB
+		used += t.memoryUse(engine, name, r)
 	}
 	return used <= capacity
 }
