Orders: memory stays reserved for a late load after a restart without a new ID

Where endpoints state no start time, a restarted one keeps its ID. A load that was given up counted as one to the same incarnation, which an order with the same sequence excludes; the new incarnation accepted two loads, and the late one followed: 180 MB of 130.

A report with a lower sequence than the known one shows the restart: loads without a response then keep their memory reserved for 15 s, as at an endpoint with a new ID. The same holds for an endpoint that was not listed for some time.

TestMemoryIsReservedAfterUnstatedRestart failed before and passes.

--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -182,6 +182,7 @@
 		t := c.trackers[v.ID]
 		if t == nil {
 			t = newEndpointTracker(v)
+			c.unansweredLoads.recordRestart(v.ID) // It may have restarted while it was not listed.
 			t.changed = c.token != firstToken
 			c.trackers[v.ID] = t
 		} else {
@@ -252,6 +253,9 @@
 		return
 	}
 	c.logReport("endpoint report applied", e, r)
+	if t.isBehind(r.Sequence) {
+		c.unansweredLoads.recordRestart(e.ID)
+	}
 	t.applyReport(now, r)
 }
 
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -253,6 +253,13 @@
 	t.synced = true
 }
 
+// isBehind reports whether a sequence is lower than the one known, which shows that the endpoint has restarted.
+func (t *endpointTracker) isBehind(sequence int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return sequence < t.sequence
+}
+
 // snapshot returns the endpoint for a decision of package residency.
 func (t *endpointTracker) snapshot(now time.Time, engine *fleet.Engine) residency.Endpoint {
 	t.mu.Lock()
--- a/pkg/orders/overcommit_test.go
+++ b/pkg/orders/overcommit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,3 +175,35 @@
 		is.Equal(e.held(), []string{"cold", "x"})
 	})
 }
+
+// Guards against a late load that an endpoint executes after a restart that its ID does not show.
+func TestMemoryIsReservedAfterUnstatedRestart(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		e.sequence, e.history = 1, nil
+		e.record()
+		dark := false
+		e.nextLoss = func() loss {
+			if dark {
+				return lostOrder
+			}
+			return noLoss
+		}
+		c := newController(e, 1, "x", "y")
+		for e.orderCount() < 2 { // an unload, then the load
+			steps(ctx, c, 20*time.Millisecond, inUse(rare("cold", ""), "y"))
+			dark = e.orderCount() == 1
+		}
+		late := e.receivedOrders("cold")[0]
+		steps(ctx, c, 4500*time.Millisecond, inUse(rare("cold", ""), "y"))
+		e.restart()
+		dark = false
+		steps(ctx, c, 4*time.Second, rare("x", ""))
+		steps(ctx, c, 2*time.Second, rare("y", ""))
+		e.execute(late)
+		steps(ctx, c, 15*time.Second, rare("y", ""))
+		is.Equal(e.faults, nil)
+		is.True(slices.Contains(e.held(), "y"))
+	})
+}
--- a/pkg/orders/unansweredload.go
+++ b/pkg/orders/unansweredload.go
@@ -18,6 +18,8 @@
 	sent     time.Time
 	expected int64
 	mb       float64
+	// former is set once the endpoint has restarted since, although its ID is the same.
+	former bool
 }
 
 // unansweredLoads holds the load orders that are in flight or got no response, by endpoint name. It
@@ -66,6 +68,15 @@
 	s.byName[name] = slices.DeleteFunc(s.byName[name], func(y *unansweredLoad) bool { return x == y })
 }
 
+// recordRestart records that an endpoint may have restarted without a new ID.
+func (s *unansweredLoads) recordRestart(id fleet.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.byName[id.Name()] {
+		x.former = true
+	}
+}
+
 // reservedMB returns the most memory that a load sent to a former incarnation may still
 // take at an endpoint that has accepted sequence orders.
 func (s *unansweredLoads) reservedMB(now time.Time, at fleet.EndpointID, sequence int64) float64 {
@@ -73,7 +84,7 @@
 	defer s.mu.Unlock()
 	most := 0.0
 	for _, x := range s.byName[at.Name()] {
-		if x.to != at && x.expected >= sequence && now.Sub(x.sent) < unansweredLoadTTL {
+		if (x.to != at || x.former) && x.expected >= sequence && now.Sub(x.sent) < unansweredLoadTTL {
 			most = max(most, x.mb)
 		}
 	}
