Orders: a load of an adapter that is there already does not advance the sequence

The tracker counted such an order as accepted and was one order ahead of the endpoint. A late order of another host or of a given-up decision would have closed the gap unseen, and what the controller then sent would have been carried out on models that it did not know.

The sequence advances for a load only when the endpoint accepts it. After a repeated order that was done the endpoint is asked for its state first.

--- a/pkg/orders/overcommit_test.go
+++ b/pkg/orders/overcommit_test.go
@@ -207,3 +207,23 @@
 		is.True(slices.Contains(e.held(), "y"))
 	})
 }
+
+// Guards against a sequence that runs ahead of the endpoint's after an order for an adapter that was loaded
+// already.
+func TestPresentAdapterDoesNotAdvanceSequence(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "y")
+		c := newController(e, 1, "y")
+		steps(ctx, c, 500*time.Millisecond, inUse(fleet.DemandReport{Host: "h"}, "y"))
+		e.mu.Lock()
+		e.holds["y"]["a1"] = true // unknown to the controller
+		e.mu.Unlock()
+		steps(ctx, c, 300*time.Millisecond, inUse(rare("y", "a1"), "y"))
+		steps(ctx, c, time.Second, inUse(rare("x", ""), "y"))
+		is.Equal(e.faults, nil)
+		for _, o := range e.receivedOrders("x") {
+			is.Equal(o.Expected, int64(0))
+		}
+	})
+}
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -89,7 +89,7 @@
 	case result == Done && s.unanswered && o.Adapter == "":
 		return c.verifyOrder(ctx, t, e, s)
 	case result == Accepted || result == Done:
-		t.advance(result, o)
+		t.advance(result, s)
 		return accepted
 	case result == Conflict:
 		return c.handleConflict(ctx, t, e, s)
@@ -100,12 +100,17 @@
 	return abandoned
 }
 
-// advance updates the sequence after an order that the endpoint has accepted.
-func (t *endpointTracker) advance(r Result, o Order) {
+// advance updates the sequence after an order that the endpoint has accepted. An adapter is unloaded at once,
+// so that its order is done when it has been accepted. A load that is done was not accepted again; whether an
+// earlier copy of it was accepted shows in the next report.
+func (t *endpointTracker) advance(r Result, s *outgoingOrder) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r == Accepted || o.Adapter != "" {
+	switch {
+	case r == Accepted, s.order.Adapter != "" && !s.order.Load && !s.unanswered:
 		t.sequence++
+	case s.order.Adapter != "" && s.unanswered:
+		t.synced = false
 	}
 }
 
