Orders: a load is checked against the memory in use each time it is sent

The check was made before the load waited for other orders, and not again when a conflict had been resolved. It is now part of sending, and an order that is not sent for lack of room is logged with the memory that the decision counted on, which no line told so far.

No schedule is known in which only this check prevents an overcommitment: the tests of this package pass with and without it.

--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -70,6 +70,9 @@
 		return abandoned
 	}
 	o := s.order
+	if o.Load && o.Adapter == "" && !c.fits(t, o) {
+		return abandoned
+	}
 	sent := c.unansweredLoads.add(c.Now(), e.ID, o, c.weightsMB(e.Service, o.Model))
 	result, err := c.send(ctx, e, o)
 	if err == nil || errors.Is(err, ErrUnreachable) || errors.Is(err, ErrRateLimited) {
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -24,7 +24,7 @@
 		t.mu.Unlock()
 	}
 	m := engine.Models[s.Load]
-	ok = ok && c.fits(t, engine, m) && c.order(ctx, t, token, Order{Load: true, Model: s.Load})
+	ok = ok && c.order(ctx, t, token, Order{Load: true, Model: s.Load})
 	now := c.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -135,15 +135,34 @@
 	return false
 }
 
-// fits reports whether a model fits the endpoint's memory, checked again just before the
-// load order. An endpoint that exceeds its memory crashes.
-func (c *Controller) fits(t *endpointTracker, engine *fleet.Engine, m fleet.Model) bool {
-	capacity := engine.WeightsMB - c.reservedMB(c.Now(), t)
+// fits reports whether a model fits the endpoint's memory. It is checked whenever the load order is sent: an
+// endpoint that exceeds its memory crashes.
+func (c *Controller) fits(t *endpointTracker, o Order) bool {
+	now := c.Now()
+	reserved := c.reservedMB(now, t)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	used := m.WeightsMB
+	engine := c.engine(t.endpoint.Service)
+	if engine == nil {
+		return false
+	}
+	m, listed := engine.Models[o.Model]
+	used := m.WeightsMB + reserved
 	for name, r := range t.models {
 		used += t.memoryUse(engine, name, r)
 	}
-	return used <= capacity
+	if used > engine.WeightsMB || !listed {
+		c.Log.Info("load order not sent: no room", "endpoint", t.endpoint.ID, "model", o.Model, "used_mb", used, "capacity_mb", engine.WeightsMB, "reserved_mb", reserved)
+		return false
+	}
+	return true
+}
+
+// engine returns the engine of a service, or nil if it has none or there is no configuration.
+func (c *Controller) engine(service string) *fleet.Engine {
+	cfg := c.Config()
+	if cfg == nil {
+		return nil
+	}
+	return cfg.Services[service].Engine
 }
--- a/pkg/orders/unansweredload.go
+++ b/pkg/orders/unansweredload.go
@@ -102,9 +102,9 @@
 
 // weightsMB returns the size of a model, or 0 if it is not configured.
 func (c *Controller) weightsMB(service, model string) float64 {
-	cfg := c.Config()
-	if cfg == nil || cfg.Services[service].Engine == nil {
+	engine := c.engine(service)
+	if engine == nil {
 		return 0
 	}
-	return cfg.Services[service].Engine.Models[model].WeightsMB
+	return engine.Models[model].WeightsMB
 }
