Test: brittle endpoints fall over one after the other (red)

Endpoints of a service that say they are brittle crash when they have to reject more than N requests in a second; hosts do not read it. A simulation with the real server, dispatcher and retry budget plays 9, 77 and 300 hosts, endpoints with 12 slots, a queue that shrinks from 36 to 6, N = 10, 3 s away after a fall, a load of 0.85 with a burst at one host and a load of 1.3.

--- /dev/null
+++ b/pkg/serve/brittle_sim_test.go
@@ -0,0 +1,424 @@
+package serve_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/occupancy"
+	"github.com/tealvane/tealvane/pkg/retry"
+	"github.com/tealvane/tealvane/pkg/serve"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// The simulated deployment: endpoints become brittle at brittleFrom, and their queues shorter a settle time
+// later. Requests count that arrive from then on, before the end.
+const (
+	simSlots       = 12
+	simQueue       = 36
+	simShortQueue  = 6
+	simRejections  = 10
+	simDown        = 3 * time.Second
+	simRunTime     = 250 * time.Millisecond
+	simObjective   = time.Second
+	simTimeout     = 4 * time.Second
+	simLatency     = time.Millisecond
+	brittleFrom    = 3 * time.Second
+	simSettle      = 2 * time.Second
+	simEnd         = 12 * time.Second
+	simViewPeriod  = 250 * time.Millisecond
+	simPeerLatency = 2 * time.Millisecond
+	burstFrom      = 7 * time.Second
+	burstTime      = 500 * time.Millisecond
+)
+
+// simEndpoint is an endpoint that falls over if it has to reject too many requests in a second.
+type simEndpoint struct {
+	fleet.Endpoint
+	sim *brittleSim
+
+	mu         sync.Mutex
+	running    int
+	waiting    []chan bool
+	rejections []time.Time
+	downUntil  time.Time
+	falls      int
+	// life is closed when the endpoint falls over.
+	life chan struct{}
+}
+
+// state returns the number of requests that the endpoint lets wait, and whether it is brittle.
+func (e *simEndpoint) state(now time.Time) (queue int, brittle bool) {
+	since := now.Sub(e.sim.start)
+	switch {
+	case !e.sim.brittle || since < brittleFrom:
+		return simQueue, false
+	case since < brittleFrom+simSettle:
+		return simQueue, true
+	}
+	return simShortQueue, true
+}
+
+type arrival int
+
+const (
+	arrivalRuns arrival = iota
+	arrivalRejected
+	arrivalRefused
+	arrivalBroken
+)
+
+// arrive waits until a request may run.
+func (e *simEndpoint) arrive(ctx context.Context) (arrival, chan struct{}) {
+	e.mu.Lock()
+	now := time.Now()
+	if now.Before(e.downUntil) {
+		e.mu.Unlock()
+		return arrivalRefused, nil
+	}
+	life := e.life
+	queue, brittle := e.state(now)
+	switch {
+	case e.running < simSlots:
+		e.running++
+		e.mu.Unlock()
+		return arrivalRuns, life
+	case len(e.waiting) >= queue:
+		e.reject(now, brittle)
+		e.mu.Unlock()
+		return arrivalRejected, nil
+	}
+	turn := make(chan bool, 1)
+	e.waiting = append(e.waiting, turn)
+	e.mu.Unlock()
+	select {
+	case <-turn:
+		return arrivalRuns, life
+	case <-life:
+		return arrivalBroken, nil
+	case <-ctx.Done():
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if i := slices.Index(e.waiting, turn); i >= 0 {
+			e.waiting = slices.Delete(e.waiting, i, i+1)
+		} else if e.life == life {
+			e.next()
+		}
+		return arrivalBroken, nil
+	}
+}
+
+// reject counts a rejection. It must be called with mu held.
+func (e *simEndpoint) reject(now time.Time, brittle bool) {
+	e.sim.rejected.Add(1)
+	e.rejections = append(slices.DeleteFunc(e.rejections, func(at time.Time) bool { return now.Sub(at) >= time.Second }), now)
+	if !brittle || len(e.rejections) <= simRejections {
+		return
+	}
+	e.falls++
+	e.downUntil = now.Add(simDown)
+	e.running, e.waiting, e.rejections = 0, nil, nil
+	close(e.life)
+	e.life = make(chan struct{})
+}
+
+// next lets the next request run. It must be called with mu held.
+func (e *simEndpoint) next() {
+	if len(e.waiting) == 0 {
+		e.running--
+		return
+	}
+	e.waiting[0] <- true
+	e.waiting = e.waiting[1:]
+}
+
+// response returns a response, which states the load.
+func (e *simEndpoint) response(class serve.ResponseClass, status int, body string) *serve.Response {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := &fleet.Load{Running: e.running, Waiting: len(e.waiting), Slots: simSlots, WorkTimePercent: 100}
+	return &serve.Response{Class: class, Status: status, Load: load, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+// end ends a run.
+func (e *simEndpoint) end(life chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.life == life {
+		e.next()
+	}
+}
+
+// simHost is a host with its real decisions.
+type simHost struct {
+	name       string
+	server     *serve.Server
+	dispatcher *serve.Dispatcher
+	local      *occupancy.Local
+	health     *serve.Health
+	sim        *brittleSim
+	weight     float64
+}
+
+// simConfig configures a simulation.
+type simConfig struct {
+	hosts, endpoints int
+	// load is the offered load relative to the slots of all endpoints.
+	load float64
+	// burst is whether one host gets as many requests again as all hosts together, for burstTime.
+	burst bool
+	// contended is whether requests are scheduled for contention, brittle whether the endpoints are brittle.
+	contended, brittle bool
+	seed               uint64
+}
+
+// brittleSim is a deployment.
+type brittleSim struct {
+	start time.Time
+	simConfig
+	members  []*simHost
+	engines  []*simEndpoint
+	byID     map[fleet.EndpointID]*simEndpoint
+	rejected counter
+
+	mu              sync.Mutex
+	offered, inTime int
+}
+
+// counter is a number that may be increased concurrently.
+type counter struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (c *counter) Add(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n += n
+}
+
+func (c *counter) Value() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+// Find implements serve.Placement.
+func (s *brittleSim) Find(time.Time, serve.Need) serve.Location {
+	out := make([]fleet.Endpoint, len(s.engines))
+	for i, e := range s.engines {
+		out[i] = e.Endpoint
+	}
+	return serve.Location{Ready: out, HasEndpoints: true}
+}
+
+func newBrittleSim(c simConfig) *brittleSim {
+	random := rand.New(rand.NewPCG(c.seed, 1))
+	s := &brittleSim{start: time.Now(), simConfig: c, byID: map[fleet.EndpointID]*simEndpoint{}}
+	for i := range c.endpoints {
+		e := &simEndpoint{Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("i-%04d", i)), Service: "s", Slots: simSlots}, sim: s, life: make(chan struct{})}
+		s.engines = append(s.engines, e)
+		s.byID[e.ID] = e
+	}
+	for i := range c.hosts {
+		name := fmt.Sprintf("host-%d", i)
+		h := &simHost{name: name, local: occupancy.NewLocal(name), health: serve.NewHealth(), sim: s, weight: 0.2 + random.ExpFloat64()}
+		h.dispatcher = serve.NewDispatcher("z", s, h.health, time.Now, func() {})
+		h.dispatcher.Contention = func(string) bool { return c.contended }
+		h.dispatcher.Occupancy = h.local
+		budget := retry.NewBudget(retry.Limits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}, 0.8)
+		budget.SetHosts(c.hosts)
+		h.server = &serve.Server{Backend: h, Queue: h.dispatcher, Health: h.health, Budget: budget, Now: time.Now, Tracer: noop.NewTracerProvider().Tracer("")}
+		s.members = append(s.members, h)
+	}
+	return s
+}
+
+// Send implements serve.Backend.
+func (h *simHost) Send(ctx context.Context, r *serve.Request, s serve.Send) (*serve.Response, error) {
+	return h.sendDirect(ctx, s.Endpoint)
+}
+
+// sendDirect sends a request from this host to an endpoint.
+func (h *simHost) sendDirect(ctx context.Context, to fleet.Endpoint) (*serve.Response, error) {
+	e := h.sim.byID[to.ID]
+	time.Sleep(simLatency)
+	result, life := e.arrive(ctx)
+	switch result {
+	case arrivalRefused:
+		return nil, fmt.Errorf("%w: %w", serve.ErrNotSent, serve.ErrUnreachable)
+	case arrivalRejected:
+		return e.response(serve.Overloaded, 503, ""), nil
+	case arrivalBroken:
+		return nil, errReset
+	}
+	defer e.end(life)
+	select {
+	case <-time.After(simRunTime/2 + rand.N(simRunTime)):
+		return e.response(serve.Completed, 200, "answer"), nil
+	case <-life:
+		return nil, errReset
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// RunStatus implements serve.Backend.
+func (h *simHost) RunStatus(context.Context, *serve.Request, fleet.Endpoint) (serve.RunStatus, error) {
+	return serve.RunStatus{Active: true}, nil
+}
+
+// request serves one request of a client.
+func (h *simHost) request(id string) {
+	now := time.Now()
+	r := &serve.Request{
+		ID: id, Service: "s", Arrived: now, Deadline: now.Add(simTimeout), ClientDeadline: now.Add(simTimeout),
+		Route: fleet.Route{Kind: fleet.Idempotent, Attempts: 3, Objective: simObjective},
+	}
+	counted := now.Sub(h.sim.start) >= brittleFrom+simSettle/2
+	result := h.server.Serve(context.Background(), r, &sink{})
+	h.sim.mu.Lock()
+	defer h.sim.mu.Unlock()
+	if counted {
+		h.sim.offered++
+		if result.Complete && time.Since(now) <= simObjective {
+			h.sim.inTime++
+		}
+	}
+}
+
+// publishViews publishes the occupancy as the controller does, one period late.
+func (s *brittleSim) publishViews(seq int64) {
+	now := time.Now()
+	sums := map[fleet.EndpointHash]int{}
+	for _, h := range s.members {
+		inFlight := h.health.InFlight(func(string) bool { return true })
+		h.local.Report(now, inFlight)
+		for id, n := range inFlight {
+			sums[id.Hash()] += n
+		}
+	}
+	o := fleet.Occupancy{Token: 1, Seq: seq, AgeMillis: simViewPeriod.Milliseconds()}
+	for id, n := range sums {
+		o.Endpoints = append(o.Endpoints, fleet.EndpointOccupancy{Endpoint: id, InFlight: n, RunTimePercent: occupancy.UsualPercent})
+	}
+	time.AfterFunc(simViewPeriod, func() {
+		for _, h := range s.members {
+			h.local.Apply(time.Now(), len(s.members), o)
+		}
+		for _, h := range s.members {
+			h.dispatcher.DispatchWaiting()
+		}
+	})
+}
+
+// brittleResult is the result of a simulation.
+type brittleResult struct {
+	// served is the share of the counted requests that were served within the objective.
+	served          float64
+	falls, rejected int
+}
+
+func (s *brittleSim) run() brittleResult {
+	random := rand.New(rand.NewPCG(s.seed, 2))
+	total := 0.0
+	for _, h := range s.members {
+		total += h.weight
+	}
+	rate := s.load * float64(len(s.engines)*simSlots) / simRunTime.Seconds()
+	var running sync.WaitGroup
+	running.Go(func() {
+		for seq := int64(1); time.Since(s.start) < simEnd; seq++ {
+			s.publishViews(seq)
+			time.Sleep(simViewPeriod)
+		}
+	})
+	for i, h := range s.members {
+		own := rand.New(rand.NewPCG(s.seed, uint64(i)+random.Uint64()))
+		mean := time.Duration(float64(time.Second) * total / h.weight / rate)
+		running.Go(func() {
+			for n := 0; ; n++ {
+				time.Sleep(time.Duration(own.ExpFloat64() * float64(mean)))
+				if time.Since(s.start) >= simEnd {
+					return
+				}
+				running.Go(func() { h.request(fmt.Sprint(h.name, "-", n)) })
+			}
+		})
+	}
+	if s.burst {
+		running.Go(func() { s.runBurst(&running, time.Duration(float64(time.Second)/rate)) })
+	}
+	running.Wait()
+	time.Sleep(2 * simViewPeriod)
+	out := brittleResult{served: float64(s.inTime) / float64(max(1, s.offered)), rejected: s.rejected.Value()}
+	for _, e := range s.engines {
+		out.falls += e.falls
+	}
+	return out
+}
+
+// runBurst sends requests to one host at an interval.
+func (s *brittleSim) runBurst(running *sync.WaitGroup, interval time.Duration) {
+	time.Sleep(burstFrom)
+	for n := range int(burstTime / interval) {
+		running.Go(func() { s.members[0].request(fmt.Sprint("burst-", n)) })
+		time.Sleep(interval)
+	}
+}
+
+// simulateBrittle plays a deployment.
+func simulateBrittle(t *testing.T, c simConfig) (out brittleResult) {
+	synctest.Test(t, func(*testing.T) { out = newBrittleSim(c).run() })
+	return out
+}
+
+// Guards against endpoints that fall over one after the other because the rejections of all hosts add up, and
+// against serving less than with endpoints that are not brittle.
+func TestBrittleEndpointsDoNotFallOver(t *testing.T) {
+	for _, c := range []simConfig{
+		{hosts: 9, endpoints: 10, load: 0.85, burst: true},
+		{hosts: 9, endpoints: 10, load: 1.3},
+		{hosts: 9, endpoints: 10, load: 1.3, contended: true},
+		{hosts: 77, endpoints: 30, load: 0.85, burst: true},
+		{hosts: 77, endpoints: 30, load: 1.3},
+		{hosts: 300, endpoints: 60, load: 0.85, burst: true},
+		{hosts: 300, endpoints: 60, load: 1.3},
+		{hosts: 300, endpoints: 60, load: 1.3, contended: true},
+	} {
+		t.Run(fmt.Sprintf("%d hosts, load %v, burst %v, contended %v", c.hosts, c.load, c.burst, c.contended), func(t *testing.T) {
+			if raceEnabled && c.hosts > 77 {
+				t.Skip("takes minutes with the race detector; CI runs it without")
+			}
+			for _, seed := range []uint64{1, 2} {
+				c.seed = seed
+				checkBrittle(t, c)
+			}
+		})
+	}
+}
+
+// checkBrittle compares brittle endpoints with others.
+func checkBrittle(t *testing.T, c simConfig) {
+	t.Helper()
+	c.brittle = false
+	sound := simulateBrittle(t, c)
+	c.brittle = true
+	brittle := simulateBrittle(t, c)
+	allowed := 2 + c.endpoints/10
+	t.Logf("not brittle: %.2f served in time, %d rejected; brittle: %.2f, %d rejected, %d falls (%d allowed)", sound.served, sound.rejected, brittle.served, brittle.rejected, brittle.falls, allowed)
+	if brittle.falls > allowed {
+		t.Errorf("%d falls, %d allowed", brittle.falls, allowed)
+	}
+	if brittle.served < 0.95*sound.served {
+		t.Errorf("%.2f served in time, at least %.2f expected", brittle.served, 0.95*sound.served)
+	}
+}
--- /dev/null
+++ b/pkg/serve/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package serve_test
+
+// raceEnabled reports whether the race detector is enabled.
+const raceEnabled = false
