Signals: the hosts that share a rate differ from endpoint to endpoint

The hosts that may send to a rate-limited endpoint are the first ones in an order by a hash of both names. FNV alone gave nearly the same order for all endpoints of a deployment: with 9 hosts and 10 endpoints the same three hosts owned all slots when the order was used for slots, and requests of all others would have been refused beside free endpoints.

The bits of the hash are mixed, by the function that package proxy had for the same reason. While hosts of both versions run, they choose different hosts, and a rate may be exceeded by up to once itself.

--- a/pkg/proxy/helpers.go
+++ b/pkg/proxy/helpers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
 const (
@@ -78,7 +80,7 @@
 	for _, h := range hosts {
 		f := fnv.New64a()
 		_, _ = f.Write([]byte(self.Name + " " + h.Name)) // It never fails.
-		all = append(all, ranked{h, mix(f.Sum64())})
+		all = append(all, ranked{h, fleet.MixHash(f.Sum64())})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
 	out := make([]Host, len(all))
@@ -88,16 +90,6 @@
 	return out
 }
 
-// mix spreads the bits of a hash. Without it, names that differ in their first characters only would
-// give similar orders.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Pick returns the host that should send the next request and counts it as in progress there. It leaves
 // out the hosts in tried. It reports false if no host can help.
 func (h *Helpers) Pick(now time.Time, tried map[string]bool) (Host, bool) {
--- a/pkg/signals/bucket.go
+++ b/pkg/signals/bucket.go
@@ -1,8 +1,6 @@
 package signals
 
 import (
-	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -118,9 +116,9 @@
 	if len(t.hosts) <= sharing {
 		return rate / float64(len(t.hosts))
 	}
-	ownRank, higher := rankHash(t.self, x.Endpoint), 0
+	ownRank, higher := fleet.HostRank(t.self, x.Endpoint), 0
 	for _, h := range t.hosts {
-		if rankHash(h, x.Endpoint) > ownRank {
+		if fleet.HostRank(h, x.Endpoint) > ownRank {
 			higher++
 		}
 	}
@@ -129,11 +127,3 @@
 	}
 	return rate / float64(sharing)
 }
-
-// rankHash returns the rank of a host for an endpoint, by rendezvous hashing. It is the same at all
-// hosts.
-func rankHash(host string, id fleet.EndpointID) uint64 {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, host+"/"+string(id)) // A hash never returns an error.
-	return h.Sum64()
-}
