Brittle endpoints: all hosts together keep within the slots

Endpoints that say they are brittle fell over one after the other under requests that they had to reject, up to 180 times in ten seconds with 300 hosts and 60 endpoints. Hosts did not read the statement; each kept its own share of tries, harmless by itself, and the sum is what an endpoint counts. Class: a limit on a sum is kept by each host alone.

- platform/ decodes Server-Brittle, in responses to requests, orders and reports.
What one host hears of a service all know with the next pull (package signals), also of endpoints that nobody has heard of.
- pkg/slotshare: the slots of each endpoint belong to a few hosts, chosen by rendezvous hashing.
A host without a free slot sends the request by way of one that has it, over the streams that hosts without links use.
Nobody uses the queue of an endpoint.
An owner that causes a rejection sends less for a while; owners together stay below half of what the endpoint can take.
- Owners that do not respond are replaced after a second; hosts that have just started wait two.
- Requests wait at their host in the order used under contention; those that can no longer meet their objective give way.
Without such a statement nothing is sent or decided differently.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -65,6 +65,10 @@
 	Service string
 	Zone    string
 	Slots   int
+	// Queue is the number of requests that wait while all slots are in use.
+	Queue int
+	// FallTime is how long the endpoint is away after it has fallen over.
+	FallTime time.Duration
 	// Version is the software version, which each event of a stream names. Empty means "v1", and events do
 	// not name it.
 	Version string
@@ -104,12 +108,15 @@
 
 // Endpoint is a model engine or plain service. It is safe for concurrent use.
 type Endpoint struct {
-	Addr   string
-	config EndpointConfig
-	store  *Store
-	server *http.Server
+	Addr    string
+	config  EndpointConfig
+	store   *Store
+	handler http.Handler
 
 	mu sync.Mutex
+	// server is replaced when the endpoint returns after it has fallen over.
+	server *http.Server
+	closed bool
 	// loaded holds the set of loaded adapters of each loaded model.
 	loaded     map[string]map[string]bool
 	diskCopies map[string]bool
@@ -128,6 +135,8 @@
 	rate string
 	// leavingHeader adds the Server-Leaving header to all responses.
 	leavingHeader bool
+	// brittle is the state that SetBrittle sets.
+	brittle brittleState
 	// arrivals are the arrival times of all requests, including orders and status queries of
 	// hosts.
 	arrivals []time.Time
@@ -154,7 +163,8 @@
 	mux.HandleFunc("POST /order", e.order)
 	mux.HandleFunc("GET /report", e.report)
 	mux.HandleFunc("/", e.serve)
-	e.server = &http.Server{Handler: e.recordArrival(mux), ReadHeaderTimeout: time.Second}
+	e.handler = e.recordArrival(mux)
+	e.server = e.newServer()
 	go func() { _ = e.server.Serve(netListener) }()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -163,7 +173,17 @@
 }
 
 // Close stops the endpoint without deregistering it, like a crash.
-func (e *Endpoint) Close() { _ = e.server.Close() }
+func (e *Endpoint) Close() {
+	e.mu.Lock()
+	e.closed = true
+	server := e.server
+	e.mu.Unlock()
+	_ = server.Close()
+}
+
+func (e *Endpoint) newServer() *http.Server {
+	return &http.Server{Handler: e.handler, ReadHeaderTimeout: time.Second}
+}
 
 // crash stops the endpoint because of a request.
 func (e *Endpoint) crash() {
@@ -232,6 +252,9 @@
 		if e.leavingHeader {
 			w.Header().Set("Server-Leaving", "1")
 		}
+		if e.brittle.header != "" {
+			w.Header().Set("Server-Brittle", e.brittle.header)
+		}
 		e.mu.Unlock()
 		next.ServeHTTP(w, r)
 	})
--- a/pkg/fleet/messages.go
+++ b/pkg/fleet/messages.go
@@ -60,6 +60,10 @@
 	// Signals holds them if the checksum in the Pull differs.
 	SignalsChecksum uint64           `cbor:"25,keyasint,omitempty"`
 	Signals         []EndpointSignal `cbor:"26,keyasint,omitempty"`
+	// BrittleChecksum is the checksum over all services known to the responding host whose endpoints are or
+	// were brittle. Brittle holds them if the checksum in the Pull differs.
+	BrittleChecksum uint64           `cbor:"31,keyasint,omitempty"`
+	Brittle         []BrittleService `cbor:"32,keyasint,omitempty"`
 	// Occupancy is the newest view of the endpoints' occupancy, nil if the receiver has it already or
 	// there is none.
 	Occupancy *Occupancy `cbor:"29,keyasint,omitempty"`
@@ -106,6 +110,10 @@
 	// Signals holds them if the responding host's last checksum differed.
 	SignalsChecksum uint64           `cbor:"15,keyasint,omitempty"`
 	Signals         []EndpointSignal `cbor:"16,keyasint,omitempty"`
+	// BrittleChecksum is the checksum over all services known to the requesting host whose endpoints are or
+	// were brittle. Brittle holds them if the responding host's last checksum differed.
+	BrittleChecksum uint64           `cbor:"18,keyasint,omitempty"`
+	Brittle         []BrittleService `cbor:"19,keyasint,omitempty"`
 }
 
 // ControllerHeartbeat is the last heartbeat of a controller that a host has received.
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -121,6 +121,7 @@
 	g.mergeCrashes(now, p)
 	g.mergeAccountUsage(now, p)
 	g.mergeSignals(now, p.Signals)
+	g.mergeBrittle(now, p.Brittle)
 	ch := g.children.register(p.Demand)
 	spacing := relay.Spacing(g.children.count(), g.settings.cores())
 	timing := relay.PullTiming{ReceivedAt: now, PreviousResponseAt: ch.responded}
@@ -149,6 +150,7 @@
 	n.Stamp = g.stampFor(now, n.Token)
 	n.BlocksChecksum, n.Blocks = g.blocks.forResponse(now, p.BlocksChecksum)
 	n.SignalsChecksum, n.Signals = g.signals.forResponse(now, p.SignalsChecksum)
+	n.BrittleChecksum, n.Brittle = g.brittle.forResponse(now, p.BrittleChecksum)
 	n.Accounts = g.accounts.limiter.Levels()
 	n.Levels = g.levels.Current(now)
 	hosts, more := g.cache.hostsFrom(p.HostsNext)
@@ -169,7 +171,7 @@
 		blocks: g.guard.Blocklist.Version(),
 
 		accounts: g.accounts.version(),
-		signals:  g.health.Signals.Version(),
+		signals:  g.health.Signals.Version() + g.health.Brittle.Version(),
 		levels:   g.levels.Version(),
 	}
 }
--- a/pkg/gateway/contention.go
+++ b/pkg/gateway/contention.go
@@ -11,8 +11,8 @@
 
 // The modes. An empty mode is ContentionAuto.
 const (
-	// ContentionAuto schedules a service for contention if its endpoints state their work time, or
-	// if client accounts compete for a route with a tight objective.
+	// ContentionAuto schedules a service for contention if its endpoints state their work time or
+	// that they are brittle, or if client accounts compete for a route with a tight objective.
 	ContentionAuto ContentionMode = "auto"
 	ContentionOn   ContentionMode = "on"
 	ContentionOff  ContentionMode = "off"
@@ -34,7 +34,8 @@
 	case ContentionOff:
 		return false
 	}
-	return g.health.StatesWorkTime(service) || accountsCompete(g.config.Load(), service)
+	_, brittle := g.slotLimit(service)
+	return brittle || g.health.StatesWorkTime(service) || accountsCompete(g.config.Load(), service)
 }
 
 // accountsCompete reports whether the configuration has client accounts and a route of the service
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -111,3 +111,6 @@
 
 // Isolated reports whether the host neither reads the list of endpoints nor hears of its changes.
 func (g *Gateway) Isolated() bool { return g.isolated(g.Now()) }
+
+// SlotsLimited reports whether the host takes the endpoints of a service for brittle.
+func (g *Gateway) SlotsLimited(service string) bool { return g.slots.Limited(service) }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/tealvane/tealvane/pkg/relay"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/slotshare"
 	"github.com/tealvane/tealvane/pkg/upstream"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -48,6 +49,8 @@
 	// Terminated reports whether an incarnation of an endpoint has terminated. An error
 	// means that this is unknown.
 	Terminated(ctx context.Context, e fleet.Endpoint) (bool, error)
+	// Rejected reports whether a response rejects a request for lack of room.
+	Rejected(header http.Header, status int) bool
 	// OwnResponse returns a function that reports whether a response belongs to the request with
 	// the given header.
 	OwnResponse(request http.Header) func(http.Header, int) bool
@@ -82,6 +85,9 @@
 	links   *endpointLinks
 	proxy   *proxy.Server
 	helpers *proxy.Helpers
+	// slots divides the slots of brittle endpoints among the hosts, endpointTransport keeps within them.
+	slots             *slotshare.Table
+	endpointTransport *proxy.SlotTransport
 
 	config atomic.Pointer[fleet.Config]
 	// listMu is held while a batch of list entries is applied and while a response is built
@@ -124,6 +130,8 @@
 	// hosts.
 	blocks  replicatedSet[fleet.Block]
 	signals replicatedSet[fleet.EndpointSignal]
+	// brittle replicates the services whose endpoints are brittle.
+	brittle replicatedSet[fleet.BrittleService]
 	// streams knows which software versions began streams.
 	streams *streamVersions
 	// accounts enforces the rate limits of client accounts.
@@ -200,6 +208,7 @@
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
 	g.locator = fleet.NewLocator(g.directory)
 	g.health.Signals.Changed = g.signalChanged
+	g.health.Brittle.Changed = g.brittleChanged
 	dial := cfg.Dial
 	if dial == nil {
 		dial = upstream.Dial
@@ -207,12 +216,16 @@
 	g.transport = upstream.NewTransport(g.Now, g.connectionLimit, dial)
 	g.links = newEndpointLinks()
 	g.helpers = proxy.NewHelpers(proxy.Host{Name: s.Host, Zone: s.Zone}, g.proxyHosts)
-	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.endpointTransport()), g.allowCall}
+	g.slots = slotshare.NewTable(g.Now, g.slotLimit)
+	g.endpointTransport = g.newEndpointTransport()
+	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.endpointTransport), g.allowCall}
+	g.endpointTransport.Rejected = g.endpoints.Rejected
 	g.proxy = g.newProxyServer()
 	g.dispatcher = serve.NewDispatcher(s.Zone, placementLocator{g.locator, g.config.Load}, g.health, g.Now, g.requestReport)
 	g.dispatcher.Contention = g.contention
 	g.dispatcher.Occupancy = g.occupancy.local
 	g.dispatcher.Levels = &g.levels
+	g.dispatcher.Slots = g.slots
 	g.dispatcher.EstimateWork = estimateWork
 	g.server = &serve.Server{
 		Backend: g.endpoints,
@@ -258,6 +271,8 @@
 func (g *Gateway) initReplicatedSets() {
 	g.blocks.checksum, g.blocks.all = g.guard.Blocklist.Checksum, g.guard.Blocklist.All
 	g.signals.checksum = g.health.Signals.Checksum
+	g.brittle.checksum = g.health.Brittle.Checksum
+	g.brittle.all = func(time.Time) []fleet.BrittleService { return g.health.Brittle.All() }
 	g.signals.all = func(time.Time) []fleet.EndpointSignal { return g.health.Signals.All() }
 }
 
--- a/pkg/gateway/hosts.go
+++ b/pkg/gateway/hosts.go
@@ -120,6 +120,7 @@
 	g.cache.addHosts(b)
 	g.budget.SetHosts(g.sharingHosts())
 	g.health.Signals.SetHosts(g.self.Host, g.mesh.names())
+	g.slots.SetHosts(g.self.Host, g.mesh.names())
 	g.children.wake()
 }
 
--- a/pkg/gateway/proxying.go
+++ b/pkg/gateway/proxying.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/links"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/proxy"
+	"github.com/tealvane/tealvane/pkg/signals"
 	"github.com/tealvane/tealvane/pkg/upstream"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -33,15 +35,26 @@
 	Do(ctx context.Context, e fleet.Endpoint, r upstream.Request) (*http.Response, error)
 	// Send is like Do, but may send the request by way of another host, whose name it returns.
 	Send(ctx context.Context, e fleet.Endpoint, r upstream.Request) (resp *http.Response, via string, err error)
+	// Observe applies the signals in a response to a request that Do has sent.
+	Observe(e fleet.Endpoint, s signals.Response, sent time.Time)
 }
 
-// endpointTransport returns the transport for requests to endpoints.
-func (g *Gateway) endpointTransport() EndpointTransport {
+// newEndpointTransport returns the transport for requests to endpoints.
+func (g *Gateway) newEndpointTransport() *proxy.SlotTransport {
+	t := &proxy.SlotTransport{
+		Sender:        proxy.DirectOnly{Transport: g.transport},
+		Slots:         g.slots,
+		MaxRejections: g.maxRejections,
+		Host:          g.proxyHost,
+		OnSignals:     g.observeSignals,
+		Count:         func(result string) { g.metrics.count("brittle_sends", map[string]string{"slot": result}) },
+	}
 	if !g.settings.Endpoints.ViaPeers {
-		return proxy.DirectOnly{Transport: g.transport}
+		return t
 	}
 	g.transport.OnLink = g.recordLink
-	return &proxy.Transport{
+	t.Open = g.openStream
+	t.Sender = &proxy.Transport{
 		Direct:  g.transport,
 		Links:   g.links.table,
 		Helpers: g.helpers,
@@ -49,6 +62,7 @@
 		Now:     g.Now,
 		OnSlow:  g.recordSlowConnect,
 	}
+	return t
 }
 
 // newProxyServer returns the server of requests that other hosts send by way of this one.
@@ -67,6 +81,8 @@
 			Requests: max(minProxied, int(proxiedPerCore*g.settings.cores())),
 			Bytes:    memory << 20 / proxiedMemoryDivisor,
 		},
+		Slots:       g.slots,
+		Rejected:    g.endpoints.Rejected,
 		OwnResponse: g.endpoints.OwnResponse,
 		Count:       func(result string) { g.metrics.count("peer_requests", map[string]string{"result": result}) },
 	}
@@ -85,6 +101,12 @@
 	return out
 }
 
+// proxyHost returns another host that may send requests for this one.
+func (g *Gateway) proxyHost(name string) (proxy.Host, bool) {
+	e, ok := g.mesh.peer(name)
+	return proxy.Host{Name: name, Addr: e.Addr, Zone: e.Zone, Cores: e.Cores}, ok
+}
+
 // openStream implements proxy.Open.
 func (g *Gateway) openStream(ctx context.Context, addr string, r peer.Request) (proxy.Stream, error) {
 	s, err := g.mesh.node.Open(ctx, addr, r)
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -109,6 +109,7 @@
 	}
 	crashesNext := g.addCrashesTo(now, to.Addr, &p)
 	p.SignalsChecksum, p.Signals = g.signals.forRequest(now)
+	p.BrittleChecksum, p.Brittle = g.brittle.forRequest(now)
 	p.Accounts, p.Rising = g.accounts.usageReport(now)
 	p.ViaFallback = isControllerFallback(upstreams, to)
 	err := g.sendPull(ctx, to, p, crashesNext)
@@ -176,6 +177,8 @@
 	g.mergeResponseBlocks(now, *response.Notice)
 	g.mergeSignals(now, response.Notice.Signals)
 	g.signals.acknowledge(response.Notice.SignalsChecksum)
+	g.mergeBrittle(now, response.Notice.Brittle)
+	g.brittle.acknowledge(response.Notice.BrittleChecksum)
 	if g.levels.Apply(now.Add(-milliseconds(response.Notice.HeartbeatAge)), response.Notice.Levels) {
 		g.children.wake()
 	}
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -17,6 +17,18 @@
 	Bytes int64 `cbor:"2,keyasint,omitempty"`
 	// Trace is the trace context of the request.
 	Trace map[string]string `cbor:"3,keyasint,omitempty"`
+	// Slot is set if the endpoint is brittle and the other host has to send the request in one of its own
+	// slots.
+	Slot *SlotClaim `cbor:"4,keyasint,omitempty"`
+}
+
+// SlotClaim is a request's claim to a slot of a brittle endpoint.
+type SlotClaim struct {
+	// Urgency orders requests that wait, 0 first. WaitMillis is how long the request may wait.
+	Urgency    int   `cbor:"1,keyasint,omitempty"`
+	WaitMillis int64 `cbor:"2,keyasint,omitempty"`
+	// MaxRejections is the number of requests that the endpoint can reject in a second without crashing.
+	MaxRejections float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // EndpointCheck asks another host whether an endpoint has terminated.
--- a/pkg/proxy/client.go
+++ b/pkg/proxy/client.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/upstream"
@@ -43,12 +42,13 @@
 }
 
 // reserve asks a host to reserve a connection to an endpoint. After an error nothing was sent.
-func reserve(ctx context.Context, open Open, h Host, e fleet.Endpoint, bodyBytes int) (*session, acceptance, error) {
+func reserve(ctx context.Context, open Open, h Host, r peer.ProxyRequest) (*session, acceptance, error) {
 	trace := propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, trace)
+	r.Trace = trace
 	short, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	stream, err := open(short, h.Addr, peer.Request{Proxy: &peer.ProxyRequest{Endpoint: e.ID, Bytes: int64(bodyBytes), Trace: trace}})
+	stream, err := open(short, h.Addr, peer.Request{Proxy: &r})
 	if err != nil {
 		return nil, acceptance{}, err
 	}
--- a/pkg/proxy/frame.go
+++ b/pkg/proxy/frame.go
@@ -65,6 +65,8 @@
 	ReasonUnknownHost Reason = "unknown_host"
 	// ReasonNotInUse means that, by the host's own list, the endpoint takes no requests.
 	ReasonNotInUse Reason = "endpoint_not_in_use"
+	// ReasonNoSlot means that the host has no slot of the brittle endpoint.
+	ReasonNoSlot Reason = "no_slot"
 	// ReasonUnreachable means that the host cannot connect to the endpoint either.
 	ReasonUnreachable Reason = "endpoint_unreachable"
 )
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/slotshare"
 	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
@@ -37,6 +38,10 @@
 	// Stopping reports whether the host is shutting down.
 	Stopping func() bool
 	Limits   Limits
+	// Slots holds this host's slots of brittle endpoints, and Rejected reports whether a response rejects
+	// a request for lack of room.
+	Slots    *slotshare.Table
+	Rejected func(header http.Header, status int) bool
 	// OwnResponse returns a function that reports whether a response belongs to the request with a
 	// header.
 	OwnResponse func(request http.Header) func(http.Header, int) bool
@@ -113,6 +118,12 @@
 		return
 	}
 	defer s.release(r.Bytes)
+	slot, refused := s.takeSlot(ctx, r)
+	if refused != nil {
+		s.refuse(stream, out, *refused)
+		return
+	}
+	defer slot.End(slotshare.NotSent) // unless it was sent
 	reservation, refused := s.reserve(ctx, r.Endpoint)
 	if refused != nil {
 		s.refuse(stream, out, *refused)
@@ -136,7 +147,27 @@
 		s.refuse(stream, out, acceptance{Reason: ReasonNotInUse})
 		return
 	}
-	s.Count(s.send(ctx, stream, out, reservation, request))
+	s.Count(s.send(ctx, stream, out, reservation, request, slot))
+}
+
+// takeSlot takes a slot of a brittle endpoint. Other requests need none.
+func (s *Server) takeSlot(ctx context.Context, r peer.ProxyRequest) (*slotshare.Slot, *acceptance) {
+	if r.Slot == nil || s.Slots == nil {
+		return nil, nil
+	}
+	e, ok := s.Endpoint(r.Endpoint)
+	if !ok {
+		return nil, &acceptance{Reason: ReasonNotInUse}
+	}
+	slot, refused := s.Slots.Acquire(ctx, e, slotshare.Claim{
+		Urgency:       r.Slot.Urgency,
+		Wait:          min(slotWait, time.Duration(r.Slot.WaitMillis)*time.Millisecond),
+		MaxRejections: r.Slot.MaxRejections,
+	})
+	if refused != nil {
+		return nil, &acceptance{Reason: ReasonNoSlot}
+	}
+	return slot, nil
 }
 
 func (s *Server) refuse(stream Stream, out *frameWriter, a acceptance) {
@@ -193,8 +224,8 @@
 }
 
 // send sends a request to the endpoint and the response to the other host. It returns the result for
-// metrics.
-func (s *Server) send(ctx context.Context, stream Stream, out *frameWriter, reservation *upstream.Reservation, r upstream.Request) string {
+// metrics, and ends the use of the slot once the endpoint has responded.
+func (s *Server) send(ctx context.Context, stream Stream, out *frameWriter, reservation *upstream.Reservation, r upstream.Request, slot *slotshare.Slot) string {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -212,8 +243,12 @@
 	resp, err := reservation.Do(ctx, r)
 	if err == nil {
 		defer resp.Body.Close()
+		if s.Rejected != nil && s.Rejected(resp.Header, resp.StatusCode) {
+			slot.End(slotshare.Rejected)
+		}
 		err = s.forward(out, resp)
 	}
+	slot.End(slotshare.Ended)
 	if err == nil {
 		if err = out.close(); err == nil {
 			<-ctx.Done() // The response must not be cut off before the sender has read it.
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/links"
+	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
@@ -138,7 +139,7 @@
 			break
 		}
 		tried[host.Name] = true
-		s, a, err := reserve(ctx, t.Open, host, e, bodyBytes)
+		s, a, err := reserve(ctx, t.Open, host, peer.ProxyRequest{Endpoint: e.ID, Bytes: int64(bodyBytes)})
 		if err == nil {
 			t.Helpers.RecordHelp(t.Now(), host, a.Load)
 			return s, host, nil
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -41,6 +41,11 @@
 	if errors.Is(err, ErrNotSent) {
 		span.RecordError(err)
 		x.result.Note = err.Error()
+		var noSlot *NoSlotError
+		if errors.As(err, &noSlot) {
+			x.noSlot(e, noSlot.RetryIn)
+			return attemptNoSlot
+		}
 		if errors.Is(err, ErrNoPath) {
 			x.avoid[e.ID] = LastResort
 			x.noPath++
@@ -59,6 +64,7 @@
 	var unusable *UnusableError
 	if errors.As(err, &unusable) {
 		s.Health.Signals.Observe(s.Now(), e.ID, unusable.Signals, start, false)
+		s.Health.Brittle.Observe(s.Now(), e.Service, unusable.Signals.Brittle, start)
 	}
 	if err != nil {
 		span.RecordError(err)
@@ -74,6 +80,7 @@
 	}
 	if response.Class != WrongEndpoint {
 		s.Health.Signals.Observe(s.Now(), e.ID, response.Signals, start, response.Class == Completed)
+		s.Health.Brittle.Observe(s.Now(), e.Service, response.Signals.Brittle, start)
 	}
 	if response.Class != Completed {
 		x.reject(e, response)
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -96,6 +96,9 @@
 	// Levels holds the levels of models for services that are scheduled for contention. It may be
 	// nil, and must not be changed once requests are served.
 	Levels *admission.Table
+	// Slots tells about services whose endpoints are brittle. It may be nil and must not be changed once requests
+	// are served.
+	Slots SlotLimits
 	// EstimateWork returns the estimated work of a request, by which its account is charged under
 	// contention. It may be nil, which means 1 for each request, and must not be changed once
 	// requests are served. It is called with the lock of a service held.
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -32,6 +32,8 @@
 	// Signals holds the rate limits, pauses and shutdown notices that endpoints send with
 	// their responses.
 	Signals *signals.Table
+	// Brittle holds the services whose endpoints are brittle.
+	Brittle *signals.BrittleServices
 
 	mu                 sync.Mutex
 	endpoints          map[fleet.EndpointID]*endpointState
@@ -61,6 +63,7 @@
 func NewHealth() *Health {
 	return &Health{
 		Signals:            signals.New(),
+		Brittle:            signals.NewBrittleServices(),
 		endpoints:          map[fleet.EndpointID]*endpointState{},
 		serviceFailureRate: map[string]float64{},
 		statesWorkTime:     map[string]bool{},
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -189,6 +189,18 @@
 // others that it could ask, have lost their links to endpoints. They are also marked ErrNotSent.
 var ErrNoPath = errors.New("no host has links to endpoints")
 
+// NoSlotError is returned by a Backend that has no slot for a request to a brittle endpoint. It is marked ErrNotSent.
+type NoSlotError struct {
+	// RetryIn is when there may be one.
+	RetryIn time.Duration
+}
+
+// Error implements error.
+func (e *NoSlotError) Error() string { return "no slot of the brittle endpoint" }
+
+// Unwrap implements errors.Wrapper.
+func (e *NoSlotError) Unwrap() error { return ErrNotSent }
+
 // UnusableError is returned for a response that cannot be forwarded. The request may have run.
 type UnusableError struct {
 	Signals signals.Response
--- a/pkg/serve/result.go
+++ b/pkg/serve/result.go
@@ -56,6 +56,9 @@
 	if r.Request.limited {
 		attrs = append(attrs, "share", r.Request.share)
 	}
+	if r.NoSlot > 0 {
+		attrs = append(attrs, "no_slot", r.NoSlot)
+	}
 	if r.Framing != "" {
 		attrs = append(attrs, "framing", string(r.Framing))
 	}
--- a/pkg/serve/select_endpoint.go
+++ b/pkg/serve/select_endpoint.go
@@ -35,6 +35,12 @@
 	}
 	sel.setLimits(healthy)
 	sel.setLimits(suspect)
+	if d.limitedToSlots(w.need.Service) {
+		limitToSlots(healthy)
+		limitToSlots(suspect)
+		healthy = d.optionsWithSlots(healthy, w.request)
+		suspect = d.optionsWithSlots(suspect, w.request)
+	}
 	how := routing.Options{
 		Zone:         d.zone,
 		ServiceTime:  s.serviceTime,
@@ -89,6 +95,9 @@
 		}
 	}
 	sel.setLimits(options)
+	if d.limitedToSlots(n.Service) {
+		limitToSlots(options)
+	}
 	return slices.ContainsFunc(append(options, fallbackOptions(options)...), func(o option) bool {
 		return o.candidate.OwnRequests < o.candidate.Limit
 	})
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -54,6 +54,8 @@
 	Runs int
 	// Full counts the endpoints that rejected it for lack of slots.
 	Full int
+	// NoSlot counts the brittle endpoints of which no host had a slot for it.
+	NoSlot int
 	// Waited is the time until the request was first sent, FirstByte the time until the head
 	// of the response was sent to the client.
 	Waited    time.Duration
@@ -167,6 +169,8 @@
 	attemptDone attemptResult = iota
 	// attemptNotRun means that the endpoint did not run the request.
 	attemptNotRun
+	// attemptNoSlot means that the request was not sent because the endpoint is brittle and no host has a slot.
+	attemptNoSlot
 	// attemptFailed means that the request may have run without a complete response.
 	attemptFailed
 )
@@ -233,7 +237,7 @@
 // probeOutcome returns the outcome of a probe for the result of its attempt.
 func (x *exchange) probeOutcome(r attemptResult) ProbeOutcome {
 	switch {
-	case r == attemptNotRun:
+	case r == attemptNotRun, r == attemptNoSlot:
 		return ProbeNotRun
 	case r == attemptDone && (x.result.Complete || x.result.Unconfirmed):
 		return ProbeServed
--- a/pkg/serve/shares.go
+++ b/pkg/serve/shares.go
@@ -37,7 +37,7 @@
 	// The condition may change while the request waits, so its work is always estimated.
 	w.work = d.estimateWork(w.request)
 	if !s.waiting.isFair() || s.waiting.len() == 0 || w.resumed {
-		s.waiting.rank(now, s.firstByte)
+		d.rankWaiting(now, s)
 		e, ok := d.pick(now, s, w)
 		if ok {
 			s.recordGrantedWork(w)
@@ -54,7 +54,7 @@
 
 // dispatch grants free slots to waiting requests. It must be called with s.mu held.
 func (d *Dispatcher) dispatch(now time.Time, s *shard) {
-	s.waiting.rank(now, s.firstByte)
+	d.rankWaiting(now, s)
 	shared := d.sharedView(now, s.service, s.serviceTime) != nil
 	// Later requests with the same demand are skipped once one found no slot.
 	noSlot := map[slotDemand]bool{}
--- a/pkg/serve/waiting_order.go
+++ b/pkg/serve/waiting_order.go
@@ -27,9 +27,15 @@
 
 // classify returns the class of a waiting request. usualRun is the usual time to the first byte.
 func classify(now time.Time, usualRun time.Duration, r *Request) waitingClass {
+	return classifyWith(now, usualRun, minRunTime, r)
+}
+
+// classifyWith is like classify. leastRun is the time to the first byte with which a request can still meet its
+// objective.
+func classifyWith(now time.Time, usualRun, leastRun time.Duration, r *Request) waitingClass {
 	objective := r.ObjectiveTime()
 	switch {
-	case now.Add(minRunTime).After(objective):
+	case now.Add(leastRun).After(objective):
 		return classTooLate
 	case r.Route.Objective <= spareObjective:
 		return classOnTime
@@ -46,8 +52,8 @@
 
 // waitingRank ranks the waiting requests of one priority under contention, lowest first. It changes
 // with time. Requests of one rank are served by their objective.
-func waitingRank(now time.Time, usualRun time.Duration, r *Request) int {
-	rank := int(classify(now, usualRun, r))
+func waitingRank(now time.Time, usualRun, leastRun time.Duration, r *Request) int {
+	rank := int(classifyWith(now, usualRun, leastRun, r))
 	if r.returned {
 		rank += returnRank
 	}
--- a/pkg/serve/waitlist.go
+++ b/pkg/serve/waitlist.go
@@ -22,6 +22,8 @@
 	// now and usualRun are what the requests in fair are ranked by.
 	now      time.Time
 	usualRun time.Duration
+	// leastRun is the time to the first byte with which a request can still meet its objective.
+	leastRun time.Duration
 }
 
 func (l *waitList) isFair() bool { return l.fair != nil }
@@ -32,7 +34,7 @@
 		return
 	}
 	waiting := slices.Collect(l.all())
-	*l = waitList{}
+	*l = waitList{leastRun: l.leastRun}
 	if fair {
 		l.fair, l.needs = &wfq.Queue[*waiter]{}, map[Need]int{}
 	}
@@ -74,7 +76,7 @@
 		return
 	}
 	if l.isFair() {
-		w.item = fairItem(w, waitingRank(l.now, l.usualRun, w.request))
+		w.item = fairItem(w, waitingRank(l.now, l.usualRun, l.leastRun, w.request))
 		l.fair.Push(w.item)
 		l.needs[w.need]++
 		return
@@ -108,11 +110,14 @@
 // rank ranks the waiting requests in fair for the given time. usualRun is the usual time to the first
 // byte.
 func (l *waitList) rank(now time.Time, usualRun time.Duration) {
+	if l.leastRun == 0 {
+		l.leastRun = minRunTime
+	}
 	if !l.isFair() || now.Equal(l.now) && usualRun == l.usualRun {
 		return
 	}
 	l.now, l.usualRun = now, usualRun
-	l.fair.Rerank(func(it *wfq.Item[*waiter]) int { return waitingRank(now, usualRun, it.Value.request) })
+	l.fair.Rerank(func(it *wfq.Item[*waiter]) int { return waitingRank(now, usualRun, l.leastRun, it.Value.request) })
 }
 
 // place returns the position, from 1, that w has or would have among the waiting requests with the
--- a/pkg/signals/table.go
+++ b/pkg/signals/table.go
@@ -38,6 +38,8 @@
 	Draining bool
 	// RetryAfter is how long the endpoint accepts no requests from this host, 0 for no backoff.
 	RetryAfter time.Duration
+	// Brittle is whether the endpoint crashes if it has to reject many requests.
+	Brittle Brittleness
 }
 
 // Table holds the signals of all endpoints. It is safe for concurrent use.
--- /dev/null
+++ b/pkg/slotshare/table.go
@@ -0,0 +1,489 @@
+package slotshare
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+const (
+	// handoverTime is how long a host does not use slots that it has come to own: the former owner may not
+	// know yet, and its requests may still be running. listTime is added after a change of the list of hosts, which
+	// reaches the hosts one after the other.
+	handoverTime = time.Second
+	listTime     = time.Second
+	// spareRanks is the number of hosts beyond the owners whose order is kept, to take over from owners that are
+	// down.
+	spareRanks = 4
+	// firstClosure is how long a host that had no slot is not asked again for one at the same endpoint. It doubles
+	// with each further refusal up to maxClosure.
+	firstClosure = 60 * time.Millisecond
+	maxClosure   = time.Second
+	// questionsPerGrant and questionsPerSecond bound the questions for slots to other hosts, and maxQuestions those that
+	// may be asked at once.
+	questionsPerGrant  = 3
+	questionsPerSecond = 50
+	maxQuestions       = 20
+	// askedEndpoints is the number of endpoints of whose slots a host asks others for one.
+	askedEndpoints = 32
+	// probeInterval is the interval at which a host that is down is probed.
+	probeInterval = 500 * time.Millisecond
+)
+
+// Reason is why a host has no slot for a request.
+type Reason string
+
+const (
+	// NotOwner means that the host owns no slot of the endpoint, or does not use it yet.
+	NotOwner Reason = "not_owner"
+	// Full means that all of its slots are in use and as many requests wait for them.
+	Full Reason = "full"
+)
+
+// Limit is what a host knows about a service whose endpoints are brittle.
+type Limit struct {
+	// MaxRejections is the number of requests that an endpoint can reject in a second without crashing.
+	MaxRejections float64
+	// Since is when this host learned of it.
+	Since time.Time
+}
+
+// Claim is a request's claim to a slot.
+type Claim struct {
+	// Urgency orders requests that wait, 0 first.
+	Urgency int
+	// Wait is how long the request may wait.
+	Wait time.Duration
+	// MaxRejections is what the host that claims the slot knows, negative if nothing: the owner may not have
+	// heard yet that the endpoint is brittle.
+	MaxRejections float64
+}
+
+// Table tracks the slots that this host owns and the hosts that own others. It is safe for concurrent use.
+type Table struct {
+	now func() time.Time
+	// limit returns the limit of a service, or false if its endpoints are not brittle.
+	limit func(service string) (Limit, bool)
+
+	mu   sync.Mutex
+	self string
+	// hosts includes this host. hostsChanged is when it last changed.
+	hosts        []string
+	hostsChanged time.Time
+	ranks        map[fleet.EndpointID][]string
+	parts        map[fleet.EndpointID]*part
+	down         map[string]*downHost
+	closed       map[ask]closure
+	// questions is the number of questions that may be asked now, as of questionsAt.
+	questions   float64
+	questionsAt time.Time
+}
+
+// downHost is a host that does not respond, or is suspected of it.
+type downHost struct {
+	// since is when this host found out; it is zero while the other host is only suspected.
+	since time.Time
+	// probed is when it was last probed.
+	probed time.Time
+}
+
+// ask identifies an owner of slots of an endpoint.
+type ask struct {
+	host     string
+	endpoint fleet.EndpointID
+}
+
+type closure struct {
+	until    time.Time
+	refusals int
+}
+
+// NewTable returns a table for a host that knows no others.
+func NewTable(now func() time.Time, limit func(service string) (Limit, bool)) *Table {
+	return &Table{
+		now:    now,
+		limit:  limit,
+		hosts:  []string{""},
+		ranks:  map[fleet.EndpointID][]string{},
+		parts:  map[fleet.EndpointID]*part{},
+		down:   map[string]*downHost{},
+		closed: map[ask]closure{},
+
+		hostsChanged: now(),
+		questions:    maxQuestions,
+		questionsAt:  now(),
+	}
+}
+
+// SetHosts sets the name of this host and those of all others.
+func (t *Table) SetHosts(self string, others []string) {
+	hosts := append([]string{self}, others...)
+	slices.Sort(hosts)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if slices.Equal(hosts, t.hosts) && self == t.self {
+		return
+	}
+	t.self, t.hosts, t.hostsChanged = self, hosts, t.now()
+	clear(t.ranks)
+}
+
+// Limited reports whether the endpoints of a service are brittle.
+func (t *Table) Limited(service string) bool {
+	_, ok := t.limit(service)
+	return ok
+}
+
+// shares returns the shares of an endpoint's slots. since is when the last change that led to them was
+// noticed. It must be called with mu held.
+func (t *Table) shares(e fleet.Endpoint, l Limit) (shares []Share, since time.Time) {
+	order := t.ranks[e.ID]
+	n := ownerCount(e.Slots, l.MaxRejections)
+	if len(order) < min(n+spareRanks, len(t.hosts)) {
+		order = ranked(e.ID, t.hosts, n+spareRanks)
+		t.ranks[e.ID] = order
+	}
+	since = t.hostsChanged.Add(listTime)
+	up := make([]string, 0, n)
+	for _, h := range order {
+		if d := t.down[h]; d != nil && !d.since.IsZero() {
+			if len(up) < n && d.since.After(since) {
+				since = d.since
+			}
+			continue
+		}
+		up = append(up, h)
+	}
+	return divide(e.Slots, n, up), since
+}
+
+// ownPart returns this host's part of an endpoint, with the slots that it may use. It must be called with mu
+// held.
+func (t *Table) ownPart(now time.Time, e fleet.Endpoint, l Limit) *part {
+	shares, since := t.shares(e, l)
+	p := t.part(e.ID)
+	slots := 0
+	if i := slices.IndexFunc(shares, func(s Share) bool { return s.Host == t.self }); i >= 0 {
+		slots = shares[i].Slots
+	}
+	if now.Sub(since) < handoverTime {
+		slots = min(slots, p.slots)
+	}
+	if allowance := rejectionsPerOwner(l.MaxRejections, len(shares)); slots != p.slots || allowance != p.allowance {
+		window := allowance
+		if now.Sub(l.Since) < learnTime {
+			window = slots
+		}
+		p.setShare(slots, allowance, window)
+	}
+	return p
+}
+
+// part returns the state of an endpoint. It must be called with mu held.
+func (t *Table) part(id fleet.EndpointID) *part {
+	p := t.parts[id]
+	if p == nil {
+		p = &part{}
+		t.parts[id] = p
+	}
+	return p
+}
+
+// Slot is a request of this host at an endpoint.
+type Slot struct {
+	table *Table
+	to    fleet.Endpoint
+	once  sync.Once
+}
+
+// End ends the use of the slot, which may be nil. Only the first call counts.
+func (s *Slot) End(o Outcome) {
+	if s == nil {
+		return
+	}
+	s.once.Do(func() {
+		t := s.table
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		l, limited := t.limit(s.to.Service)
+		if !limited {
+			p := t.part(s.to.ID)
+			p.inUse--
+			p.grant(t.now())
+			return
+		}
+		t.ownPart(t.now(), s.to, l).release(t.now(), o)
+	})
+}
+
+// Refusal is why there is no slot for a request. It implements error.
+type Refusal struct {
+	Reason Reason
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "no slot of the brittle endpoint: " + string(r.Reason) }
+
+// Acquire takes a slot of an endpoint for a request that this host is about to send. Where the endpoint is not
+// brittle the request is only counted.
+func (t *Table) Acquire(ctx context.Context, e fleet.Endpoint, c Claim) (*Slot, *Refusal) {
+	t.mu.Lock()
+	now := t.now()
+	l, limited := t.limit(e.Service)
+	if !limited && c.MaxRejections >= 0 {
+		l, limited = Limit{MaxRejections: c.MaxRejections, Since: now}, true
+	}
+	slot := &Slot{table: t, to: e}
+	if !limited {
+		t.part(e.ID).inUse++
+		t.mu.Unlock()
+		return slot, nil
+	}
+	p := t.ownPart(now, e, l)
+	if p.slots == 0 {
+		t.suspectOwners(e, l)
+		t.mu.Unlock()
+		return nil, &Refusal{NotOwner}
+	}
+	if p.take(now) {
+		t.mu.Unlock()
+		return slot, nil
+	}
+	w := &waiter{urgency: c.Urgency, granted: make(chan struct{}), refused: make(chan struct{})}
+	if c.Wait <= 0 || p.inUse == 0 || !p.enqueue(w) {
+		t.mu.Unlock()
+		return nil, &Refusal{Full}
+	}
+	t.mu.Unlock()
+	timer := time.NewTimer(c.Wait)
+	defer timer.Stop()
+	select {
+	case <-w.granted:
+		return slot, nil
+	case <-w.refused:
+		return nil, &Refusal{Full}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	waited := p.remove(w)
+	t.mu.Unlock()
+	if !waited {
+		select {
+		case <-w.granted:
+			return slot, nil
+		default:
+		}
+	}
+	return nil, &Refusal{Full}
+}
+
+// Free reports whether this host has a free slot of an endpoint, so that a request needs no other host.
+func (t *Table) Free(e fleet.Endpoint) bool {
+	l, limited := t.limit(e.Service)
+	if !limited {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.ownPart(t.now(), e, l)
+	return len(p.waiting) == 0 && p.free(t.now())
+}
+
+// Owner is a host that owns slots of an endpoint.
+type Owner struct {
+	Name string
+	// Self is set for this host.
+	Self bool
+}
+
+// Owners returns the hosts that may have a slot of an endpoint, in the order in which to ask them. It leaves out
+// those that have refused one lately. This host comes first if it has a free slot, and else last.
+func (t *Table) Owners(e fleet.Endpoint) []Owner {
+	l, _ := t.limit(e.Service)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	shares, _ := t.shares(e, l)
+	var out []Owner
+	for _, s := range shares {
+		if s.Host != t.self && !now.Before(t.closed[ask{s.Host, e.ID}].until) {
+			out = append(out, Owner{Name: s.Host})
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	switch p := t.ownPart(now, e, l); {
+	case p.slots == 0:
+	case len(p.waiting) == 0 && p.free(now):
+		out = slices.Insert(out, 0, Owner{t.self, true})
+	case len(p.waiting) < p.slots:
+		out = append(out, Owner{t.self, true})
+	}
+	return out
+}
+
+// MayAsk reports whether this host may ask another one for a slot now. While slots are short, a host asks hardly more
+// often than it gets one.
+func (t *Table) MayAsk() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addQuestions(0)
+	return t.questions >= 1
+}
+
+// Asks reports whether this host asks others for slots of an endpoint, given the number of endpoints that can serve the
+// request. It asks for about askedEndpoints of them, so that it needs no connections to all hosts.
+func (t *Table) Asks(e fleet.Endpoint, endpoints int) bool {
+	t.mu.Lock()
+	self := t.self
+	t.mu.Unlock()
+	return float64(fleet.HostRank(self, e.ID)>>11)/(1<<53)*float64(endpoints) < askedEndpoints
+}
+
+// RecordQuestion counts a question to another host.
+func (t *Table) RecordQuestion() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addQuestions(-1)
+}
+
+// addQuestions adds to the number of questions that may be asked. It must be called with mu held.
+func (t *Table) addQuestions(n float64) {
+	now := t.now()
+	n += questionsPerSecond * now.Sub(t.questionsAt).Seconds()
+	t.questions = min(t.questions+n, maxQuestions)
+	t.questionsAt = now
+}
+
+// NextAttempt returns how long a request that found no slot of an endpoint should not try again.
+func (t *Table) NextAttempt(e fleet.Endpoint) time.Duration {
+	l, _ := t.limit(e.Service)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, next := t.now(), maxClosure
+	shares, _ := t.shares(e, l)
+	for _, s := range shares {
+		wait := firstClosure
+		if s.Host != t.self {
+			wait = t.closed[ask{s.Host, e.ID}].until.Sub(now)
+		}
+		next = min(next, wait)
+	}
+	return max(next, firstClosure/2)
+}
+
+// RecordRefusal records that another host had no slot of an endpoint.
+func (t *Table) RecordRefusal(host string, id fleet.EndpointID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.closed[ask{host, id}]
+	closed := min(maxClosure, firstClosure<<min(c.refusals, 8))
+	t.closed[ask{host, id}] = closure{t.now().Add(closed/2 + rand.N(closed)), c.refusals + 1}
+}
+
+// RecordGrant records that another host had a slot of an endpoint, and so that it is up.
+func (t *Table) RecordGrant(host string, id fleet.EndpointID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addQuestions(questionsPerGrant)
+	delete(t.closed, ask{host, id})
+	delete(t.down, host)
+}
+
+// RecordDown records that a host does not respond: the next hosts in the order of an endpoint own its slots.
+func (t *Table) RecordDown(host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.down[host]
+	if d == nil {
+		d = &downHost{}
+		t.down[host] = d
+	}
+	if d.since.IsZero() {
+		d.since = t.now()
+	}
+	d.probed = t.now()
+}
+
+// RecordUp records that a host responds.
+func (t *Table) RecordUp(host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.down, host)
+}
+
+// suspectOwners causes the owners of an endpoint to be probed, because another host has found them down. It must be
+// called with mu held.
+func (t *Table) suspectOwners(e fleet.Endpoint, l Limit) {
+	shares, _ := t.shares(e, l)
+	for _, s := range shares {
+		if t.down[s.Host] == nil && s.Host != t.self {
+			t.down[s.Host] = &downHost{}
+		}
+	}
+}
+
+// ProbesDue returns the hosts to probe now: those that are down, and those that are suspected of it. The result is
+// recorded by RecordUp or RecordDown. While no service is limited, all hosts count as up.
+func (t *Table) ProbesDue(limited bool) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !limited {
+		clear(t.down)
+		return nil
+	}
+	now := t.now()
+	var out []string
+	for h, d := range t.down {
+		if now.Sub(d.probed) >= probeInterval {
+			d.probed = now
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Retain removes the state of endpoints that are not in live and have no requests of this host.
+func (t *Table) Retain(live map[fleet.EndpointID]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.parts {
+		if !live[id] && p.inUse <= 0 && len(p.waiting) == 0 {
+			delete(t.parts, id)
+			delete(t.ranks, id)
+		}
+	}
+	for a := range t.closed {
+		if !live[a.endpoint] {
+			delete(t.closed, a)
+		}
+	}
+}
+
+// Use is the use of the slots that this host owns.
+type Use struct {
+	// Slots, InUse and Waiting are sums over all endpoints.
+	Slots, InUse, Waiting int
+	// Rejections is the number of rejections in the last second.
+	Rejections int
+}
+
+// Use returns the use of the slots that this host owns.
+func (t *Table) Use() Use {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, out := t.now(), Use{}
+	for _, p := range t.parts {
+		if p.slots > 0 {
+			out.Slots += p.slots
+			out.InUse += p.inUse
+			out.Waiting += len(p.waiting)
+		}
+		out.Rejections += p.recentRejections(now)
+	}
+	return out
+}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -55,6 +55,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Urgency orders requests that wait for a slot of a brittle endpoint, 0 first.
+	Urgency int
 	// Finalize is called with the header right before the request is sent. It may be nil.
 	Finalize func(http.Header)
 	// IsOwnResponse reports whether a response with the given header and status belongs to
