Stream versions: a package of their own, out of the gateway

What finds out where streams began moves to pkg/streamversions, which gets what it needs of the host as functions; its decisions stay in pkg/streamorigin. The loop that calls periodically moves to internal/wait.

No change of behaviour; the tests of versions and streams pass.

--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -31,3 +31,17 @@
 func Jitter(d time.Duration) time.Duration {
 	return d - d/jitterDivisor + rand.N(2*d/jitterDivisor)
 }
+
+// Every calls f periodically until ctx is done.
+func Every(ctx context.Context, period time.Duration, f func()) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -47,7 +47,7 @@
 // elect claims whenever there is no controller.
 func (g *Gateway) elect(ctx context.Context) {
 	var renewedAt time.Time
-	every(ctx, electionInterval, func() {
+	wait.Every(ctx, electionInterval, func() {
 		if g.election.CheckSuspend(g.bootTime()) {
 			g.log.Warn("host was suspended; orders are paused until the store confirms the claim")
 		}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -153,14 +153,14 @@
 func (g *Gateway) maintain(ctx context.Context) {
 	lastPrune, lastQuery := g.Now(), time.Time{}
 	var shares accountShares
-	every(ctx, maintenanceInterval, func() {
+	wait.Every(ctx, maintenanceInterval, func() {
 		g.dispatcher.DispatchWaiting()
 		now := g.Now()
 		g.checkLinks(ctx, now)
 		g.probeSlotOwners(ctx)
 		g.updateBlocks(now)
 		g.updateAccountLevels(now)
-		g.streams.checkVersions(now)
+		g.streams.CheckVersions(now)
 		g.budget.SetHosts(g.sharingHosts())
 		due := now.Sub(lastQuery) >= time.Duration(g.mesh.hosts())*staleListQueryIntervalPerHost
 		if due && g.storeReads.Loaded(fleet.TopicEndpoints) && g.listViewAge(now) > maxListAge {
--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/quarantine"
 	"github.com/tealvane/tealvane/pkg/record"
@@ -224,7 +225,7 @@
 // host cannot send to others.
 func (g *Gateway) storeCrashes(ctx context.Context) {
 	var schedule crashStoreSchedule
-	every(ctx, crashStoreInterval, func() {
+	wait.Every(ctx, crashStoreInterval, func() {
 		now := g.Now()
 		g.storedCrashes.prune(now)
 		if g.election.HeldToken() != 0 {
--- a/pkg/gateway/export_test.go
+++ b/pkg/gateway/export_test.go
@@ -106,7 +106,7 @@
 
 // KnowsStream reports whether the host remembers where the stream of an attempt began.
 func (g *Gateway) KnowsStream(attempt string) bool {
-	return g.streams.table.Find(g.Now(), attempt).Origin != nil
+	return g.streams.Knows(attempt)
 }
 
 // Isolated reports whether the host neither reads the list of endpoints nor hears of its changes.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
 	"github.com/tealvane/tealvane/pkg/slotshare"
+	"github.com/tealvane/tealvane/pkg/streamversions"
 	"github.com/tealvane/tealvane/pkg/upstream"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -133,7 +134,7 @@
 	// brittle replicates the services whose endpoints are brittle.
 	brittle replicatedSet[fleet.BrittleService]
 	// streams knows which software versions began streams.
-	streams *streamVersions
+	streams *streamversions.Directory
 	// accounts enforces the rate limits of client accounts.
 	accounts *accounts
 	// reportSeq is the sequence number of the last demand report. lastStamp is the last
@@ -235,7 +236,7 @@
 		Now:     g.Now,
 		Tracer:  cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
 	}
-	g.streams = newStreamVersions(g)
+	g.streams = g.newStreamVersions(store)
 	g.server.Versions = g.streams
 	g.budget.SetHosts(maxAssumedHosts) // until the hosts are read
 	g.guard = g.newGuard()
@@ -435,8 +436,8 @@
 		g.followClaims,
 		g.followCrashes,
 		g.storeCrashes,
-		g.streams.run,
-		g.streams.storeVersions,
+		g.streams.Run,
+		g.streams.StoreVersions,
 		g.announce,
 		g.mesh.serve,
 		g.followController,
@@ -445,17 +446,3 @@
 		g.maintain,
 	}
 }
-
-// every calls f periodically until ctx is done.
-func every(ctx context.Context, period time.Duration, f func()) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			f()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -52,8 +52,10 @@
 	return &metrics{scope: scope, handler: handler}
 }
 
-func (m *metrics) count(name string, tags map[string]string) {
-	m.scope.Tagged(tags).Counter(name).Inc(1)
+func (m *metrics) count(name string, tags map[string]string) { m.add(name, 1, tags) }
+
+func (m *metrics) add(name string, n int64, tags map[string]string) {
+	m.scope.Tagged(tags).Counter(name).Inc(n)
 }
 
 func (m *metrics) gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -34,9 +34,9 @@
 	case r.Check != nil:
 		response.Endpoint = g.respondToCheck(*r.Check)
 	case r.StreamLookup != nil:
-		response.StreamLookup = g.streams.respond(*r.StreamLookup)
+		response.StreamLookup = g.streams.Respond(*r.StreamLookup)
 	case len(r.StreamStarts) > 0:
-		g.streams.add(r.StreamStarts)
+		g.streams.Add(r.StreamStarts)
 	}
 	response.LinksLost = g.links.table.Lost()
 	claim := g.election.Newest()
--- /dev/null
+++ b/pkg/gateway/streams.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/streamorigin"
+	"github.com/tealvane/tealvane/pkg/streamversions"
+)
+
+// newStreamVersions returns what knows which software versions began streams.
+func (g *Gateway) newStreamVersions(store fleet.Store) *streamversions.Directory {
+	d := streamversions.New()
+	d.Now, d.StartedAt = g.Now, func() time.Time { return g.startedAt }
+	d.Locator, d.Store, d.Log = g.locator, store, g.log
+	d.Hosts = func() (streamorigin.Host, []streamorigin.Host) {
+		self, others := g.mesh.member, []streamorigin.Host(nil)
+		for _, m := range g.mesh.others() {
+			others = append(others, streamorigin.Host{Name: m.Name, Addr: m.Addr, Zone: m.Zone})
+		}
+		return streamorigin.Host{Name: self.Name, Zone: self.Zone}, others
+	}
+	d.Send = func(ctx context.Context, addr string, r peer.Request) (peer.Response, error) {
+		return g.mesh.send(ctx, addr, r)
+	}
+	d.Isolated = g.isolated
+	d.Controlling = func() bool { return g.election.HeldToken() != 0 }
+	d.Count = g.metrics.add
+	return d
+}
+
+// isolated reports whether this host neither reads the list of endpoints nor hears of its changes.
+func (g *Gateway) isolated(now time.Time) bool {
+	return g.listViewAge(now) > isolationTimeout && g.notices.age(now) > isolationTimeout && g.election.HeldToken() == 0
+}
--- a/pkg/gateway/streamversions.go
+++ b/pkg/streamversions/directory.go
@@ -1,7 +1,10 @@
-package gateway
+// Package streamversions finds out which software version began a stream that a client takes up again, and tells the
+// hosts that keep it. What it decides by is in package streamorigin.
+package streamversions
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -37,10 +40,31 @@
 	sourceSelf       = "self"
 )
 
-// streamVersions knows which software versions began streams, by asking other hosts if need be. It implements
-// serve.StreamVersions.
-type streamVersions struct {
-	g     *Gateway
+// Locator knows the software versions of services.
+type Locator interface {
+	Versions(now time.Time, service string) []string
+	VersionedServices(now time.Time) map[string][]string
+}
+
+// Directory knows which software versions began streams, by asking other hosts if need be. It implements
+// serve.StreamVersions. Its exported fields must be set before first use.
+type Directory struct {
+	Now func() time.Time
+	// StartedAt returns when this host started.
+	StartedAt func() time.Time
+	Locator   Locator
+	Store     fleet.Store
+	Log       *slog.Logger
+	// Hosts returns this host and the others, and Send sends a request to the one at an address.
+	Hosts func() (self streamorigin.Host, others []streamorigin.Host)
+	Send  func(ctx context.Context, addr string, r peer.Request) (peer.Response, error)
+	// Isolated reports whether this host neither reads the list of endpoints nor hears of its changes, and
+	// Controlling whether it is the controller.
+	Isolated    func(now time.Time) bool
+	Controlling func() bool
+	// Count adds to a counter.
+	Count func(name string, n int64, tags map[string]string)
+
 	table *streamorigin.Table
 	// wake ends the wait for streams to tell others of.
 	wake chan struct{}
@@ -55,9 +79,9 @@
 	history streamorigin.History
 }
 
-func newStreamVersions(g *Gateway) *streamVersions {
-	return &streamVersions{
-		g:            g,
+// New returns a directory that knows no streams.
+func New() *Directory {
+	return &Directory{
 		table:        streamorigin.NewTable(),
 		wake:         make(chan struct{}, 1),
 		backoffUntil: map[string]time.Time{},
@@ -65,9 +89,14 @@
 	}
 }
 
+// Knows reports whether this host remembers where the stream of an attempt began.
+func (v *Directory) Knows(attempt string) bool {
+	return v.table.Find(v.Now(), attempt).Origin != nil
+}
+
 // RecordStart implements serve.StreamVersions.
-func (v *streamVersions) RecordStart(r *serve.Request, o fleet.StreamOrigin) {
-	now := v.g.Now()
+func (v *Directory) RecordStart(r *serve.Request, o fleet.StreamOrigin) {
+	now := v.Now()
 	start := fleet.StreamStart{Attempt: r.ID, Origin: o}
 	v.table.Add(now, start)
 	if len(v.versions(now, o.Service)) > 1 {
@@ -76,17 +105,20 @@
 }
 
 // tell queues streams for the hosts that keep them.
-func (v *streamVersions) tell(starts ...fleet.StreamStart) {
+func (v *Directory) tell(starts ...fleet.StreamStart) {
 	v.mu.Lock()
 	v.pending = append(v.pending, starts...)
 	v.mu.Unlock()
-	trySend(v.wake)
+	select {
+	case v.wake <- struct{}{}:
+	default:
+	}
 }
 
 // versions returns the software versions of a service that may have begun streams which still go on.
-func (v *streamVersions) versions(now time.Time, service string) []string {
-	out := v.g.locator.Versions(now, service)
-	if now.Sub(v.g.startedAt) >= streamorigin.HistoryTime {
+func (v *Directory) versions(now time.Time, service string) []string {
+	out := v.Locator.Versions(now, service)
+	if now.Sub(v.StartedAt()) >= streamorigin.HistoryTime {
 		return out
 	}
 	out = append(out, v.history.Of(service)...)
@@ -95,7 +127,7 @@
 }
 
 // Find implements serve.StreamVersions.
-func (v *streamVersions) Find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
+func (v *Directory) Find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
 	found, err := v.find(ctx, r)
 	source := found.Source
 	switch {
@@ -104,13 +136,13 @@
 	case source != sourceSelf && source != sourceOneVersion:
 		source = "peer"
 	}
-	v.g.metrics.count("stream_lookups", map[string]string{"source": source})
+	v.Count("stream_lookups", 1, map[string]string{"source": source})
 	return found, err
 }
 
-func (v *streamVersions) find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
+func (v *Directory) find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
 	certain := v.knowsHistory(ctx)
-	if certain && v.oneVersion(v.g.Now(), r.Service) {
+	if certain && v.oneVersion(v.Now(), r.Service) {
 		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
 	}
 	if certain && r.Resumes == "" {
@@ -120,13 +152,13 @@
 }
 
 // oneVersion reports whether, as far as this host knows, all streams of a service began at one version.
-func (v *streamVersions) oneVersion(now time.Time, service string) bool {
+func (v *Directory) oneVersion(now time.Time, service string) bool {
 	return len(v.versions(now, service)) <= 1
 }
 
 // lookUp finds the version that began a stream in this host's own table or by asking others.
-func (v *streamVersions) lookUp(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
-	own := v.table.Find(v.g.Now(), r.Resumes)
+func (v *Directory) lookUp(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
+	own := v.table.Find(v.Now(), r.Resumes)
 	if own.Conflict {
 		return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "attempt %s began at several versions", r.Resumes)
 	}
@@ -140,10 +172,10 @@
 	switch {
 	case found != nil:
 		start := fleet.StreamStart{Attempt: r.Resumes, Origin: fleet.StreamOrigin{Service: found.Service, Version: found.Required.Version}}
-		v.table.Add(v.g.Now(), start)
+		v.table.Add(v.Now(), start)
 		v.tell(start) // A host that has kept it may be gone.
 		return *found, nil
-	case oneVersion && v.oneVersion(v.g.Now(), r.Service):
+	case oneVersion && v.oneVersion(v.Now(), r.Service):
 		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
 	}
 	return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "no host that was asked knows attempt %s", r.Resumes)
@@ -154,13 +186,13 @@
 		Service:  found.Origin.Service,
 		Required: fleet.RequireVersion(found.Origin.Version),
 		Source:   source,
-		Age:      milliseconds(found.Age),
+		Age:      time.Duration(found.Age) * time.Millisecond,
 	}
 }
 
 // ask asks the hosts that keep a stream where it began. It returns nil if none knows; oneVersion then reports
 // whether one of them knows that the service has had one version.
-func (v *streamVersions) ask(ctx context.Context, q fleet.StreamLookup) (found *serve.StreamVersion, oneVersion bool, err error) {
+func (v *Directory) ask(ctx context.Context, q fleet.StreamLookup) (found *serve.StreamVersion, oneVersion bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, streamLookupTimeout)
 	defer cancel()
 	type answer struct {
@@ -171,7 +203,7 @@
 	answers := make(chan answer, len(keepers))
 	for _, k := range keepers {
 		go func() {
-			response, err := v.g.mesh.send(ctx, k.Addr, peer.Request{StreamLookup: &q})
+			response, err := v.Send(ctx, k.Addr, peer.Request{StreamLookup: &q})
 			if err != nil {
 				answers <- answer{host: k.Name}
 				return
@@ -196,35 +228,31 @@
 }
 
 // keepers returns up to n other hosts that keep a stream, in the order in which all hosts choose them.
-func (v *streamVersions) keepers(attempt string, n int) []streamorigin.Host {
-	self := v.g.mesh.member
-	hosts := []streamorigin.Host{{Name: self.Name, Zone: self.Zone}}
-	for _, m := range v.g.mesh.others() {
-		hosts = append(hosts, streamorigin.Host{Name: m.Name, Addr: m.Addr, Zone: m.Zone})
-	}
-	chosen := streamorigin.Keepers(attempt, hosts, n+1)
+func (v *Directory) keepers(attempt string, n int) []streamorigin.Host {
+	self, others := v.Hosts()
+	chosen := streamorigin.Keepers(attempt, append([]streamorigin.Host{self}, others...), n+1)
 	chosen = slices.DeleteFunc(chosen, func(h streamorigin.Host) bool { return h.Name == self.Name })
 	return chosen[:min(n, len(chosen))]
 }
 
-// respond answers the question of another host where a stream began.
-func (v *streamVersions) respond(q fleet.StreamLookup) *fleet.StreamLookupResult {
-	now := v.g.Now()
+// Respond answers the question of another host where a stream began.
+func (v *Directory) Respond(q fleet.StreamLookup) *fleet.StreamLookupResult {
+	now := v.Now()
 	result := v.table.Find(now, q.Attempt)
-	result.OneVersion = v.history.Complete(now, v.g.startedAt) && v.oneVersion(now, q.Service)
+	result.OneVersion = v.history.Complete(now, v.StartedAt()) && v.oneVersion(now, q.Service)
 	return &result
 }
 
-// add adds streams that another host has begun.
-func (v *streamVersions) add(starts []fleet.StreamStart) {
-	now := v.g.Now()
+// Add adds streams that another host has begun.
+func (v *Directory) Add(starts []fleet.StreamStart) {
+	now := v.Now()
 	for _, s := range starts {
 		v.table.Add(now, s)
 	}
 }
 
-// run tells other hosts of streams until ctx is done.
-func (v *streamVersions) run(ctx context.Context) {
+// Run tells other hosts of streams until ctx is done.
+func (v *Directory) Run(ctx context.Context) {
 	for {
 		select {
 		case <-v.wake:
@@ -239,7 +267,7 @@
 }
 
 // flush tells the hosts that keep the pending streams of them.
-func (v *streamVersions) flush(ctx context.Context) {
+func (v *Directory) flush(ctx context.Context) {
 	v.mu.Lock()
 	starts := v.pending
 	v.pending = nil
@@ -262,26 +290,26 @@
 }
 
 // send tells another host of streams. What is lost is kept by one host less.
-func (v *streamVersions) send(ctx context.Context, addr string, starts []fleet.StreamStart) {
-	v.g.metrics.scope.Counter("stream_starts_told").Inc(int64(len(starts)))
-	if _, err := v.g.mesh.send(ctx, addr, peer.Request{StreamStarts: starts}); err != nil {
-		v.g.metrics.scope.Counter("stream_starts_lost").Inc(int64(len(starts)))
+func (v *Directory) send(ctx context.Context, addr string, starts []fleet.StreamStart) {
+	v.Count("stream_starts_told", int64(len(starts)), nil)
+	if _, err := v.Send(ctx, addr, peer.Request{StreamStarts: starts}); err != nil {
+		v.Count("stream_starts_lost", int64(len(starts)), nil)
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.backoffUntil[addr] = v.g.Now().Add(streamKeeperBackoff)
+		v.backoffUntil[addr] = v.Now().Add(streamKeeperBackoff)
 	}
 }
 
-func (v *streamVersions) backedOff(addr string) bool {
+func (v *Directory) backedOff(addr string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.g.Now().Before(v.backoffUntil[addr])
+	return v.Now().Before(v.backoffUntil[addr])
 }
 
-// checkVersions tells other hosts of earlier streams of services that have got a second version, since those
+// CheckVersions tells other hosts of earlier streams of services that have got a second version, since those
 // were not told.
-func (v *streamVersions) checkVersions(now time.Time) {
-	for service, versions := range v.g.locator.VersionedServices(now) {
+func (v *Directory) CheckVersions(now time.Time) {
+	for service, versions := range v.Locator.VersionedServices(now) {
 		several := len(versions) > 1
 		v.mu.Lock()
 		before := v.several[service]
--- a/pkg/gateway/versionhistory.go
+++ b/pkg/streamversions/history.go
@@ -1,9 +1,10 @@
-package gateway
+package streamversions
 
 import (
 	"context"
 	"time"
 
+	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/record"
 	"github.com/tealvane/tealvane/pkg/streamorigin"
@@ -21,23 +22,23 @@
 
 // knowsHistory reports whether this host knows all versions that services have had lately. A host that has
 // started lately reads them from the store, and one that hears of no endpoints does not know the newest.
-func (v *streamVersions) knowsHistory(ctx context.Context) bool {
-	now := v.g.Now()
-	if v.g.isolated(now) {
+func (v *Directory) knowsHistory(ctx context.Context) bool {
+	now := v.Now()
+	if v.Isolated(now) {
 		return false
 	}
-	if v.history.Complete(now, v.g.startedAt) {
+	if v.history.Complete(now, v.StartedAt()) {
 		return true
 	}
 	v.history.Reading.Lock()
 	defer v.history.Reading.Unlock()
-	if !v.history.Due(v.g.Now()) {
-		return v.history.Complete(v.g.Now(), v.g.startedAt)
+	if !v.history.Due(v.Now()) {
+		return v.history.Complete(v.Now(), v.StartedAt())
 	}
 	versions, err := v.readHistory(ctx)
 	if err != nil {
-		v.g.log.Info("reading the software versions that services had failed", "error", err.Error())
-		v.history.Fail(v.g.Now())
+		v.Log.Info("reading the software versions that services had failed", "error", err.Error())
+		v.history.Fail(v.Now())
 		return false
 	}
 	v.history.Set(versions)
@@ -45,10 +46,10 @@
 }
 
 // readHistory reads the software versions of services with several from the store.
-func (v *streamVersions) readHistory(ctx context.Context) (map[string][]string, error) {
+func (v *Directory) readHistory(ctx context.Context) (map[string][]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, streamLookupTimeout)
 	defer cancel()
-	b, err := v.g.store.Newest(ctx, fleet.TopicVersions)
+	b, err := v.Store.Newest(ctx, fleet.TopicVersions)
 	if err != nil {
 		return nil, err
 	}
@@ -66,21 +67,21 @@
 	return out, nil
 }
 
-// storeVersions keeps in the store, while this host is the controller, which services have had several software
+// StoreVersions keeps in the store, while this host is the controller, which services have had several software
 // versions lately. Hosts that start after all of them were lost read it: the endpoints of a version that began
 // streams may be gone by then.
-func (v *streamVersions) storeVersions(ctx context.Context) {
+func (v *Directory) StoreVersions(ctx context.Context) {
 	written := map[string][]string{}
-	every(ctx, versionStoreInterval, func() {
-		if v.g.election.HeldToken() == 0 {
+	wait.Every(ctx, versionStoreInterval, func() {
+		if !v.Controlling() {
 			clear(written)
 			return
 		}
 		if !v.knowsHistory(ctx) {
 			return
 		}
-		now := v.g.Now()
-		for service := range v.g.locator.VersionedServices(now) {
+		now := v.Now()
+		for service := range v.Locator.VersionedServices(now) {
 			stored, known := written[service]
 			if !known {
 				stored = v.history.Of(service)
@@ -94,21 +95,16 @@
 
 // storeService writes the software versions of a service, or removes them if there are none, and reports whether it
 // did.
-func (v *streamVersions) storeService(ctx context.Context, service string, versions []string) bool {
+func (v *Directory) storeService(ctx context.Context, service string, versions []string) bool {
 	var value []byte
 	if len(versions) > 0 {
 		encoded, err := record.Marshal(storedVersions{versions})
 		if err != nil {
-			v.g.log.Error("encoding software versions failed", "service", service, "error", err.Error())
+			v.Log.Error("encoding software versions failed", "service", service, "error", err.Error())
 			return false
 		}
 		value = encoded
 	}
-	_, err := v.g.store.Put(ctx, fleet.TopicVersions, service, value, fleet.AnyOffset)
+	_, err := v.Store.Put(ctx, fleet.TopicVersions, service, value, fleet.AnyOffset)
 	return err == nil // Tried again; the followers log that the store is unavailable.
 }
-
-// isolated reports whether this host neither reads the list of endpoints nor hears of its changes.
-func (g *Gateway) isolated(now time.Time) bool {
-	return g.listViewAge(now) > isolationTimeout && g.notices.age(now) > isolationTimeout && g.election.HeldToken() == 0
-}
