Quarantine: a fall that rejections explain is not blamed on what was running

A brittle endpoint that falls over breaks off all its runs, most of which have not begun. Their contents and prompt parts counted as suspects, as after a crash that a request has caused.

A run that breaks off at a brittle endpoint that has rejected a request for lack of room within 1.5 s is not reported to the quarantine. What the host knows that has sent the request it tells the one that has read it, in a frame that hosts of former versions take for a failure as well. A crash without rejections before it is blamed as before.

Falls for which only hosts other than the sender and the reader of a request have heard rejections are still blamed.

--- a/pkg/proxy/client.go
+++ b/pkg/proxy/client.go
@@ -108,8 +108,8 @@
 		return nil, errors.Wrap(err, "read response of the other host")
 	}
 	switch t {
-	case frameFailed:
-		return nil, errors.Newf("other host: %s", content)
+	case frameFailed, frameRejecting:
+		return nil, failure(t, content)
 	case frameRefused:
 		return nil, errors.Wrap(upstream.ErrNotSent, "the other host no longer uses the endpoint")
 	}
@@ -161,8 +161,8 @@
 			b.rest = content
 		case t == frameEnd, t == frameClosed && b.endsWithConnection:
 			b.err = io.EOF
-		case t == frameFailed:
-			b.err = errors.Newf("other host: %s", content)
+		case t == frameFailed, t == frameRejecting:
+			b.err = failure(t, content)
 		default:
 			b.err = errors.Wrapf(errInvalidFrame, "type %d in the body", t)
 		}
--- a/pkg/proxy/frame.go
+++ b/pkg/proxy/frame.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/record"
+	"github.com/tealvane/tealvane/pkg/slotshare"
 	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
@@ -45,8 +46,20 @@
 	// frameClosed ends a body that ended with its connection, so that nobody knows whether it is complete.
 	// Hosts of former versions take it for a failure.
 	frameClosed
+	// frameRejecting is like frameFailed; the brittle endpoint has just rejected requests for lack of room. Hosts of
+	// former versions take it for an invalid frame, which is a failure too.
+	frameRejecting
 )
 
+// failure returns the error that a frame reports.
+func failure(t frameType, content []byte) error {
+	err := errors.Newf("other host: %s", content)
+	if t == frameRejecting {
+		return errors.Mark(err, slotshare.ErrRejecting)
+	}
+	return err
+}
+
 // errInvalidFrame means that a frame is too large or unexpected.
 var errInvalidFrame = errors.New("invalid frame")
 
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -255,7 +255,11 @@
 			return "complete"
 		}
 	}
-	if ctx.Err() != nil || out.write(frameFailed, []byte(err.Error())) != nil || out.close() != nil {
+	failed := frameFailed
+	if slot.Rejecting() {
+		failed = frameRejecting
+	}
+	if ctx.Err() != nil || out.write(failed, []byte(err.Error())) != nil || out.close() != nil {
 		stream.Abort()
 		return "aborted"
 	}
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -135,14 +136,39 @@
 		slot.End(slotshare.NotSent)
 	case err != nil:
 		slot.End(slotshare.Ended)
+		err = t.explain(e, err)
 	case t.Rejected != nil && t.Rejected(resp.Header, resp.StatusCode):
 		slot.End(slotshare.Rejected)
 	default:
-		resp.Body = &countedBody{ReadCloser: resp.Body, done: func() { slot.End(slotshare.Ended) }}
+		counted := &countedBody{ReadCloser: resp.Body, done: func() { slot.End(slotshare.Ended) }}
+		resp.Body = &explainedBody{ReadCloser: counted, explain: func(err error) error { return t.explain(e, err) }}
 	}
 	return resp, via, err
 }
 
+// explain marks the failure of a run if the endpoint has just rejected requests for lack of room.
+func (t *SlotTransport) explain(e fleet.Endpoint, err error) error {
+	if !t.Slots.Rejecting(e) {
+		return err
+	}
+	return errors.Mark(err, slotshare.ErrRejecting)
+}
+
+// explainedBody is a body whose read errors are passed through explain.
+type explainedBody struct {
+	io.ReadCloser
+	explain func(error) error
+}
+
+// Read implements io.Reader.
+func (b *explainedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		err = b.explain(err)
+	}
+	return n, err
+}
+
 // Probe finds out whether a host that seems to be down responds.
 func (t *SlotTransport) Probe(ctx context.Context, name string) {
 	host, known := t.Host(name)
--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -128,7 +128,11 @@
 	if failed {
 		s.Health.RecordResult(e.ID, x.request.Service, true)
 	}
-	x.recordBroken(e, failed && !errors.Is(context.Cause(ctx), errAttemptAbandoned))
+	if s.rejectionsExplain(e, err) {
+		x.result.Note += "; the endpoint has just rejected requests for lack of room"
+	} else {
+		x.recordBroken(e, failed && !errors.Is(context.Cause(ctx), errAttemptAbandoned))
+	}
 	s.Queue.Release(x.request, e.ID, SlotResult{Failed: failed})
 }
 
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -50,6 +50,8 @@
 	// requests for it.
 	closedUntil map[string]time.Time
 	failureRate float64
+	// rejectedAt is when the endpoint last rejected a request for lack of slots.
+	rejectedAt time.Time
 	// running counts requests in flight. lastByte is when the endpoint last sent a byte of any
 	// response.
 	running  int
@@ -112,7 +114,9 @@
 func (h *Health) RecordOverload(now time.Time, id fleet.EndpointID, name string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.state(id).closedUntil[name] = now.Add(overloadedCooldown)
+	e := h.state(id)
+	e.closedUntil[name] = now.Add(overloadedCooldown)
+	e.rejectedAt = now
 }
 
 // RecordNotLoaded records that an endpoint does not have a model or adapter loaded. n is the
--- a/pkg/serve/slots.go
+++ b/pkg/serve/slots.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/slotshare"
 )
 
 // SlotLimits tells about services whose endpoints are brittle, so that no more requests are sent to them than they have
@@ -70,6 +72,21 @@
 	s.Queue.Release(x.request, e.ID, SlotResult{NotRun: true})
 }
 
+// rejectionsExplain reports whether the failure of a run is explained by a brittle endpoint that has fallen over because it
+// had to reject requests, as far as this host or the one that sent the request knows.
+func (s *Server) rejectionsExplain(e fleet.Endpoint, err error) bool {
+	_, _, brittle := s.Health.Brittle.Find(e.Service)
+	return errors.Is(err, slotshare.ErrRejecting) || brittle && s.Health.rejectedWithin(s.Now(), e.ID, slotshare.RejectionMemory)
+}
+
+// rejectedWithin reports whether an endpoint has rejected a request of this host for lack of slots within a time.
+func (h *Health) rejectedWithin(now time.Time, id fleet.EndpointID, d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := h.endpoints[id]
+	return e != nil && !e.rejectedAt.IsZero() && now.Sub(e.rejectedAt) < d
+}
+
 // recordNoSlot records that an endpoint gets no requests for the named model or adapter until a time.
 func (h *Health) recordNoSlot(until time.Time, id fleet.EndpointID, name string) {
 	h.mu.Lock()
--- a/pkg/slotshare/part.go
+++ b/pkg/slotshare/part.go
@@ -39,6 +39,8 @@
 	// rejections are the times of the rejections in the last rejectionWindow. allowance bounds their number.
 	rejections []time.Time
 	allowance  int
+	// rejectedAt is the time of the last rejection.
+	rejectedAt time.Time
 	waiting    []*waiter
 }
 
@@ -107,6 +109,7 @@
 	case o == Rejected:
 		p.recentRejections(now)
 		p.rejections = append(p.rejections, now)
+		p.rejectedAt = now
 		p.window = max(1, p.inUse)
 		p.growsFrom = now.Add(rejectionWindow / time.Duration(max(1, p.allowance)))
 	case o == Ended && !now.Before(p.growsFrom):
--- a/pkg/slotshare/table.go
+++ b/pkg/slotshare/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
@@ -220,6 +221,10 @@
 	})
 }
 
+// Rejecting reports whether the endpoint has just rejected a request of this host; see Table.Rejecting. The slot may be
+// nil.
+func (s *Slot) Rejecting() bool { return s != nil && s.table.Rejecting(s.to) }
+
 // Refusal is why there is no slot for a request. It implements error.
 type Refusal struct {
 	Reason Reason
@@ -447,6 +452,25 @@
 	return out
 }
 
+// RejectionMemory is how long after a rejection the loss of a brittle endpoint is taken for its consequence: the endpoint counts
+// rejections over a second, and its connections break within another half.
+const RejectionMemory = 1500 * time.Millisecond
+
+// ErrRejecting marks failures of runs at a brittle endpoint that has just rejected requests for lack of room. Its
+// crash is not the fault of what it was running.
+var ErrRejecting = errors.New("the endpoint has just rejected requests for lack of room")
+
+// Rejecting reports whether a brittle endpoint has rejected a request within RejectionMemory that this host has sent.
+func (t *Table) Rejecting(e fleet.Endpoint) bool {
+	if !t.Limited(e.Service) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.parts[e.ID]
+	return p != nil && !p.rejectedAt.IsZero() && t.now().Sub(p.rejectedAt) < RejectionMemory
+}
+
 // Retain removes the state of endpoints that are not in live and have no requests of this host.
 func (t *Table) Retain(live map[fleet.EndpointID]bool) {
 	t.mu.Lock()
