Slot shares: a host that stops gives its slots up at once

A host that shuts down refuses requests of others while it drains, and its slots of brittle endpoints lay idle for as long as that takes. It now counts as down for others and for itself: the next hosts take over after a second. Other hosts wait 0.6 s for an answer about a slot, 0.9 s before. Where hosts do not send requests by way of one another (endpoints.via_peers off) as many hosts as an endpoint has slots own one each, instead of a few.

TestStoppingHostGivesUpItsSlots and TestAllHostsOwnSlotsIfApart; they have no counterpart on the former code.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -218,6 +218,7 @@
 	g.links = newEndpointLinks()
 	g.helpers = proxy.NewHelpers(proxy.Host{Name: s.Host, Zone: s.Zone}, g.proxyHosts)
 	g.slots = slotshare.NewTable(g.Now, g.slotLimit)
+	g.slots.Apart = !s.Endpoints.ViaPeers
 	g.endpointTransport = g.newEndpointTransport()
 	g.endpoints = rateLimitedEndpoints{cfg.NewEndpointClient(g.endpointTransport), g.allowCall}
 	g.endpointTransport.Rejected = g.endpoints.Rejected
--- a/pkg/gateway/serving.go
+++ b/pkg/gateway/serving.go
@@ -147,6 +147,7 @@
 	start := g.Now()
 	g.log.Info("host stopping")
 	g.stopping.Store(true)
+	g.slots.RecordDown(g.self.Host)
 	end := start.Add(g.settings.Timing.Shutdown - queueMargin)
 	g.dispatcher.CloseAt(end)
 	go g.releaseClaim(ctx, end)
--- a/pkg/proxy/client.go
+++ b/pkg/proxy/client.go
@@ -41,12 +41,13 @@
 	unwatch func() bool
 }
 
-// reserve asks a host to reserve a connection to an endpoint. After an error nothing was sent.
-func reserve(ctx context.Context, open Open, h Host, r peer.ProxyRequest) (*session, acceptance, error) {
+// reserve asks a host to reserve a connection to an endpoint, and waits for its answer for at most a time. After an error
+// nothing was sent.
+func reserve(ctx context.Context, open Open, h Host, r peer.ProxyRequest, timeout time.Duration) (*session, acceptance, error) {
 	trace := propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, trace)
 	r.Trace = trace
-	short, cancel := context.WithTimeout(ctx, readyTimeout)
+	short, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stream, err := open(short, h.Addr, peer.Request{Proxy: &r})
 	if err != nil {
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -17,6 +17,8 @@
 const (
 	// slotWait is how long a request waits for a slot at one host.
 	slotWait = 300 * time.Millisecond
+	// slotTimeout is how long another host may take to say whether it has a slot.
+	slotTimeout = slotWait + 300*time.Millisecond
 	// probeTimeout bounds a probe of a host that seems to be down.
 	probeTimeout = 300 * time.Millisecond
 )
@@ -109,7 +111,7 @@
 		Endpoint: e.ID,
 		Bytes:    int64(len(r.Body)),
 		Slot:     &peer.SlotClaim{Urgency: c.Urgency, WaitMillis: c.Wait.Milliseconds(), MaxRejections: c.MaxRejections},
-	})
+	}, slotTimeout)
 	var refused *refusedError
 	switch {
 	case err == nil:
@@ -118,7 +120,7 @@
 		return s.do(ctx, r)
 	case ctx.Err() != nil:
 		return nil, &NoSlotError{}
-	case !errors.As(err, &refused):
+	case !errors.As(err, &refused), refused.Reason == ReasonStopping:
 		t.Slots.RecordDown(h.Name)
 	case refused.Reason == ReasonUnreachable && !refused.LinksLost:
 		return nil, errors.Mark(errors.Mark(err, upstream.ErrNotSent), upstream.ErrUnreachable)
@@ -176,17 +178,16 @@
 		t.Slots.RecordDown(name)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	s, _, err := reserve(ctx, t.Open, host, peer.ProxyRequest{})
+	s, _, err := reserve(ctx, t.Open, host, peer.ProxyRequest{}, probeTimeout)
 	if err == nil {
 		s.abort()
 	}
-	if err == nil || errors.As(err, new(*refusedError)) {
-		t.Slots.RecordUp(name)
+	var refused *refusedError
+	if err != nil && (!errors.As(err, &refused) || refused.Reason == ReasonStopping) {
+		t.Slots.RecordDown(name)
 		return
 	}
-	t.Slots.RecordDown(name)
+	t.Slots.RecordUp(name)
 }
 
 // Observe does nothing.
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -139,7 +139,7 @@
 			break
 		}
 		tried[host.Name] = true
-		s, a, err := reserve(ctx, t.Open, host, peer.ProxyRequest{Endpoint: e.ID, Bytes: int64(bodyBytes)})
+		s, a, err := reserve(ctx, t.Open, host, peer.ProxyRequest{Endpoint: e.ID, Bytes: int64(bodyBytes)}, readyTimeout)
 		if err == nil {
 			t.Helpers.RecordHelp(t.Now(), host, a.Load)
 			return s, host, nil
--- a/pkg/slotshare/slotshare_test.go
+++ b/pkg/slotshare/slotshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -162,6 +163,40 @@
 	is.Equal(free(), 8)
 }
 
+// Guards against a host that goes on using its slots while it shuts down, when others have taken them over.
+func TestStoppingHostGivesUpItsSlots(t *testing.T) {
+	is := is.New(t)
+	h := newTestHosts(3, 10)
+	e := fleet.Endpoint{ID: "e", Slots: 12}
+	for _, table := range h.tables {
+		table.RecordDown("host-0")
+	}
+	h.now = h.now.Add(time.Minute)
+	is.True(h.try(0, e) == nil)
+	is.Equal(len(h.tables[0].Owners(e)), 2)
+	is.True(!slices.Contains(h.tables[0].ProbesDue(true), "host-0"))
+	h.tables[0].ProbesDue(false)
+	is.True(h.try(0, e) == nil)
+}
+
+// Guards against slots that all belong to a few hosts where hosts do not send requests by way of one another.
+func TestAllHostsOwnSlotsIfApart(t *testing.T) {
+	is := is.New(t)
+	h := newTestHosts(9, 10)
+	e := fleet.Endpoint{ID: "e", Slots: 12}
+	used := 0
+	for i, table := range h.tables {
+		table.Apart = true
+		own := 0
+		for slot := h.try(i, e); slot != nil; slot = h.try(i, e) {
+			own++
+		}
+		is.True(own > 0)
+		used += own
+	}
+	is.Equal(used, 12)
+}
+
 // Guards against a host that uses slots as soon as it has started, while others still use them.
 func TestNewHostWaitsForItsSlots(t *testing.T) {
 	is := is.New(t)
--- a/pkg/slotshare/table.go
+++ b/pkg/slotshare/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -69,6 +70,9 @@
 	now func() time.Time
 	// limit returns the limit of a service, or false if its endpoints are not brittle.
 	limit func(service string) (Limit, bool)
+	// Apart is set if hosts do not send requests by way of one another. As many hosts as possible then own slots.
+	// It must be set before first use.
+	Apart bool
 
 	mu   sync.Mutex
 	self string
@@ -144,6 +148,9 @@
 func (t *Table) shares(e fleet.Endpoint, l Limit) (shares []Share, since time.Time) {
 	order := t.ranks[e.ID]
 	n := ownerCount(e.Slots, l.MaxRejections)
+	if t.Apart {
+		n = max(1, e.Slots)
+	}
 	if len(order) < min(n+spareRanks, len(t.hosts)) {
 		order = ranked(e.ID, t.hosts, n+spareRanks)
 		t.ranks[e.ID] = order
@@ -399,7 +406,8 @@
 	delete(t.down, host)
 }
 
-// RecordDown records that a host does not respond: the next hosts in the order of an endpoint own its slots.
+// RecordDown records that a host does not respond, or that this host shuts down: the next hosts in the order of an
+// endpoint own its slots.
 func (t *Table) RecordDown(host string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -438,13 +446,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !limited {
-		clear(t.down)
+		maps.DeleteFunc(t.down, func(h string, _ *downHost) bool { return h != t.self })
 		return nil
 	}
 	now := t.now()
 	var out []string
 	for h, d := range t.down {
-		if now.Sub(d.probed) >= probeInterval {
+		if h != t.self && now.Sub(d.probed) >= probeInterval {
 			d.probed = now
 			out = append(out, h)
 		}
