--- a/pkg/slotshare/table.go
+++ b/pkg/slotshare/table.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -88,14 +86,6 @@
 	questionsAt time.Time
 }
 
-// downHost is a host that does not respond, or is suspected of it.
-type downHost struct {
-	// since is when this host found out; it is zero while the other host is only suspected.
-	since time.Time
-	// probed is when it was last probed.
-	probed time.Time
-}
-
 // ask identifies an owner of slots of an endpoint.
 type ask struct {
 	host     string
@@ -306,160 +296,6 @@
 	return len(p.waiting) == 0 && p.free(t.now())
 }
 
-// Owner is a host that owns slots of an endpoint.
-type Owner struct {
-	Name string
-	// Self is set for this host.
-	Self bool
-}
-
-// Owners returns the hosts that may have a slot of an endpoint, in the order in which to ask them. It leaves out
-// those that have refused one lately. This host comes first if it has a free slot, and else last.
-func (t *Table) Owners(e fleet.Endpoint) []Owner {
-	l, _ := t.limit(e.Service)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	shares, _ := t.shares(e, l)
-	var out []Owner
-	for _, s := range shares {
-		if s.Host != t.self && !now.Before(t.closed[ask{s.Host, e.ID}].until) {
-			out = append(out, Owner{Name: s.Host})
-		}
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	switch p := t.ownPart(now, e, l); {
-	case p.slots == 0:
-	case len(p.waiting) == 0 && p.free(now):
-		out = slices.Insert(out, 0, Owner{t.self, true})
-	case len(p.waiting) < p.slots:
-		out = append(out, Owner{t.self, true})
-	}
-	return out
-}
-
-// MayAsk reports whether this host may ask another one for a slot now. While slots are short, a host asks hardly more
-// often than it gets one.
-func (t *Table) MayAsk() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.addQuestions(0)
-	return t.questions >= 1
-}
-
-// Asks reports whether this host asks others for slots of an endpoint, given the number of endpoints that can serve the
-// request. It asks for about askedEndpoints of them, so that it needs no connections to all hosts.
-func (t *Table) Asks(e fleet.Endpoint, endpoints int) bool {
-	t.mu.Lock()
-	self := t.self
-	t.mu.Unlock()
-	return float64(fleet.HostRank(self, e.ID)>>11)/(1<<53)*float64(endpoints) < askedEndpoints
-}
-
-// RecordQuestion counts a question to another host.
-func (t *Table) RecordQuestion() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.addQuestions(-1)
-}
-
-// addQuestions adds to the number of questions that may be asked. It must be called with mu held.
-func (t *Table) addQuestions(n float64) {
-	now := t.now()
-	n += questionsPerSecond * now.Sub(t.questionsAt).Seconds()
-	t.questions = min(t.questions+n, maxQuestions)
-	t.questionsAt = now
-}
-
-// NextAttempt returns how long a request that found no slot of an endpoint should not try again.
-func (t *Table) NextAttempt(e fleet.Endpoint) time.Duration {
-	l, _ := t.limit(e.Service)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now, next := t.now(), maxClosure
-	shares, _ := t.shares(e, l)
-	for _, s := range shares {
-		wait := firstClosure
-		if s.Host != t.self {
-			wait = t.closed[ask{s.Host, e.ID}].until.Sub(now)
-		}
-		next = min(next, wait)
-	}
-	return max(next, firstClosure/2)
-}
-
-// RecordRefusal records that another host had no slot of an endpoint.
-func (t *Table) RecordRefusal(host string, id fleet.EndpointID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.closed[ask{host, id}]
-	closed := min(maxClosure, firstClosure<<min(c.refusals, 8))
-	t.closed[ask{host, id}] = closure{t.now().Add(closed/2 + rand.N(closed)), c.refusals + 1}
-}
-
-// RecordGrant records that another host had a slot of an endpoint, and so that it is up.
-func (t *Table) RecordGrant(host string, id fleet.EndpointID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.addQuestions(questionsPerGrant)
-	delete(t.closed, ask{host, id})
-	delete(t.down, host)
-}
-
-// RecordDown records that a host does not respond, or that this host shuts down: the next hosts in the order of an
-// endpoint own its slots.
-func (t *Table) RecordDown(host string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	d := t.down[host]
-	if d == nil {
-		d = &downHost{}
-		t.down[host] = d
-	}
-	if d.since.IsZero() {
-		d.since = t.now()
-	}
-	d.probed = t.now()
-}
-
-// RecordUp records that a host responds.
-func (t *Table) RecordUp(host string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.down, host)
-}
-
-// suspectOwners causes the owners of an endpoint to be probed, because another host has found them down. It must be
-// called with mu held.
-func (t *Table) suspectOwners(e fleet.Endpoint, l Limit) {
-	shares, _ := t.shares(e, l)
-	for _, s := range shares {
-		if t.down[s.Host] == nil && s.Host != t.self {
-			t.down[s.Host] = &downHost{}
-		}
-	}
-}
-
-// ProbesDue returns the hosts to probe now: those that are down, and those that are suspected of it. The result is
-// recorded by RecordUp or RecordDown. While no service is limited, all hosts count as up.
-func (t *Table) ProbesDue(limited bool) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !limited {
-		maps.DeleteFunc(t.down, func(h string, _ *downHost) bool { return h != t.self })
-		return nil
-	}
-	now := t.now()
-	var out []string
-	for h, d := range t.down {
-		if h != t.self && now.Sub(d.probed) >= probeInterval {
-			d.probed = now
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
 // RejectionMemory is how long after a rejection the loss of a brittle endpoint is taken for its consequence: the endpoint counts
 // rejections over a second, and its connections break within another half.
 const RejectionMemory = 1500 * time.Millisecond
