--- a/pkg/slotshare/slotshare_test.go
+++ b/pkg/slotshare/slotshare_test.go
@@ -219,7 +219,9 @@
 	p := &part{}
 	p.setShare(2, 1, 2)
 	now := time.Unix(1000, 0)
-	is.True(p.take(now) && p.take(now) && !p.take(now))
+	is.True(p.take(now))
+	is.True(p.take(now))
+	is.True(!p.take(now))
 	newWaiter := func(urgency int) *waiter {
 		return &waiter{urgency: urgency, granted: make(chan struct{}), refused: make(chan struct{})}
 	}
