Slot shares: owners may cause three quarters of the rejections that an endpoint can take

An owner stopped sending to an endpoint for a second after one rejection where N is 10, also when the endpoint rejected the request for an order in progress. Two rejections a second and owner now fit N = 10; a quarter is left for hosts that do not know yet.

--- a/pkg/slotshare/share.go
+++ b/pkg/slotshare/share.go
@@ -42,15 +42,19 @@
 	return out
 }
 
-// ownerCount returns the number of hosts that own the slots of an endpoint. All of them together may cause half of the
-// rejections that the endpoint can take, so that there are no more than that.
+// ownersShare is the share of the rejections that an endpoint can take which its owners may cause. The rest is for hosts
+// that do not know yet that it is brittle.
+const ownersShare = 0.75
+
+// ownerCount returns the number of hosts that own the slots of an endpoint. Each of them may cause a rejection now and
+// then, so that there are fewer where an endpoint can take few.
 func ownerCount(slots int, maxRejections float64) int {
 	return max(1, min(slots/slotsPerOwner, int(maxRejections/2)))
 }
 
 // rejectionsPerOwner returns how many rejections in a second one of the owners may cause.
 func rejectionsPerOwner(maxRejections float64, owners int) int {
-	return max(1, int(maxRejections/2/float64(max(1, owners))))
+	return max(1, int(ownersShare*maxRejections/float64(max(1, owners))))
 }
 
 // divide divides slots among up to n of the ranked hosts.
