--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -262,6 +262,13 @@
 	return len(e.holds[model])
 }
 
+// set changes what nextLoss and other fields depend on.
+func (e *engine) set(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
+
 // anyHeld returns one of the models that the endpoint holds, or "x" if it holds none.
 func (e *engine) anyHeld(i int) string {
 	if held := e.held(); len(held) > 0 {
--- a/pkg/orders/overcommit_test.go
+++ b/pkg/orders/overcommit_test.go
@@ -36,7 +36,7 @@
 			steps(ctx, c, 20*time.Millisecond, inUse(rare("cold", ""), "y"))
 		}
 		is.Equal(e.held(), []string{"y"})
-		lost = true // from the load on, which is given up after some seconds
+		e.set(func() { lost = true }) // from the load on, which is given up after some seconds
 		steps(ctx, c, 4500*time.Millisecond, inUse(rare("cold", ""), "y"))
 		steps(ctx, c, 800*time.Millisecond, inUse(fleet.DemandReport{Host: "h"}, "y"))
 		steps(ctx, c, 40*time.Millisecond, inUse(rare("y", "a1"), "y"))
@@ -44,7 +44,7 @@
 		wanted.Needs = append(wanted.Needs, rare("y", "a1").Needs...)
 		steps(ctx, c, 400*time.Millisecond, inUse(wanted, "y"))
 		is.Equal(e.execute(orders.Order{Load: true, Model: "cold", Expected: 1, Token: 1}), orders.Accepted)
-		lost = false
+		e.set(func() { lost = false })
 		steps(ctx, c, 6*time.Second, inUse(wanted, "y"))
 		is.Equal(e.faults, nil)
 	})
@@ -97,10 +97,12 @@
 			}
 			for n, p := range phases {
 				want(p.calm)
-				dark = true
-				e.delay = time.Duration(p.blackout+p.late-4000) * time.Millisecond
+				e.set(func() {
+					dark = true
+					e.delay = time.Duration(p.blackout+p.late-4000) * time.Millisecond
+				})
 				want(p.blackout)
-				dark = false
+				e.set(func() { dark = false })
 				if n == restarts {
 					e.restart()
 				}
@@ -136,7 +138,7 @@
 		wanted.Needs = append(wanted.Needs, rare("y", "a1").Needs...)
 		steps(ctx, c, 100*time.Millisecond, inUse(wanted, "y"))
 		is.Equal(e.execute(orders.Order{Load: true, Model: "cold", Token: 1}), orders.Accepted)
-		lost = false
+		e.set(func() { lost = false })
 		steps(ctx, c, 6*time.Second, inUse(wanted, "y"))
 		is.Equal(e.faults, nil)
 		for _, o := range e.receivedOrders("x") {
@@ -193,12 +195,12 @@
 		c := newController(e, 1, "x", "y")
 		for e.orderCount() < 2 { // an unload, then the load
 			steps(ctx, c, 20*time.Millisecond, inUse(rare("cold", ""), "y"))
-			dark = e.orderCount() == 1
+			e.set(func() { dark = e.orders == 1 })
 		}
 		late := e.receivedOrders("cold")[0]
 		steps(ctx, c, 4500*time.Millisecond, inUse(rare("cold", ""), "y"))
 		e.restart()
-		dark = false
+		e.set(func() { dark = false })
 		steps(ctx, c, 4*time.Second, rare("x", ""))
 		steps(ctx, c, 2*time.Second, rare("y", ""))
 		e.execute(late)
