Logs: adapters and their slots in the lines of orders and reports

Lines of reports named models, not adapters and not those in transit; lines of orders did not tell the slots and the memory that the order counted on. A wrong count could not be told from a right one, nor an adapter in transit from a loaded one. No order changes: the slots and the memory in use are computed in one place (usage.go) as before.

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -132,24 +132,14 @@
 	if r.unloading || r.unconfirmed || now.Before(r.readyAt) || !t.synced || t.busy || now.Before(t.busyUntil) {
 		return 0, adapterNoRoom
 	}
-	held, sum := t.adapterUse(engine)
-	if held < engine.AdapterSlots && sum+engine.Models[model].AdapterMB <= engine.WeightsMB {
-		return held, adapterFits
+	used := t.usage(engine)
+	if used.plusAdapter(engine.Models[model]).fits(engine) {
+		return used.adapters, adapterFits
 	}
-	if _, _, ok := t.lruAdapter(now); ok && held <= engine.AdapterSlots {
-		return held, adapterFits
+	if _, _, ok := t.lruAdapter(now); ok && used.adapters <= engine.AdapterSlots {
+		return used.adapters, adapterFits
 	}
-	return held, adapterNoRoom
-}
-
-// adapterUse returns the number of adapters and the memory in use in MB.
-func (t *endpointTracker) adapterUse(engine *fleet.Engine) (int, float64) {
-	held, sum := 0, 0.0
-	for name, r := range t.models {
-		held += len(r.adapters)
-		sum += t.memoryUse(engine, name, r)
-	}
-	return held, sum
+	return used.adapters, adapterNoRoom
 }
 
 // lruAdapter returns the least recently used adapter that may be evicted.
@@ -177,8 +167,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var victim *adapterRef
-	held, sum := t.adapterUse(engine)
-	if held >= engine.AdapterSlots || sum+engine.Models[model].AdapterMB > engine.WeightsMB {
+	if !t.usage(engine).plusAdapter(engine.Models[model]).fits(engine) {
 		if m, a, ok := t.lruAdapter(now); ok {
 			t.models[m].adapters[a].unloading = true
 			victim = &adapterRef{m, a}
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -261,11 +261,14 @@
 
 // logReport logs what an endpoint has reported.
 func (c *Controller) logReport(message string, e fleet.Endpoint, r fleet.Report, args ...any) {
-	var models []string
+	var models, adapters []string
 	for _, h := range r.Loaded {
 		models = append(models, h.Model)
+		for _, a := range h.Adapters {
+			adapters = append(adapters, h.Model+"/"+a)
+		}
 	}
-	c.Log.Info(message, append(args, "endpoint", e.ID, "sequence", r.Sequence, "busy", r.Busy, "loaded", models)...)
+	c.Log.Info(message, append(args, "endpoint", e.ID, "sequence", r.Sequence, "busy", r.Busy, "loaded", models, "adapters", adapters, "in_transit", r.Loading)...)
 }
 
 // excluded reports whether an endpoint gets no models and its models do not count as
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -73,12 +73,13 @@
 	if o.Load && o.Adapter == "" && !c.fits(t, o) {
 		return abandoned
 	}
+	counted := c.countedUsage(t)
 	sent := c.unansweredLoads.add(c.Now(), e.ID, o, c.weightsMB(e.Service, o.Model))
 	result, err := c.send(ctx, e, o)
 	if err == nil || errors.Is(err, ErrUnreachable) || errors.Is(err, ErrRateLimited) {
 		c.unansweredLoads.remove(sent)
 	}
-	c.Log.Info("order attempted", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", o.Token, "result", outcome(result, err))
+	c.Log.Info("order attempted", "endpoint", e.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter, "expected", o.Expected, "token", o.Token, "result", outcome(result, err), counted)
 	switch {
 	case errors.Is(err, ErrUnreachable):
 		t.markUnreachable(c.Now())
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -147,12 +147,10 @@
 		return false
 	}
 	m, listed := engine.Models[o.Model]
-	used := m.WeightsMB + reserved
-	for name, r := range t.models {
-		used += t.memoryUse(engine, name, r)
-	}
-	if used > engine.WeightsMB || !listed {
-		c.Log.Info("load order not sent: no room", "endpoint", t.endpoint.ID, "model", o.Model, "used_mb", used, "capacity_mb", engine.WeightsMB, "reserved_mb", reserved)
+	used := t.usage(engine)
+	used.mb += m.WeightsMB + reserved
+	if used.mb > engine.WeightsMB || !listed {
+		c.Log.Info("load order not sent: no room", "endpoint", t.endpoint.ID, "model", o.Model, "used_mb", used.mb, "capacity_mb", engine.WeightsMB, "reserved_mb", reserved)
 		return false
 	}
 	return true
--- /dev/null
+++ b/pkg/orders/usage.go
@@ -0,0 +1,48 @@
+package orders
+
+import (
+	"log/slog"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// usage is the capacity of an endpoint that is in use.
+type usage struct {
+	mb       float64
+	adapters int
+}
+
+// usage returns what the models and adapters of the endpoint take, those of orders in progress included. mu must be
+// held.
+func (t *endpointTracker) usage(engine *fleet.Engine) usage {
+	var u usage
+	for name, r := range t.models {
+		u.adapters += len(r.adapters)
+		u.mb += t.memoryUse(engine, name, r)
+	}
+	return u
+}
+
+// plusAdapter adds an adapter of a model.
+func (u usage) plusAdapter(m fleet.Model) usage {
+	u.adapters++
+	u.mb += m.AdapterMB
+	return u
+}
+
+// fits reports whether the usage is within the capacity of an endpoint.
+func (u usage) fits(engine *fleet.Engine) bool {
+	return u.mb <= engine.WeightsMB && u.adapters <= engine.AdapterSlots
+}
+
+// countedUsage returns the usage that an order counts on, for the log.
+func (c *Controller) countedUsage(t *endpointTracker) slog.Attr {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	engine := c.engine(t.endpoint.Service)
+	if engine == nil {
+		return slog.Attr{}
+	}
+	u := t.usage(engine)
+	return slog.Group("counted", "mb", u.mb, "capacity_mb", engine.WeightsMB, "adapters", u.adapters, "adapter_slots", engine.AdapterSlots)
+}
