--- /dev/null
+++ b/pkg/orders/adaptertransit_test.go
@@ -0,0 +1,44 @@
+package orders_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// adapters returns a report of requests that wait for adapters of a model.
+func adapters(model string, names ...string) fleet.DemandReport {
+	r := fleet.DemandReport{Host: "h"}
+	for _, name := range names {
+		r.Needs = append(r.Needs, rare(model, name).Needs...)
+	}
+	return r
+}
+
+// Guards against counting the slots of adapters in transit as free once their model is unloaded.
+func TestAdaptersInTransitOutliveTheirModel(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		run(t, func(ctx context.Context) {
+			is := is.NewRelaxed(t)
+			e := newEngine(130, weights, "x", "y")
+			e.transit.duration = cycle([]int{5000, 5000, 10})
+			c := newController(e, 1, "x", "y")
+			steps(ctx, c, 600*time.Millisecond, fleet.DemandReport{Host: "h"})
+			steps(ctx, c, 200*time.Millisecond, adapters("x", "a1", "a2"))
+			is.Equal(len(e.transit.coming), 2)
+			steps(ctx, c, 1200*time.Millisecond, rare("big", ""))
+			is.Equal(e.held(), []string{"big"})
+			if takeover {
+				c = newController(e, 2)
+			}
+			steps(ctx, c, 2*time.Second, adapters("big", "a1", "a2"))
+			is.Equal(e.faults, nil)
+			steps(ctx, c, 3*time.Second, adapters("big", "a1", "a2"))
+			is.Equal(e.faults, nil)
+			is.Equal(e.adapters("big"), 2) // The slots are free now.
+		})
+	}
+}
--- /dev/null
+++ b/pkg/orders/engine_adapters_test.go
@@ -0,0 +1,109 @@
+package orders_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/orders"
+)
+
+// maxInTransit is the number of adapters that may be on their way to an endpoint at once.
+const maxInTransit = 4
+
+// adapterTransit is how a simulated endpoint handles adapters that take time to arrive. The zero value has them
+// arrive at once. An adapter in transit takes a slot until it arrives, also if its model is unloaded meanwhile; an
+// unload of it changes nothing.
+type adapterTransit struct {
+	// duration returns how long the next adapter takes to arrive.
+	duration func() time.Duration
+	// inUse returns how long requests keep an adapter from being unloaded.
+	inUse func() time.Duration
+
+	coming []*comingAdapter
+	// unloading is set while an adapter that is unloaded is still in use. The endpoint executes no other order.
+	unloading bool
+}
+
+type comingAdapter struct {
+	model, name string
+	// dropped is set if the model was unloaded, so that the adapter is dropped when it arrives.
+	dropped bool
+}
+
+func (a *adapterTransit) contains(model, name string) bool {
+	return slices.ContainsFunc(a.coming, func(c *comingAdapter) bool { return c.model == model && c.name == name })
+}
+
+func (a *adapterTransit) unloadModel(model string) {
+	for _, c := range a.coming {
+		c.dropped = c.dropped || c.model == model
+	}
+}
+
+// executeAdapterOrder executes an order whose sequence matches. mu must be held.
+func (e *engine) executeAdapterOrder(o orders.Order) orders.Result {
+	if e.holds[o.Model] == nil {
+		return orders.Invalid
+	}
+	held := e.holds[o.Model][o.Adapter] || o.Load && e.transit.contains(o.Model, o.Adapter)
+	switch {
+	case held == o.Load:
+		return orders.Done
+	case o.Load && len(e.transit.coming) >= maxInTransit:
+		return orders.Conflict
+	}
+	e.sequence++
+	result := orders.Accepted
+	if o.Load {
+		e.loadAdapter(o)
+	} else {
+		result = e.unloadAdapter(o)
+	}
+	e.record()
+	return result
+}
+
+func (e *engine) loadAdapter(o orders.Order) {
+	if e.transit.duration == nil {
+		e.holds[o.Model][o.Adapter] = true
+		return
+	}
+	c := &comingAdapter{model: o.Model, name: o.Adapter}
+	e.transit.coming = append(e.transit.coming, c)
+	time.AfterFunc(e.transit.duration(), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !slices.Contains(e.transit.coming, c) {
+			return // The endpoint has restarted.
+		}
+		e.transit.coming = slices.DeleteFunc(e.transit.coming, func(x *comingAdapter) bool { return x == c })
+		if !c.dropped {
+			e.holds[c.model][c.name] = true
+		}
+		e.record()
+	})
+}
+
+// unloadAdapter unloads an adapter that is loaded, at once unless it is in use.
+func (e *engine) unloadAdapter(o orders.Order) orders.Result {
+	remaining := time.Duration(0)
+	if e.transit.inUse != nil {
+		remaining = e.transit.inUse()
+	}
+	if remaining == 0 {
+		delete(e.holds[o.Model], o.Adapter)
+		return orders.Done
+	}
+	e.transit.unloading = true
+	restarts := e.restarts
+	time.AfterFunc(remaining, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.restarts == restarts {
+			e.transit.unloading = false
+			delete(e.holds[o.Model], o.Adapter)
+			e.record()
+		}
+	})
+	return orders.Accepted
+}
--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -15,8 +15,11 @@
 // loadTime is the duration of a load from the endpoint's disk.
 const loadTime = 500 * time.Millisecond
 
-// adapterSlots is the number of adapters that an endpoint can hold.
-const adapterSlots = 2
+// adapterSlots is the number of adapters that an endpoint can hold, and adapterMB the memory that each takes.
+const (
+	adapterSlots = 2
+	adapterMB    = 1
+)
 
 // engine is a simulated endpoint.
 type engine struct {
@@ -49,6 +52,9 @@
 	orders  int
 	// received holds the orders that hosts sent, including lost ones.
 	received []orders.Order
+	// statesStart makes reports fail for a former incarnation, as on platforms that state the start time.
+	statesStart bool
+	transit     adapterTransit
 }
 
 type pastReport struct {
@@ -85,9 +91,14 @@
 			h.Adapters = append(h.Adapters, a)
 		}
 		r.Loaded = append(r.Loaded, h)
-		sum += e.weights[m]
+		sum += e.weights[m] + adapterMB*float64(len(adapters))
 		slots += len(adapters)
 	}
+	for _, a := range e.transit.coming {
+		r.Loading = append(r.Loading, a.model+"/"+a.name+"@1")
+		sum += adapterMB
+		slots++
+	}
 	if slots > adapterSlots {
 		e.faults = append(e.faults, fmt.Sprintf("%d adapters of %d", slots, adapterSlots))
 	}
@@ -100,7 +111,7 @@
 
 const reportLag = 200 * time.Millisecond
 
-func (e *engine) Report(context.Context, fleet.Endpoint) (fleet.Report, error) {
+func (e *engine) Report(_ context.Context, to fleet.Endpoint) (fleet.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reportTimes = append(e.reportTimes, time.Now())
@@ -110,6 +121,9 @@
 	if e.down {
 		return fleet.Report{}, orders.ErrUnreachable
 	}
+	if e.statesStart && to.ID != e.idLocked() {
+		return fleet.Report{}, orders.ErrRestarted
+	}
 	r := e.history[0].report
 	for _, p := range e.history {
 		if time.Since(p.at) >= reportLag {
@@ -155,22 +169,20 @@
 		return orders.Fenced
 	}
 	e.fence = o.Token
-	if e.loading != "" || time.Now().Before(e.drainedAt) || o.Expected != e.sequence {
+	if e.loading != "" || e.transit.unloading || time.Now().Before(e.drainedAt) || o.Expected != e.sequence {
 		return orders.Conflict
 	}
-	if o.Adapter != "" && o.Load && e.holds[o.Model][o.Adapter] {
+	if o.Adapter != "" {
+		return e.executeAdapterOrder(o)
+	}
+	if _, held := e.holds[o.Model]; held == o.Load {
 		return orders.Done
 	}
 	e.sequence++
 	switch {
-	case o.Adapter != "" && e.holds[o.Model] == nil:
-		return orders.Invalid
-	case o.Adapter != "" && o.Load:
-		e.holds[o.Model][o.Adapter] = true
-	case o.Adapter != "":
-		delete(e.holds[o.Model], o.Adapter)
 	case !o.Load:
 		delete(e.holds, o.Model)
+		e.transit.unloadModel(o.Model)
 		e.drainedAt = time.Now().Add(e.drain)
 	default:
 		e.loading = o.Model
@@ -200,6 +212,8 @@
 	e.loading = ""
 	e.sequence = 0
 	e.fence = 0
+	e.drainedAt = time.Time{}
+	e.transit.coming, e.transit.unloading = nil, false
 	e.history = nil
 	e.record()
 }
@@ -242,9 +256,11 @@
 func (e *engine) id() fleet.EndpointID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return fleet.NewEndpointID("e", e.restarts+1)
+	return e.idLocked()
 }
 
+func (e *engine) idLocked() fleet.EndpointID { return fleet.NewEndpointID("e", e.restarts+1) }
+
 func (e *engine) held() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
