Orders: adapters in transit take slots until they have arrived

An endpoint with room for two adapters was ordered to load four. Once a model was unloaded its adapters were forgotten, those in transit too, and a report that listed adapters in transit of a model that it did not list as loaded lost them.

Other orders go on meanwhile.

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -139,6 +139,7 @@
 	if _, _, ok := t.lruAdapter(now); ok && used.adapters <= engine.AdapterSlots {
 		return used.adapters, adapterFits
 	}
+	t.refreshDue = len(t.departing) > 0
 	return used.adapters, adapterNoRoom
 }
 
--- a/pkg/orders/adaptertransit_test.go
+++ b/pkg/orders/adaptertransit_test.go
@@ -24,7 +24,7 @@
 		run(t, func(ctx context.Context) {
 			is := is.NewRelaxed(t)
 			e := newEngine(130, weights, "x", "y")
-			e.transit.duration = cycle([]int{5000, 5000, 10})
+			e.transit.duration = cycle([]int{5000, 5000, 10, 10, 10, 10})
 			c := newController(e, 1, "x", "y")
 			steps(ctx, c, 600*time.Millisecond, fleet.DemandReport{Host: "h"})
 			steps(ctx, c, 200*time.Millisecond, adapters("x", "a1", "a2"))
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -147,6 +147,9 @@
 		for _, name := range sortedKeys(byService) {
 			service := cfg.Services[name]
 			c.requestReports(ctx, now, byService[name])
+			for _, t := range byService[name] {
+				c.requestRefresh(ctx, now, t)
+			}
 			if now.Sub(c.demand.since) < warmupTime {
 				continue
 			}
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -19,6 +19,11 @@
 	sequence int64
 	models   map[string]*resident
 	copies   map[string]residency.Tier
+	// departing maps the adapters that were in transit when their model was unloaded to the sequence after the
+	// unload. They take slots until they have arrived.
+	departing map[adapterRef]int64
+	// refreshDue is set if a report may show that adapters no longer take slots.
+	refreshDue bool
 	// sizes holds the models that the configuration has listed, by name.
 	sizes map[string]fleet.Model
 	// busy is set while a swap or a report request is in progress. incoming is the
@@ -64,10 +69,12 @@
 	readyAt   time.Time
 	unloading bool
 	usedAt    time.Time
+	// arrived is set once a report has listed the adapter as loaded. Until then it may be in transit.
+	arrived bool
 }
 
 func newEndpointTracker(v fleet.View) *endpointTracker {
-	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, sizes: map[string]fleet.Model{}, changed: true, orderSlot: make(chan struct{}, 1)}
+	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, sizes: map[string]fleet.Model{}, departing: map[adapterRef]int64{}, changed: true, orderSlot: make(chan struct{}, 1)}
 	t.replaceModels(time.Time{}, v.Loaded)
 	t.offset = v.Offset
 	t.updateCopies(time.Time{}, v.Endpoint)
@@ -152,6 +159,7 @@
 				a = &adapter{usedAt: now}
 			}
 			a.unloading = false
+			a.arrived = true
 			adapters[name] = a
 		}
 		r.adapters = adapters
@@ -244,15 +252,33 @@
 		return
 	}
 	t.replaceModels(now, r.Loaded)
+	t.departing = map[adapterRef]int64{}
 	for _, name := range r.Loading {
 		model, a := splitAdapter(name)
-		if m := t.models[model]; m != nil && m.adapters[a] == nil {
+		switch m := t.models[model]; {
+		case m == nil:
+			t.departing[adapterRef{model, a}] = r.Sequence
+		case m.adapters[a] == nil:
 			m.adapters[a] = &adapter{readyAt: now.Add(reportLag), usedAt: now}
 		}
 	}
 	t.synced = true
 }
 
+// removeModel removes a model that was unloaded.
+func (t *endpointTracker) removeModel(model string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.models[model]; r != nil {
+		for name, a := range r.adapters {
+			if !a.arrived {
+				t.departing[adapterRef{model, name}] = t.sequence
+			}
+		}
+	}
+	delete(t.models, model)
+}
+
 // isBehind reports whether a sequence is lower than the one known, which shows that the endpoint has restarted.
 func (t *endpointTracker) isBehind(sequence int64) bool {
 	t.mu.Lock()
@@ -267,7 +293,7 @@
 	e := residency.Endpoint{
 		ID:         t.endpoint.ID,
 		Zone:       t.endpoint.Zone,
-		CapacityMB: engine.WeightsMB,
+		CapacityMB: engine.WeightsMB - t.departingMB(engine),
 		Copies:     make(map[string]residency.Tier, len(t.copies)),
 		Busy:       t.busy || !t.synced || now.Before(t.retryAt) || now.Before(t.busyUntil),
 	}
--- /dev/null
+++ b/pkg/orders/refresh.go
@@ -0,0 +1,49 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// requestRefresh requests a report from an endpoint whose state is known, if the report may show that adapters no
+// longer take slots.
+func (c *Controller) requestRefresh(ctx context.Context, now time.Time, t *endpointTracker) {
+	t.mu.Lock()
+	due := t.synced && t.refreshDue && now.Sub(t.lastReportRequest) >= reportLag
+	if due {
+		t.refreshDue = false
+		t.lastReportRequest = now
+	}
+	e := t.endpoint
+	t.mu.Unlock()
+	if !due {
+		return
+	}
+	c.tasks.Go(func() {
+		if r, err := c.report(ctx, e); err == nil {
+			c.logReport("adapters checked against report", e, r)
+			t.refresh(r)
+		}
+	})
+}
+
+// refresh applies what a report shows of adapters in transit. Orders may be in progress: what the report says of an
+// adapter counts only from the sequence on at which that adapter was last changed.
+func (t *endpointTracker) refresh(r fleet.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for a, sequence := range t.departing {
+		if r.Sequence >= sequence && !slices.ContainsFunc(r.Loading, a.named) {
+			delete(t.departing, a)
+		}
+	}
+}
+
+// named reports whether a report's name of an adapter in transit is that of the adapter.
+func (a adapterRef) named(loading string) bool {
+	model, name := splitAdapter(loading)
+	return a == adapterRef{model, name}
+}
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -19,9 +19,7 @@
 		if ok = ok && c.order(ctx, t, token, Order{Model: v}) && wait.For(ctx, unloadTime); !ok {
 			break
 		}
-		t.mu.Lock()
-		delete(t.models, v)
-		t.mu.Unlock()
+		t.removeModel(v)
 	}
 	m := engine.Models[s.Load]
 	ok = ok && c.order(ctx, t, token, Order{Load: true, Model: s.Load})
--- a/pkg/orders/usage.go
+++ b/pkg/orders/usage.go
@@ -15,7 +15,7 @@
 // usage returns what the models and adapters of the endpoint take, those of orders in progress included. mu must be
 // held.
 func (t *endpointTracker) usage(engine *fleet.Engine) usage {
-	var u usage
+	u := usage{mb: t.departingMB(engine), adapters: len(t.departing)}
 	for name, r := range t.models {
 		u.adapters += len(r.adapters)
 		u.mb += t.memoryUse(engine, name, r)
@@ -23,6 +23,15 @@
 	return u
 }
 
+// departingMB returns the memory of the adapters in transit whose model was unloaded. mu must be held.
+func (t *endpointTracker) departingMB(engine *fleet.Engine) float64 {
+	sum := 0.0
+	for a := range t.departing {
+		sum += t.modelSize(engine, a.model).AdapterMB
+	}
+	return sum
+}
+
 // plusAdapter adds an adapter of a model.
 func (u usage) plusAdapter(m fleet.Model) usage {
 	u.adapters++
