Test: an adapter in transit is chosen as a victim (red)

12 ms after its order an adapter may be unloaded for another one. If it is still in transit the endpoint says done, keeps it and does not advance its sequence; the controller counts a free slot and is one order ahead. The next load conflicts until it is given up after half a second; if a late order is executed meanwhile, it is accepted: 3 adapters of 2.

--- a/pkg/orders/adaptertransit_test.go
+++ b/pkg/orders/adaptertransit_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/orders"
 )
 
 // adapters returns a report of requests that wait for adapters of a model.
@@ -42,3 +43,26 @@
 		})
 	}
 }
+
+// Guards against unloading an adapter in transit, which changes nothing at the endpoint: the next load then goes out
+// with a sequence that a late order may make valid.
+func TestAdapterInTransitIsNotEvicted(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x")
+		e.transit.duration = cycle([]int{5000, 10, 10, 10})
+		c := newController(e, 1, "x")
+		steps(ctx, c, 600*time.Millisecond, fleet.DemandReport{Host: "h"})
+		steps(ctx, c, 100*time.Millisecond, adapters("x", "a1"))
+		steps(ctx, c, 100*time.Millisecond, adapters("x", "a2"))
+		steps(ctx, c, 500*time.Millisecond, fleet.DemandReport{Host: "h"})
+		steps(ctx, c, 100*time.Millisecond, adapters("x", "a3"))
+		e.execute(orders.Order{Load: true, Model: "cold", Expected: 2, Token: 1}) // late
+		steps(ctx, c, 3*time.Second, adapters("x", "a3"))
+		is.Equal(e.faults, nil)
+		e.set(func() { is.True(e.holds["x"]["a3"]) })
+		for _, o := range e.received {
+			is.True(o.Load || o.Adapter != "a1")
+		}
+	})
+}
