Orders: only adapters that a report has listed as loaded are evicted

12 ms after its order an adapter counted as loaded and could be evicted.

A victim must have been listed as loaded by a report of the sequence of its load or a later one.

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -139,16 +139,17 @@
 	if _, _, ok := t.lruAdapter(now); ok && used.adapters <= engine.AdapterSlots {
 		return used.adapters, adapterFits
 	}
-	t.refreshDue = len(t.departing) > 0
+	t.refreshDue = len(t.departing) > 0 || t.hasUnarrivedAdapter()
 	return used.adapters, adapterNoRoom
 }
 
-// lruAdapter returns the least recently used adapter that may be evicted.
+// lruAdapter returns the least recently used adapter that may be evicted. An unload of an adapter in transit would
+// change nothing.
 func (t *endpointTracker) lruAdapter(now time.Time) (model, name string, ok bool) {
 	var oldest time.Time
 	for m, r := range t.models {
 		for a, ad := range r.adapters {
-			if ad.unloading || now.Before(ad.readyAt) || now.Sub(ad.usedAt) < adapterMinIdle {
+			if ad.unloading || !ad.arrived || now.Before(ad.readyAt) || now.Sub(ad.usedAt) < adapterMinIdle {
 				continue
 			}
 			if !ok || ad.usedAt.Before(oldest) {
@@ -159,6 +160,18 @@
 	return model, name, ok
 }
 
+// hasUnarrivedAdapter reports whether an adapter that was ordered may still be in transit. mu must be held.
+func (t *endpointTracker) hasUnarrivedAdapter() bool {
+	for _, r := range t.models {
+		for _, a := range r.adapters {
+			if !a.arrived {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // adapterRef identifies an adapter of a model.
 type adapterRef struct{ model, name string }
 
@@ -210,5 +223,5 @@
 		delete(r.adapters, name)
 		return
 	}
-	r.adapters[name] = &adapter{readyAt: now, usedAt: now}
+	r.adapters[name] = &adapter{readyAt: now, usedAt: now, sequence: t.sequence}
 }
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -69,8 +69,10 @@
 	readyAt   time.Time
 	unloading bool
 	usedAt    time.Time
-	// arrived is set once a report has listed the adapter as loaded. Until then it may be in transit.
-	arrived bool
+	// sequence is that of the endpoint after the order to load the adapter. arrived is set once a report of that
+	// sequence or a later one has listed it as loaded. Until then it may be in transit.
+	sequence int64
+	arrived  bool
 }
 
 func newEndpointTracker(v fleet.View) *endpointTracker {
--- a/pkg/orders/refresh.go
+++ b/pkg/orders/refresh.go
@@ -8,8 +8,8 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
-// requestRefresh requests a report from an endpoint whose state is known, if the report may show that adapters no
-// longer take slots.
+// requestRefresh requests a report from an endpoint whose state is known, if the report may show that adapters have
+// arrived, so that they can be evicted or no longer take slots.
 func (c *Controller) requestRefresh(ctx context.Context, now time.Time, t *endpointTracker) {
 	t.mu.Lock()
 	due := t.synced && t.refreshDue && now.Sub(t.lastReportRequest) >= reportLag
@@ -40,6 +40,21 @@
 			delete(t.departing, a)
 		}
 	}
+	for _, loaded := range r.Loaded {
+		for _, name := range loaded.Adapters {
+			if a := t.adapter(loaded.Model, name); a != nil && r.Sequence >= a.sequence {
+				a.arrived = true
+			}
+		}
+	}
+}
+
+// adapter returns an adapter of a loaded model, or nil. mu must be held.
+func (t *endpointTracker) adapter(model, name string) *adapter {
+	if r := t.models[model]; r != nil {
+		return r.adapters[name]
+	}
+	return nil
 }
 
 // named reports whether a report's name of an adapter in transit is that of the adapter.
