Test: room for an adapter that is larger than the evicted one, or that has waited (red)

An adapter is loaded in place of another one whatever the two take: 138 MB of 130. The load of an adapter is checked for room when it is planned, not when it is sent: after a wait of up to seconds it went out although the configuration in force had fewer slots.

--- a/pkg/orders/adaptertransit_test.go
+++ b/pkg/orders/adaptertransit_test.go
@@ -66,3 +66,42 @@
 		}
 	})
 }
+
+// Guards against evicting an adapter that is too small to make room for the one that is loaded.
+func TestEvictedAdapterMakesRoom(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		const sizeMB = 9 // the endpoint has 10 MB besides the models
+		e.transit.sizes = map[string]float64{"y": sizeMB}
+		c := newController(e, 1, "x", "y")
+		y := c.Config().Services["llm"].Engine.Models["y"]
+		y.AdapterMB = sizeMB
+		c.Config().Services["llm"].Engine.Models["y"] = y
+		steps(ctx, c, 800*time.Millisecond, adapters("x", "a1"))
+		steps(ctx, c, 800*time.Millisecond, adapters("y", "a1"))
+		steps(ctx, c, 800*time.Millisecond, adapters("y", "a2"))
+		is.Equal(e.faults, nil)
+	})
+}
+
+// Guards against sending the load of an adapter that no longer fits after it has waited for other orders.
+func TestWaitingAdapterIsCheckedAgain(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x")
+		c := newController(e, 1, "x")
+		steps(ctx, c, 800*time.Millisecond, adapters("x", "a1"))
+		e.set(func() { e.transit.unloading = true }) // rejects orders
+		steps(ctx, c, 600*time.Millisecond, adapters("x", "a2"))
+		reduced := config()
+		reduced.Services["llm"].Engine.AdapterSlots = 1
+		c.Config = func() *fleet.Config { return reduced }
+		e.set(func() { e.transit.unloading = false })
+		steps(ctx, c, 200*time.Millisecond, adapters("x", "a2"))
+		is.Equal(e.adapters("x"), 1)
+		steps(ctx, c, 3*time.Second, adapters("x", "a2"))
+		is.Equal(e.adapters("x"), 1)
+		e.set(func() { is.True(e.holds["x"]["a2"]) }) // in place of the other one
+	})
+}
--- a/pkg/orders/engine_adapters_test.go
+++ b/pkg/orders/engine_adapters_test.go
@@ -18,6 +18,8 @@
 	duration func() time.Duration
 	// inUse returns how long requests keep an adapter from being unloaded.
 	inUse func() time.Duration
+	// sizes holds the sizes of the adapters of models in MB, where they differ from adapterMB.
+	sizes map[string]float64
 
 	coming []*comingAdapter
 	// unloading is set while an adapter that is unloaded is still in use. The endpoint executes no other order.
@@ -30,6 +32,13 @@
 	dropped bool
 }
 
+func (a *adapterTransit) sizeMB(model string) float64 {
+	if mb, ok := a.sizes[model]; ok {
+		return mb
+	}
+	return adapterMB
+}
+
 func (a *adapterTransit) contains(model, name string) bool {
 	return slices.ContainsFunc(a.coming, func(c *comingAdapter) bool { return c.model == model && c.name == name })
 }
--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -91,12 +91,12 @@
 			h.Adapters = append(h.Adapters, a)
 		}
 		r.Loaded = append(r.Loaded, h)
-		sum += e.weights[m] + adapterMB*float64(len(adapters))
+		sum += e.weights[m] + e.transit.sizeMB(m)*float64(len(adapters))
 		slots += len(adapters)
 	}
 	for _, a := range e.transit.coming {
 		r.Loading = append(r.Loading, a.model+"/"+a.name+"@1")
-		sum += adapterMB
+		sum += e.transit.sizeMB(a.model)
 		slots++
 	}
 	if slots > adapterSlots {
