Orders: an adapter is evicted only if the new one fits in its place

An endpoint of 130 MB was ordered to hold 138: an adapter of 9 MB was loaded in place of one of 1 MB. What had to fit was the number of adapters, not their sizes.

The least recently used adapter in whose place the new one fits is evicted; if there is none the adapter waits. TestEvictedAdapterMakesRoom failed before and passes.

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -136,28 +136,31 @@
 	if used.plusAdapter(engine.Models[model]).fits(engine) {
 		return used.adapters, adapterFits
 	}
-	if _, _, ok := t.lruAdapter(now); ok && used.adapters <= engine.AdapterSlots {
+	if t.adapterToEvict(now, engine, model) != nil {
 		return used.adapters, adapterFits
 	}
 	t.refreshDue = len(t.departing) > 0 || t.hasUnarrivedAdapter()
 	return used.adapters, adapterNoRoom
 }
 
-// lruAdapter returns the least recently used adapter that may be evicted. An unload of an adapter in transit would
-// change nothing.
-func (t *endpointTracker) lruAdapter(now time.Time) (model, name string, ok bool) {
+// adapterToEvict returns the least recently used adapter in whose place one of a model fits, or nil. It may be of
+// another model. An unload of an adapter in transit would change nothing. mu must be held.
+func (t *endpointTracker) adapterToEvict(now time.Time, engine *fleet.Engine, model string) *adapterRef {
+	used := t.usage(engine).plusAdapter(engine.Models[model])
+	var lru *adapterRef
 	var oldest time.Time
 	for m, r := range t.models {
-		for a, ad := range r.adapters {
-			if ad.unloading || !ad.arrived || now.Before(ad.readyAt) || now.Sub(ad.usedAt) < adapterMinIdle {
+		without := used.minusAdapter(t.modelSize(engine, m))
+		for name, a := range r.adapters {
+			if a.unloading || !a.arrived || now.Before(a.readyAt) || now.Sub(a.usedAt) < adapterMinIdle || !without.fits(engine) {
 				continue
 			}
-			if !ok || ad.usedAt.Before(oldest) {
-				model, name, oldest, ok = m, a, ad.usedAt, true
+			if lru == nil || a.usedAt.Before(oldest) {
+				lru, oldest = &adapterRef{m, name}, a.usedAt
 			}
 		}
 	}
-	return model, name, ok
+	return lru
 }
 
 // hasUnarrivedAdapter reports whether an adapter that was ordered may still be in transit. mu must be held.
@@ -182,9 +185,8 @@
 	defer t.mu.Unlock()
 	var victim *adapterRef
 	if !t.usage(engine).plusAdapter(engine.Models[model]).fits(engine) {
-		if m, a, ok := t.lruAdapter(now); ok {
-			t.models[m].adapters[a].unloading = true
-			victim = &adapterRef{m, a}
+		if victim = t.adapterToEvict(now, engine, model); victim != nil {
+			t.models[victim.model].adapters[victim.name].unloading = true
 		}
 	}
 	// The adapter becomes ready when loadAdapter replaces this entry.
--- a/pkg/orders/usage.go
+++ b/pkg/orders/usage.go
@@ -39,6 +39,13 @@
 	return u
 }
 
+// minusAdapter removes an adapter of a model.
+func (u usage) minusAdapter(m fleet.Model) usage {
+	u.adapters--
+	u.mb -= m.AdapterMB
+	return u
+}
+
 // fits reports whether the usage is within the capacity of an endpoint.
 func (u usage) fits(engine *fleet.Engine) bool {
 	return u.mb <= engine.WeightsMB && u.adapters <= engine.AdapterSlots
