Orders: the load of an adapter is checked for room each time it is sent

The load of an adapter was checked when it was planned. It then waits for the order slot and behind conflicts, for seconds each; in the meantime its model may be unloaded, and the configuration may have fewer slots: an order went out for a second adapter on one slot.

Loads of adapters are checked as loads of models are: against what the endpoint holds by what is known when the order is sent, in the configuration in force. 'load order not sent: no room' names adapters and slots too.

TestWaitingAdapterIsCheckedAgain failed before and passes.

--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -70,7 +70,7 @@
 		return abandoned
 	}
 	o := s.order
-	if o.Load && o.Adapter == "" && !c.fits(t, o) {
+	if o.Load && !c.hasRoom(t, o) {
 		return abandoned
 	}
 	counted := c.countedUsage(t)
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -134,27 +134,6 @@
 	return false
 }
 
-// fits reports whether a model fits the endpoint's memory. It is checked whenever the load order is sent: an
-// endpoint that exceeds its memory crashes.
-func (c *Controller) fits(t *endpointTracker, o Order) bool {
-	now := c.Now()
-	reserved := c.reservedMB(now, t)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	engine := c.engine(t.endpoint.Service)
-	if engine == nil {
-		return false
-	}
-	m, listed := engine.Models[o.Model]
-	used := t.usage(engine)
-	used.mb += m.WeightsMB + reserved
-	if used.mb > engine.WeightsMB || !listed {
-		c.Log.Info("load order not sent: no room", "endpoint", t.endpoint.ID, "model", o.Model, "used_mb", used.mb, "capacity_mb", engine.WeightsMB, "reserved_mb", reserved)
-		return false
-	}
-	return true
-}
-
 // engine returns the engine of a service, or nil if it has none or there is no configuration.
 func (c *Controller) engine(service string) *fleet.Engine {
 	cfg := c.Config()
--- a/pkg/orders/usage.go
+++ b/pkg/orders/usage.go
@@ -51,6 +51,31 @@
 	return u.mb <= engine.WeightsMB && u.adapters <= engine.AdapterSlots
 }
 
+// hasRoom reports whether the endpoint has room for a load. It is checked whenever the order is sent: an endpoint that
+// exceeds its capacity crashes.
+func (c *Controller) hasRoom(t *endpointTracker, o Order) bool {
+	reservedMB := c.reservedMB(c.Now(), t)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	engine := c.engine(t.endpoint.Service)
+	if engine == nil {
+		return false
+	}
+	m, listed := engine.Models[o.Model]
+	used := t.usage(engine)
+	fits := used.fits(engine) && t.adapter(o.Model, o.Adapter) != nil // The adapter's own reservation is part of the usage.
+	if o.Adapter == "" {
+		used.mb += m.WeightsMB + reservedMB
+		fits = used.mb <= engine.WeightsMB
+	}
+	if !fits || !listed {
+		c.Log.Info("load order not sent: no room", "endpoint", t.endpoint.ID, "model", o.Model, "adapter", o.Adapter, "used_mb", used.mb, "capacity_mb", engine.WeightsMB,
+			"reserved_mb", reservedMB, "adapters", used.adapters, "adapter_slots", engine.AdapterSlots)
+		return false
+	}
+	return true
+}
+
 // countedUsage returns the usage that an order counts on, for the log.
 func (c *Controller) countedUsage(t *endpointTracker) slog.Attr {
 	t.mu.Lock()
