Orders: capacity is reserved for all late loads that may follow one another, adapters too

After a restart under its name an endpoint was ordered to load 230 MB of 190 and 3 adapters of 2. Reserved was the memory of the largest model whose load got no response. Late loads that expect consecutive sequences are executed one after the other, and late loads of adapters take slots. A first overcommitment, after which the endpoint comes back empty, could so bring about a second one.

Loads of adapters are recorded as loads of models are. Plans of adapters and the check before each load count it as they count what is loaded: usage of an endpoint is computed in one place.

--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -132,7 +132,7 @@
 	if r.unloading || r.unconfirmed || now.Before(r.readyAt) || !t.synced || t.busy || now.Before(t.busyUntil) {
 		return 0, adapterNoRoom
 	}
-	used := t.usage(engine)
+	used := t.usage(now, engine)
 	if used.plusAdapter(engine.Models[model]).fits(engine) {
 		return used.adapters, adapterFits
 	}
@@ -146,7 +146,7 @@
 // adapterToEvict returns the least recently used adapter in whose place one of a model fits, or nil. It may be of
 // another model. An unload of an adapter in transit would change nothing. mu must be held.
 func (t *endpointTracker) adapterToEvict(now time.Time, engine *fleet.Engine, model string) *adapterRef {
-	used := t.usage(engine).plusAdapter(engine.Models[model])
+	used := t.usage(now, engine).plusAdapter(engine.Models[model])
 	var lru *adapterRef
 	var oldest time.Time
 	for m, r := range t.models {
@@ -184,7 +184,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var victim *adapterRef
-	if !t.usage(engine).plusAdapter(engine.Models[model]).fits(engine) {
+	if !t.usage(now, engine).plusAdapter(engine.Models[model]).fits(engine) {
 		if victim = t.adapterToEvict(now, engine, model); victim != nil {
 			t.models[victim.model].adapters[victim.name].unloading = true
 		}
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -184,7 +184,7 @@
 		live[v.ID] = true
 		t := c.trackers[v.ID]
 		if t == nil {
-			t = newEndpointTracker(v)
+			t = newEndpointTracker(v, &c.unansweredLoads)
 			c.unansweredLoads.recordRestart(v.ID) // It may have restarted while it was not listed.
 			t.changed = c.token != firstToken
 			c.trackers[v.ID] = t
@@ -297,7 +297,6 @@
 	byID := map[fleet.EndpointID]*endpointTracker{}
 	for _, t := range trackers {
 		e := t.snapshot(now, engine)
-		e.CapacityMB -= c.reservedMB(now, t)
 		byID[e.ID] = t
 		snap.Endpoints = append(snap.Endpoints, e)
 	}
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -51,6 +51,9 @@
 	// incarnation with its own order sequence.
 	replaced bool
 
+	// unanswered holds the loads that may still be executed at any endpoint.
+	unanswered *unansweredLoads
+
 	// orderSlot holds an element while an order to the endpoint is in progress. Orders are
 	// serialized so that their sequence has no gaps.
 	orderSlot chan struct{}
@@ -75,8 +78,8 @@
 	arrived  bool
 }
 
-func newEndpointTracker(v fleet.View) *endpointTracker {
-	t := &endpointTracker{endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, sizes: map[string]fleet.Model{}, departing: map[adapterRef]int64{}, changed: true, orderSlot: make(chan struct{}, 1)}
+func newEndpointTracker(v fleet.View, unanswered *unansweredLoads) *endpointTracker {
+	t := &endpointTracker{unanswered: unanswered, endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, sizes: map[string]fleet.Model{}, departing: map[adapterRef]int64{}, changed: true, orderSlot: make(chan struct{}, 1)}
 	t.replaceModels(time.Time{}, v.Loaded)
 	t.offset = v.Offset
 	t.updateCopies(time.Time{}, v.Endpoint)
@@ -295,7 +298,7 @@
 	e := residency.Endpoint{
 		ID:         t.endpoint.ID,
 		Zone:       t.endpoint.Zone,
-		CapacityMB: engine.WeightsMB - t.departingMB(engine),
+		CapacityMB: engine.WeightsMB - t.unmodeled(now, engine).mb,
 		Copies:     make(map[string]residency.Tier, len(t.copies)),
 		Busy:       t.busy || !t.synced || now.Before(t.retryAt) || now.Before(t.busyUntil),
 	}
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -74,7 +74,7 @@
 		return abandoned
 	}
 	counted := c.countedUsage(t)
-	sent := c.unansweredLoads.add(c.Now(), e.ID, o, c.weightsMB(e.Service, o.Model))
+	sent := c.unansweredLoads.add(c.Now(), e.ID, o, loadUsage(c.engine(e.Service), o))
 	result, err := c.send(ctx, e, o)
 	if err == nil || errors.Is(err, ErrUnreachable) || errors.Is(err, ErrRateLimited) {
 		c.unansweredLoads.remove(sent)
--- a/pkg/orders/unansweredload.go
+++ b/pkg/orders/unansweredload.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,7 +18,7 @@
 	to       fleet.EndpointID
 	sent     time.Time
 	expected int64
-	mb       float64
+	takes    usage
 	// former is set once the endpoint has restarted since, although its ID is the same.
 	former bool
 }
@@ -27,8 +28,8 @@
 //
 // A delayed load order may arrive after the endpoint has restarted under its name and reset
 // its order sequence. Once the new incarnation has accepted as many orders as the load
-// expects, it executes the load in addition to the models that it already holds and runs
-// out of memory. The controller therefore reserves memory for the load at a new incarnation
+// expects, it executes the load in addition to what it already holds and exceeds its
+// capacity. The controller therefore reserves capacity for the load at a new incarnation
 // until its sequence has passed that of the load. Within one incarnation an order with the
 // same expected sequence excludes the load.
 type unansweredLoads struct {
@@ -37,9 +38,9 @@
 }
 
 // add records a load order that is about to be sent. It returns nil for other orders.
-func (s *unansweredLoads) add(now time.Time, to fleet.EndpointID, o Order, mb float64) *unansweredLoad {
-	if !o.Load || o.Adapter != "" {
-		return nil // Adapters are small and limited in number.
+func (s *unansweredLoads) add(now time.Time, to fleet.EndpointID, o Order, takes usage) *unansweredLoad {
+	if !o.Load {
+		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,7 +53,7 @@
 			delete(s.byName, name)
 		}
 	}
-	x := &unansweredLoad{to: to, sent: now, expected: o.Expected, mb: mb}
+	x := &unansweredLoad{to: to, sent: now, expected: o.Expected, takes: takes}
 	s.byName[to.Name()] = append(s.byName[to.Name()], x)
 	return x
 }
@@ -77,34 +78,27 @@
 	}
 }
 
-// reservedMB returns the most memory that a load sent to a former incarnation may still
-// take at an endpoint that has accepted sequence orders.
-func (s *unansweredLoads) reservedMB(now time.Time, at fleet.EndpointID, sequence int64) float64 {
+// reserved returns the most capacity that loads sent to former incarnations may still take, before the controller
+// learns of them, at an endpoint that has accepted sequence orders. Loads that expect consecutive sequences may follow
+// one another; of those that expect the same one, one is executed.
+func (s *unansweredLoads) reserved(now time.Time, at fleet.EndpointID, sequence int64) usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	most := 0.0
+	byExpected := map[int64]usage{}
 	for _, x := range s.byName[at.Name()] {
 		if (x.to != at || x.former) && x.expected >= sequence && now.Sub(x.sent) < unansweredLoadTTL {
-			most = max(most, x.mb)
+			byExpected[x.expected] = byExpected[x.expected].max(x.takes)
 		}
 	}
-	return most
-}
-
-// reservedMB returns the memory that is reserved at an endpoint for loads sent to its former
-// incarnations.
-func (c *Controller) reservedMB(now time.Time, t *endpointTracker) float64 {
-	t.mu.Lock()
-	id, sequence := t.endpoint.ID, t.sequence
-	t.mu.Unlock()
-	return c.unansweredLoads.reservedMB(now, id, sequence)
-}
-
-// weightsMB returns the size of a model, or 0 if it is not configured.
-func (c *Controller) weightsMB(service, model string) float64 {
-	engine := c.engine(service)
-	if engine == nil {
-		return 0
+	var most, consecutive usage
+	last := int64(-1)
+	for _, expected := range slices.Sorted(maps.Keys(byExpected)) {
+		if expected != last+1 {
+			consecutive = usage{}
+		}
+		consecutive = consecutive.plus(byExpected[expected])
+		most = most.max(consecutive)
+		last = expected
 	}
-	return engine.Models[model].WeightsMB
+	return most
 }
--- a/pkg/orders/usage.go
+++ b/pkg/orders/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
@@ -12,10 +13,22 @@
 	adapters int
 }
 
-// usage returns what the models and adapters of the endpoint take, those of orders in progress included. mu must be
-// held.
-func (t *endpointTracker) usage(engine *fleet.Engine) usage {
-	u := usage{mb: t.departingMB(engine), adapters: len(t.departing)}
+// loadUsage returns what a load takes.
+func loadUsage(engine *fleet.Engine, o Order) usage {
+	switch {
+	case engine == nil:
+		return usage{}
+	case o.Adapter != "":
+		return usage{}.plusAdapter(engine.Models[o.Model])
+	default:
+		return usage{mb: engine.Models[o.Model].WeightsMB}
+	}
+}
+
+// usage returns what the models and adapters of the endpoint take, those of orders in progress included, and what is
+// reserved. mu must be held.
+func (t *endpointTracker) usage(now time.Time, engine *fleet.Engine) usage {
+	u := t.unmodeled(now, engine)
 	for name, r := range t.models {
 		u.adapters += len(r.adapters)
 		u.mb += t.memoryUse(engine, name, r)
@@ -23,15 +36,22 @@
 	return u
 }
 
-// departingMB returns the memory of the adapters in transit whose model was unloaded. mu must be held.
-func (t *endpointTracker) departingMB(engine *fleet.Engine) float64 {
-	sum := 0.0
+// unmodeled returns the usage apart from that of the endpoint's models: adapters in transit whose model was unloaded,
+// and loads that were sent to a former incarnation. mu must be held.
+func (t *endpointTracker) unmodeled(now time.Time, engine *fleet.Engine) usage {
+	u := t.unanswered.reserved(now, t.endpoint.ID, t.sequence)
 	for a := range t.departing {
-		sum += t.modelSize(engine, a.model).AdapterMB
+		u = u.plusAdapter(t.modelSize(engine, a.model))
 	}
-	return sum
+	return u
 }
 
+// plus returns the sum of two usages.
+func (u usage) plus(v usage) usage { return usage{u.mb + v.mb, u.adapters + v.adapters} }
+
+// max returns the larger memory and the larger number of adapters.
+func (u usage) max(v usage) usage { return usage{max(u.mb, v.mb), max(u.adapters, v.adapters)} }
+
 // plusAdapter adds an adapter of a model.
 func (u usage) plusAdapter(m fleet.Model) usage {
 	u.adapters++
@@ -54,23 +74,24 @@
 // hasRoom reports whether the endpoint has room for a load. It is checked whenever the order is sent: an endpoint that
 // exceeds its capacity crashes.
 func (c *Controller) hasRoom(t *endpointTracker, o Order) bool {
-	reservedMB := c.reservedMB(c.Now(), t)
+	now := c.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	engine := c.engine(t.endpoint.Service)
 	if engine == nil {
 		return false
 	}
-	m, listed := engine.Models[o.Model]
-	used := t.usage(engine)
+	_, listed := engine.Models[o.Model]
+	used := t.usage(now, engine)
 	fits := used.fits(engine) && t.adapter(o.Model, o.Adapter) != nil // The adapter's own reservation is part of the usage.
 	if o.Adapter == "" {
-		used.mb += m.WeightsMB + reservedMB
+		used = used.plus(loadUsage(engine, o))
 		fits = used.mb <= engine.WeightsMB
 	}
 	if !fits || !listed {
+		reserved := t.unanswered.reserved(now, t.endpoint.ID, t.sequence)
 		c.Log.Info("load order not sent: no room", "endpoint", t.endpoint.ID, "model", o.Model, "adapter", o.Adapter, "used_mb", used.mb, "capacity_mb", engine.WeightsMB,
-			"reserved_mb", reservedMB, "adapters", used.adapters, "adapter_slots", engine.AdapterSlots)
+			"adapters", used.adapters, "adapter_slots", engine.AdapterSlots, "reserved_mb", reserved.mb, "reserved_slots", reserved.adapters)
 		return false
 	}
 	return true
@@ -84,6 +105,6 @@
 	if engine == nil {
 		return slog.Attr{}
 	}
-	u := t.usage(engine)
+	u := t.usage(c.Now(), engine)
 	return slog.Group("counted", "mb", u.mb, "capacity_mb", engine.WeightsMB, "adapters", u.adapters, "adapter_slots", engine.AdapterSlots)
 }
