Test: orders that are done already do not end a swap (red)

While the list does not show that an endpoint has restarted under its name, orders are decided on the models of before. If late orders bring its sequence to the known one, they are executed: unloads of models that it does not hold are done already, and the load follows: 170 MB of 130. The same with a load that is done already: 230 MB of 190.

--- a/pkg/orders/lateorders_test.go
+++ b/pkg/orders/lateorders_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
 )
 
@@ -78,3 +79,43 @@
 		e.set(func() { is.True(e.holds["x"]["a1"]) })
 	})
 }
+
+// Guards against acting on models of before a restart that the list does not show yet: an unload that is done already
+// shows that the endpoint does not hold what is known.
+func TestUnloadOfMissingModelEndsSwap(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		e.sequence, e.history = 1, nil
+		e.record()
+		c := newController(e, 2, "x", "y")
+		steps(ctx, c, 600*time.Millisecond, rare("x", ""))
+		e.restart()
+		is.Equal(e.execute(orders.Order{Load: true, Model: "cold", Expected: 0, Token: 1}), orders.Accepted) // of a former controller
+		time.Sleep(loadTime + 10*time.Millisecond)
+		steps(ctx, c, 4*time.Second, rare("big", ""))
+		is.Equal(e.faults, nil)
+		is.Equal(e.held(), []string{"big"})
+	})
+}
+
+// Guards against taking a model that is loaded already for the only one that is not known.
+func TestLoadOfPresentModelEndsSwap(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(190, weights)
+		e.sequence, e.history = 2, nil
+		e.record()
+		c := newController(e, 2)
+		c.Config().Services["llm"].Engine.WeightsMB = 190
+		steps(ctx, c, 600*time.Millisecond, fleet.DemandReport{Host: "h"})
+		e.restart()
+		for i, model := range []string{"y", "cold"} { // of a former controller
+			is.Equal(e.execute(orders.Order{Load: true, Model: model, Expected: int64(i), Token: 1}), orders.Accepted)
+			time.Sleep(loadTime + 10*time.Millisecond)
+		}
+		steps(ctx, c, time.Second, rare("y", ""))
+		steps(ctx, c, 4*time.Second, rare("big", ""))
+		is.Equal(e.faults, nil)
+	})
+}
