Orders: an order that is done already ends what was decided on models that do not hold

While the list does not show that an endpoint has restarted under its name, swaps were decided on the models of before. Unloads of models that it did not hold counted as done, and the load followed beside what late orders had brought: 170 MB of 130. A load that was done already counted its model as the only unknown one: 230 MB of 190.

A first copy of an order that is done already shows that the endpoint does not hold what is known. The order is given up and the endpoint asked for its state. Excepted are unloads of adapters, which say done when they are carried out at once.

TestUnloadOfMissingModelEndsSwap and TestLoadOfPresentModelEndsSwap failed before and pass.

--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -92,6 +92,9 @@
 		return pending
 	case result == Done && s.unanswered && o.Adapter == "":
 		return c.verifyOrder(ctx, t, e, s)
+	case result == Done && !s.unanswered && (o.Load || o.Adapter == ""):
+		// The endpoint does not hold what is known here: it may have restarted, and executed late orders since.
+		return abandoned
 	case result == Accepted || result == Done:
 		t.advance(result, s)
 		return accepted
@@ -104,9 +107,9 @@
 	return abandoned
 }
 
-// advance updates the sequence after an order that the endpoint has accepted. An adapter is unloaded at once,
-// so that its order is done when it has been accepted. A load that is done was not accepted again; whether an
-// earlier copy of it was accepted shows in the next report.
+// advance updates the sequence after an order that the endpoint has accepted. An adapter that is not in use is unloaded
+// at once, so that its order is done when it has been accepted. Whether an earlier copy was accepted of an order for an
+// adapter that is done shows in the next report.
 func (t *endpointTracker) advance(r Result, s *outgoingOrder) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
