--- a/pkg/orders/adapterschedule_test.go
+++ b/pkg/orders/adapterschedule_test.go
@@ -18,6 +18,7 @@
 	// are unloaded are still in use.
 	transitMS, inUseMS []int
 	losses             []loss
+	unfenced           bool
 	delayMS            int
 	// termsMS are the times for which the controllers hold the claim.
 	termsMS []int
@@ -68,7 +69,7 @@
 	var faults []string
 	runOnce(t, s.contention, func(ctx context.Context) {
 		e := newEngine(130, weights, "x", "y")
-		e.statesStart = true
+		e.statesStart, e.unfenced = true, s.unfenced
 		e.transit = adapterTransit{duration: cycle(s.transitMS), inUse: cycle(s.inUseMS)}
 		if len(s.losses) > 0 {
 			e.nextLoss = func() loss { return s.losses[e.orders%len(s.losses)] }
--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -54,7 +54,9 @@
 	received []orders.Order
 	// statesStart makes reports fail for a former incarnation, as on platforms that state the start time.
 	statesStart bool
-	transit     adapterTransit
+	// unfenced makes the endpoint execute orders of former holders.
+	unfenced bool
+	transit  adapterTransit
 }
 
 type pastReport struct {
@@ -165,7 +167,7 @@
 func (e *engine) execute(o orders.Order) orders.Result {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if o.Token < e.fence {
+	if o.Token < e.fence && !e.unfenced {
 		return orders.Fenced
 	}
 	e.fence = o.Token
--- a/pkg/orders/lateorders_test.go
+++ b/pkg/orders/lateorders_test.go
@@ -119,3 +119,26 @@
 		is.Equal(e.faults, nil)
 	})
 }
+
+// Guards against loads that a former controller has given up and that a restarted endpoint executes in addition to
+// those of the new controller, which does not know of them.
+func TestTakeoverReservesRoomForLateLoads(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights)
+		e.unfenced = true
+		c := restarting(e)
+		late := loseFirstCopies(e)
+		for _, model := range []string{"x", "y"} {
+			steps(ctx, c, 1500*time.Millisecond, rare(model, ""))
+		}
+		e.restart()
+		c = restartingWithToken(e, 2)
+		steps(ctx, c, 2*time.Second, rare("big", ""))
+		late(1)
+		is.Equal(e.faults, nil)
+		steps(ctx, c, 16*time.Second, rare("big", ""))
+		is.Equal(e.faults, nil)
+		is.Equal(e.held(), []string{"big"})
+	})
+}
--- a/pkg/orders/unansweredload_test.go
+++ b/pkg/orders/unansweredload_test.go
@@ -52,8 +52,10 @@
 }
 
 // restarting returns a controller whose endpoint restarts under its name when restart is called.
-func restarting(e *engine) *orders.Controller {
-	c := newController(e, 1)
+func restarting(e *engine) *orders.Controller { return restartingWithToken(e, 1) }
+
+func restartingWithToken(e *engine, token int64) *orders.Controller {
+	c := newController(e, token)
 	c.Endpoints = func(time.Time) []fleet.View {
 		return []fleet.View{{Endpoint: fleet.Endpoint{ID: e.id(), Service: "llm", OnDisk: []string{"big", "cold", "x", "y"}}}}
 	}
