Orders: no loads where a former controller's late ones may still be executed

After a restart under its name and a takeover an endpoint was ordered to load 170 MB of 130: the new controller does not know which loads the former one has given up, and a restarted endpoint counts orders from 0 again. Where endpoints check tokens the late load is rejected.

A host remembers when it first read of an incarnation whose name it had known before. An endpoint that restarted so within 17.5 s before a controller's first order, or later, gets no loads until 15 s after that first order, when no order of a former controller can arrive any more. Nothing has to be handed over but the time of the claim. The first controller of a deployment waits for nothing, nor do endpoints with new names.

TestTakeoverReservesRoomForLateLoads failed before and passes. Random schedules, half of them without token checks: none of 2,000 with and 2,000 without lost orders overflows.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -55,6 +55,8 @@
 	gone    bool
 	// goneAt is when Prune first found the endpoint gone.
 	goneAt time.Time
+	// restartedAt is when this host first read of the incarnation, zero if it knew no former one.
+	restartedAt time.Time
 }
 
 // NewDirectory returns an empty directory.
@@ -111,6 +113,7 @@
 	if old != nil && old.gone && offset.MayPrecede(old.offset) {
 		return
 	}
+	former, known := d.current[e.ID.Name()]
 	if !d.supersede(e.ID) {
 		return
 	}
@@ -120,6 +123,9 @@
 		e.Draining = true
 	}
 	d.put(now, offset, old, e)
+	if known && former != e.ID {
+		d.entries[e.ID].restartedAt = now
+	}
 }
 
 // supersede makes an incarnation the current one of its name and marks the previous one as
@@ -161,7 +167,11 @@
 	if old != nil && !old.missing.IsZero() {
 		d.missing--
 	}
-	d.entries[e.ID] = &entry{Endpoint: e, offset: offset, routingOffset: routingOffset, changed: now}
+	n := &entry{Endpoint: e, offset: offset, routingOffset: routingOffset, changed: now}
+	if old != nil {
+		n.restartedAt = old.restartedAt
+	}
+	d.entries[e.ID] = n
 	d.changed[e.ID] = true
 }
 
@@ -334,6 +344,8 @@
 	Offset Position
 	// ReceivedAt is when this host received the entry.
 	ReceivedAt time.Time
+	// RestartedAt is when this host first read of this incarnation, zero if it knew no former one of that name.
+	RestartedAt time.Time
 }
 
 // Live returns the endpoints that are not gone, including draining ones, ordered by ID.
@@ -350,7 +362,7 @@
 	slices.SortFunc(live, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
 	views := make([]View, len(live))
 	for i, e := range live {
-		views[i] = View{Endpoint: e.Endpoint, Offset: e.offset, ReceivedAt: e.changed}
+		views[i] = View{Endpoint: e.Endpoint, Offset: e.offset, ReceivedAt: e.changed, RestartedAt: e.restartedAt}
 	}
 	return views
 }
--- a/pkg/fleet/incarnation_test.go
+++ b/pkg/fleet/incarnation_test.go
@@ -59,6 +59,17 @@
 	is.Equal(ids(d.Live(at(3))), []fleet.EndpointID{})
 }
 
+// Guards against taking a restarted endpoint for a new one, also after its next heartbeat.
+func TestRestartIsKnown(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Apply(at(0), 1, incarnation("a", 100))
+	is.True(d.Live(at(0))[0].RestartedAt.IsZero())
+	d.Apply(at(1), 2, incarnation("a", 200))
+	d.Apply(at(2), 3, incarnation("a", 200))
+	is.Equal(d.Live(at(2))[0].RestartedAt, at(1))
+}
+
 // Guards against routing to an endpoint by its outdated entry after another writer has
 // overwritten the entry, and against excluding it after its next valid heartbeat.
 func TestUnreadableEntryExcludesEndpointUntilNextHeartbeat(t *testing.T) {
--- a/pkg/orders/adapters.go
+++ b/pkg/orders/adapters.go
@@ -129,7 +129,7 @@
 		return 0, adapterPresent
 	}
 	// An endpoint that executes an order rejects all others until it has finished.
-	if r.unloading || r.unconfirmed || now.Before(r.readyAt) || !t.synced || t.busy || now.Before(t.busyUntil) {
+	if r.unloading || r.unconfirmed || now.Before(r.readyAt) || !t.synced || t.busy || now.Before(t.busyUntil) || now.Before(t.loadsFrom) {
 		return 0, adapterNoRoom
 	}
 	used := t.usage(now, engine)
--- a/pkg/orders/adapterschedule_test.go
+++ b/pkg/orders/adapterschedule_test.go
@@ -75,15 +75,15 @@
 			e.nextLoss = func() loss { return s.losses[e.orders%len(s.losses)] }
 		}
 		e.delay = time.Duration(s.delayMS) * time.Millisecond
-		listed, listedAt := e.id(), time.Now()
+		listed, listedAt, restartedAt := e.id(), time.Now(), time.Time{}
 		step := 0
 		for term, ms := range s.termsMS {
 			c := newController(e, int64(term+1), "x", "y")
 			c.Endpoints = func(now time.Time) []fleet.View {
 				if listed != e.id() && now.Sub(listedAt) >= time.Duration(s.listLagMS)*time.Millisecond {
-					listed = e.id()
+					listed, restartedAt = e.id(), now
 				}
-				return []fleet.View{{Endpoint: fleet.Endpoint{ID: listed, Service: "llm", OnDisk: []string{"cold", "x", "y", "big"}}}}
+				return []fleet.View{{RestartedAt: restartedAt, Endpoint: fleet.Endpoint{ID: listed, Service: "llm", OnDisk: []string{"cold", "x", "y", "big"}}}}
 			}
 			for end := time.Now().Add(time.Duration(ms) * time.Millisecond); time.Now().Before(end); step++ {
 				if s.restarts[step] {
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -78,10 +78,12 @@
 	Contention    func(service string) bool
 	AccountWeight func(account string) float64
 
-	mu       sync.Mutex
-	token    int64
-	trackers map[fleet.EndpointID]*endpointTracker
-	demand   *Demand
+	mu    sync.Mutex
+	token int64
+	// ordersSince is when this host began to send orders under its claim.
+	ordersSince time.Time
+	trackers    map[fleet.EndpointID]*endpointTracker
+	demand      *Demand
 	// levels is nil while no service is scheduled for contention.
 	levels *modelLevels
 	// coldModels are the requested models that no endpoint has a copy of.
@@ -129,6 +131,7 @@
 	if held != c.token || c.trackers == nil {
 		// A new holder starts from the reports of the endpoints.
 		c.token = held
+		c.ordersSince = time.Time{}
 		c.trackers = map[fleet.EndpointID]*endpointTracker{}
 		c.demand = NewDemand(now)
 		c.levels = nil
@@ -142,10 +145,14 @@
 	}
 	byService := c.syncTrackers(now, cfg)
 	if token := c.Election.OrderToken(now); token != 0 && c.OrdersAllowed() {
+		if c.ordersSince.IsZero() {
+			c.ordersSince = now
+		}
 		totals := c.demand.totals(now)
 		c.coldModels = nil
 		for _, name := range sortedKeys(byService) {
 			service := cfg.Services[name]
+			c.holdLoads(byService[name])
 			c.requestReports(ctx, now, byService[name])
 			for _, t := range byService[name] {
 				c.requestRefresh(ctx, now, t)
@@ -256,7 +263,7 @@
 		return
 	}
 	c.logReport("endpoint report applied", e, r)
-	if t.isBehind(r.Sequence) {
+	if t.recordRestart(now, r.Sequence) {
 		c.unansweredLoads.recordRestart(e.ID)
 	}
 	t.applyReport(now, r)
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -51,6 +51,9 @@
 	// incarnation with its own order sequence.
 	replaced bool
 
+	// restartedAt is when the endpoint was first known to have restarted under its name, or zero. Before loadsFrom
+	// it gets no loads.
+	restartedAt, loadsFrom time.Time
 	// unanswered holds the loads that may still be executed at any endpoint.
 	unanswered *unansweredLoads
 
@@ -82,6 +85,7 @@
 	t := &endpointTracker{unanswered: unanswered, endpoint: v.Endpoint, models: map[string]*resident{}, copies: map[string]residency.Tier{}, sizes: map[string]fleet.Model{}, departing: map[adapterRef]int64{}, changed: true, orderSlot: make(chan struct{}, 1)}
 	t.replaceModels(time.Time{}, v.Loaded)
 	t.offset = v.Offset
+	t.restartedAt = v.RestartedAt
 	t.updateCopies(time.Time{}, v.Endpoint)
 	return t
 }
@@ -284,11 +288,18 @@
 	delete(t.models, model)
 }
 
-// isBehind reports whether a sequence is lower than the one known, which shows that the endpoint has restarted.
-func (t *endpointTracker) isBehind(sequence int64) bool {
+// recordRestart reports whether the sequence of a report is lower than the one known: the endpoint has restarted,
+// unless the report is older than the last order.
+func (t *endpointTracker) recordRestart(now time.Time, sequence int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return sequence < t.sequence
+	if sequence >= t.sequence {
+		return false
+	}
+	if now.Sub(t.lastOrder) > orderTimeout+reportLag {
+		t.restartedAt = now
+	}
+	return true
 }
 
 // snapshot returns the endpoint for a decision of package residency.
@@ -300,7 +311,7 @@
 		Zone:       t.endpoint.Zone,
 		CapacityMB: engine.WeightsMB - t.unmodeled(now, engine).mb,
 		Copies:     make(map[string]residency.Tier, len(t.copies)),
-		Busy:       t.busy || !t.synced || now.Before(t.retryAt) || now.Before(t.busyUntil),
+		Busy:       t.busy || !t.synced || now.Before(t.retryAt) || now.Before(t.busyUntil) || now.Before(t.loadsFrom),
 	}
 	for name, tier := range t.copies {
 		e.Copies[name] = tier
--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -44,6 +44,8 @@
 	reportTimes []time.Time
 	// restarts counts the restarts.
 	restarts int64
+	// restarted is the time of the last restart.
+	restarted time.Time
 	// silent makes reports fail, down makes connections fail and limited makes orders fail
 	// with ErrRateLimited.
 	silent  bool
@@ -210,6 +212,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.restarts++
+	e.restarted = time.Now()
 	e.holds = map[string]map[string]bool{}
 	e.loading = ""
 	e.sequence = 0
@@ -263,6 +266,12 @@
 
 func (e *engine) idLocked() fleet.EndpointID { return fleet.NewEndpointID("e", e.restarts+1) }
 
+func (e *engine) restartedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.restarted
+}
+
 func (e *engine) held() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/orders/unansweredload.go
+++ b/pkg/orders/unansweredload.go
@@ -102,3 +102,18 @@
 	}
 	return most
 }
+
+// holdLoads delays loads at endpoints that have restarted under their name shortly before or after this host began to
+// send orders: loads that a former controller has given up may still be executed there, and are not known here.
+func (c *Controller) holdLoads(trackers []*endpointTracker) {
+	if c.token == firstToken {
+		return
+	}
+	for _, t := range trackers {
+		t.mu.Lock()
+		if t.restartedAt.After(c.ordersSince.Add(-unansweredLoadTTL - listLag)) {
+			t.loadsFrom = c.ordersSince.Add(unansweredLoadTTL)
+		}
+		t.mu.Unlock()
+	}
+}
--- a/pkg/orders/unansweredload_test.go
+++ b/pkg/orders/unansweredload_test.go
@@ -57,7 +57,7 @@
 func restartingWithToken(e *engine, token int64) *orders.Controller {
 	c := newController(e, token)
 	c.Endpoints = func(time.Time) []fleet.View {
-		return []fleet.View{{Endpoint: fleet.Endpoint{ID: e.id(), Service: "llm", OnDisk: []string{"big", "cold", "x", "y"}}}}
+		return []fleet.View{{RestartedAt: e.restartedAt(), Endpoint: fleet.Endpoint{ID: e.id(), Service: "llm", OnDisk: []string{"big", "cold", "x", "y"}}}}
 	}
 	return c
 }
--- a/pkg/orders/usage.go
+++ b/pkg/orders/usage.go
@@ -88,10 +88,10 @@
 		used = used.plus(loadUsage(engine, o))
 		fits = used.mb <= engine.WeightsMB
 	}
-	if !fits || !listed {
+	if !fits || !listed || now.Before(t.loadsFrom) {
 		reserved := t.unanswered.reserved(now, t.endpoint.ID, t.sequence)
 		c.Log.Info("load order not sent: no room", "endpoint", t.endpoint.ID, "model", o.Model, "adapter", o.Adapter, "used_mb", used.mb, "capacity_mb", engine.WeightsMB,
-			"adapters", used.adapters, "adapter_slots", engine.AdapterSlots, "reserved_mb", reserved.mb, "reserved_slots", reserved.adapters)
+			"adapters", used.adapters, "adapter_slots", engine.AdapterSlots, "reserved_mb", reserved.mb, "reserved_slots", reserved.adapters, "held_ms", max(0, t.loadsFrom.Sub(now).Milliseconds()))
 		return false
 	}
 	return true
