Test: a loaded model whose listed size shrinks (red)

A model that an endpoint has loaded counted by the size that the configuration lists now. If that becomes smaller the endpoint has the larger one loaded still: 180 MB of 130.

--- a/pkg/orders/overcommit_test.go
+++ b/pkg/orders/overcommit_test.go
@@ -229,3 +229,21 @@
 		}
 	})
 }
+
+// Guards against counting a loaded model by a smaller size that the configuration has got since.
+func TestLoadedModelKeepsItsSize(t *testing.T) {
+	run(t, func(ctx context.Context) {
+		is := is.NewRelaxed(t)
+		e := newEngine(130, weights, "x", "y")
+		c := newController(e, 1, "x", "y")
+		steps(ctx, c, 500*time.Millisecond, inUse(fleet.DemandReport{Host: "h"}, "x"))
+		changed := config()
+		y := changed.Services["llm"].Engine.Models["y"]
+		y.WeightsMB = 5
+		changed.Services["llm"].Engine.Models["y"] = y
+		c.Config = func() *fleet.Config { return changed }
+		steps(ctx, c, 3*time.Second, inUse(rare("cold", ""), "x"))
+		is.Equal(e.faults, nil)
+		is.Equal(e.held(), []string{"cold", "x"})
+	})
+}
