Orders: a loaded model counts by the largest size listed while it is loaded

180 MB of 130: a loaded model counted by the size that the configuration lists now, and that had become smaller since it was loaded. What the endpoint holds does not shrink with the list.

The tracker keeps the largest size listed since the load, and starts anew with the next load. A controller that has taken over knows only the sizes listed since.

TestLoadedModelKeepsItsSize failed before and passes.

--- a/pkg/orders/modelsize.go
+++ b/pkg/orders/modelsize.go
@@ -3,15 +3,20 @@
 import "github.com/tealvane/tealvane/pkg/fleet"
 
 // modelSize returns a model with its size in MB, also if the configuration no longer lists it: an endpoint
-// holds a model until it is ordered to unload it. A model whose size was never known counts as the largest one of
-// the configuration. mu must be held.
+// holds a model until it is ordered to unload it. While it is loaded it counts by the largest size listed. A model
+// whose size was never known counts as the largest one of the configuration. mu must be held.
 func (t *endpointTracker) modelSize(engine *fleet.Engine, name string) fleet.Model {
-	if m, ok := engine.Models[name]; ok {
+	known, ok := t.sizes[name]
+	if m, listed := engine.Models[name]; listed {
+		if t.models[name] != nil {
+			m.WeightsMB = max(m.WeightsMB, known.WeightsMB)
+			m.AdapterMB = max(m.AdapterMB, known.AdapterMB)
+		}
 		t.sizes[name] = m
 		return m
 	}
-	if m, ok := t.sizes[name]; ok {
-		return m
+	if ok {
+		return known
 	}
 	unknown := fleet.Model{Name: name}
 	for _, m := range engine.Models {
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -41,6 +41,7 @@
 	readyAt := now.Add(residency.LoadTime(m, s.From) + loadMargin)
 	r := &resident{readyAt: readyAt, since: readyAt, unconfirmed: s.From == residency.InStore, adapters: map[string]*adapter{}}
 	t.models[s.Load] = r
+	t.sizes[s.Load] = m
 	t.busyUntil = readyAt
 	t.copies[s.Load] = residency.InMemory
 	c.Log.Info("model load started", "endpoint", t.endpoint.ID, "model", s.Load, "evicted", s.Evict, "from", s.From.String(), "ordered_in_ms", now.Sub(start).Milliseconds(), "token", token)
