Stand-in: endpoints handle orders for adapters as the platform's do

The stand-in dropped and loaded adapters at once and said accepted to every order. Orders can be lost, executed late or lose their response, and reports lag. A load no longer ends in the life after a fall.

--- a/internal/standin/site/brittle.go
+++ b/internal/standin/site/brittle.go
@@ -120,7 +120,10 @@
 	}
 	b.waiting = nil
 	e.running, e.sequence, e.fence, e.loading = 0, 0, 0, ""
+	e.unloading = ""
 	clear(e.loaded)
+	clear(e.uses)
+	clear(e.coming)
 	if e.config.StartMillis != 0 {
 		e.config.StartMillis++
 	}
@@ -142,6 +145,7 @@
 		return
 	}
 	e.brittle.down = false
+	e.history = nil
 	e.server = e.newServer()
 	server := e.server
 	go func() { _ = server.Serve(l) }()
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -92,6 +92,14 @@
 	CrashOnPart string
 	// OnCrash is called after a crash by CrashOn or CrashOnPart. It may be nil.
 	OnCrash func()
+	// AdapterTransit returns how long the next adapter takes to arrive. Nil means that adapters arrive at once.
+	AdapterTransit func() time.Duration
+	// OrderFault selects what happens to the next order. It may be nil.
+	OrderFault func() OrderFault
+	// Unfenced executes orders also after one with a newer token.
+	Unfenced bool
+	// ReportLag is how old the state in a report is.
+	ReportLag time.Duration
 	// Behave selects the behavior for a request. n is the number of previous runs. If Behave is
 	// nil, all requests are served normally.
 	Behave func(id, model string, n int) Behavior
@@ -121,6 +129,13 @@
 	loaded     map[string]map[string]bool
 	diskCopies map[string]bool
 	loading    string
+	// unloading is the key of what is unloaded once no request uses it. uses counts the requests by key.
+	unloading string
+	uses      map[string]int
+	// coming holds the adapters in transit by the sequence after their order.
+	coming map[int64]*comingAdapter
+	// history holds the recent states for reports.
+	history []pastReport
 	// sequence counts the orders that passed the fencing and conflict checks.
 	sequence int64
 	// fence is the highest fencing token accepted.
@@ -151,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Endpoint{Addr: netListener.Addr().String(), config: c, store: s, loaded: map[string]map[string]bool{}, diskCopies: map[string]bool{}}
+	e := &Endpoint{Addr: netListener.Addr().String(), config: c, store: s, loaded: map[string]map[string]bool{}, diskCopies: map[string]bool{}, uses: map[string]int{}, coming: map[int64]*comingAdapter{}}
 	for _, m := range c.LoadedModels {
 		e.loaded[m] = map[string]bool{}
 		e.diskCopies[m] = true
@@ -302,6 +317,7 @@
 
 // publishEntry writes the entry of the endpoint to the store. e.mu must be held.
 func (e *Endpoint) publishEntry() {
+	e.recordReport()
 	e.entrySequence++
 	onDisk := []string{}
 	for m := range e.diskCopies {
@@ -342,17 +358,48 @@
 	return e.config.Models[i], true
 }
 
-func (e *Endpoint) report(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// pastReport is a report with the time of its state.
+type pastReport struct {
+	at     time.Time
+	report map[string]any
+}
+
+// recordReport records the state for reports. e.mu must be held.
+func (e *Endpoint) recordReport() {
+	coming := []string{}
+	for _, a := range e.coming {
+		coming = append(coming, modelKey(a.model, a.name)+"@1")
+	}
+	_, isModel := e.model(e.unloading)
 	report := map[string]any{
 		"models":   e.loadedModels(),
-		"busy":     e.loading != "",
+		"coming":   coming,
+		"busy":     e.loading != "" || isModel,
 		"sequence": e.sequence,
 		"running":  e.running,
 	}
 	if e.config.StartMillis != 0 {
 		report["born"] = e.config.StartMillis
 	}
-	writeJSON(w, http.StatusOK, report)
+	now := time.Now()
+	for len(e.history) > 1 && now.Sub(e.history[1].at) >= e.config.ReportLag {
+		e.history = e.history[1:]
+	}
+	e.history = append(e.history, pastReport{now, report})
+}
+
+// report responds with the newest state that is as old as the ReportLag, or the oldest one known.
+func (e *Endpoint) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.config.ReportLag == 0 {
+		e.recordReport()
+	}
+	newest := e.history[0]
+	for _, p := range e.history[1:] {
+		if time.Since(p.at) >= e.config.ReportLag {
+			newest = p
+		}
+	}
+	writeJSON(w, http.StatusOK, newest.report)
 }
--- a/internal/standin/site/requests.go
+++ b/internal/standin/site/requests.go
@@ -36,7 +36,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	defer e.finishRequest(life)
+	defer e.finishRequest(life, r.Header.Get("X-Model-Name"))
 	select {
 	case <-time.After(b.Delay):
 	case <-r.Context().Done():
@@ -99,21 +99,43 @@
 		return b, http.StatusMisdirectedRequest
 	case len(e.config.Models) > 0 && (adapters == nil || adapter != "" && !adapters[adapter]):
 		return b, http.StatusMisdirectedRequest
+	case e.unloading != "" && (e.unloading == model || e.unloading == modelKey(model, adapter)):
+		return b, http.StatusServiceUnavailable
 	case b.Reject || e.running >= e.config.Slots || life != e.brittle.life:
 		e.recordRejection(time.Now())
 		return b, http.StatusServiceUnavailable
 	}
 	e.running++
+	for _, key := range usedKeys(model, adapter) {
+		e.uses[key]++
+	}
 	e.runs = append(e.runs, Run{ID: id, Model: model, Path: r.RequestURI, Body: body, LastEventID: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone()})
 	return b, 0
 }
 
-func (e *Endpoint) finishRequest(life int) {
+func (e *Endpoint) finishRequest(life int, modelName string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if life == e.brittle.life {
-		e.running--
+	if life != e.brittle.life {
+		return
+	}
+	e.running--
+	model, adapter, _ := strings.Cut(modelName, "/")
+	for _, key := range usedKeys(model, adapter) {
+		e.uses[key]--
+	}
+	if e.unloading != "" {
+		e.finishUnload()
+		e.publishEntry()
+	}
+}
+
+// usedKeys returns the keys of what a request uses.
+func usedKeys(model, adapter string) []string {
+	if adapter == "" {
+		return []string{model}
 	}
+	return []string{model, modelKey(model, adapter)}
 }
 
 // stream sends events with ascending IDs, starting after Last-Event-Id.
