--- a/pkg/orders/unansweredload.go
+++ b/pkg/orders/unansweredload.go
@@ -84,8 +84,12 @@
 func (s *unansweredLoads) reserved(now time.Time, at fleet.EndpointID, sequence int64) usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sent := s.byName[at.Name()]
+	if len(sent) == 0 {
+		return usage{}
+	}
 	byExpected := map[int64]usage{}
-	for _, x := range s.byName[at.Name()] {
+	for _, x := range sent {
 		if (x.to != at || x.former) && x.expected >= sequence && now.Sub(x.sent) < unansweredLoadTTL {
 			byExpected[x.expected] = byExpected[x.expected].max(x.takes)
 		}
