--- a/test/process/endpointlimits_soak_test.go
+++ b/test/process/endpointlimits_soak_test.go
@@ -34,8 +34,10 @@
 	limitsSlots        = 12
 	limitsMemoryMB     = 200_000
 	limitsAdapterSlots = 8
-	// limitsFullSpeed is the number of adapters in transit to all endpoints up to which each takes limitsTransit.
+	// limitsFullSpeed is the number of adapters in transit to all endpoints up to which each takes limitsTransit, if
+	// there are limitsFullSize endpoints.
 	limitsFullSpeed = 8
+	limitsFullSize  = 90
 	limitsTransit   = 10 * time.Millisecond
 	// limitsReportLag is how old the state in a report is.
 	limitsReportLag = 200 * time.Millisecond
@@ -134,9 +136,10 @@
 	return e
 }
 
-// adapterTransit returns how long the next adapter takes to arrive.
+// adapterTransit returns how long the next adapter takes to arrive. Fewer endpoints count as limitsFullSize ones of
+// which each has as many adapters in transit.
 func (s *limitsSoak) adapterTransit() time.Duration {
-	n := s.inTransit.Add(1)
+	n := s.inTransit.Add(1) * limitsFullSize / int64(*limitsEndpoints)
 	d := limitsTransit * time.Duration(max(limitsFullSpeed, n)) / limitsFullSpeed
 	time.AfterFunc(d, func() { s.inTransit.Add(-1) })
 	return d
