Claims: hosts without links do not take late answers for a no

Traced with the answers to each question: a host without links asks others whether they have some, for 300 ms, and claimed if none had said so. On a busy machine all answers came later, the one of the only host with links too; it claimed, heard of that host and released the claim at once.

Silence is not a no. If some hosts give no answer, a host without links claims after a second without a host that says it has links; if all answer that they have none it claims at once, as before.

--- a/pkg/gateway/claimlinks.go
+++ b/pkg/gateway/claimlinks.go
@@ -24,36 +24,43 @@
 )
 
 // peerHasLinks reports whether another host has shown recently, or says now, that it has links to
-// endpoints.
-func (g *Gateway) peerHasLinks(ctx context.Context) bool {
+// endpoints, and otherwise whether all hosts that were asked have answered.
+func (g *Gateway) peerHasLinks(ctx context.Context) (linked, allAnswered bool) {
 	now := g.Now()
-	if g.links.peerLinkedWithin(now, linkedPeerTTL) || g.helpers.HelpedWithin(now, linkedPeerTTL) {
-		return true
+	if g.links.peers.LinkedWithin(now, linkedPeerTTL) || g.helpers.HelpedWithin(now, linkedPeerTTL) {
+		return true, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, linkQueryTimeout)
 	defer cancel()
 	addrs := g.mesh.sample(now, maxLinkQueries)
-	answers := make(chan bool, len(addrs))
+	type answer struct{ linked, received bool }
+	answers := make(chan answer, len(addrs))
 	for _, addr := range addrs {
 		go func() {
 			response, err := g.mesh.send(ctx, addr, peer.Request{})
-			answers <- err == nil && response.Claim != nil && !response.LinksLost
+			answers <- answer{err == nil && response.Claim != nil && !response.LinksLost, err == nil}
 		}()
 	}
+	allAnswered = true
 	for range addrs {
-		if <-answers {
-			g.links.recordLinkedPeer(g.Now())
-			return true
+		a := <-answers
+		if a.linked {
+			g.links.peers.RecordLinked(g.Now())
+			return true, true
 		}
+		allAnswered = allAnswered && a.received
 	}
-	return false
+	return false, allAnswered
 }
 
 // releaseIfCutOff releases the claim if this host is the controller and has lost its links to endpoints
 // while another host has some, so that such a host can claim at once.
 func (g *Gateway) releaseIfCutOff(ctx context.Context) {
 	held := g.election.HeldToken()
-	if held == 0 || g.links.lostFor(g.Now()) < lossConfirmTime || !g.peerHasLinks(ctx) {
+	if held == 0 || g.links.lostFor(g.Now()) < lossConfirmTime {
+		return
+	}
+	if linked, _ := g.peerHasLinks(ctx); !linked {
 		return
 	}
 	g.log.Warn("controller has lost its links to endpoints; releasing the claim", "token", held)
@@ -66,6 +73,9 @@
 	if !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 {
 		return true
 	}
-	reached, unreached := g.connectToSample("", claimSampleSize)
-	return reached >= unreached || !g.peerHasLinks(ctx)
+	if reached, unreached := g.connectToSample("", claimSampleSize); reached >= unreached {
+		return true
+	}
+	linked, allAnswered := g.peerHasLinks(ctx)
+	return !linked && g.links.peers.NoneLinked(g.Now(), allAnswered)
 }
--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -21,6 +21,7 @@
 // endpointLinks tracks the links of this host to endpoints. It is safe for concurrent use.
 type endpointLinks struct {
 	table *links.Table
+	peers links.Peers
 
 	mu sync.Mutex
 	// sampled is when the last sample ended, sampling is closed when the current one ends; nil if none
@@ -31,8 +32,6 @@
 	reached int
 	// lostSince is when the links were found lost, or zero while they work.
 	lostSince time.Time
-	// linkedPeerAt is when another host last said that it has links to endpoints.
-	linkedPeerAt time.Time
 }
 
 func newEndpointLinks() *endpointLinks { return &endpointLinks{table: links.NewTable()} }
@@ -87,20 +86,6 @@
 	return l.reached > 0
 }
 
-// recordLinkedPeer records that another host has links to endpoints.
-func (l *endpointLinks) recordLinkedPeer(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.linkedPeerAt = now
-}
-
-// peerLinkedWithin reports whether another host has said within a time that it has links.
-func (l *endpointLinks) peerLinkedWithin(now time.Time, d time.Duration) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.linkedPeerAt.IsZero() && now.Sub(l.linkedPeerAt) < d
-}
-
 // recordLink records an attempt to connect to an endpoint, or a connection whose data was not acknowledged.
 func (g *Gateway) recordLink(id fleet.EndpointID, err error) {
 	switch {
