Orders: reports on adapters in transit count toward the bound on report requests

A controller asks at most 32 endpoints at once so that it still answers other hosts. The reports that show whether adapters have arrived were not among them: thousands of full endpoints could have been asked at the same time.

--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -236,12 +236,7 @@
 			continue
 		}
 		c.tasks.Go(func() {
-			select {
-			case c.reportSlots <- struct{}{}:
-				c.requestReport(ctx, t, e)
-				<-c.reportSlots
-			case <-ctx.Done():
-			}
+			c.withReportSlot(ctx, func() { c.requestReport(ctx, t, e) })
 			t.mu.Lock()
 			t.busy = false
 			t.mu.Unlock()
@@ -249,6 +244,16 @@
 	}
 }
 
+// withReportSlot calls request once fewer than maxReportRequests are in progress, unless ctx is done before.
+func (c *Controller) withReportSlot(ctx context.Context, request func()) {
+	select {
+	case c.reportSlots <- struct{}{}:
+		request()
+		<-c.reportSlots
+	case <-ctx.Done():
+	}
+}
+
 func (c *Controller) requestReport(ctx context.Context, t *endpointTracker, e fleet.Endpoint) {
 	r, err := c.report(ctx, e)
 	now := c.Now()
--- a/pkg/orders/refresh.go
+++ b/pkg/orders/refresh.go
@@ -23,10 +23,12 @@
 		return
 	}
 	c.tasks.Go(func() {
-		if r, err := c.report(ctx, e); err == nil {
-			c.logReport("adapters checked against report", e, r)
-			t.refresh(r)
-		}
+		c.withReportSlot(ctx, func() {
+			if r, err := c.report(ctx, e); err == nil {
+				c.logReport("adapters checked against report", e, r)
+				t.refresh(r)
+			}
+		})
 	})
 }
 
