Test: a request that waits for the retry budget at a host that shuts down (red)

Traced: rejected three times since its model was not loaded (421), the request waited for the retry budget, 5 s on, until the host closed its connections at the end of its grace time. Waits in the queue end before that; this one does not.

--- a/pkg/serve/retry_budget_test.go
+++ b/pkg/serve/retry_budget_test.go
@@ -104,3 +104,23 @@
 		})
 	}
 }
+
+// Guards against a request that waits for the retry budget until its host closes the connection to shut down.
+func TestShutdownEndsWaitForRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a")
+		b.setScript("a", script{class: serve.NotLoaded})
+		s := newServer(b)
+		s.Budget = retry.NewBudget(retry.Limits{Window: 10 * time.Second}, 1)
+		start := time.Now()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			dispatcher(s).CloseAt(start.Add(time.Second))
+		}()
+		var out sink
+		s.Serve(t.Context(), request("r", fleet.AtMostOnce, false), &out)
+		is.True(out.promisesNotRun())
+		is.True(time.Since(start) <= 1500*time.Millisecond)
+	})
+}
