Serve: the wait for the retry budget ends when the host shuts down

What callers saw: a request that endpoints had rejected got neither an answer nor a refusal from a host that was stopping (LOST, under planned work only), although it had not run.

Cause: such a request waits for the retry budget until it has to be refused for its own time; waits in the queue end two seconds before the end of the host's grace time, this wait did not. The connection was closed under it.

The wait ends with that of the queue: the request is refused, with the promise that it has not run and Retry-After. TestShutdownEndsWaitForRetryBudget failed before and passes.

--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -117,6 +117,14 @@
 // CloseAt limits the wait of all requests to the given time, because the host shuts down.
 func (d *Dispatcher) CloseAt(at time.Time) { d.closeAt.Store(&at) }
 
+// ClosesAt implements Queue.
+func (d *Dispatcher) ClosesAt() time.Time {
+	if at := d.closeAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // shard is the queue of one service.
 type shard struct {
 	service     string
--- a/pkg/serve/queue.go
+++ b/pkg/serve/queue.go
@@ -23,6 +23,8 @@
 	RecordFirstByte(r *Request, after time.Duration)
 	// HasAlternative reports whether an endpoint other than e can meet a need now.
 	HasAlternative(n Need, e fleet.EndpointID) bool
+	// ClosesAt returns the time from which no request waits because the host shuts down, or the zero time.
+	ClosesAt() time.Time
 	// ServiceTime returns the moving average of the service time of a service.
 	ServiceTime(service string) time.Duration
 }
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -259,7 +259,7 @@
 		return false
 	}
 	until := x.budgetWaitEnd()
-	for x.server.Now().Before(until) {
+	for x.server.Now().Before(until) && !x.closed() {
 		if !wait.For(ctx, wait.Jitter(retryBudgetInterval)) {
 			return false
 		}
@@ -270,6 +270,12 @@
 	return false
 }
 
+// closed reports whether the host shuts down and requests no longer wait.
+func (x *exchange) closed() bool {
+	at := x.server.Queue.ClosesAt()
+	return !at.IsZero() && !x.server.Now().Before(at)
+}
+
 // reserveRetry reserves the retry that follows an attempt before the attempt is abandoned, and
 // reports whether the budget allows it. Without a retry, the attempt must continue.
 func (x *exchange) reserveRetry() bool {
