--- a/pkg/orders/adaptertransit_test.go
+++ b/pkg/orders/adaptertransit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,12 +92,15 @@
 		is := is.NewRelaxed(t)
 		e := newEngine(130, weights, "x")
 		c := newController(e, 1, "x")
+		var current atomic.Pointer[fleet.Config]
+		current.Store(config())
+		c.Config = current.Load
 		steps(ctx, c, 800*time.Millisecond, adapters("x", "a1"))
 		e.set(func() { e.transit.unloading = true }) // rejects orders
 		steps(ctx, c, 600*time.Millisecond, adapters("x", "a2"))
 		reduced := config()
 		reduced.Services["llm"].Engine.AdapterSlots = 1
-		c.Config = func() *fleet.Config { return reduced }
+		current.Store(reduced)
 		e.set(func() { e.transit.unloading = false })
 		steps(ctx, c, 200*time.Millisecond, adapters("x", "a2"))
 		is.Equal(e.adapters("x"), 1)
