Test: late adapter loads alone take the slots; reports of before an order

With 130 MB the late loads of models kept the model itself from being loaded, so that the test of late adapter loads passed also without what it tests (guards taken out one by one). It has 250 MB now and fails without it. The two guards of what a report counts for had no test.

--- a/pkg/orders/lateorders_test.go
+++ b/pkg/orders/lateorders_test.go
@@ -60,8 +60,9 @@
 func TestSlotsAreReservedForLateAdapterLoads(t *testing.T) {
 	run(t, func(ctx context.Context) {
 		is := is.NewRelaxed(t)
-		e := newEngine(130, weights)
+		e := newEngine(250, weights)
 		c := restarting(e)
+		c.Config().Services["llm"].Engine.WeightsMB = 250 // enough for x beside the late loads of models
 		late := loseFirstCopies(e)
 		for _, model := range []string{"x", "y"} {
 			steps(ctx, c, 1500*time.Millisecond, rare(model, ""))
@@ -71,6 +72,7 @@
 		is.Equal(e.adapters("x"), 2)
 		e.restart()
 		steps(ctx, c, 1200*time.Millisecond, rare("x", ""))
+		is.Equal(e.held(), []string{"x"})
 		steps(ctx, c, 500*time.Millisecond, adapters("x", "a1"))
 		late(2, 3)
 		is.Equal(e.faults, nil)
--- /dev/null
+++ b/pkg/orders/refresh_inner_test.go
@@ -0,0 +1,25 @@
+package orders
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/fleet"
+)
+
+// Guards against taking what a report of before an order says of an adapter for its state after it.
+func TestOldReportShowsNoArrival(t *testing.T) {
+	is := is.New(t)
+	tracker := newEndpointTracker(fleet.View{Endpoint: fleet.Endpoint{ID: "e"}}, &unansweredLoads{})
+	a1 := &adapter{sequence: 5}
+	tracker.models["x"] = &resident{adapters: map[string]*adapter{"a1": a1}}
+	tracker.departing[adapterRef{"y", "a2"}] = 5
+	report := fleet.Report{Sequence: 4, Loaded: []fleet.LoadedModel{{Model: "x", Adapters: []string{"a1"}}}}
+	tracker.refresh(report)
+	is.True(!a1.arrived)
+	is.Equal(len(tracker.departing), 1)
+	report.Sequence = 5
+	tracker.refresh(report)
+	is.True(a1.arrived)
+	is.Equal(len(tracker.departing), 0)
+}
