--- a/pkg/gateway/crashpart_soak_test.go
+++ b/pkg/gateway/crashpart_soak_test.go
@@ -48,10 +48,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var e *site.Endpoint
+	started := make(chan struct{})
 	e = s.deployment.startEndpoint(site.EndpointConfig{
 		ID: fmt.Sprint("e", len(s.endpoints)), Service: "llm", Zone: "zone-a", Slots: 8, WeightsMB: 125, AdapterSlots: 4, Models: models,
-		LoadedModels: []string{"warm"}, Events: 3, EventInterval: 5 * time.Millisecond, CrashOnPart: crashingPart, OnCrash: func() { s.replace(e) },
+		LoadedModels: []string{"warm"}, Events: 3, EventInterval: 5 * time.Millisecond, CrashOnPart: crashingPart, OnCrash: func() {
+			<-started // It may crash before it is known here.
+			s.replace(e)
+		},
 	})
+	close(started)
 	s.endpoints = append(s.endpoints, e)
 }
 
