Names: adapters in transit have one name

The simulated endpoint and the stand-in called them by the wire's word. Names only, and two comments that did not say what their fields are for; tests of pkg/orders and internal/cli pass.

--- a/internal/standin/site/adapters.go
+++ b/internal/standin/site/adapters.go
@@ -8,8 +8,8 @@
 // maxAdaptersInTransit is the number of adapters that an endpoint fetches at once.
 const maxAdaptersInTransit = 4
 
-// comingAdapter is an adapter in transit. It takes a slot until it arrives, also if its model is unloaded meanwhile.
-type comingAdapter struct {
+// adapterInTransit is an adapter in transit. It takes a slot until it arrives, also if its model is unloaded meanwhile.
+type adapterInTransit struct {
 	model, name string
 	// dropped is set once its model was unloaded.
 	dropped bool
@@ -23,9 +23,9 @@
 	return model + "/" + adapter
 }
 
-// inTransit reports whether an adapter is in transit. e.mu must be held.
-func (e *Endpoint) inTransit(model, name string) bool {
-	for _, a := range e.coming {
+// isInTransit reports whether an adapter is in transit. e.mu must be held.
+func (e *Endpoint) isInTransit(model, name string) bool {
+	for _, a := range e.inTransit {
 		if a.model == model && a.name == name {
 			return true
 		}
@@ -39,9 +39,9 @@
 		e.loaded[model][name] = true
 		return
 	}
-	a := &comingAdapter{model: model, name: name}
+	a := &adapterInTransit{model: model, name: name}
 	id := e.sequence
-	e.coming[id] = a
+	e.inTransit[id] = a
 	life := e.brittle.life
 	time.AfterFunc(e.config.AdapterTransit(), func() {
 		e.mu.Lock()
@@ -49,7 +49,7 @@
 		if life != e.brittle.life {
 			return
 		}
-		delete(e.coming, id)
+		delete(e.inTransit, id)
 		if !a.dropped {
 			e.loaded[model][name] = true
 		}
@@ -69,7 +69,7 @@
 		return
 	}
 	delete(e.loaded, model)
-	for _, a := range e.coming {
+	for _, a := range e.inTransit {
 		a.dropped = a.dropped || a.model == model
 	}
 }
--- a/internal/standin/site/brittle.go
+++ b/internal/standin/site/brittle.go
@@ -123,7 +123,7 @@
 	e.unloading = ""
 	clear(e.loaded)
 	clear(e.uses)
-	clear(e.coming)
+	clear(e.inTransit)
 	if e.config.StartMillis != 0 {
 		e.config.StartMillis++
 	}
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -132,8 +132,8 @@
 	// unloading is the key of what is unloaded once no request uses it. uses counts the requests by key.
 	unloading string
 	uses      map[string]int
-	// coming holds the adapters in transit by the sequence after their order.
-	coming map[int64]*comingAdapter
+	// inTransit holds the adapters in transit by the sequence after their order.
+	inTransit map[int64]*adapterInTransit
 	// history holds the recent states for reports.
 	history []pastReport
 	// sequence counts the orders that passed the fencing and conflict checks.
@@ -166,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Endpoint{Addr: netListener.Addr().String(), config: c, store: s, loaded: map[string]map[string]bool{}, diskCopies: map[string]bool{}, uses: map[string]int{}, coming: map[int64]*comingAdapter{}}
+	e := &Endpoint{Addr: netListener.Addr().String(), config: c, store: s, loaded: map[string]map[string]bool{}, diskCopies: map[string]bool{}, uses: map[string]int{}, inTransit: map[int64]*adapterInTransit{}}
 	for _, m := range c.LoadedModels {
 		e.loaded[m] = map[string]bool{}
 		e.diskCopies[m] = true
@@ -367,7 +367,7 @@
 // recordReport records the state for reports. e.mu must be held.
 func (e *Endpoint) recordReport() {
 	coming := []string{}
-	for _, a := range e.coming {
+	for _, a := range e.inTransit {
 		coming = append(coming, modelKey(a.model, a.name)+"@1")
 	}
 	_, isModel := e.model(e.unloading)
--- a/internal/standin/site/orders.go
+++ b/internal/standin/site/orders.go
@@ -74,7 +74,7 @@
 		return http.StatusConflict
 	case e.holdsAlready(load, m.Name, o.Adapter):
 		return http.StatusOK
-	case load && o.Adapter != "" && len(e.coming) >= maxAdaptersInTransit:
+	case load && o.Adapter != "" && len(e.inTransit) >= maxAdaptersInTransit:
 		return http.StatusConflict
 	}
 	e.sequence++
@@ -93,7 +93,7 @@
 	case adapter == "":
 		return (e.loaded[model] != nil) == load
 	case load:
-		return e.loaded[model][adapter] || e.inTransit(model, adapter)
+		return e.loaded[model][adapter] || e.isInTransit(model, adapter)
 	default:
 		return !e.loaded[model][adapter]
 	}
@@ -142,8 +142,8 @@
 // checkCapacity reports whether the loaded models and adapters exceed the capacity of the endpoint, and records it
 // as a violation. e.mu must be held.
 func (e *Endpoint) checkCapacity() bool {
-	sum, adapters := 0.0, len(e.coming)
-	for a := range maps.Values(e.coming) {
+	sum, adapters := 0.0, len(e.inTransit)
+	for a := range maps.Values(e.inTransit) {
 		m, _ := e.model(a.model)
 		sum += m.AdapterMB
 	}
--- a/pkg/orders/adaptertransit_test.go
+++ b/pkg/orders/adaptertransit_test.go
@@ -30,7 +30,7 @@
 			c := newController(e, 1, "x", "y")
 			steps(ctx, c, 600*time.Millisecond, fleet.DemandReport{Host: "h"})
 			steps(ctx, c, 200*time.Millisecond, adapters("x", "a1", "a2"))
-			is.Equal(len(e.transit.coming), 2)
+			is.Equal(len(e.transit.adapters), 2)
 			steps(ctx, c, 1200*time.Millisecond, rare("big", ""))
 			is.Equal(e.held(), []string{"big"})
 			if takeover {
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -22,9 +22,9 @@
 	// departing maps the adapters that were in transit when their model was unloaded to the sequence after the
 	// unload. They take slots until they have arrived.
 	departing map[adapterRef]int64
-	// refreshDue is set if a report may show that adapters no longer take slots.
+	// refreshDue is set if an adapter did not fit and a report may show that others have arrived.
 	refreshDue bool
-	// sizes holds the models that the configuration has listed, by name.
+	// sizes holds the models that the configuration has listed, by name, see modelSize.
 	sizes map[string]fleet.Model
 	// busy is set while a swap or a report request is in progress. incoming is the
 	// model of the swap until its load has started.
@@ -309,7 +309,7 @@
 	e := residency.Endpoint{
 		ID:         t.endpoint.ID,
 		Zone:       t.endpoint.Zone,
-		CapacityMB: engine.WeightsMB - t.unmodeled(now, engine).mb,
+		CapacityMB: engine.WeightsMB - t.otherUsage(now, engine).mb,
 		Copies:     make(map[string]residency.Tier, len(t.copies)),
 		Busy:       t.busy || !t.synced || now.Before(t.retryAt) || now.Before(t.busyUntil) || now.Before(t.loadsFrom),
 	}
--- a/pkg/orders/engine_adapters_test.go
+++ b/pkg/orders/engine_adapters_test.go
@@ -21,12 +21,12 @@
 	// sizes holds the sizes of the adapters of models in MB, where they differ from adapterMB.
 	sizes map[string]float64
 
-	coming []*comingAdapter
+	adapters []*adapterInTransit
 	// unloading is set while an adapter that is unloaded is still in use. The endpoint executes no other order.
 	unloading bool
 }
 
-type comingAdapter struct {
+type adapterInTransit struct {
 	model, name string
 	// dropped is set if the model was unloaded, so that the adapter is dropped when it arrives.
 	dropped bool
@@ -40,11 +40,11 @@
 }
 
 func (a *adapterTransit) contains(model, name string) bool {
-	return slices.ContainsFunc(a.coming, func(c *comingAdapter) bool { return c.model == model && c.name == name })
+	return slices.ContainsFunc(a.adapters, func(c *adapterInTransit) bool { return c.model == model && c.name == name })
 }
 
 func (a *adapterTransit) unloadModel(model string) {
-	for _, c := range a.coming {
+	for _, c := range a.adapters {
 		c.dropped = c.dropped || c.model == model
 	}
 }
@@ -58,7 +58,7 @@
 	switch {
 	case held == o.Load:
 		return orders.Done
-	case o.Load && len(e.transit.coming) >= maxInTransit:
+	case o.Load && len(e.transit.adapters) >= maxInTransit:
 		return orders.Conflict
 	}
 	e.sequence++
@@ -77,15 +77,15 @@
 		e.holds[o.Model][o.Adapter] = true
 		return
 	}
-	c := &comingAdapter{model: o.Model, name: o.Adapter}
-	e.transit.coming = append(e.transit.coming, c)
+	c := &adapterInTransit{model: o.Model, name: o.Adapter}
+	e.transit.adapters = append(e.transit.adapters, c)
 	time.AfterFunc(e.transit.duration(), func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if !slices.Contains(e.transit.coming, c) {
+		if !slices.Contains(e.transit.adapters, c) {
 			return // The endpoint has restarted.
 		}
-		e.transit.coming = slices.DeleteFunc(e.transit.coming, func(x *comingAdapter) bool { return x == c })
+		e.transit.adapters = slices.DeleteFunc(e.transit.adapters, func(x *adapterInTransit) bool { return x == c })
 		if !c.dropped {
 			e.holds[c.model][c.name] = true
 		}
--- a/pkg/orders/engine_test.go
+++ b/pkg/orders/engine_test.go
@@ -98,7 +98,7 @@
 		sum += e.weights[m] + e.transit.sizeMB(m)*float64(len(adapters))
 		slots += len(adapters)
 	}
-	for _, a := range e.transit.coming {
+	for _, a := range e.transit.adapters {
 		r.Loading = append(r.Loading, a.model+"/"+a.name+"@1")
 		sum += e.transit.sizeMB(a.model)
 		slots++
@@ -218,7 +218,7 @@
 	e.sequence = 0
 	e.fence = 0
 	e.drainedAt = time.Time{}
-	e.transit.coming, e.transit.unloading = nil, false
+	e.transit.adapters, e.transit.unloading = nil, false
 	e.history = nil
 	e.record()
 }
--- a/pkg/orders/usage.go
+++ b/pkg/orders/usage.go
@@ -28,7 +28,7 @@
 // usage returns what the models and adapters of the endpoint take, those of orders in progress included, and what is
 // reserved. mu must be held.
 func (t *endpointTracker) usage(now time.Time, engine *fleet.Engine) usage {
-	u := t.unmodeled(now, engine)
+	u := t.otherUsage(now, engine)
 	for name, r := range t.models {
 		u.adapters += len(r.adapters)
 		u.mb += t.memoryUse(engine, name, r)
@@ -36,9 +36,9 @@
 	return u
 }
 
-// unmodeled returns the usage apart from that of the endpoint's models: adapters in transit whose model was unloaded,
+// otherUsage returns the usage apart from that of the endpoint's models: adapters in transit whose model was unloaded,
 // and loads that were sent to a former incarnation. mu must be held.
-func (t *endpointTracker) unmodeled(now time.Time, engine *fleet.Engine) usage {
+func (t *endpointTracker) otherUsage(now time.Time, engine *fleet.Engine) usage {
 	u := t.unanswered.reserved(now, t.endpoint.ID, t.sequence)
 	for a := range t.departing {
 		u = u.plusAdapter(t.modelSize(engine, a.model))
