--- a/pkg/orders/refresh_inner_test.go
+++ b/pkg/orders/refresh_inner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -23,3 +24,18 @@
 	is.True(a1.arrived)
 	is.Equal(len(tracker.departing), 0)
 }
+
+// Guards against taking a report that is older than the last order for a restart, after which an endpoint may get no
+// loads for some time.
+func TestOldReportIsNoRestart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tracker := newEndpointTracker(fleet.View{Endpoint: fleet.Endpoint{ID: "e"}}, &unansweredLoads{})
+	tracker.sequence, tracker.lastOrder = 3, now
+	is.True(tracker.recordRestart(now.Add(reportLag), 2))
+	is.True(tracker.restartedAt.IsZero())
+	later := now.Add(time.Second)
+	is.True(tracker.recordRestart(later, 2))
+	is.Equal(tracker.restartedAt, later)
+	is.True(!tracker.recordRestart(later, 3))
+}
