--- a/pkg/links/peers_test.go
+++ b/pkg/links/peers_test.go
@@ -22,7 +22,7 @@
 	is.True(p.NoneLinked(at(2500), false))
 	is.True(p.NoneLinked(at(2600), true))
 	is.True(!p.NoneLinked(at(2700), false))
-	is.True(p.NoneLinked(at(5000), false)) // asked rarely
+	is.True(p.NoneLinked(at(5000), false))    // asked rarely
 	is.True(!p.NoneLinked(at(60_000), false)) // Nobody was asked in between.
 	is.True(p.NoneLinked(at(61_000), false))
 }
