--- a/pkg/gateway/fleetsim_test.go
+++ b/pkg/gateway/fleetsim_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -116,7 +115,7 @@
 	}
 	r.Known = target.mesh.isKnown(n.self.mesh.fingerprint)
 	responses := target.handlePeer(r)
-	return responses, n.net.transfer(ctx, target.Gateway, n.self, responseBytes(responses))
+	return responses, n.net.transfer(ctx, target.Gateway, n.self, responseBytes(responses, max(1, n.net.store.listWeight)))
 }
 
 // Sizes of parts of messages in bytes, about as encoded.
@@ -134,15 +133,16 @@
 	return simMessageBytes + simPlacementBytes*len(r.Pull.Demand.Needs)
 }
 
-func responseBytes(responses []peer.Response) int {
+// responseBytes returns the size of responses in which an entry of the list stands for listWeight endpoints.
+func responseBytes(responses []peer.Response, listWeight int) int {
 	sum := 0
 	for _, r := range responses {
 		sum += simMessageBytes
 		if n := r.Notice; n != nil {
-			sum += simHostEntryBytes*len(n.Hosts) + simPlacementBytes*len(n.Endpoints) + simEndpointBytes*len(n.ListEntries)
+			sum += simHostEntryBytes*len(n.Hosts) + listWeight*(simPlacementBytes*len(n.Endpoints)+simEndpointBytes*len(n.ListEntries))
 		}
 		if s := r.State; s != nil {
-			sum += len(s.Archive) + simEndpointBytes*len(s.Endpoints)
+			sum += listWeight * (len(s.Archive) + simEndpointBytes*len(s.Endpoints))
 		}
 	}
 	return sum
@@ -168,16 +168,45 @@
 
 // newFleetSim returns a simulation with a configuration and a list of endpoints.
 func newFleetSim(endpoints int) *fleetSim {
-	f := &fleetSim{store: newRateStore(), byAddr: map[string]*simHost{}, egress: map[string]time.Time{}}
+	f := newEmptyFleetSim(1)
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
-	f.store.topic(fleet.TopicConfig).append("config", make([]byte, 60_000))
 	for i := range endpoints {
-		f.store.topic(fleet.TopicEndpoints).append(fmt.Sprint("e", i), []byte(strings.Repeat(fmt.Sprint("field", i), simEndpointBytes/8)))
+		f.store.registerEndpoint(i)
 	}
 	return f
 }
 
+// newEmptyFleetSim returns a simulation with a configuration and no endpoints. An entry of the list
+// stands for listWeight endpoints at the store and on links, so that the memory of many hosts suffices.
+func newEmptyFleetSim(listWeight int) *fleetSim {
+	f := &fleetSim{store: newRateStore(), byAddr: map[string]*simHost{}, egress: map[string]time.Time{}}
+	f.store.listWeight = listWeight
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.topic(fleet.TopicConfig).append("config", make([]byte, 60_000))
+	return f
+}
+
+// runEndpoints writes the entries of endpoints that start within a time, and their heartbeats, until ctx
+// is done.
+func (f *fleetSim) runEndpoints(ctx context.Context, endpoints int, within, heartbeat time.Duration) {
+	for round := 0; ; round++ {
+		interval := heartbeat
+		if round == 0 {
+			interval = within
+		}
+		for i := range endpoints {
+			if sleep(ctx, interval/time.Duration(endpoints)) != nil {
+				return
+			}
+			f.store.mu.Lock()
+			f.store.registerEndpoint(i)
+			f.store.mu.Unlock()
+		}
+	}
+}
+
 // start starts an incarnation of the host with a number.
 func (f *fleetSim) start(ctx context.Context, number int) *simHost {
 	name := fmt.Sprint("h", number)
--- a/pkg/gateway/fleetstart_test.go
+++ b/pkg/gateway/fleetstart_test.go
@@ -10,9 +10,16 @@
 	"time"
 )
 
-// startHosts returns the numbers of hosts to start. SIM_HOSTS adds one, for runs by hand.
+// fleetHosts is the number of hosts of the largest known deployment.
+const fleetHosts = 985
+
+// startHosts returns the numbers of hosts to start. SIM_HOSTS replaces them, for runs by hand. The race
+// detector takes minutes for large numbers.
 func startHosts(t *testing.T) []int {
 	hosts := []int{6, 60}
+	if !raceEnabled {
+		hosts = append(hosts, 300, fleetHosts)
+	}
 	if v := os.Getenv("SIM_HOSTS"); v != "" {
 		n, err := strconv.Atoi(v)
 		if err != nil {
@@ -23,8 +30,8 @@
 	return hosts
 }
 
-// Guards against a fleet that does not come up when all hosts start at once, or again after all were
-// killed, because together they ask more of the store and of each other than these can answer.
+// Guards against a fleet that does not come up when all hosts and endpoints start at once, or again after
+// all hosts were killed, because together they ask more of the store and of each other than these can answer.
 func TestAllHostsStartAtOnce(t *testing.T) {
 	const (
 		endpointsPerHost = 10
@@ -33,6 +40,11 @@
 		maxCallsPerHost  = 5
 		// minCalls allows for the calls of the hosts that read everything.
 		minCalls = 500
+		// Endpoints register while the hosts start.
+		endpointsStartWithin = 2 * time.Second
+		heartbeatInterval    = 5 * time.Second
+		// maxSimEndpoints bounds the entries of the list, which each host keeps.
+		maxSimEndpoints = 600
 	)
 	for _, hosts := range startHosts(t) {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
@@ -42,8 +54,10 @@
 					cancel()
 					time.Sleep(time.Minute) // All loops end before the bubble does.
 				}()
-				endpoints := endpointsPerHost * hosts
-				f := newFleetSim(endpoints)
+				listWeight := (endpointsPerHost*hosts + maxSimEndpoints - 1) / maxSimEndpoints
+				endpoints := endpointsPerHost * hosts / listWeight
+				f := newEmptyFleetSim(listWeight)
+				go f.runEndpoints(ctx, endpoints, endpointsStartWithin, heartbeatInterval)
 				run := func(what string, limit time.Duration) []*simHost {
 					begin := time.Now()
 					calls, read := f.store.totalCalls(), f.store.readBytes
@@ -55,7 +69,7 @@
 					}
 					took := time.Since(begin)
 					made := f.store.totalCalls() - calls
-					t.Logf("%s of %d hosts: %v, %d calls, %.1f MB read, %d refused, %v", what, hosts, took, made, float64(f.store.readBytes-read)/1e6, f.refused, f.store.calls)
+					t.Logf("%s of %d hosts: %v, %d calls, %.1f MB read, %d reads rejected, %d messages refused, %v", what, hosts, took, made, float64(f.store.readBytes-read)/1e6, f.store.rejected, f.refused, f.store.calls)
 					if n > 0 || took > limit {
 						t.Errorf("%s of %d hosts: %d not ready after %v, want all within %v; %s", what, hosts, n, took, limit, first)
 					}
--- a/pkg/gateway/ratestore_test.go
+++ b/pkg/gateway/ratestore_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +20,10 @@
 	readsDone time.Time
 	calls     map[string]int
 	readBytes int
+	// rejected is the number of reads that were rejected because of the queue.
+	rejected int
+	// listWeight is the number of endpoints that an entry of the list stands for, 0 for one.
+	listWeight int
 	// fault decides the fault of a call that begins now; nil means none.
 	fault func() storeFault
 }
@@ -37,6 +43,7 @@
 	storeMaxQueue       = 2 * time.Second
 	storeBytesPerSecond = 80e6
 	storePageItems      = 500
+	storeMaxReadBytes   = 1 << 20
 	// storeEncoding is by how much a listing is larger than its entries.
 	storeEncoding = 1.4
 )
@@ -64,6 +71,19 @@
 	return e.Offset
 }
 
+// weight returns the number of records that an entry of a topic stands for. s.mu must be held.
+func (s *rateStore) weight(t fleet.Topic) int {
+	if t == fleet.TopicEndpoints {
+		return max(1, s.listWeight)
+	}
+	return 1
+}
+
+// registerEndpoint writes the entry of an endpoint. s.mu must be held.
+func (s *rateStore) registerEndpoint(number int) {
+	s.topic(fleet.TopicEndpoints).append(fmt.Sprint("e", number), []byte(strings.Repeat(fmt.Sprint("field", number), simEndpointBytes/8)))
+}
+
 func (s *rateStore) count(call string, t fleet.Topic) {
 	s.calls[call+" "+t.String()]++
 }
@@ -115,13 +135,19 @@
 }
 
 // respond blocks until a response of some bytes has been sent. Its bytes are sent even if the caller
-// gives up.
+// gives up. A response that would wait for longer than storeMaxQueue is replaced by a rejection.
 func (s *rateStore) respond(ctx context.Context, bytes int) error {
 	s.mu.Lock()
 	now := time.Now()
 	if s.readsDone.Before(now) {
 		s.readsDone = now
 	}
+	if s.readsDone.Sub(now) > storeMaxQueue {
+		s.rejected++
+		s.mu.Unlock()
+		_ = sleep(ctx, storeLatency)
+		return fleet.ErrStoreRejected
+	}
 	s.readsDone = s.readsDone.Add(time.Duration(float64(bytes) / storeBytesPerSecond * float64(time.Second)))
 	s.readBytes += bytes
 	done := s.readsDone.Sub(now)
@@ -157,12 +183,14 @@
 		first++
 	}
 	keys = keys[first:]
-	more := len(keys) > storePageItems
-	for _, k := range keys[:min(len(keys), storePageItems)] {
+	weight := s.weight(t)
+	limit := max(1, storePageItems/weight)
+	more := len(keys) > limit
+	for _, k := range keys[:min(len(keys), limit)] {
 		b.Entries = append(b.Entries, x.newest[k])
 	}
 	s.mu.Unlock()
-	return b, more, s.respond(ctx, int(storeEncoding*float64(entryBytes(b.Entries))))
+	return b, more, s.respond(ctx, int(storeEncoding*float64(weight*entryBytes(b.Entries))))
 }
 
 func (s *rateStore) Newest(ctx context.Context, t fleet.Topic) (fleet.Batch, error) {
@@ -197,12 +225,16 @@
 		timer.Stop()
 		s.mu.Lock()
 	}
-	b := fleet.Batch{Next: max(from, fleet.Position(len(x.log)))}
-	if int(from) < len(x.log) {
-		b.Entries = slices.Clone(x.log[from:])
+	b := fleet.Batch{Next: from}
+	bytes := 0
+	for int(b.Next) < len(x.log) && bytes < storeMaxReadBytes {
+		e := x.log[b.Next]
+		b.Entries = append(b.Entries, e)
+		bytes += s.weight(t) * (len(e.Key) + len(e.Value))
+		b.Next++
 	}
 	s.mu.Unlock()
-	return b, s.respond(ctx, entryBytes(b.Entries))
+	return b, s.respond(ctx, bytes)
 }
 
 // totalCalls returns the number of calls.
