Gateway: a listing does not replace entries that are newer than it

Callers: endpoints that a part of the hosts never used, and, worse, an entry of before a draining passed on. Cause: a host that lists the endpoints while others tell it of new ones kept these in its directory but dropped them from the entries that it passes on, since a listing replaced those as a whole. Change: an entry is replaced only by one that is newer, and kept if the listing ended before it.

--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -108,14 +108,25 @@
 	return c.endpointBytes
 }
 
+// endpointEntryBytes returns the mean size of an endpoint's entry.
+func (c *entryCache) endpointEntryBytes() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.endpointBytes) / float64(max(1, len(c.endpoints)))
+}
+
 // replaceEndpoints replaces the list entries by those of a complete listing that ends before the
-// position next. Entries that it lacks are kept as removals, for the hosts that learn of changes from
-// this one.
+// position next, unless newer ones are known. Entries that it lacks are kept as removals, for the hosts
+// that learn of changes from this one.
 func (c *entryCache) replaceEndpoints(listed map[string]fleet.Entry, next fleet.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, old := range c.endpoints {
-		if _, ok := listed[key]; !ok && old.Offset < next {
+		e, ok := listed[key]
+		switch {
+		case ok && e.Offset < old.Offset, !ok && old.Offset >= next:
+			listed[key] = old
+		case !ok:
 			listed[key] = fleet.Entry{Key: key, Offset: next.Previous()}
 		}
 	}
