--- a/pkg/gateway/list_inner_test.go
+++ b/pkg/gateway/list_inner_test.go
@@ -95,3 +95,26 @@
 	is.True(sent*size >= bytesPerSecond*int(span.Seconds()-1))
 	is.True(built <= int(span/maxArchiveAge)+1)
 }
+
+// Guards against hosts that never learn of some endpoints, because an entry that another host passed on
+// before it had read all earlier ones made their list seem complete.
+func TestEntriesBeyondReadPositionAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	entry := func(key string, offset fleet.Position) fleet.Entry {
+		return fleet.Entry{Key: key, Offset: offset, Value: []byte("ready")}
+	}
+	sender, receiver := listHost(time.Minute), listHost(time.Minute)
+	// The later page of a listing holds d, which registered after the first page was read, but the page
+	// that was to hold c was read before c registered.
+	sender.replaceEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("a", 0), entry("b", 1), entry("d", 3)}, Next: 2})
+	sender.storeReads.SetLoaded(fleet.TopicEndpoints)
+	is.Equal(len(stateEntries(t, sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset}))), 2)
+	is.Equal(sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: 1})[0].Endpoints, []fleet.Entry{entry("b", 1)})
+	n := sender.withListChanges(sender.Now(), fleet.Notice{}, 0, fleet.NoPosition)
+	is.Equal(n.ListEntries, []fleet.Entry{entry("b", 1)})
+	is.Equal(n.ListChange, fleet.Position(1))
+	receiver.applyEndpoints(fleet.Batch{Entries: stateEntries(t, sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset}))})
+	is.Equal(receiver.directory.Offset(), fleet.Position(2))
+	sender.applyEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("c", 2), entry("d", 3)}, Next: 4})
+	is.Equal(len(sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: receiver.directory.Offset()})[0].Endpoints), 2)
+}
