Gateway: entries that a host has not read up to are not passed on

Callers: endpoints that a part of the hosts never used, and changes of an endpoint that they took for known. Cause: a listing comes in pages, so that its later pages hold entries beyond the position to read on from. Passed on, they made their receivers' lists seem complete up to them. Change: hosts pass on entries, and state changes of the list, only up to the position that they have read.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -92,12 +92,16 @@
 func (g *Gateway) withListChanges(now time.Time, n fleet.Notice, since, change fleet.Position) fleet.Notice {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
+	next := g.directory.Offset()
 	change = max(change, g.directory.RoutingOffset())
+	if next > 0 {
+		change = min(change, next.Previous()) // The rest is not complete yet.
+	}
 	n.ListSince = since
 	n.ListChange = change
 	n.ListAge = min(g.listViewAge(now), time.Hour).Milliseconds()
 	if since != fleet.NoPosition && change > since {
-		n.ListEntries = g.fitToLink(g.cache.endpointEntries(g.directory.RoutingChangesSince(since)))
+		n.ListEntries = g.fitToLink(g.cache.endpointEntries(g.directory.RoutingChangesSince(since), next))
 	}
 	era, _ := g.era.current()
 	n.StoreEra = max(0, era)
--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 
@@ -147,20 +146,26 @@
 	}
 }
 
-// allEndpoints returns the entries of all endpoints.
-func (c *entryCache) allEndpoints() []fleet.Entry {
+// allEndpoints returns the entries of all endpoints before a position.
+func (c *entryCache) allEndpoints(before fleet.Position) []fleet.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Collect(maps.Values(c.endpoints))
+	out := make([]fleet.Entry, 0, len(c.endpoints))
+	for _, e := range c.endpoints {
+		if e.Offset < before {
+			out = append(out, e)
+		}
+	}
+	return out
 }
 
-// endpointEntries returns the newest entries of endpoints.
-func (c *entryCache) endpointEntries(ids []fleet.EndpointID) []fleet.Entry {
+// endpointEntries returns the newest entries of endpoints that stand before a position.
+func (c *entryCache) endpointEntries(ids []fleet.EndpointID, before fleet.Position) []fleet.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []fleet.Entry
 	for _, id := range ids {
-		if e, ok := c.endpoints[id.Name()]; ok {
+		if e, ok := c.endpoints[id.Name()]; ok && e.Offset < before {
 			out = append(out, e)
 		}
 	}
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -46,11 +46,13 @@
 
 // listChanges returns the entries of the list that changed at or after a position, and the position
 // up to which they are complete. Heartbeats are left out: a host that has the endpoint does not need
-// them.
+// them. So are the entries at and after that position, which a listing may hold: their receiver would
+// take its list for complete up to them.
 func (g *Gateway) listChanges(from fleet.Position) ([]fleet.Entry, fleet.Position) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
-	return g.cache.endpointEntries(g.directory.RoutingChangesSince(from - 1)), g.directory.Offset()
+	next := g.directory.Offset()
+	return g.cache.endpointEntries(g.directory.RoutingChangesSince(from-1), next), next
 }
 
 // configNewerThan returns the entry of the configuration in force if it is newer than a version.
@@ -69,7 +71,8 @@
 func (g *Gateway) listEntries() ([]fleet.Entry, fleet.Position) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
-	return g.cache.allEndpoints(), g.directory.Offset()
+	next := g.directory.Offset()
+	return g.cache.allEndpoints(next), next
 }
 
 // minStateRequestInterval is the minimum interval between two state requests.
