Gateway: a list counts as complete only up to where its sender has read it

Callers: endpoints that a part of the hosts never used. Change: senders pass on all entries with the position up to which they are complete, and receivers do not advance beyond it. The test is replaced by one that is as strict, for the whole list, changes and notices, and that also asks that endpoints known ahead are used at once.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -91,6 +91,20 @@
 	d.apply(now, offset, e)
 }
 
+// ApplyAhead is like Apply for an entry that this host knows before it knows all earlier ones.
+func (d *Directory) ApplyAhead(now time.Time, offset Position, e Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(now, offset, e)
+}
+
+// Advance records that the list is complete up to a position.
+func (d *Directory) Advance(next Position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nextOffset = max(d.nextOffset, next)
+}
+
 func (d *Directory) apply(now time.Time, offset Position, e Endpoint) {
 	if e.Unreadable || e.ID.StartMillis() < d.current[e.ID.Name()].StartMillis() && e.ID.StartMillis() == 0 {
 		d.markUnreadable(now, offset, e.ID.Name())
@@ -171,6 +185,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextOffset = max(d.nextOffset, offset+1)
+	d.removeByID(now, offset, id)
+}
+
+// RemoveAhead is like Remove for an entry that this host knows before it knows all earlier ones.
+func (d *Directory) RemoveAhead(now time.Time, offset Position, id EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.removeByID(now, offset, id)
+}
+
+func (d *Directory) removeByID(now time.Time, offset Position, id EndpointID) {
 	if e := d.entries[d.current[id.Name()]]; e != nil && e.offset < offset {
 		d.remove(now, offset, e)
 	}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -101,7 +101,7 @@
 	n.ListChange = change
 	n.ListAge = min(g.listViewAge(now), time.Hour).Milliseconds()
 	if since != fleet.NoPosition && change > since {
-		n.ListEntries = g.fitToLink(g.cache.endpointEntries(g.directory.RoutingChangesSince(since), next))
+		n.ListEntries = g.fitToLink(g.cache.endpointEntries(g.directory.RoutingChangesSince(since)))
 	}
 	era, _ := g.era.current()
 	n.StoreEra = max(0, era)
--- a/pkg/gateway/entrycache.go
+++ b/pkg/gateway/entrycache.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 
@@ -146,26 +147,20 @@
 	}
 }
 
-// allEndpoints returns the entries of all endpoints before a position.
-func (c *entryCache) allEndpoints(before fleet.Position) []fleet.Entry {
+// allEndpoints returns the entries of all endpoints.
+func (c *entryCache) allEndpoints() []fleet.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]fleet.Entry, 0, len(c.endpoints))
-	for _, e := range c.endpoints {
-		if e.Offset < before {
-			out = append(out, e)
-		}
-	}
-	return out
+	return slices.Collect(maps.Values(c.endpoints))
 }
 
-// endpointEntries returns the newest entries of endpoints that stand before a position.
-func (c *entryCache) endpointEntries(ids []fleet.EndpointID, before fleet.Position) []fleet.Entry {
+// endpointEntries returns the newest entries of endpoints.
+func (c *entryCache) endpointEntries(ids []fleet.EndpointID) []fleet.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []fleet.Entry
 	for _, id := range ids {
-		if e, ok := c.endpoints[id.Name()]; ok && e.Offset < before {
+		if e, ok := c.endpoints[id.Name()]; ok {
 			out = append(out, e)
 		}
 	}
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -269,21 +269,27 @@
 	g.endpointsChanged()
 }
 
+// updateDirectory applies entries of the list, which is complete up to b.Next then, if that is set.
 func (g *Gateway) updateDirectory(b fleet.Batch) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
 	now := g.Now()
 	for _, entry := range b.Entries {
+		apply, remove := g.directory.Apply, g.directory.Remove
+		if b.Next > 0 && entry.Offset >= b.Next {
+			apply, remove = g.directory.ApplyAhead, g.directory.RemoveAhead
+		}
 		if len(entry.Value) == 0 {
 			g.log.Info("endpoint removed from the list", "endpoint", entry.Key, "offset", entry.Offset)
-			g.directory.Remove(now, entry.Offset, fleet.NewEndpointID(entry.Key, 0))
+			remove(now, entry.Offset, fleet.NewEndpointID(entry.Key, 0))
 			g.cache.addEndpoint(entry)
 			continue
 		}
 		e := g.decodeEndpoint(entry)
-		g.directory.Apply(now, entry.Offset, e)
+		apply(now, entry.Offset, e)
 		g.cache.addEndpoint(g.relayedEntry(entry, e))
 	}
+	g.directory.Advance(b.Next)
 }
 
 // relayedEntry returns the entry to pass on to other hosts. After a restore, the older copy of the store
--- a/pkg/gateway/list_inner_test.go
+++ b/pkg/gateway/list_inner_test.go
@@ -98,23 +98,42 @@
 
 // Guards against hosts that never learn of some endpoints, because an entry that another host passed on
 // before it had read all earlier ones made their list seem complete.
-func TestEntriesBeyondReadPositionAreNotPassedOn(t *testing.T) {
-	is := is.New(t)
+func TestEntriesBeyondReadPositionDoNotCompleteList(t *testing.T) {
 	entry := func(key string, offset fleet.Position) fleet.Entry {
 		return fleet.Entry{Key: key, Offset: offset, Value: []byte("ready")}
 	}
-	sender, receiver := listHost(time.Minute), listHost(time.Minute)
-	// The later page of a listing holds d, which registered after the first page was read, but the page
-	// that was to hold c was read before c registered.
-	sender.replaceEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("a", 0), entry("b", 1), entry("d", 3)}, Next: 2})
-	sender.storeReads.SetLoaded(fleet.TopicEndpoints)
-	is.Equal(len(stateEntries(t, sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset}))), 2)
-	is.Equal(sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: 1})[0].Endpoints, []fleet.Entry{entry("b", 1)})
-	n := sender.withListChanges(sender.Now(), fleet.Notice{}, 0, fleet.NoPosition)
-	is.Equal(n.ListEntries, []fleet.Entry{entry("b", 1)})
-	is.Equal(n.ListChange, fleet.Position(1))
-	receiver.applyEndpoints(fleet.Batch{Entries: stateEntries(t, sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset}))})
-	is.Equal(receiver.directory.Offset(), fleet.Position(2))
-	sender.applyEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("c", 2), entry("d", 3)}, Next: 4})
-	is.Equal(len(sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: receiver.directory.Offset()})[0].Endpoints), 2)
+	for _, c := range []struct {
+		name string
+		send func(t *testing.T, from, to *Gateway)
+	}{
+		{"whole list", func(t *testing.T, from, to *Gateway) {
+			responses := from.respondToStateRequest(peer.StateRequest{EndpointsFrom: fullStateOffset})
+			to.applyEndpoints(fleet.Batch{Entries: stateEntries(t, responses), Next: responses[0].EndpointsNext})
+		}},
+		{"changes", func(t *testing.T, from, to *Gateway) {
+			first := from.respondToStateRequest(peer.StateRequest{EndpointsFrom: 1})[0]
+			to.applyEndpoints(fleet.Batch{Entries: first.Endpoints, Next: first.EndpointsNext})
+		}},
+		{"notice", func(_ *testing.T, from, to *Gateway) {
+			to.applyListNotice(to.Now(), from.withListChanges(from.Now(), fleet.Notice{}, to.directory.Offset()-1, from.directory.RoutingOffset()))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sender, receiver := listHost(time.Minute), listHost(time.Minute)
+			receiver.applyEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("a", 0)}, Next: 1})
+			// The later page of a listing holds d, which registered after the first page was read, and a
+			// newer heartbeat of a, but the page that was to hold c was read before c registered.
+			sender.replaceEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("a", 4), entry("b", 1), entry("d", 3)}, Next: 2})
+			sender.storeReads.SetLoaded(fleet.TopicEndpoints)
+			c.send(t, sender, receiver)
+			is.Equal(receiver.directory.Offset(), fleet.Position(2))
+			is.Equal(len(receiver.directory.Live(receiver.Now())), 3) // a, b and d are used already
+			sender.applyEndpoints(fleet.Batch{Entries: []fleet.Entry{entry("c", 2), entry("d", 3), entry("a", 4)}, Next: 5})
+			is.Equal(sender.directory.Offset(), fleet.Position(5))
+			first := sender.respondToStateRequest(peer.StateRequest{EndpointsFrom: receiver.directory.Offset()})[0]
+			receiver.applyEndpoints(fleet.Batch{Entries: first.Endpoints, Next: first.EndpointsNext})
+			is.Equal(len(receiver.directory.Live(receiver.Now())), 4)
+		})
+	}
 }
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -118,7 +118,7 @@
 		g.observeEra(restored, n.StoreEra)
 	}
 	if len(n.ListEntries) > 0 && g.directory.Offset() > n.ListSince {
-		g.applyEndpoints(fleet.Batch{Entries: n.ListEntries})
+		g.applyEndpoints(fleet.Batch{Entries: n.ListEntries, Next: n.ListChange + 1})
 	}
 	if era, _ := g.era.current(); n.StoreEra < era {
 		return // The sender does not know of the restore that this host's list may come from.
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -46,13 +46,11 @@
 
 // listChanges returns the entries of the list that changed at or after a position, and the position
 // up to which they are complete. Heartbeats are left out: a host that has the endpoint does not need
-// them. So are the entries at and after that position, which a listing may hold: their receiver would
-// take its list for complete up to them.
+// them. There may be entries after that position, since a listing holds some of them.
 func (g *Gateway) listChanges(from fleet.Position) ([]fleet.Entry, fleet.Position) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
-	next := g.directory.Offset()
-	return g.cache.endpointEntries(g.directory.RoutingChangesSince(from-1), next), next
+	return g.cache.endpointEntries(g.directory.RoutingChangesSince(from - 1)), g.directory.Offset()
 }
 
 // configNewerThan returns the entry of the configuration in force if it is newer than a version.
@@ -71,8 +69,7 @@
 func (g *Gateway) listEntries() ([]fleet.Entry, fleet.Position) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
-	next := g.directory.Offset()
-	return g.cache.allEndpoints(next), next
+	return g.cache.allEndpoints(), g.directory.Offset()
 }
 
 // minStateRequestInterval is the minimum interval between two state requests.
