Gateway: what starting hosts read of the store is bounded whatever their number

Callers: hosts that served by a configuration and list of seconds ago (CONFIG, DRAIN), or that were never ready. Cause: with a host whose first read failed, for whatever reason, read configuration and list besides and repeated all reads at 0.6 s at most; each took as much of the store as a successful one. The first page of the list is short while endpoints still register, so that hosts believed that it was the whole list and went on to read its log, up to 1 MiB a read, each. From a first overload on, the retries kept the store overloaded. Change: only lost connections, no sign of overload, make a host read for itself. A starting host first learns from the extent of the hosts' topic how many start beside it, and spreads its page of hosts over the time in which the store answers all of them at two thirds of its rate; a sign of overload makes that time double without a cap. After a read that failed otherwise, a follower pauses for as long as all hosts together need; after a rejection all reads of a host pause. Hosts that wait for relays no longer read the hosts' log meanwhile. pkg/readbudget holds these decisions, without I/O.

--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -92,6 +92,9 @@
 	// Read returns the entries from a position on. If there are none, it blocks for up to wait. It
 	// returns ErrStoreRestored if the position is of an older era than the store's.
 	Read(ctx context.Context, t Topic, from Position, wait time.Duration) (Batch, error)
+	// Extent returns the first position of a topic that can still be read and the position after the
+	// last entry, or a lower bound of it. Its cost does not depend on the number of entries.
+	Extent(ctx context.Context, t Topic) (first, end Position, err error)
 	// Put appends an entry and returns its position. Unless at is AnyOffset, the append succeeds
 	// only at that position.
 	Put(ctx context.Context, t Topic, key string, value []byte, at Position) (Position, error)
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -82,6 +82,10 @@
 	return fleet.Batch{}, ctx.Err()
 }
 
+func (s *store) Extent(ctx context.Context, t fleet.Topic) (first, end fleet.Position, err error) {
+	return 0, 0, s.call(ctx, t)
+}
+
 func (s *store) Put(ctx context.Context, t fleet.Topic, _ string, _ []byte, _ fleet.Position) (fleet.Position, error) {
 	return 0, s.call(ctx, t)
 }
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -51,8 +51,8 @@
 	// MinWakePause is the minimum pause before Wake may end it, so that frequent wakes do not
 	// cause a read each.
 	MinWakePause time.Duration
-	// MinFailurePause returns the minimum pause after a failed read; nil means no minimum.
-	MinFailurePause func() time.Duration
+	// MinFailurePause returns the minimum pause after a read that failed with err; nil means no minimum.
+	MinFailurePause func(err error) time.Duration
 	// Relayed reports whether another host relays the topic. It is then read only every
 	// relayedPollInterval, to correct errors of the relay. It may be nil.
 	Relayed func() bool
@@ -113,7 +113,7 @@
 				f.Failed(ctx)
 			}
 			if f.MinFailurePause != nil {
-				f.pauseUntilRestored(ctx, max(backoff, f.MinFailurePause()))
+				f.pauseUntilRestored(ctx, max(backoff, f.MinFailurePause(err)))
 			} else {
 				f.pauseUntilRestored(ctx, backoff)
 			}
--- a/pkg/follow/rate_limited_store.go
+++ b/pkg/follow/rate_limited_store.go
@@ -27,8 +27,12 @@
 	Store fleet.Store
 	// OnCall, if not nil, is called before each call.
 	OnCall func(fleet.Topic)
+	// MaxPause returns the bound on the pause after rejected reads; nil means defaultMaxPause.
+	MaxPause func() time.Duration
 
 	mu sync.Mutex
+	// overload holds reads back after rejections.
+	overload overloadPause
 	// tokens is the number of available tokens at the time asOf.
 	tokens float64
 	asOf   time.Time
@@ -41,29 +45,46 @@
 
 // Newest implements fleet.Store.
 func (c *RateLimitedStore) Newest(ctx context.Context, t fleet.Topic) (fleet.Batch, error) {
-	if err := c.acquire(ctx, writeReserve); err != nil {
+	began, err := c.beginRead(ctx, t)
+	if err != nil {
 		return fleet.Batch{}, err
 	}
-	c.count(t)
-	return c.Store.Newest(ctx, t)
+	b, err := c.Store.Newest(ctx, t)
+	c.endRead(began, err)
+	return b, err
 }
 
 // Page implements fleet.Store.
 func (c *RateLimitedStore) Page(ctx context.Context, t fleet.Topic, after string) (fleet.Batch, bool, error) {
-	if err := c.acquire(ctx, writeReserve); err != nil {
+	began, err := c.beginRead(ctx, t)
+	if err != nil {
 		return fleet.Batch{}, false, err
 	}
-	c.count(t)
-	return c.Store.Page(ctx, t, after)
+	b, more, err := c.Store.Page(ctx, t, after)
+	c.endRead(began, err)
+	return b, more, err
 }
 
 // Read implements fleet.Store.
 func (c *RateLimitedStore) Read(ctx context.Context, t fleet.Topic, from fleet.Position, wait time.Duration) (fleet.Batch, error) {
-	if err := c.acquire(ctx, writeReserve); err != nil {
+	began, err := c.beginRead(ctx, t)
+	if err != nil {
 		return fleet.Batch{}, err
 	}
-	c.count(t)
-	return c.Store.Read(ctx, t, from, wait)
+	b, err := c.Store.Read(ctx, t, from, wait)
+	c.endRead(began, err)
+	return b, err
+}
+
+// Extent implements fleet.Store.
+func (c *RateLimitedStore) Extent(ctx context.Context, t fleet.Topic) (first, end fleet.Position, err error) {
+	began, err := c.beginRead(ctx, t)
+	if err != nil {
+		return 0, 0, err
+	}
+	first, end, err = c.Store.Extent(ctx, t)
+	c.endRead(began, err)
+	return first, end, err
 }
 
 // Put implements fleet.Store.
@@ -75,6 +96,40 @@
 	return c.Store.Put(ctx, t, key, value, at)
 }
 
+// beginRead blocks until a read may begin, and returns when it does.
+func (c *RateLimitedStore) beginRead(ctx context.Context, t fleet.Topic) (began time.Time, err error) {
+	for {
+		if err := c.acquire(ctx, writeReserve); err != nil {
+			return time.Time{}, err
+		}
+		now := time.Now()
+		c.mu.Lock()
+		d := c.overload.remaining(now)
+		if d > 0 {
+			c.tokens++ // Returned: the read does not begin yet.
+		}
+		c.mu.Unlock()
+		if d == 0 {
+			c.count(t)
+			return now, nil
+		}
+		if !wait.For(ctx, d) {
+			return time.Time{}, ctx.Err()
+		}
+	}
+}
+
+// endRead records the result of a read.
+func (c *RateLimitedStore) endRead(began time.Time, err error) {
+	limit := defaultMaxPause
+	if c.MaxPause != nil {
+		limit = c.MaxPause()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.overload.record(time.Now(), began, err, limit)
+}
+
 func (c *RateLimitedStore) count(t fleet.Topic) {
 	if c.OnCall != nil {
 		c.OnCall(t)
--- a/pkg/gateway/fleetsim_test.go
+++ b/pkg/gateway/fleetsim_test.go
@@ -124,6 +124,8 @@
 	simHostEntryBytes = 230
 	simPlacementBytes = 60
 	simEndpointBytes  = 300
+	// simCompression is by how much entries of the list shrink in a message.
+	simCompression = 4
 )
 
 func requestBytes(r peer.Request) int {
@@ -139,10 +141,10 @@
 	for _, r := range responses {
 		sum += simMessageBytes
 		if n := r.Notice; n != nil {
-			sum += simHostEntryBytes*len(n.Hosts) + listWeight*(simPlacementBytes*len(n.Endpoints)+simEndpointBytes*len(n.ListEntries))
+			sum += simHostEntryBytes*len(n.Hosts) + listWeight*(simPlacementBytes*len(n.Endpoints)+simEndpointBytes/simCompression*len(n.ListEntries))
 		}
 		if s := r.State; s != nil {
-			sum += listWeight * (len(s.Archive) + simEndpointBytes*len(s.Endpoints))
+			sum += len(s.Archive) + listWeight*simEndpointBytes/simCompression*len(s.Endpoints)
 		}
 	}
 	return sum
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -65,6 +65,8 @@
 		Reset:   g.withEra(t, reset),
 		Apply:   g.withEra(t, apply),
 		Result:  func(err error) { g.recordStoreResult(t, err) },
+
+		MinFailurePause: func(err error) time.Duration { return g.minFailurePause(t, err) },
 	}
 }
 
@@ -130,13 +132,20 @@
 	f.Wait = 0
 	f.Relayed = nil
 	f.Pause = g.listPollInterval
-	f.MinFailurePause = g.leafListPollInterval
+	f.MinFailurePause = func(err error) time.Duration {
+		return max(g.leafListPollInterval(), g.minFailurePause(fleet.TopicEndpoints, err))
+	}
 	f.Wake = g.listReadNow
-	f.MinWakePause = g.settings.Timing.Drain / listWakeDrainDivisor
+	f.MinWakePause = g.minListReadInterval()
 	f.Failed = g.fetchState
 	f.Run(ctx)
 }
 
+// minListReadInterval returns the minimum interval between reads of the list that notices trigger.
+func (g *Gateway) minListReadInterval() time.Duration {
+	return g.settings.Timing.Drain / listWakeDrainDivisor
+}
+
 // listPollInterval returns the pause between two reads of the list of endpoints.
 func (g *Gateway) listPollInterval() time.Duration {
 	if g.election.HeldToken() != 0 {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -204,6 +204,7 @@
 	}
 	store := follow.NewRateLimitedStore(cfg.Store)
 	store.OnCall = func(t fleet.Topic) { g.metrics.count("store_calls", map[string]string{"topic": t.String()}) }
+	store.MaxPause = g.maxOverloadPause
 	g.store = store
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
--- a/pkg/gateway/hosts.go
+++ b/pkg/gateway/hosts.go
@@ -9,6 +9,7 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/readbudget"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -22,7 +23,7 @@
 	// writes its entry again after a restore of the store.
 	hostRewriteDelayPerHost = 5 * time.Millisecond
 	// storeRetryDelay is the delay after a failed write. It doubles with each further failure up
-	// to maxStoreRetryDelay, unless the connection was lost (see startRetry).
+	// to maxStoreRetryDelay, unless the connection was lost (see readbudget.Retry).
 	storeRetryDelay    = 250 * time.Millisecond
 	maxStoreRetryDelay = 2 * time.Second
 )
@@ -60,20 +61,20 @@
 		g.log.Error("encoding host entry failed", "error", err)
 		return
 	}
-	retry := startRetry{first: storeRetryDelay, slow: follow.SlowRetryDelay, maximum: maxStoreRetryDelay, quick: follow.QuickRetries}
+	retry := readbudget.Retry{First: storeRetryDelay, Slow: follow.SlowRetryDelay, Max: maxStoreRetryDelay, Quick: follow.QuickRetries}
 	for ctx.Err() == nil {
 		at, err := g.appendEntry(ctx, value)
 		if err != nil {
-			g.startup.recordFailure()
+			g.startup.recordHostsError(err)
 			g.startup.recordAttempt()
-			wait.For(ctx, retry.next(err))
+			wait.For(ctx, retry.Next(err))
 			known := fleet.Position(g.startup.ownEntry.Load() - 1)
 			if era, _ := g.era.current(); known < 0 || known.Era() < era {
 				continue
 			}
 			at = known // The entry was written although the call failed.
 		}
-		retry.reset()
+		retry.Reset()
 		g.recordOwnEntry(at)
 		g.startup.recordAttempt()
 		if g.awaitRestore(ctx, at.Era()) {
@@ -97,8 +98,8 @@
 	// claim alone is not sufficient here.
 	f.Relayed = func() bool {
 		now := g.Now()
-		starting := now.Sub(g.startedAt) <= startupGracePeriod
-		return !g.mesh.isRelay() && (g.notices.recent(now) || starting && g.mesh.membershipStable(now) && g.expectsUpdates())
+		starting := now.Sub(g.startedAt) <= g.undecidedGrace()
+		return !g.mesh.isRelay() && (g.notices.recent(now) || starting && (g.startup.relayedStart() || g.mesh.membershipStable(now)) && g.expectsUpdates())
 	}
 	f.Run(ctx)
 }
--- a/pkg/gateway/ratestore_test.go
+++ b/pkg/gateway/ratestore_test.go
@@ -22,7 +22,8 @@
 	readBytes int
 	// rejected is the number of reads that were rejected because of the queue.
 	rejected int
-	// listWeight is the number of endpoints that an entry of the list stands for, 0 for one.
+	// listWeight is the number of endpoints that an entry of the list stands for, 0 for one. It is as large
+	// as their entries.
 	listWeight int
 	// fault decides the fault of a call that begins now; nil means none.
 	fault func() storeFault
@@ -71,17 +72,10 @@
 	return e.Offset
 }
 
-// weight returns the number of records that an entry of a topic stands for. s.mu must be held.
-func (s *rateStore) weight(t fleet.Topic) int {
-	if t == fleet.TopicEndpoints {
-		return max(1, s.listWeight)
-	}
-	return 1
-}
-
 // registerEndpoint writes the entry of an endpoint. s.mu must be held.
 func (s *rateStore) registerEndpoint(number int) {
-	s.topic(fleet.TopicEndpoints).append(fmt.Sprint("e", number), []byte(strings.Repeat(fmt.Sprint("field", number), simEndpointBytes/8)))
+	value := strings.Repeat(fmt.Sprint("field", number), max(1, s.listWeight)*simEndpointBytes/8)
+	s.topic(fleet.TopicEndpoints).append(fmt.Sprint("e", number), []byte(value))
 }
 
 func (s *rateStore) count(call string, t fleet.Topic) {
@@ -183,14 +177,16 @@
 		first++
 	}
 	keys = keys[first:]
-	weight := s.weight(t)
-	limit := max(1, storePageItems/weight)
+	limit := storePageItems
+	if t == fleet.TopicEndpoints {
+		limit = max(1, limit/max(1, s.listWeight))
+	}
 	more := len(keys) > limit
 	for _, k := range keys[:min(len(keys), limit)] {
 		b.Entries = append(b.Entries, x.newest[k])
 	}
 	s.mu.Unlock()
-	return b, more, s.respond(ctx, int(storeEncoding*float64(weight*entryBytes(b.Entries))))
+	return b, more, s.respond(ctx, int(storeEncoding*float64(entryBytes(b.Entries))))
 }
 
 func (s *rateStore) Newest(ctx context.Context, t fleet.Topic) (fleet.Batch, error) {
@@ -230,13 +226,27 @@
 	for int(b.Next) < len(x.log) && bytes < storeMaxReadBytes {
 		e := x.log[b.Next]
 		b.Entries = append(b.Entries, e)
-		bytes += s.weight(t) * (len(e.Key) + len(e.Value))
+		bytes += len(e.Key) + len(e.Value)
 		b.Next++
 	}
 	s.mu.Unlock()
 	return b, s.respond(ctx, bytes)
 }
 
+func (s *rateStore) Extent(ctx context.Context, t fleet.Topic) (first, end fleet.Position, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	s.mu.Lock()
+	s.count("extent", t)
+	if fault := s.faultLocked(); fault != faultNone {
+		s.mu.Unlock()
+		return 0, 0, fault.fail(ctx)
+	}
+	end = fleet.Position(len(s.topic(t).log))
+	s.mu.Unlock()
+	return 0, end, s.respond(ctx, 1<<10)
+}
+
 // totalCalls returns the number of calls.
 func (s *rateStore) totalCalls() int {
 	s.mu.Lock()
--- a/pkg/gateway/startread.go
+++ b/pkg/gateway/startread.go
@@ -8,6 +8,7 @@
 	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/follow"
+	"github.com/tealvane/tealvane/pkg/readbudget"
 )
 
 const (
@@ -25,27 +26,16 @@
 	// startStateInterval is the interval at which a starting host requests state from other hosts
 	// while the store fails.
 	startStateInterval = 200 * time.Millisecond
-	// startReadBytes and startReadCalls are what all starting hosts together may ask of the store
-	// for configuration and list: what it answers in a second. The number of calls is that of a
-	// store for few hosts.
-	startReadBytes = 80e6
-	startReadCalls = 2000
-	// ownReadCalls is the number of calls of a host that reads configuration, list and hosts.
-	ownReadCalls = 4
 	// maxOnePageHosts is the number of entries up to which the hosts are read as one page, which is
 	// less than fits.
 	maxOnePageHosts = 400
 	// maxZonePageHosts is the number of hosts in a page that begins with this host's zone up to which
 	// the page of all hosts is read as well. Two pages of each host are too many calls beyond.
 	maxZonePageHosts = 100
-	// listingOverhead is by how much a listing is larger than its entries.
-	listingOverhead = 1.4
-	// maxOwnListBytes bounds the size of a list of endpoints that starting hosts read themselves,
-	// which is one page. assumedConfigBytes is the size of a configuration that is not known yet,
-	// and hostEntryBytes that of a host's entry.
-	maxOwnListBytes    = 150e3
+	// assumedConfigBytes is the size of a configuration that is not known yet.
 	assumedConfigBytes = 100e3
-	hostEntryBytes     = 230
+	// assumedListBytesPerHost times the number of hosts is the size of a list that is not known yet.
+	assumedListBytesPerHost = 4e3
 	// minLostAppend plus maxAppendTime times the number of hosts is the time after which an append
 	// of a host's entry counts as lost if the store answers reads. A store that did not respond for
 	// a moment never answers it, and its timeout allows for a long queue.
@@ -58,40 +48,43 @@
 	maxAssumedHosts         = 1000
 )
 
-// startRetry holds the delay between the attempts at a call of a starting host. The delay is constant
-// while connections to the store are lost, until the burst of the rate limit is used up.
-type startRetry struct {
-	// first is the delay after the first failure, slow that after quick failures, and maximum the
-	// bound if the store seems to be overloaded.
-	first, slow, maximum time.Duration
-	quick                int
+// maxOverloadPause returns the bound on the pause after rejected reads of the store.
+func (g *Gateway) maxOverloadPause() time.Duration { return readbudget.MaxPause(g.readers()) }
 
-	failures int
-	delay    time.Duration
-}
-
-// next returns the delay after a failure with err.
-func (r *startRetry) next(err error) time.Duration {
-	r.failures++
+// readers returns the number of hosts that may read the store at the same time as this one.
+func (g *Gateway) readers() int {
 	switch {
-	case !errors.Is(err, fleet.ErrStoreConnectionLost):
-		r.delay = min(max(r.first, 2*r.delay), r.maximum)
-	case r.failures < r.quick:
-		r.delay = r.first
-	default:
-		r.delay = max(r.delay, r.slow)
+	case !g.storeReads.Loaded(fleet.TopicHosts):
+		return max(g.mesh.hosts(), int(g.startup.starts.Load()))
+	case g.membershipSettled() && g.mesh.isRelay():
+		return g.mesh.relays()
 	}
-	return wait.Jitter(r.delay)
+	return g.mesh.hosts()
 }
 
-// reset starts over after a success.
-func (r *startRetry) reset() { r.failures, r.delay = 0, 0 }
+// minFailurePause returns the minimum pause after a read of a topic that failed with err: that at which
+// the store can answer all hosts whose reads fail at the same time. A lost connection is no sign of overload.
+func (g *Gateway) minFailurePause(t fleet.Topic, err error) time.Duration {
+	if errors.Is(err, fleet.ErrStoreConnectionLost) {
+		return 0
+	}
+	return readbudget.Window(g.readers(), g.readBytes(t))
+}
 
-// ownReadsFit reports whether the store can answer a number of hosts that all read configuration, list
-// and hosts themselves within a second.
-func ownReadsFit(hosts, configBytes int) bool {
-	each := listingOverhead * (float64(configBytes) + maxOwnListBytes + float64(hosts)*hostEntryBytes)
-	return float64(hosts)*each <= startReadBytes && hosts*ownReadCalls <= startReadCalls
+// readBytes returns the size of a read of a topic by a host that has failed to read it.
+func (g *Gateway) readBytes(t fleet.Topic) float64 {
+	switch t {
+	case fleet.TopicEndpoints:
+		if known := g.cache.listBytes(); known > 0 {
+			return float64(known)
+		}
+		return float64(g.readers()) * assumedListBytesPerHost
+	case fleet.TopicHosts:
+		return float64(g.readers()) * readbudget.HostEntryBytes
+	case fleet.TopicConfig:
+		return max(float64(g.cache.configBytes()), assumedConfigBytes)
+	}
+	return 0
 }
 
 // sharingHosts returns the number of hosts among which limits are divided.
@@ -119,12 +112,12 @@
 }
 
 // awaitReadStart blocks until it is decided how this host gets the shared state, or the hosts could not
-// be read. It reports false if ctx ends first.
+// be read because the connection to the store was lost. It reports false if ctx ends first.
 func (g *Gateway) awaitReadStart(ctx context.Context) bool {
 	select {
 	case <-g.startup.decided:
 		return true
-	case <-g.startup.failed:
+	case <-g.startup.connectionLost:
 		return true
 	case <-ctx.Done():
 		return false
@@ -144,7 +137,7 @@
 	if g.config.Load() != nil {
 		config = g.cache.configBytes()
 	}
-	return !g.startup.relayed || g.startup.hostsKnown.Load() && ownReadsFit(g.mesh.hosts(), config)
+	return !g.startup.relayed || g.startup.hostsKnown.Load() && readbudget.StartFits(g.mesh.hosts(), config)
 }
 
 // readOwnList reads the list of endpoints if this host reads for itself and the list fits a page. It
@@ -154,10 +147,10 @@
 	if !g.awaitReadStart(ctx) {
 		return fleet.NoPosition, true
 	}
-	if !g.startup.storeFailed() && !g.startup.relayed {
+	if !g.startup.connectionFailed() && !g.startup.relayed {
 		return fleet.NoPosition, false // It is decided, since no call has failed.
 	}
-	retry := startRetry{first: startRetryDelay, slow: follow.SlowRetryDelay, maximum: maxStartRetryDelay, quick: follow.QuickRetries}
+	retry := readbudget.Retry{First: startRetryDelay, Slow: follow.SlowRetryDelay, Max: maxStartRetryDelay, Quick: follow.QuickRetries}
 	for ctx.Err() == nil && g.readsOwnState() {
 		if g.storeReads.Loaded(fleet.TopicEndpoints) {
 			return g.directory.Offset(), true
@@ -171,7 +164,7 @@
 		}
 		g.recordStoreResult(fleet.TopicEndpoints, err)
 		g.fetchStateAfterFailure(ctx)
-		wait.For(ctx, retry.next(err))
+		wait.For(ctx, retry.Next(err))
 	}
 	return fleet.NoPosition, false
 }
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -9,8 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/readbudget"
 	"github.com/tealvane/tealvane/pkg/record"
 )
 
@@ -21,6 +23,8 @@
 	directReaders = 16
 	// firstReaders is the number of hosts that read everything because their entries are the first.
 	firstReaders = 12
+	// fewStarts is the number of entries of starting hosts up to which these are not counted.
+	fewStarts = 128
 	// minAnnounceWait is how long a starting host waits at least for its entry to be written before
 	// it reads those of the others. When many hosts start together, entries are written one after
 	// the other for longer; a random part of up to maxAnnounceSpread keeps the hosts that wait
@@ -31,10 +35,9 @@
 	// doubles with each read.
 	membersRereadDelay = 700 * time.Millisecond
 	// relayedGracePeriod is how long a host that starts among many waits for the state from its
-	// relays before it reads the store. relayedGracePerHost, times the number of hosts, bounds a
-	// random part, so that the store is not read by all of them at once.
-	relayedGracePeriod  = 6 * time.Second
-	relayedGracePerHost = 10 * time.Millisecond
+	// relays before it reads the store. A random part is added, so that the store is not read by all of
+	// them at once.
+	relayedGracePeriod = 6 * time.Second
 	// maxMembershipWait is how long a host waits until no more hosts are added before it relies
 	// on which of them are relays.
 	maxMembershipWait = 4 * time.Second
@@ -50,14 +53,19 @@
 	relayed bool
 	// jitter is this host's random part of the grace period, from 0 to 1.
 	jitter float64
+	// starts is the number of hosts that have started recently, 0 if unknown.
+	starts atomic.Int64
 	// ownEntry is the position of this incarnation's entry in the store plus one, 0 if unknown.
 	ownEntry atomic.Int64
 	// attempted is closed once the first attempt to write the entry has ended.
 	attempted     chan struct{}
 	attemptedOnce sync.Once
-	// failed is closed once a read of the hosts, or a write of this host's entry, has failed.
-	failed     chan struct{}
-	failedOnce sync.Once
+	// failed is closed once a call to the store has failed, connectionLost once a read of the hosts, or
+	// a write of this host's entry, has failed because the connection was lost. That is no sign of overload.
+	failed             chan struct{}
+	failedOnce         sync.Once
+	connectionLost     chan struct{}
+	connectionLostOnce sync.Once
 	// hostsKnown is set if this host has read how many hosts there are.
 	hostsKnown atomic.Bool
 	// cancelAppend, if not nil, ends the append of this host's entry, which began at appendBegan.
@@ -67,19 +75,34 @@
 }
 
 func newStartup() *startup {
-	return &startup{decided: make(chan struct{}), attempted: make(chan struct{}), failed: make(chan struct{}), jitter: rand.Float64()}
+	return &startup{
+		decided:        make(chan struct{}),
+		attempted:      make(chan struct{}),
+		failed:         make(chan struct{}),
+		connectionLost: make(chan struct{}),
+		jitter:         rand.Float64(),
+	}
 }
 
 // recordAttempt records that an attempt to write the entry has ended.
 func (s *startup) recordAttempt() { s.attemptedOnce.Do(func() { close(s.attempted) }) }
 
-// recordFailure records that a read of the hosts, or a write of this host's entry, has failed.
+// recordFailure records that a call to the store has failed.
 func (s *startup) recordFailure() { s.failedOnce.Do(func() { close(s.failed) }) }
 
-// storeFailed reports whether a read of the hosts, or a write of this host's entry, has failed.
-func (s *startup) storeFailed() bool {
+// recordHostsError records that a read of the hosts, or a write of this host's entry, has failed with err.
+func (s *startup) recordHostsError(err error) {
+	s.recordFailure()
+	if errors.Is(err, fleet.ErrStoreConnectionLost) {
+		s.connectionLostOnce.Do(func() { close(s.connectionLost) })
+	}
+}
+
+// connectionFailed reports whether a read of the hosts, or a write of this host's entry, has failed
+// because the connection to the store was lost.
+func (s *startup) connectionFailed() bool {
 	select {
-	case <-s.failed:
+	case <-s.connectionLost:
 		return true
 	default:
 		return false
@@ -112,28 +135,55 @@
 	if at := g.startup.ownEntry.Load(); at > 0 && fleet.Position(at-1).Offset() < firstReaders {
 		return
 	}
-	retry := startRetry{first: hostsRetryDelay, slow: slowHostsRetryDelay, maximum: maxStartRetryDelay, quick: quickHostsRetries}
+	retry := readbudget.Retry{First: hostsRetryDelay, Slow: slowHostsRetryDelay, Max: maxStartRetryDelay, Quick: quickHostsRetries}
+	g.countStarts(ctx, &retry)
+	retry.Window = readbudget.HostsWindow(int(g.startup.starts.Load()))
+	wait.For(ctx, rand.N(retry.Window+1))
 	for ctx.Err() == nil {
 		err := g.readMembers(ctx)
 		if err == nil {
 			go g.resendLostAppend(ctx)
 			break
 		}
-		g.startup.recordFailure()
+		g.startup.recordHostsError(err)
 		g.log.Info("reading the hosts failed", "error", err.Error())
-		wait.For(ctx, retry.next(err))
+		wait.For(ctx, retry.Next(err))
 	}
 	g.startup.relayed = g.mesh.hosts() > directReaders
 	g.log.Info("hosts read", "hosts", g.mesh.hosts(), "relayed", g.startup.relayed)
 }
 
+// countStarts determines how many hosts have started recently, and so may read the store at the same time
+// as this one. It gives up if the connection to the store is lost, which is no sign that they are many.
+func (g *Gateway) countStarts(ctx context.Context, retry *readbudget.Retry) {
+	for ctx.Err() == nil {
+		own := fleet.Position(g.startup.ownEntry.Load() - 1)
+		if own >= 0 && own.Offset() < fewStarts {
+			g.startup.starts.Store(own.Offset() + 1)
+			return
+		}
+		first, end, err := g.store.Extent(ctx, fleet.TopicHosts)
+		if err == nil {
+			// The history may also hold the entries of former incarnations.
+			g.startup.starts.Store(min(max(end, own+1).Offset()-first.Offset(), maxAssumedHosts))
+			return
+		}
+		g.startup.recordHostsError(err)
+		if g.startup.connectionFailed() {
+			return
+		}
+		wait.For(ctx, retry.Next(err))
+	}
+}
+
 // readMembers reads the entries of all hosts if these may fit a page, otherwise those of the hosts in
 // this host's zone, whose keys begin with the zone. The position of this host's entry is at least the
 // number of hosts whose entries precede it. Beside a faulty store, one call is tried first, since two
 // seldom succeed one after the other.
 func (g *Gateway) readMembers(ctx context.Context) error {
 	at := fleet.Position(g.startup.ownEntry.Load() - 1)
-	if at >= 0 && at.Offset() < maxOnePageHosts || at < 0 && g.startup.storeFailed() {
+	onePage := g.startup.starts.Load() <= maxOnePageHosts
+	if onePage && (at >= 0 && at.Offset() < maxOnePageHosts || at < 0 && g.startup.connectionFailed()) {
 		if more, err := g.readAllHosts(ctx); err != nil || !more {
 			return err
 		}
@@ -143,7 +193,7 @@
 		return err
 	}
 	g.applyHosts(fleet.Batch{Entries: b.Entries})
-	mayFit := (at >= 0 && g.mesh.hosts() <= maxZonePageHosts || g.startup.storeFailed() || g.ranBefore(b.Entries)) && !more && ownReadsFit(g.mesh.hosts(), assumedConfigBytes)
+	mayFit := onePage && (at >= 0 && g.mesh.hosts() <= maxZonePageHosts || g.startup.connectionFailed() || g.ranBefore(b.Entries)) && !more && readbudget.StartFits(g.mesh.hosts(), assumedConfigBytes)
 	if g.mesh.hosts() > directReaders && !mayFit {
 		return nil
 	}
@@ -218,12 +268,17 @@
 // other hosts provide the data.
 func (g *Gateway) startupGrace() time.Duration {
 	if !g.startup.relayedStart() {
-		return startupGracePeriod
+		return g.undecidedGrace()
 	}
-	random := g.startup.jitter * float64(g.mesh.hosts()) * float64(relayedGracePerHost)
+	random := g.startup.jitter * float64(readbudget.Window(g.mesh.hosts(), g.readBytes(fleet.TopicEndpoints)))
 	return relayedGracePeriod + time.Duration(random)
 }
 
+// undecidedGrace returns how long a starting host defers reads before it knows how it gets the shared state.
+func (g *Gateway) undecidedGrace() time.Duration {
+	return startupGracePeriod + readbudget.HostsWindow(g.readers())
+}
+
 // awaitRelayedConfig blocks until a configuration is known or this host reads it itself.
 func (g *Gateway) awaitRelayedConfig(ctx context.Context) fleet.Position {
 	if !g.awaitReadStart(ctx) || g.readsOwnState() {
@@ -241,13 +296,17 @@
 // no relay answers, it reads those of its zone again: its relays may have started later and have new
 // keys.
 func (g *Gateway) awaitRelayedHosts(ctx context.Context) fleet.Position {
-	delay := membersRereadDelay
-	next := g.Now().Add(wait.Jitter(delay))
+	var delay time.Duration
+	var next time.Time
 	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
 		now := g.Now()
 		if known := g.cache.hostsOffset(); known > 0 {
 			return known, true
 		}
+		if next.IsZero() {
+			delay = max(membersRereadDelay, readbudget.HostsWindow(g.readers()))
+			next = now.Add(wait.Jitter(delay))
+		}
 		if g.startup.relayed && !now.Before(next) && !g.notices.recent(now) {
 			delay *= 2
 			next = now.Add(wait.Jitter(delay))
