Gateway: hosts that start fetch missed list changes from upstream hosts

Cause: a notice that shows that changes were missed made the host read the store. While endpoints register, all hosts miss some at the same time, and each read returns up to 1 MiB: 200 such reads a second at 985 hosts, 80 answered. Change: hosts that start among many, and others if the store could not answer all hosts that miss as much, ask their upstream host, which sends the changes or its compressed copy of the list.

--- a/pkg/gateway/mesh.go
+++ b/pkg/gateway/mesh.go
@@ -61,9 +61,10 @@
 	upstreamCache map[string][]relay.Member
 	// roles caches which hosts are relays; nil means not computed.
 	roles *relayRoles
-	// lastStateRequest is when state was last requested from a peer. pendingStateRequests holds
-	// the addresses with a request in flight.
+	// lastStateRequest is when state was last requested from a peer, lastListRequest when changes of the
+	// list were. pendingStateRequests holds the addresses with a request in flight.
 	lastStateRequest     time.Time
+	lastListRequest      time.Time
 	pendingStateRequests map[string]bool
 	// claimSeenAt is when the newest claim was first seen.
 	claimSeenAt time.Time
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -125,7 +125,7 @@
 	}
 	if n.ListChange >= g.directory.Offset() {
 		if !g.listConfirmed() {
-			trySend(g.listReadNow)
+			g.requestListChanges(now, n.ListChange)
 		}
 		return // The next notices carry the change, or the confirmation expires.
 	}
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/readbudget"
 )
 
 const (
@@ -86,15 +87,22 @@
 // fetchStateFrom requests state from the host at addr, unless a request was sent very recently
 // or one to that host is in flight. It reports whether a request failed.
 func (g *Gateway) fetchStateFrom(ctx context.Context, addr string) (failed bool) {
+	timeout := fullStateTimeout
+	if g.storeReads.Loaded(fleet.TopicEndpoints) {
+		timeout = peerTimeout
+	}
+	return g.fetchStateWithin(ctx, addr, timeout)
+}
+
+// fetchStateWithin is like fetchStateFrom with a timeout.
+func (g *Gateway) fetchStateWithin(ctx context.Context, addr string, timeout time.Duration) (failed bool) {
 	if !g.mesh.beginStateRequest(g.Now(), addr) {
 		return false
 	}
 	defer g.mesh.endStateRequest(addr)
 	request := peer.StateRequest{EndpointsFrom: fullStateOffset, ConfigVersion: g.configVersion()}
-	timeout := fullStateTimeout
 	if g.storeReads.Loaded(fleet.TopicEndpoints) {
 		request.EndpointsFrom = g.directory.Offset()
-		timeout = peerTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -109,6 +117,23 @@
 	return err != nil
 }
 
+// requestListChanges requests the changes of the list up to a position that the next notices do not
+// repeat: from the store, or from an upstream host if the store could not answer all hosts that miss them.
+// Among many hosts that start, all miss most of the list.
+func (g *Gateway) requestListChanges(now time.Time, change fleet.Position) {
+	missing := change - g.directory.Offset() + 1
+	starting := g.startup.relayedStart() && now.Sub(g.startedAt) < relayedGracePeriod
+	if !starting && readbudget.Fits(g.mesh.hosts(), float64(missing)*g.cache.endpointEntryBytes()) {
+		trySend(g.listReadNow)
+		return
+	}
+	upstreams := g.upstreams()
+	if len(upstreams) == 0 || !g.mesh.beginListRequest(now, g.minListReadInterval()) {
+		return
+	}
+	go g.fetchStateWithin(context.Background(), g.mesh.firstReachable(now, upstreams).Addr, fullStateTimeout)
+}
+
 // applyState applies the responses to a state request. The list is applied only if it is complete.
 func (g *Gateway) applyState(responses []peer.Response) error {
 	first := responses[0].State
@@ -156,6 +181,18 @@
 	return true
 }
 
+// beginListRequest reports whether changes of the list may be requested from another host, and records it
+// if so. It returns false for interval after a request.
+func (m *mesh) beginListRequest(now time.Time, interval time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.lastListRequest) < interval {
+		return false
+	}
+	m.lastListRequest = now
+	return true
+}
+
 func (m *mesh) endStateRequest(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
