--- a/pkg/gateway/entrycache.go
+++ b/pkg/entrycache/entrycache.go
@@ -1,4 +1,6 @@
-package gateway
+// Package entrycache holds the raw entries that a host has read from the store, so that it can pass them
+// on to other hosts.
+package entrycache
 
 import (
 	"cmp"
@@ -9,9 +11,8 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
-// entryCache holds the raw entries that a host has read from the store, so that it can pass
-// them on to other hosts. It is safe for concurrent use.
-type entryCache struct {
+// Cache holds entries as stored. It is safe for concurrent use.
+type Cache struct {
 	mu        sync.Mutex
 	config    fleet.Entry
 	endpoints map[string]fleet.Entry
@@ -22,12 +23,13 @@
 	hostsNext fleet.Position
 }
 
-func newEntryCache() *entryCache {
-	return &entryCache{endpoints: map[string]fleet.Entry{}, hosts: map[string]fleet.Entry{}}
+// New returns an empty cache.
+func New() *Cache {
+	return &Cache{endpoints: map[string]fleet.Entry{}, hosts: map[string]fleet.Entry{}}
 }
 
-// addHosts adds host entries that are complete up to the batch's next offset.
-func (c *entryCache) addHosts(b fleet.Batch) {
+// AddHosts adds host entries that are complete up to the batch's next offset.
+func (c *Cache) AddHosts(b fleet.Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range b.Entries {
@@ -38,34 +40,41 @@
 	c.hostsNext = max(c.hostsNext, b.Next)
 }
 
-// configOffset returns the position of the configuration in force.
-func (c *entryCache) configOffset() fleet.Position {
+// WithConfig calls f with the entry of the configuration in force, which f may replace. Calls do not overlap.
+func (c *Cache) WithConfig(f func(config *fleet.Entry)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(&c.config)
+}
+
+// ConfigOffset returns the position of the configuration in force.
+func (c *Cache) ConfigOffset() fleet.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.config.Offset
 }
 
-// configBytes returns the size of the configuration in force.
-func (c *entryCache) configBytes() int {
+// ConfigBytes returns the size of the configuration in force in bytes.
+func (c *Cache) ConfigBytes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.config.Value)
 }
 
-// hostsOffset returns the offset up to which host entries are known.
-func (c *entryCache) hostsOffset() fleet.Position {
+// HostsOffset returns the offset up to which host entries are known.
+func (c *Cache) HostsOffset() fleet.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.hostsNext
 }
 
-// maxHostsPerNotice bounds the host entries in one notice, so that it fits the time of a pull on a
+// MaxHosts bounds the host entries that HostsFrom returns, so that they fit the time of a message on a
 // slow link.
-const maxHostsPerNotice = 300
+const MaxHosts = 300
 
-// hostsFrom returns the newest entry of each host that changed at or after an offset. more reports
+// HostsFrom returns the newest entry of each host that changed at or after an offset. more reports
 // whether some were left out for the next call.
-func (c *entryCache) hostsFrom(from fleet.Position) (b fleet.Batch, more bool) {
+func (c *Cache) HostsFrom(from fleet.Position) (b fleet.Batch, more bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b.Next = c.hostsNext
@@ -74,25 +83,25 @@
 			b.Entries = append(b.Entries, e)
 		}
 	}
-	if len(b.Entries) <= maxHostsPerNotice {
+	if len(b.Entries) <= MaxHosts {
 		return b, false
 	}
 	slices.SortFunc(b.Entries, func(x, y fleet.Entry) int { return cmp.Compare(x.Offset, y.Offset) })
-	b.Entries = b.Entries[:maxHostsPerNotice]
-	b.Next = min(b.Next, b.Entries[maxHostsPerNotice-1].Offset+1)
+	b.Entries = b.Entries[:MaxHosts]
+	b.Next = min(b.Next, b.Entries[MaxHosts-1].Offset+1)
 	return b, true
 }
 
-// endpoint returns the list entry with a key.
-func (c *entryCache) endpoint(key string) (fleet.Entry, bool) {
+// Endpoint returns the list entry with a key.
+func (c *Cache) Endpoint(key string) (fleet.Entry, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.endpoints[key]
 	return e, ok
 }
 
-// addEndpoint adds a list entry unless a newer one of its key is known.
-func (c *entryCache) addEndpoint(e fleet.Entry) {
+// AddEndpoint adds a list entry unless a newer one of its key is known.
+func (c *Cache) AddEndpoint(e fleet.Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old, ok := c.endpoints[e.Key]; !ok || old.Offset < e.Offset {
@@ -101,24 +110,24 @@
 	}
 }
 
-// listBytes returns the size of the list of endpoints.
-func (c *entryCache) listBytes() int {
+// ListBytes returns the size of the list of endpoints in bytes.
+func (c *Cache) ListBytes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.endpointBytes
 }
 
-// endpointEntryBytes returns the mean size of an endpoint's entry.
-func (c *entryCache) endpointEntryBytes() float64 {
+// EndpointEntryBytes returns the mean size of an endpoint's entry in bytes.
+func (c *Cache) EndpointEntryBytes() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return float64(c.endpointBytes) / float64(max(1, len(c.endpoints)))
 }
 
-// replaceEndpoints replaces the list entries by those of a complete listing that ends before the
+// ReplaceEndpoints replaces the list entries by those of a complete listing that ends before the
 // position next, unless newer ones are known. Entries that it lacks are kept as removals, for the hosts
 // that learn of changes from this one.
-func (c *entryCache) replaceEndpoints(listed map[string]fleet.Entry, next fleet.Position) {
+func (c *Cache) ReplaceEndpoints(listed map[string]fleet.Entry, next fleet.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, old := range c.endpoints {
@@ -137,8 +146,8 @@
 	}
 }
 
-// evict removes the entries of endpoints.
-func (c *entryCache) evict(ids []fleet.EndpointID) {
+// Evict removes the entries of endpoints.
+func (c *Cache) Evict(ids []fleet.EndpointID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
@@ -147,15 +156,15 @@
 	}
 }
 
-// allEndpoints returns the entries of all endpoints.
-func (c *entryCache) allEndpoints() []fleet.Entry {
+// AllEndpoints returns the entries of all endpoints.
+func (c *Cache) AllEndpoints() []fleet.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Collect(maps.Values(c.endpoints))
 }
 
-// endpointEntries returns the newest entries of endpoints.
-func (c *entryCache) endpointEntries(ids []fleet.EndpointID) []fleet.Entry {
+// EndpointEntries returns the newest entries of endpoints.
+func (c *Cache) EndpointEntries(ids []fleet.EndpointID) []fleet.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []fleet.Entry
--- a/pkg/gateway/children.go
+++ b/pkg/gateway/children.go
@@ -153,7 +153,7 @@
 	n.BrittleChecksum, n.Brittle = g.brittle.forResponse(now, p.BrittleChecksum)
 	n.Accounts = g.accounts.limiter.Levels()
 	n.Levels = g.levels.Current(now)
-	hosts, more := g.cache.hostsFrom(p.HostsNext)
+	hosts, more := g.cache.HostsFrom(p.HostsNext)
 	n.Hosts, n.HostsNext, n.HostsMore = hosts.Entries, hosts.Next, more
 	sent.hosts = hosts.Next
 	n.Occupancy, sent.occupancy = g.occupancyFor(now, ch.sent.occupancy)
@@ -167,7 +167,7 @@
 		list:   g.directory.RoutingOffset(),
 		claim:  g.election.Newest().Token,
 		config: g.configVersion(),
-		hosts:  g.cache.hostsOffset(),
+		hosts:  g.cache.HostsOffset(),
 		blocks: g.guard.Blocklist.Version(),
 
 		accounts: g.accounts.version(),
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -101,7 +101,7 @@
 	n.ListChange = change
 	n.ListAge = min(g.listViewAge(now), time.Hour).Milliseconds()
 	if since != fleet.NoPosition && change > since {
-		n.ListEntries = g.fitToLink(g.cache.endpointEntries(g.directory.RoutingChangesSince(since)))
+		n.ListEntries = g.fitToLink(g.cache.EndpointEntries(g.directory.RoutingChangesSince(since)))
 	}
 	era, _ := g.era.current()
 	n.StoreEra = max(0, era)
@@ -178,7 +178,7 @@
 		g.children.evict(now)
 		g.recordLevels(now)
 		g.guard.Prune(now)
-		g.cache.evict(g.directory.Prune(now))
+		g.cache.Evict(g.directory.Prune(now))
 		live := g.directory.LiveIDs(now)
 		g.transport.CloseExcept(live)
 		g.links.table.Retain(live)
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -113,13 +113,16 @@
 		g.log.Error("decoding configuration failed; keeping the current one", "offset", e.Offset, "error", err)
 		return
 	}
-	g.cache.mu.Lock()
-	defer g.cache.mu.Unlock()
-	if old := g.config.Load(); old != nil && old.Version >= c.Version {
+	newer := false
+	g.cache.WithConfig(func(current *fleet.Entry) {
+		if old := g.config.Load(); old == nil || old.Version < c.Version {
+			g.config.Store(c)
+			*current, newer = e, true
+		}
+	})
+	if !newer {
 		return
 	}
-	g.config.Store(c)
-	g.cache.config = e
 	g.log.Info("configuration in force", "version", c.Version, "offset", e.Offset, "routes", len(c.Routes))
 	trySend(g.stepNow)
 	g.children.wake()
@@ -172,7 +175,7 @@
 // safeguardInterval returns the interval at which a number of hosts may read the whole list although
 // others send them its changes.
 func (g *Gateway) safeguardInterval(readers int) time.Duration {
-	return time.Duration(float64(readers) * float64(g.cache.listBytes()) / safeguardBytesPerSecond * float64(time.Second))
+	return time.Duration(float64(readers) * float64(g.cache.ListBytes()) / safeguardBytesPerSecond * float64(time.Second))
 }
 
 // leafListPollInterval returns the pause, on a host that receives updates, after a failed read
@@ -258,7 +261,7 @@
 	for _, entry := range b.Entries {
 		raw[entry.Key] = g.relayedEntry(entry, list[entry.Offset])
 	}
-	g.cache.replaceEndpoints(raw, b.Next)
+	g.cache.ReplaceEndpoints(raw, b.Next)
 }
 
 func (g *Gateway) decodeEndpoint(entry fleet.Entry) fleet.Endpoint {
@@ -291,12 +294,12 @@
 		if len(entry.Value) == 0 {
 			g.log.Info("endpoint removed from the list", "endpoint", entry.Key, "offset", entry.Offset)
 			remove(now, entry.Offset, fleet.NewEndpointID(entry.Key, 0))
-			g.cache.addEndpoint(entry)
+			g.cache.AddEndpoint(entry)
 			continue
 		}
 		e := g.decodeEndpoint(entry)
 		apply(now, entry.Offset, e)
-		g.cache.addEndpoint(g.relayedEntry(entry, e))
+		g.cache.AddEndpoint(g.relayedEntry(entry, e))
 	}
 	g.directory.Advance(b.Next)
 }
@@ -306,7 +309,7 @@
 // hosts that learn of the list from this one: they get the former content at the new position.
 func (g *Gateway) relayedEntry(entry fleet.Entry, decoded fleet.Endpoint) fleet.Entry {
 	if !decoded.Draining && g.directory.DrainingOrGone(decoded.ID) {
-		if old, ok := g.cache.endpoint(entry.Key); ok {
+		if old, ok := g.cache.Endpoint(entry.Key); ok {
 			entry.Value = old.Value
 		}
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/tealvane/tealvane/pkg/admission"
+	"github.com/tealvane/tealvane/pkg/entrycache"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/orders"
@@ -95,7 +96,7 @@
 	// from the list. A response that includes an entry must include all changes before it,
 	// since its receiver then considers its list complete up to that entry.
 	listMu sync.Mutex
-	cache  *entryCache
+	cache  *entrycache.Cache
 	// listArchive is the copy of the list for hosts that start.
 	listArchive listArchive
 	storeReads  *follow.State
@@ -190,7 +191,7 @@
 		reportNow:        make(chan struct{}, 1),
 		stepNow:          make(chan struct{}, 1),
 		listReadNow:      make(chan struct{}, 1),
-		cache:            newEntryCache(),
+		cache:            entrycache.New(),
 		storeReads:       follow.NewState(),
 		era:              newStoreEra(),
 		startup:          newStartup(),
--- a/pkg/gateway/hosts.go
+++ b/pkg/gateway/hosts.go
@@ -118,7 +118,7 @@
 	for _, e := range b.Entries {
 		g.applyHost(e)
 	}
-	g.cache.addHosts(b)
+	g.cache.AddHosts(b)
 	g.budget.SetHosts(g.sharingHosts())
 	g.health.Signals.SetHosts(g.self.Host, g.mesh.names())
 	g.slots.SetHosts(g.self.Host, g.mesh.names())
--- a/pkg/gateway/listconfirm_test.go
+++ b/pkg/gateway/listconfirm_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/entrycache"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/peer"
@@ -34,7 +35,7 @@
 		log:         slog.New(slog.DiscardHandler),
 		metrics:     &metrics{scope: tally.NoopScope},
 		directory:   fleet.NewDirectory(),
-		cache:       newEntryCache(),
+		cache:       entrycache.New(),
 		storeReads:  follow.NewState(),
 		era:         newStoreEra(),
 		startup:     newStartup(),
--- a/pkg/gateway/manyhosts_inner_test.go
+++ b/pkg/gateway/manyhosts_inner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/pkg/entrycache"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/peer"
@@ -33,16 +34,16 @@
 	g := amongMany()
 	const endpoints, entryBytes = 10000, 300
 	for i := range endpoints {
-		g.cache.addEndpoint(fleet.Entry{Key: fmt.Sprint("e", i), Value: make([]byte, entryBytes), Offset: fleet.Position(i)})
+		g.cache.AddEndpoint(fleet.Entry{Key: fmt.Sprint("e", i), Value: make([]byte, entryBytes), Offset: fleet.Position(i)})
 	}
-	is.Equal(g.cache.listBytes(), endpoints*entryBytes)
+	is.Equal(g.cache.ListBytes(), endpoints*entryBytes)
 	for _, readers := range []int{20, 100, 1000, 2000} {
 		perSecond := float64(readers*endpoints*entryBytes) / g.safeguardInterval(readers).Seconds()
 		is.True(perSecond <= safeguardBytesPerSecond*1.01)
 	}
 	small := relayHost()
 	for i := range 60 {
-		small.cache.addEndpoint(fleet.Entry{Key: fmt.Sprint("e", i), Value: make([]byte, entryBytes), Offset: fleet.Position(i)})
+		small.cache.AddEndpoint(fleet.Entry{Key: fmt.Sprint("e", i), Value: make([]byte, entryBytes), Offset: fleet.Position(i)})
 	}
 	is.True(small.safeguardInterval(60) < confirmedListPollInterval)
 }
@@ -67,18 +68,18 @@
 func TestHostEntriesComeInParts(t *testing.T) {
 	is := is.New(t)
 	const hosts = 1000
-	c := newEntryCache()
+	c := entrycache.New()
 	var b fleet.Batch
 	for i := range hosts {
 		b.Entries = append(b.Entries, fleet.Entry{Key: hostKey("zone", fmt.Sprint("h", i)), Offset: fleet.Position(i)})
 	}
 	b.Next = hosts
-	c.addHosts(b)
+	c.AddHosts(b)
 	seen := map[string]bool{}
 	next := fleet.Position(0)
 	for {
-		part, more := c.hostsFrom(next)
-		is.True(len(part.Entries) <= maxHostsPerNotice)
+		part, more := c.HostsFrom(next)
+		is.True(len(part.Entries) <= entrycache.MaxHosts)
 		for _, e := range part.Entries {
 			seen[hostName(e.Key)] = true
 		}
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -100,7 +100,7 @@
 	p := fleet.Pull{
 		Demand:    g.demandFor(now, to, urgent),
 		ListNext:  g.directory.Offset(),
-		HostsNext: g.cache.hostsOffset(),
+		HostsNext: g.cache.HostsOffset(),
 		Heartbeat: g.controllerHeartbeat(now),
 	}
 	p.Source, p.Token, p.Version = g.notices.position()
@@ -188,7 +188,7 @@
 	if len(response.Notice.Hosts) > 0 {
 		g.applyHosts(fleet.Batch{Entries: response.Notice.Hosts, Next: response.Notice.HostsNext})
 	}
-	if g.startup.relayedStart() && g.cache.hostsOffset() > 0 && !response.Notice.HostsMore {
+	if g.startup.relayedStart() && g.cache.HostsOffset() > 0 && !response.Notice.HostsMore {
 		g.storeReads.SetLoaded(fleet.TopicHosts)
 	}
 	g.applyOccupancy(now, response.Notice.Occupancy)
--- a/pkg/gateway/startread.go
+++ b/pkg/gateway/startread.go
@@ -75,14 +75,14 @@
 func (g *Gateway) readBytes(t fleet.Topic) float64 {
 	switch t {
 	case fleet.TopicEndpoints:
-		if known := g.cache.listBytes(); known > 0 {
+		if known := g.cache.ListBytes(); known > 0 {
 			return float64(known)
 		}
 		return float64(g.readers()) * assumedListBytesPerHost
 	case fleet.TopicHosts:
 		return float64(g.readers()) * readbudget.HostEntryBytes
 	case fleet.TopicConfig:
-		return max(float64(g.cache.configBytes()), assumedConfigBytes)
+		return max(float64(g.cache.ConfigBytes()), assumedConfigBytes)
 	}
 	return 0
 }
@@ -135,7 +135,7 @@
 	}
 	config := int(assumedConfigBytes)
 	if g.config.Load() != nil {
-		config = g.cache.configBytes()
+		config = g.cache.ConfigBytes()
 	}
 	return !g.startup.relayed || g.startup.hostsKnown.Load() && readbudget.StartFits(g.mesh.hosts(), config)
 }
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -288,7 +288,7 @@
 		if g.config.Load() == nil {
 			return fleet.NoPosition, false
 		}
-		return g.cache.configOffset() + 1, true
+		return g.cache.ConfigOffset() + 1, true
 	})
 }
 
@@ -300,7 +300,7 @@
 	var next time.Time
 	return g.awaitProvided(ctx, func() (fleet.Position, bool) {
 		now := g.Now()
-		if known := g.cache.hostsOffset(); known > 0 {
+		if known := g.cache.HostsOffset(); known > 0 {
 			return known, true
 		}
 		if next.IsZero() {
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -51,18 +51,18 @@
 func (g *Gateway) listChanges(from fleet.Position) ([]fleet.Entry, fleet.Position) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
-	return g.cache.endpointEntries(g.directory.RoutingChangesSince(from - 1)), g.directory.Offset()
+	return g.cache.EndpointEntries(g.directory.RoutingChangesSince(from - 1)), g.directory.Offset()
 }
 
 // configNewerThan returns the entry of the configuration in force if it is newer than a version.
-func (g *Gateway) configNewerThan(version int64) *fleet.Entry {
-	g.cache.mu.Lock()
-	defer g.cache.mu.Unlock()
-	if c := g.config.Load(); c == nil || c.Version <= version {
-		return nil
-	}
-	config := g.cache.config
-	return &config
+func (g *Gateway) configNewerThan(version int64) (newer *fleet.Entry) {
+	g.cache.WithConfig(func(current *fleet.Entry) {
+		if c := g.config.Load(); c != nil && c.Version > version {
+			config := *current
+			newer = &config
+		}
+	})
+	return newer
 }
 
 // listEntries returns all entries of the list of endpoints and the position up to which they are
@@ -70,7 +70,7 @@
 func (g *Gateway) listEntries() ([]fleet.Entry, fleet.Position) {
 	g.listMu.Lock()
 	defer g.listMu.Unlock()
-	return g.cache.allEndpoints(), g.directory.Offset()
+	return g.cache.AllEndpoints(), g.directory.Offset()
 }
 
 // minStateRequestInterval is the minimum interval between two state requests.
@@ -123,7 +123,7 @@
 func (g *Gateway) requestListChanges(now time.Time, change fleet.Position) {
 	missing := change - g.directory.Offset() + 1
 	starting := g.startup.relayedStart() && now.Sub(g.startedAt) < relayedGracePeriod
-	if !starting && readbudget.Fits(g.mesh.hosts(), float64(missing)*g.cache.endpointEntryBytes()) {
+	if !starting && readbudget.Fits(g.mesh.hosts(), float64(missing)*g.cache.EndpointEntryBytes()) {
 		trySend(g.listReadNow)
 		return
 	}
