--- a/pkg/follow/overload.go
+++ b/pkg/follow/overload.go
@@ -20,8 +20,9 @@
 // all hosts together ask for more than the store can answer; unlike a lost connection or a call without
 // a response, it does not occur otherwise.
 type overloadPause struct {
-	// bound is the bound on the last pause, 0 after enough successful reads, and until its end.
+	// bound is the bound on the last pause. It shrinks to 0 with successful reads.
 	bound time.Duration
+	// until is the end of the last pause.
 	until time.Time
 	// setAt is when the bound last grew.
 	setAt time.Time
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -150,7 +150,7 @@
 		wait.For(ctx, retry.Next(err))
 	}
 	g.startup.relayed = g.mesh.hosts() > directReaders
-	g.log.Info("hosts read", "hosts", g.mesh.hosts(), "relayed", g.startup.relayed)
+	g.log.Info("hosts read", "hosts", g.mesh.hosts(), "starting", g.startup.starts.Load(), "relayed", g.startup.relayed)
 }
 
 // countStarts determines how many hosts have started recently, and so may read the store at the same time
