--- a/pkg/orders/refresh_inner_test.go
+++ b/pkg/orders/refresh_inner_test.go
@@ -39,3 +39,29 @@
 	is.Equal(tracker.restartedAt, later)
 	is.True(!tracker.recordRestart(later, 3))
 }
+
+// Guards against loading more adapters than an endpoint has slots for, because one that was in transit when its model
+// was unloaded has arrived after the model was loaded again.
+func TestDepartingAdapterArrivesInReloadedModel(t *testing.T) {
+	engine := &fleet.Engine{AdapterSlots: 2, WeightsMB: 100, Models: map[string]fleet.Model{"y": {WeightsMB: 10}}}
+	now := time.Now()
+	for _, c := range []struct {
+		name     string
+		report   fleet.Report
+		adapters int
+	}{
+		{"arrived", fleet.Report{Sequence: 6, Loaded: []fleet.LoadedModel{{Model: "y", Adapters: []string{"a3"}}}}, 1},
+		{"dropped", fleet.Report{Sequence: 6, Loaded: []fleet.LoadedModel{{Model: "y"}}}, 0},
+		{"in transit", fleet.Report{Sequence: 6, Loaded: []fleet.LoadedModel{{Model: "y"}}, Loading: []string{"y/a3"}}, 1},
+		{"model not loaded yet", fleet.Report{Sequence: 5}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := newEndpointTracker(fleet.View{Endpoint: fleet.Endpoint{ID: "e"}}, &unansweredLoads{})
+			tracker.models["y"] = &resident{adapters: map[string]*adapter{}}
+			tracker.departing[adapterRef{"y", "a3"}] = 6
+			tracker.refresh(c.report)
+			is.Equal(tracker.usage(now, engine).adapters, c.adapters)
+		})
+	}
+}
