Orders: an adapter that arrives in its reloaded model counts as loaded

Users: an endpoint ordered to hold more adapters than it has slots falls over (LIMIT). Cause: adapters in transit whose model is unloaded are remembered until a report no longer lists them as in transit. If the model was loaded again meanwhile, the adapter arrives in it: the report lists it as loaded, the controller did not.

--- a/pkg/orders/refresh.go
+++ b/pkg/orders/refresh.go
@@ -26,7 +26,7 @@
 		c.withReportSlot(ctx, func() {
 			if r, err := c.report(ctx, e); err == nil {
 				c.logReport("adapters checked against report", e, r)
-				t.refresh(r)
+				t.refresh(c.Now(), r)
 			}
 		})
 	})
@@ -34,12 +34,17 @@
 
 // refresh applies what a report shows of adapters in transit. Orders may be in progress: what the report says of an
 // adapter counts only from the sequence on at which that adapter was last changed.
-func (t *endpointTracker) refresh(r fleet.Report) {
+func (t *endpointTracker) refresh(now time.Time, r fleet.Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for a, sequence := range t.departing {
-		if r.Sequence >= sequence && !slices.ContainsFunc(r.Loading, a.named) {
-			delete(t.departing, a)
+		if r.Sequence < sequence || slices.ContainsFunc(r.Loading, a.named) {
+			continue
+		}
+		delete(t.departing, a)
+		if m := t.models[a.model]; m != nil && m.adapters[a.name] == nil && holdsAdapter(r, a.model, a.name) {
+			// The model was loaded again before the adapter arrived.
+			m.adapters[a.name] = &adapter{readyAt: now, usedAt: now, sequence: sequence}
 		}
 	}
 	for _, loaded := range r.Loaded {
--- a/pkg/orders/refresh_inner_test.go
+++ b/pkg/orders/refresh_inner_test.go
@@ -16,11 +16,11 @@
 	tracker.models["x"] = &resident{adapters: map[string]*adapter{"a1": a1}}
 	tracker.departing[adapterRef{"y", "a2"}] = 5
 	report := fleet.Report{Sequence: 4, Loaded: []fleet.LoadedModel{{Model: "x", Adapters: []string{"a1"}}}}
-	tracker.refresh(report)
+	tracker.refresh(time.Now(), report)
 	is.True(!a1.arrived)
 	is.Equal(len(tracker.departing), 1)
 	report.Sequence = 5
-	tracker.refresh(report)
+	tracker.refresh(time.Now(), report)
 	is.True(a1.arrived)
 	is.Equal(len(tracker.departing), 0)
 }
@@ -60,7 +60,7 @@
 			tracker := newEndpointTracker(fleet.View{Endpoint: fleet.Endpoint{ID: "e"}}, &unansweredLoads{})
 			tracker.models["y"] = &resident{adapters: map[string]*adapter{}}
 			tracker.departing[adapterRef{"y", "a3"}] = 6
-			tracker.refresh(c.report)
+			tracker.refresh(now, c.report)
 			is.Equal(tracker.usage(now, engine).adapters, c.adapters)
 		})
 	}
--- a/pkg/orders/swap.go
+++ b/pkg/orders/swap.go
@@ -84,7 +84,7 @@
 			t.mu.Unlock()
 			return false
 		}
-		t.refresh(report)
+		t.refresh(c.Now(), report)
 		if t.applyLoadReport(c.Now(), model, r, report) {
 			return holds(report, model)
 		}
