Orders: a report that lists another host's load resolves no order

Users: an endpoint ordered to hold more adapters than it has slots falls over (LIMIT). Cause: an order without a response counts as accepted once a report at the next sequence shows its effect. The effect may come from an unload that a former controller had begun, and the sequence from its late load, which was then never counted. Change: a report that lists a model or an adapter that is neither known nor the order's own gives up the order, and the endpoint is asked for its state anew. Tests of pkg/orders pass.

--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/internal/wait"
@@ -161,7 +162,8 @@
 //
 // A sequence that has advanced by one shows that some order was accepted, which may be a delayed
 // one of another host or of this one. The models were known at the expected sequence, so that the
-// presence of the order's effect tells which.
+// presence of the order's effect tells which, unless an unload of another host was in progress then.
+// A load of another host shows as one that is not known here.
 //
 // A sequence that is still lower after the first check of a conflict shows that the endpoint has
 // restarted.
@@ -176,6 +178,8 @@
 		return pending
 	case !s.unanswered || r.Sequence > o.Expected+1:
 		return abandoned
+	case t.listsUnknownLoad(r, o):
+		return abandoned
 	case o.inEffect(r):
 		t.sequence = r.Sequence
 		return accepted
@@ -192,6 +196,29 @@
 	return pending
 }
 
+// listsUnknownLoad reports whether a report lists a model or an adapter, loaded or in transit, that neither is known
+// here nor is the effect of an order. mu must be held.
+func (t *endpointTracker) listsUnknownLoad(r fleet.Report, o Order) bool {
+	unknown := func(a adapterRef) bool {
+		_, departing := t.departing[a]
+		return t.adapter(a.model, a.name) == nil && !departing && a != (adapterRef{o.Model, o.Adapter})
+	}
+	for _, loaded := range r.Loaded {
+		if t.models[loaded.Model] == nil && loaded.Model != o.Model {
+			return true
+		}
+		for _, name := range loaded.Adapters {
+			if unknown(adapterRef{loaded.Model, name}) {
+				return true
+			}
+		}
+	}
+	return slices.ContainsFunc(r.Loading, func(loading string) bool {
+		model, name := splitAdapter(loading)
+		return unknown(adapterRef{model, name})
+	})
+}
+
 // inEffect reports whether the models in the report are as the order requires.
 func (o Order) inEffect(r fleet.Report) bool {
 	held := holds(r, o.Model)
