Readbudget: the store's read rate comes from the settings

Cause: the bounds on what starting hosts read took 80 MB a second for granted, while the platform states it. Change: store.read_mb_per_second in the settings, filled in from the platform's read-mb-per-s; 80 MB a second if it is not set, checked like other settings. Also: pauses after rejected reads and questions for missed changes of the list are counted as metrics, and a starting host that cannot count the others logs why.

--- a/pkg/follow/overload.go
+++ b/pkg/follow/overload.go
@@ -16,9 +16,9 @@
 	defaultMaxPause = 700 * time.Millisecond
 )
 
-// overloadPause holds back all reads of a host after the store has rejected one. A rejection means that
-// all hosts together ask for more than the store can answer; unlike a lost connection or a call without
-// a response, it does not occur otherwise.
+// overloadPause holds back all reads of a host after the store has rejected one, since the hosts may together
+// ask for more than it can answer. Lost connections and calls without a response do not count: a store that is
+// not overloaded causes them too.
 type overloadPause struct {
 	// bound is the bound on the last pause. It shrinks to 0 with successful reads.
 	bound time.Duration
@@ -31,8 +31,9 @@
 // remaining returns how long reads must still wait.
 func (p *overloadPause) remaining(now time.Time) time.Duration { return max(0, p.until.Sub(now)) }
 
-// record records the result of a read that began at a time. limit bounds the pause.
-func (p *overloadPause) record(now, began time.Time, err error, limit time.Duration) {
+// record records the result of a read that began at a time, and reports whether it starts a pause. limit
+// bounds the pause.
+func (p *overloadPause) record(now, began time.Time, err error, limit time.Duration) (paused bool) {
 	switch {
 	case err == nil:
 		if p.bound /= 2; p.bound < minOverloadPause {
@@ -43,5 +44,7 @@
 		p.bound = min(max(minOverloadPause, 2*p.bound), limit)
 		p.setAt = now
 		p.until = now.Add(rand.N(p.bound))
+		return true
 	}
+	return false
 }
--- a/pkg/follow/rate_limited_store.go
+++ b/pkg/follow/rate_limited_store.go
@@ -27,6 +27,8 @@
 	Store fleet.Store
 	// OnCall, if not nil, is called before each call.
 	OnCall func(fleet.Topic)
+	// OnPause, if not nil, is called when a rejected read starts a pause.
+	OnPause func()
 	// MaxPause returns the bound on the pause after rejected reads; nil means defaultMaxPause.
 	MaxPause func() time.Duration
 
@@ -126,8 +128,11 @@
 		limit = c.MaxPause()
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.overload.record(time.Now(), began, err, limit)
+	paused := c.overload.record(time.Now(), began, err, limit)
+	c.mu.Unlock()
+	if paused && c.OnPause != nil {
+		c.OnPause()
+	}
 }
 
 func (c *RateLimitedStore) count(t fleet.Topic) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/tealvane/tealvane/pkg/orders"
 	"github.com/tealvane/tealvane/pkg/proxy"
 	"github.com/tealvane/tealvane/pkg/quarantine"
+	"github.com/tealvane/tealvane/pkg/readbudget"
 	"github.com/tealvane/tealvane/pkg/relay"
 	"github.com/tealvane/tealvane/pkg/retry"
 	"github.com/tealvane/tealvane/pkg/serve"
@@ -97,9 +98,11 @@
 	// listArchive is the copy of the list for hosts that start.
 	listArchive listArchive
 	storeReads  *follow.State
-	era         *storeEra
-	directory   *fleet.Directory
-	locator     *fleet.Locator
+	// reads is what all hosts together may read of the store.
+	reads     readbudget.Budget
+	era       *storeEra
+	directory *fleet.Directory
+	locator   *fleet.Locator
 
 	health     *serve.Health
 	dispatcher *serve.Dispatcher
@@ -190,6 +193,7 @@
 		listReadNow:      make(chan struct{}, 1),
 		cache:            entrycache.New(),
 		storeReads:       follow.NewState(),
+		reads:            readbudget.Budget{BytesPerSecond: s.Store.ReadMBPerSecond * 1e6},
 		era:              newStoreEra(),
 		startup:          newStartup(),
 		bootTime:         bootTime,
@@ -202,6 +206,7 @@
 	}
 	store := follow.NewRateLimitedStore(cfg.Store)
 	store.OnCall = func(t fleet.Topic) { g.metrics.count("store_calls", map[string]string{"topic": t.String()}) }
+	store.OnPause = func() { g.metrics.count("store_reads_paused", nil) }
 	store.MaxPause = g.maxOverloadPause
 	g.store = store
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -427,9 +427,9 @@
 
 func TestParseSettingsReportsAllFindings(t *testing.T) {
 	is := is.New(t)
-	_, err := gateway.ParseSettings("f.yaml", []byte("listen:\n  callers: name:80\nnew_field: 1\n"))
+	_, err := gateway.ParseSettings("f.yaml", []byte("listen:\n  callers: name:80\nstore:\n  read_mb_per_second: -1\nnew_field: 1\n"))
 	is.True(err != nil)
-	for _, field := range []string{"host", "availability_zone", "listen.callers", "listen.readiness", "store.address", "timing.lease"} {
+	for _, field := range []string{"host", "availability_zone", "listen.callers", "listen.readiness", "store.address", "store.read_mb_per_second", "timing.lease"} {
 		is.True(strings.Contains(err.Error(), field+":"))
 	}
 	is.True(!strings.Contains(err.Error(), "new_field"))
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -34,6 +34,9 @@
 	} `yaml:"listen"`
 	Store struct {
 		Address string `yaml:"address"`
+		// ReadMBPerSecond is what the store answers to the reads of all hosts together, in MB a second,
+		// or 0 if unknown.
+		ReadMBPerSecond float64 `yaml:"read_mb_per_second"`
 	} `yaml:"store"`
 	// OTLP is the base URL of a trace collector. Traces are not exported if it is empty.
 	OTLP   string `yaml:"otlp"`
@@ -130,6 +133,9 @@
 		c.address("listen.metrics", s.Listen.Metrics)
 	}
 	c.address("store.address", s.Store.Address)
+	if s.Store.ReadMBPerSecond < 0 {
+		c.add("store.read_mb_per_second", "must not be negative")
+	}
 	if s.Limits.LinkMbps < 0 {
 		c.add("limits.link_mbps", "must not be negative")
 	}
--- a/pkg/gateway/startread.go
+++ b/pkg/gateway/startread.go
@@ -49,7 +49,7 @@
 )
 
 // maxOverloadPause returns the bound on the pause after rejected reads of the store.
-func (g *Gateway) maxOverloadPause() time.Duration { return readbudget.MaxPause(g.readers()) }
+func (g *Gateway) maxOverloadPause() time.Duration { return g.reads.MaxPause(g.readers()) }
 
 // readers returns the number of hosts that may read the store at the same time as this one.
 func (g *Gateway) readers() int {
@@ -68,7 +68,7 @@
 	if errors.Is(err, fleet.ErrStoreConnectionLost) {
 		return 0
 	}
-	return readbudget.Window(g.readers(), g.readBytes(t))
+	return g.reads.Window(g.readers(), g.readBytes(t))
 }
 
 // readBytes returns the size of a read of a topic by a host that has failed to read it.
@@ -137,7 +137,7 @@
 	if g.config.Load() != nil {
 		config = g.cache.ConfigBytes()
 	}
-	return !g.startup.relayed || g.startup.hostsKnown.Load() && readbudget.StartFits(g.mesh.hosts(), config)
+	return !g.startup.relayed || g.startup.hostsKnown.Load() && g.reads.StartFits(g.mesh.hosts(), config)
 }
 
 // readOwnList reads the list of endpoints if this host reads for itself and the list fits a page. It
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -137,7 +137,7 @@
 	}
 	retry := readbudget.Retry{First: hostsRetryDelay, Slow: slowHostsRetryDelay, Max: maxStartRetryDelay, Quick: quickHostsRetries}
 	g.countStarts(ctx, &retry)
-	retry.Window = readbudget.HostsWindow(int(g.startup.starts.Load()))
+	retry.Window = g.reads.HostsWindow(int(g.startup.starts.Load()))
 	wait.For(ctx, rand.N(retry.Window+1))
 	for ctx.Err() == nil {
 		err := g.readMembers(ctx)
@@ -169,6 +169,7 @@
 			return
 		}
 		g.startup.recordHostsError(err)
+		g.log.Info("counting the starting hosts failed", "error", err.Error())
 		if g.startup.connectionFailed() {
 			return
 		}
@@ -193,7 +194,7 @@
 		return err
 	}
 	g.applyHosts(fleet.Batch{Entries: b.Entries})
-	mayFit := onePage && (at >= 0 && g.mesh.hosts() <= maxZonePageHosts || g.startup.connectionFailed() || g.ranBefore(b.Entries)) && !more && readbudget.StartFits(g.mesh.hosts(), assumedConfigBytes)
+	mayFit := onePage && (at >= 0 && g.mesh.hosts() <= maxZonePageHosts || g.startup.connectionFailed() || g.ranBefore(b.Entries)) && !more && g.reads.StartFits(g.mesh.hosts(), assumedConfigBytes)
 	if g.mesh.hosts() > directReaders && !mayFit {
 		return nil
 	}
@@ -270,13 +271,13 @@
 	if !g.startup.relayedStart() {
 		return g.undecidedGrace()
 	}
-	random := g.startup.jitter * float64(readbudget.Window(g.mesh.hosts(), g.readBytes(fleet.TopicEndpoints)))
+	random := g.startup.jitter * float64(g.reads.Window(g.mesh.hosts(), g.readBytes(fleet.TopicEndpoints)))
 	return relayedGracePeriod + time.Duration(random)
 }
 
 // undecidedGrace returns how long a starting host defers reads before it knows how it gets the shared state.
 func (g *Gateway) undecidedGrace() time.Duration {
-	return startupGracePeriod + readbudget.HostsWindow(g.readers())
+	return startupGracePeriod + g.reads.HostsWindow(g.readers())
 }
 
 // awaitRelayedConfig blocks until a configuration is known or this host reads it itself.
@@ -304,7 +305,7 @@
 			return known, true
 		}
 		if next.IsZero() {
-			delay = max(membersRereadDelay, readbudget.HostsWindow(g.readers()))
+			delay = max(membersRereadDelay, g.reads.HostsWindow(g.readers()))
 			next = now.Add(wait.Jitter(delay))
 		}
 		if g.startup.relayed && !now.Before(next) && !g.notices.recent(now) {
--- a/pkg/gateway/staterequest.go
+++ b/pkg/gateway/staterequest.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/peer"
-	"github.com/tealvane/tealvane/pkg/readbudget"
 )
 
 const (
@@ -123,7 +122,7 @@
 func (g *Gateway) requestListChanges(now time.Time, change fleet.Position) {
 	missing := change - g.directory.Offset() + 1
 	starting := g.startup.relayedStart() && now.Sub(g.startedAt) < relayedGracePeriod
-	if !starting && readbudget.Fits(g.mesh.hosts(), float64(missing)*g.cache.EndpointEntryBytes()) {
+	if !starting && g.reads.Fits(g.mesh.hosts(), float64(missing)*g.cache.EndpointEntryBytes()) {
 		trySend(g.listReadNow)
 		return
 	}
@@ -131,6 +130,7 @@
 	if len(upstreams) == 0 || !g.mesh.beginListRequest(now, g.minListReadInterval()) {
 		return
 	}
+	g.metrics.count("list_changes_requested", nil)
 	go g.fetchStateWithin(context.Background(), g.mesh.firstReachable(now, upstreams).Addr, fullStateTimeout)
 }
 
--- a/pkg/readbudget/readbudget_test.go
+++ b/pkg/readbudget/readbudget_test.go
@@ -12,23 +12,24 @@
 
 // Guards against starts whose reads exceed what the store answers as the number of hosts grows.
 func TestHostsWindowBoundsRate(t *testing.T) {
-	const (
-		storeBytesPerSecond = 80e6
-		pageBytes           = 500 * 230 * 1.4
-	)
-	for _, hosts := range []int{6, 77, 300, 985, 2000, 10_000} {
-		is := is.New(t)
-		read := float64(hosts) * min(pageBytes, float64(hosts)*230*1.4)
-		rate := read / readbudget.HostsWindow(hosts).Seconds()
-		is.True(rate <= 0.67*storeBytesPerSecond)
+	const pageBytes = 500 * 230 * 1.4
+	for _, bytesPerSecond := range []float64{0, 20e6, 400e6} {
+		b := readbudget.Budget{BytesPerSecond: bytesPerSecond}
+		if bytesPerSecond == 0 {
+			bytesPerSecond = readbudget.DefaultBytesPerSecond
+		}
+		for _, hosts := range []int{6, 77, 300, 985, 2000, 10_000} {
+			read := float64(hosts) * min(pageBytes, float64(hosts)*230*1.4)
+			is.New(t).True(read/b.HostsWindow(hosts).Seconds() <= 0.67*bytesPerSecond)
+		}
 	}
-	is.New(t).True(readbudget.HostsWindow(77) < 100*time.Millisecond) // few hosts start without a delay
+	is.New(t).True(readbudget.Budget{}.HostsWindow(77) < 100*time.Millisecond) // few hosts start without a delay
 }
 
 // Guards against failed reads that are repeated faster than the store can answer all hosts.
 func TestMaxPauseBoundsRate(t *testing.T) {
 	for hosts, want := range map[int]time.Duration{1: 700 * time.Millisecond, 6: 700 * time.Millisecond, 1000: 19660800 * time.Microsecond} {
-		is.New(t).Equal(readbudget.MaxPause(hosts), want)
+		is.New(t).Equal(readbudget.Budget{}.MaxPause(hosts), want)
 	}
 }
 
