--- a/pkg/gateway/fleetstart_test.go
+++ b/pkg/gateway/fleetstart_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
 // fleetHosts is the number of hosts of the largest known deployment.
@@ -89,3 +91,26 @@
 		})
 	}
 }
+
+// Guards against hosts that start among so many that their append is rejected, and that then read the hosts while
+// few are known: they would take themselves for some of few.
+func TestRejectedAppendDelaysReadOfHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute) // All loops end before the bubble does.
+		}()
+		f := newFleetSim(1)
+		f.store.mu.Lock()
+		f.store.topic(fleet.TopicHosts).appendsDone = time.Now().Add(storeMaxQueue + time.Second)
+		f.store.mu.Unlock()
+		f.start(ctx, 0)
+		time.Sleep(minAnnounceWait - time.Millisecond)
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		if f.store.calls["put hosts"] == 0 || f.store.calls["extent hosts"]+f.store.calls["page hosts"] > 0 {
+			t.Errorf("calls %v before the entry of the host is written, want appends only", f.store.calls)
+		}
+	})
+}
