Gateway: a host whose append is rejected reads the hosts only later

Callers: none of 2,000 hosts ready. Cause: the store rejects an append that would wait for over 2 s, that is the 1,001st entry of a start. The end of the attempt let the host count the others while few entries were written, so that it read its page at once, and again and again. Change: a rejection does not end the wait for the own entry; that ends after 0.3 to 1.5 s as before.

--- a/pkg/gateway/hosts.go
+++ b/pkg/gateway/hosts.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/follow"
@@ -66,7 +67,9 @@
 		at, err := g.appendEntry(ctx, value)
 		if err != nil {
 			g.startup.recordHostsError(err)
-			g.startup.recordAttempt()
+			if !errors.Is(err, fleet.ErrStoreRejected) {
+				g.startup.recordAttempt() // A rejected append waits behind those of many hosts.
+			}
 			wait.For(ctx, retry.Next(err))
 			known := fleet.Position(g.startup.ownEntry.Load() - 1)
 			if era, _ := g.era.current(); known < 0 || known.Era() < era {
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -57,7 +57,7 @@
 	starts atomic.Int64
 	// ownEntry is the position of this incarnation's entry in the store plus one, 0 if unknown.
 	ownEntry atomic.Int64
-	// attempted is closed once the first attempt to write the entry has ended.
+	// attempted is closed once an attempt to write the entry has ended other than with a rejection.
 	attempted     chan struct{}
 	attemptedOnce sync.Once
 	// failed is closed once a call to the store has failed, connectionLost once a read of the hosts, or
@@ -84,7 +84,7 @@
 	}
 }
 
-// recordAttempt records that an attempt to write the entry has ended.
+// recordAttempt records that an attempt to write the entry has ended other than with a rejection.
 func (s *startup) recordAttempt() { s.attemptedOnce.Do(func() { close(s.attempted) }) }
 
 // recordFailure records that a call to the store has failed.
