Review: the rest of a large answer comes from another run (MIXED)

Breaks rule MIXED: if a worker breaks off an answer larger than 64 KiB of a request that may be repeated, the caller gets 200 with the first run's signature, the part of the first run, the whole body of a second run and a proper end.

At fault: exchange.mayRunAgain in pkg/serve/server.go allows another attempt of a plain answer whose head was sent; exchange.forward appends its body.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 
 var scenarios = map[string]scenario{
 	"release": runRelease,
+	"mixed":   runMixed,
 }
 
 func main() { os.Exit(run()) }
