--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 var scenarios = map[string]scenario{
 	"release": runRelease,
 	"mixed":   runMixed,
+	"drain":   runDrain,
 }
 
 func main() { os.Exit(run()) }
