Review: case 1 leaves out orders just after a healed link, and cuts in two ways

The rule does not count orders that arrive within thaw-ms after their sender's link healed. The store's answers are lost 0.1 or 2 s before SIGTERM, in turn, so that the host has open connections to the store in every other round.

--- a/review/stand/release.go
+++ b/review/stand/release.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -19,9 +20,10 @@
 	releaseModels  = 12
 	// lease is lease-ms of the rules: two holders must not take turns within it.
 	lease = 3 * time.Second
-	// cutBefore is how long before SIGTERM the store's answers begin to be lost, and cutLength how long they are.
-	cutBefore = 2 * time.Second
+	// cutLength is how long the store's answers are lost.
 	cutLength = 5500 * time.Millisecond
+	// thaw is thaw-ms of the rules: orders that arrive within it after their sender's link healed don't count.
+	thaw = 300 * time.Millisecond
 	// roundTraffic is the traffic before each SIGTERM.
 	roundTraffic = 5 * time.Second
 	modelMB      = 72700.0
@@ -30,6 +32,10 @@
 	clientsEach  = 6
 )
 
+// cutBefore is how long before SIGTERM the store's answers begin to be lost, in turn by round. After the shorter
+// time the host still has open connections to the store.
+var cutBefore = []time.Duration{100 * time.Millisecond, 2 * time.Second}
+
 // runRelease stops the host that gives the orders while the store's answers to it are lost, and checks the
 // orders that arrive at each worker.
 func runRelease(c *cluster, trouble bool) (bool, error) {
@@ -67,6 +73,7 @@
 	}
 	clients := startModelClients(c)
 	defer clients.stop.Store(true)
+	healed := map[string][]time.Time{}
 	for round := 1; round <= releaseRounds; round++ {
 		time.Sleep(roundTraffic)
 		h := c.holder(engines)
@@ -77,15 +84,19 @@
 			c.logf("round %d: the store's answers to host %s are lost from now on", round, h.name)
 			h.link.oneWay.Store(true)
 		}
-		time.Sleep(cutBefore)
+		before := cutBefore[round%len(cutBefore)]
+		time.Sleep(before)
 		c.terminate(h)
-		heal := time.AfterFunc(cutLength-cutBefore, func() {
-			c.logf("round %d: the store's answers arrive again", round)
+		heal := make(chan time.Time, 1)
+		time.AfterFunc(cutLength-before, func() {
 			h.link.oneWay.Store(false)
+			heal <- time.Now()
+			if trouble {
+				c.logf("round %d: the store's answers arrive again", round)
+			}
 		})
 		c.awaitExit(h)
-		heal.Stop()
-		h.link.oneWay.Store(false)
+		healed[h.name] = append(healed[h.name], <-heal)
 		if err := c.startHost(h); err != nil {
 			return false, err
 		}
@@ -98,7 +109,7 @@
 	if clients.served.Load() == 0 {
 		return false, fmt.Errorf("no request was served")
 	}
-	return c.checkOrders(engines), nil
+	return c.checkOrders(engines, healed), nil
 }
 
 // holder returns the host that gave the last order.
@@ -119,12 +130,21 @@
 	return nil
 }
 
+// counting returns the orders that count: not those that arrive just after the link of their sender healed.
+func counting(orders []order, healed map[string][]time.Time) []order {
+	return slices.DeleteFunc(orders, func(o order) bool {
+		return slices.ContainsFunc(healed[o.Holder], func(at time.Time) bool {
+			return !o.at.Before(at) && o.at.Sub(at) < thaw
+		})
+	})
+}
+
 // checkOrders checks the orders to each worker by rule ONE for workers that do not check fences.
-func (c *cluster) checkOrders(engines []*engine) bool {
+func (c *cluster) checkOrders(engines []*engine, healed map[string][]time.Time) bool {
 	held := true
 	total := 0
 	for _, e := range engines {
-		orders := e.takeOrders()
+		orders := counting(e.takeOrders(), healed)
 		total += len(orders)
 		holderOf := map[int64]string{}
 		var highest order
