--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -47,7 +47,7 @@
 
 const (
 	readyTimeout = 20 * time.Second
-	stopTimeout  = 9 * time.Second
+	stopTimeout  = 8 * time.Second // grace-s
 )
 
 // cluster is the platform's store, the hosts and the record of what happens.
--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -91,17 +92,32 @@
 	b.c.logf("worker %s leaves: its entry is removed", b.id)
 	time.AfterFunc(exitAfter, func() {
 		b.c.logf("worker %s exits", b.id)
-		_ = b.server.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = b.server.Shutdown(ctx) // Runs that have begun are ended.
 	})
 }
 
+// leaving reports whether the worker is about to exit.
+func (b *booking) leaving() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.removed.IsZero()
+}
+
 func (b *booking) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Attempt-Id")
 	w.Header().Set("X-Instance-Id", b.id)
 	if id == "" {
+		if b.leaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return // A health probe.
 	}
 	w.Header().Set("X-Request-Attempt-Id", id)
+	if b.leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -67,6 +69,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /order", e.serveOrder)
 	mux.HandleFunc("GET /report", e.serveReport)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Instance-Id", e.id) })
 	mux.HandleFunc("/", e.serveRequest)
 	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Second}).Serve(l) }()
 	go func() {
@@ -207,6 +210,12 @@
 	if !e.addressed(w, r) {
 		return
 	}
+	last, err := strconv.Atoi(cmp.Or(r.Header.Get("Last-Event-Id"), "0"))
+	if err != nil || id == "" {
+		w.Header().Set("X-Request-Not-Run", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if status := e.begin(model); status != 0 {
 		if status != http.StatusMisdirectedRequest {
 			w.Header().Set("X-Request-Not-Run", "1")
@@ -218,7 +227,7 @@
 	w.Header().Set("X-Server-Signature", "sig-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	for n := 1; n <= eventCount; n++ {
+	for n := last + 1; n <= eventCount; n++ {
 		time.Sleep(eventPause)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id); err != nil {
 			return
@@ -233,10 +242,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case model != "" && (e.loading == model || e.unloading == model):
+		return http.StatusServiceUnavailable // The order is not complete.
 	case !slices.Contains(e.loaded, model):
 		return http.StatusMisdirectedRequest
-	case e.unloading == model:
-		return http.StatusServiceUnavailable
 	}
 	e.running[model]++
 	e.runs++
--- a/review/stand/link.go
+++ b/review/stand/link.go
@@ -8,7 +8,7 @@
 )
 
 // link is a loopback proxy between one host and the store. While it is cut one way, what the host sends
-// arrives and what the store answers does not. While it refuses, connections are reset.
+// arrives and what the store answers does not; a channel that has lost an answer returns nothing more. While it refuses, connections are reset.
 type link struct {
 	addr    string
 	target  string
@@ -87,9 +87,11 @@
 		_ = server.Close()
 	}()
 	buf := make([]byte, 64<<10)
+	lost := false
 	for {
 		n, err := server.Read(buf)
-		if n > 0 && !p.oneWay.Load() {
+		lost = lost || n > 0 && p.oneWay.Load()
+		if n > 0 && !lost {
 			if _, werr := client.Write(buf[:n]); werr != nil {
 				return
 			}
