Streams: the lack of a record is no evidence of one software version

What callers saw: after a loss of all hosts, or a change of their route, streams that they took up were answered 200 and ran to the end with text of two software versions or of two services.

Cause: a host took for granted that all streams of a service began at the one version that it knew. It knew no other when the store did not name any. But the store was written after a second version had appeared, so that a rejected, late or restored write left it without one; it was asked by the service to which the route leads now; and a host that had run for a minute was taken to have heard of everything.

Change: the store names the versions of every service that resumable routes reach, one or several, with its era and, where they reach several services, those of each route. Streams begin at a new version only once the record names it, as long as an endpoint of a named one takes requests. A host may decide without a lookup only if it has followed all changes for a minute, or has read a record of the present era whose writer had; a host that was cut off or suspended counts as just started. The first record of a deployment is complete if all hosts that ever wrote an entry respond. The places where a stream may have begun are those of all services that its route, or the one that had its requests before, had lately; routes that split their requests count all of their services.

TestStreamsOfOneVersionGoOnAfterLossOfAllHosts guards against refusing too much: it failed only since there was no record.

--- a/internal/standin/site/config.go
+++ b/internal/standin/site/config.go
@@ -19,10 +19,19 @@
 	TargetLatencyMS int    `json:"target-latency-ms"`
 	TargetGapMS     int    `json:"target-gap-ms"`
 	Priority        int    `json:"priority"`
-	Service         string `json:"service"`
-	Attempts        int    `json:"attempts"`
-	Resumable       bool   `json:"resumable"`
-	Public          bool   `json:"public"`
+	Service         string `json:"service,omitempty"`
+	// Split is set instead of Service if requests go to several services.
+	Split []Target `json:"traffic-split,omitempty"`
+
+	Attempts  int  `json:"attempts"`
+	Resumable bool `json:"resumable"`
+	Public    bool `json:"public"`
+}
+
+// Target is a service of a route, which gets requests in proportion to its weight.
+type Target struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // Account is a client account in the operator's configuration.
--- a/pkg/fleet/locator.go
+++ b/pkg/fleet/locator.go
@@ -36,6 +36,8 @@
 	// serve, as of the last notice.
 	coldReadyAt map[ModelRef]time.Time
 	index       *index
+	// admitted holds the software versions of services at which requests may begin.
+	admitted map[string][]string
 	// stale is set when the list or a notice has changed since the last index update at
 	// indexedAt.
 	stale     bool
@@ -215,6 +217,10 @@
 	loc := Location{HasEndpoints: l.index.serves(service)}
 	if model == "" {
 		loc.Ready = l.index.endpoints(service)
+		if len(l.admitted[service]) > 0 && len(l.index.versions[service]) > len(l.admitted[service]) {
+			admitted := l.admission(service, VersionRequirement{})
+			loc.Ready = slices.DeleteFunc(slices.Clone(loc.Ready), func(e Endpoint) bool { return !admitted(e) })
+		}
 		return loc
 	}
 	l.locateModel(now, ModelRef{service, model}, adapter, VersionRequirement{}, &loc)
@@ -257,9 +263,10 @@
 	if now.Sub(l.heartbeatAt) < controllerTimeout {
 		loc.ColdReadyAt = l.coldReadyAt[model]
 	}
+	admitted := l.admission(model.Service, version)
 	for _, r := range l.index.holders(model) {
 		switch {
-		case r.unloading || !version.Allows(*r.endpoint):
+		case r.unloading || !admitted(*r.endpoint):
 		case adapter != "" && !r.adapters[adapter]:
 			loc.LoadsAdapter = loc.LoadsAdapter || !r.readyAt.After(now)
 		case r.readyAt.After(now):
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -40,8 +40,8 @@
 	TopicClaims
 	// TopicCrashes holds the requests that crash endpoints.
 	TopicCrashes
-	// TopicVersions holds the software versions of the services that have several. It is read only by hosts
-	// that have just started.
+	// TopicVersions holds the software versions at which streams may have begun. It is read when a second one
+	// appears, and by hosts that may have missed changes.
 	TopicVersions
 )
 
--- a/pkg/fleet/streamorigin.go
+++ b/pkg/fleet/streamorigin.go
@@ -18,6 +18,8 @@
 	Attempt string `cbor:"1,keyasint"`
 	// Service is the one that is to serve the rest of the stream.
 	Service string `cbor:"2,keyasint"`
+	// Route identifies the route of the request; empty if it is not known.
+	Route string `cbor:"3,keyasint,omitempty"`
 }
 
 // StreamLookupResult is the response to a StreamLookup.
@@ -28,6 +30,6 @@
 	Age int64 `cbor:"2,keyasint,omitempty"`
 	// Conflict reports that the host has been told of several origins.
 	Conflict bool `cbor:"3,keyasint,omitempty"`
-	// OneVersion reports that the host knows that all streams of the service began at one software version.
+	// OneVersion reports that the host knows that all streams of the route began at one software version of the service.
 	OneVersion bool `cbor:"4,keyasint,omitempty"`
 }
--- a/pkg/fleet/version.go
+++ b/pkg/fleet/version.go
@@ -82,15 +82,23 @@
 	return l.index.versions.recent(now, service)
 }
 
-// VersionedServices returns the services of which endpoints are known, with the software versions that
-// Versions returns.
-func (l *Locator) VersionedServices(now time.Time) map[string][]string {
+// Admit sets the software versions of services at which requests may begin. A version that is not admitted is used only
+// by requests that require it, or if no endpoint of an admitted one takes requests. A service without admitted versions
+// has no such limit.
+func (l *Locator) Admit(versions map[string][]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refreshIfStale(now)
-	out := make(map[string][]string, len(l.index.versions))
-	for service := range l.index.versions {
-		out[service] = l.index.versions.recent(now, service)
+	l.admitted = versions
+}
+
+// admission returns which endpoints of a service a request may use. It must be called with mu held.
+func (l *Locator) admission(service string, required VersionRequirement) func(Endpoint) bool {
+	if required.Set {
+		return required.Allows
 	}
-	return out
+	admitted := l.admitted[service]
+	if !slices.ContainsFunc(admitted, func(v string) bool { return l.index.versions.serves(service, v) }) {
+		return func(Endpoint) bool { return true }
+	}
+	return func(e Endpoint) bool { return slices.Contains(admitted, e.Version) }
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -164,7 +164,7 @@
 		g.probeSlotOwners(ctx)
 		g.updateBlocks(now)
 		g.updateAccountLevels(now)
-		g.streams.CheckVersions(now)
+		g.streams.Check(now)
 		g.budget.SetHosts(g.sharingHosts())
 		due := now.Sub(lastQuery) >= time.Duration(g.mesh.hosts())*staleListQueryIntervalPerHost
 		if due && g.storeReads.Loaded(fleet.TopicEndpoints) && g.listViewAge(now) > maxListAge {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -98,7 +98,7 @@
 		g.followCrashes,
 		g.storeCrashes,
 		g.streams.Run,
-		g.streams.StoreVersions,
+		g.streams.KeepRecord,
 		g.announce,
 		g.mesh.serve,
 		g.followController,
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -13,7 +13,8 @@
 // newStreamVersions returns what knows which software versions began streams.
 func (g *Gateway) newStreamVersions(store fleet.Store) *streamversions.Directory {
 	d := streamversions.New()
-	d.Now, d.StartedAt = g.Now, func() time.Time { return g.startedAt }
+	d.Now, d.Config = g.Now, g.config.Load
+	d.Era = func() int64 { return g.directory.Offset().Era() }
 	d.Locator, d.Store, d.Log = g.locator, store, g.log
 	d.Hosts = func() (streamorigin.Host, []streamorigin.Host) {
 		self, others := g.mesh.member, []streamorigin.Host(nil)
@@ -22,6 +23,7 @@
 		}
 		return streamorigin.Host{Name: self.Name, Zone: self.Zone}, others
 	}
+	d.HostEntries = func() int64 { return int64(g.cache.HostsOffset()) }
 	d.Send = func(ctx context.Context, addr string, r peer.Request) (peer.Response, error) {
 		return g.mesh.send(ctx, addr, r)
 	}
--- a/pkg/streamversions/directory.go
+++ b/pkg/streamversions/directory.go
@@ -35,6 +35,9 @@
 	earlierStreamsTime = 30 * time.Second
 	maxEarlierStreams  = 4096
 
+	// checkInterval is how often the routes are checked for a second version or service.
+	checkInterval = 100 * time.Millisecond
+
 	// sourceOneVersion and sourceSelf are the sources of knowledge that are not another host.
 	sourceOneVersion = "one_version"
 	sourceSelf       = "self"
@@ -43,21 +46,26 @@
 // Locator knows the software versions of services.
 type Locator interface {
 	Versions(now time.Time, service string) []string
-	VersionedServices(now time.Time) map[string][]string
+	// Admit sets the versions of services at which requests may begin.
+	Admit(versions map[string][]string)
 }
 
 // Directory knows which software versions began streams, by asking other hosts if need be. It implements
 // serve.StreamVersions. Its exported fields must be set before first use.
 type Directory struct {
-	Now func() time.Time
-	// StartedAt returns when this host started.
-	StartedAt func() time.Time
-	Locator   Locator
-	Store     fleet.Store
-	Log       *slog.Logger
+	Now     func() time.Time
+	Locator Locator
+	// Store keeps the versions.
+	Store fleet.Store
+	Log   *slog.Logger
+	// Config returns the configuration in force, nil if there is none, and Era the era of the store.
+	Config func() *fleet.Config
+	Era    func() int64
 	// Hosts returns this host and the others, and Send sends a request to the one at an address.
 	Hosts func() (self streamorigin.Host, others []streamorigin.Host)
 	Send  func(ctx context.Context, addr string, r peer.Request) (peer.Response, error)
+	// HostEntries returns how many entries of hosts were ever written to the store.
+	HostEntries func() int64
 	// Isolated reports whether this host neither reads the list of endpoints nor hears of its changes, and
 	// Controlling whether it is the controller.
 	Isolated    func(now time.Time) bool
@@ -65,27 +73,42 @@
 	// Count adds to a counter.
 	Count func(name string, n int64, tags map[string]string)
 
-	table *streamorigin.Table
+	table   *streamorigin.Table
+	routes  *streamorigin.Routes
+	history streamorigin.History
 	// wake ends the wait for streams to tell others of.
 	wake chan struct{}
 
+	// several holds the routes whose streams may have begun at several versions or services, as of the last Check
+	// at checkedAt. Only Check uses them.
+	several   map[string]bool
+	checkedAt time.Time
+
 	mu sync.Mutex
 	// pending holds the streams to tell others of.
 	pending []fleet.StreamStart
-	// backoffUntil is the time until which a host is not told of streams.
+	// undecided holds streams of which it is not known yet whether others must be told.
+	undecided []undecidedStart
+	// backoffUntil is the time until which a host is not sent streams, by its name.
 	backoffUntil map[string]time.Time
-	// several holds the services with several versions, as of the last check.
-	several map[string]bool
-	history streamorigin.History
+	// admitted holds the versions of services at which streams may begin, and stored the store's record.
+	admitted map[string][]string
+	stored   stored
+}
+
+// undecidedStart is a stream with the route on which it began.
+type undecidedStart struct {
+	start fleet.StreamStart
+	route string
 }
 
 // New returns a directory that knows no streams.
 func New() *Directory {
 	return &Directory{
 		table:        streamorigin.NewTable(),
+		routes:       streamorigin.NewRoutes(),
 		wake:         make(chan struct{}, 1),
 		backoffUntil: map[string]time.Time{},
-		several:      map[string]bool{},
 	}
 }
 
@@ -99,18 +122,51 @@
 	now := v.Now()
 	start := fleet.StreamStart{Attempt: r.ID, Origin: o}
 	v.table.Add(now, start)
-	if len(v.versions(now, o.Service)) > 1 {
+	v.routes.Observe(now, v.Config())
+	route := streamorigin.RouteKey(r.Route)
+	switch {
+	case v.oneOrigin(now, route, o.Service):
+		if v.history.Complete(now, v.services(now, route, o.Service)) {
+			return
+		}
+		v.mu.Lock()
+		v.undecided = append(v.undecided, undecidedStart{start, route})
+		if over := len(v.undecided) - maxEarlierStreams; over > 0 {
+			v.undecided = slices.Clone(v.undecided[over:])
+		}
+		v.mu.Unlock()
+	default:
 		v.tell(start)
 	}
 }
 
+// settleUndecided tells others of the streams that began while this host did not know whether there were other
+// versions, if it still does not or there were.
+func (v *Directory) settleUndecided(ctx context.Context) {
+	v.mu.Lock()
+	undecided := v.undecided
+	v.undecided = nil
+	v.mu.Unlock()
+	for _, u := range undecided {
+		service := u.start.Origin.Service
+		known := v.knowsHistory(ctx, v.services(v.Now(), u.route, service))
+		if !known || !v.oneOrigin(v.Now(), u.route, service) {
+			v.tell(u.start)
+		}
+	}
+}
+
 // tell queues streams for the hosts that keep them.
 func (v *Directory) tell(starts ...fleet.StreamStart) {
 	v.mu.Lock()
 	v.pending = append(v.pending, starts...)
 	v.mu.Unlock()
+	wake(v.wake)
+}
+
+func wake(c chan struct{}) {
 	select {
-	case v.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -118,14 +174,31 @@
 // versions returns the software versions of a service that may have begun streams which still go on.
 func (v *Directory) versions(now time.Time, service string) []string {
 	out := v.Locator.Versions(now, service)
-	if now.Sub(v.StartedAt()) >= streamorigin.HistoryTime {
-		return out
+	if r := v.history.Record(now); r != nil {
+		out = append(out, r.Versions[service]...)
+		slices.Sort(out)
+		out = slices.Compact(out)
 	}
-	out = append(out, v.history.Of(service)...)
+	return out
+}
+
+// services returns the services that may have begun streams of a route which still go on, among them service.
+func (v *Directory) services(now time.Time, route, service string) []string {
+	out := append([]string{service}, v.routes.Services(now, route)...)
+	out = append(out, v.history.Record(now).Services(route)...)
 	slices.Sort(out)
 	return slices.Compact(out)
 }
 
+// oneOrigin reports whether, as far as this host knows, all streams of a route began at one version of one service.
+func (v *Directory) oneOrigin(now time.Time, route, service string) bool {
+	n := 0
+	for _, s := range v.services(now, route, service) {
+		n += max(1, len(v.versions(now, s)))
+	}
+	return n <= 1
+}
+
 // Find implements serve.StreamVersions.
 func (v *Directory) Find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
 	found, err := v.find(ctx, r)
@@ -141,31 +214,24 @@
 }
 
 func (v *Directory) find(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
-	certain := v.knowsHistory(ctx)
-	if certain && v.oneVersion(v.Now(), r.Service) {
+	v.routes.Observe(v.Now(), v.Config())
+	route := streamorigin.RouteKey(r.Route)
+	certain := v.knowsHistory(ctx, v.services(v.Now(), route, r.Service))
+	if certain && v.oneOrigin(v.Now(), route, r.Service) {
 		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
 	}
 	if certain && r.Resumes == "" {
 		return serve.StreamVersion{}, errors.Wrap(serve.ErrVersionUnknown, "the client does not name the attempt that began the stream")
 	}
-	return v.lookUp(ctx, r)
-}
-
-// oneVersion reports whether, as far as this host knows, all streams of a service began at one version.
-func (v *Directory) oneVersion(now time.Time, service string) bool {
-	return len(v.versions(now, service)) <= 1
+	return v.lookUp(ctx, r, route)
 }
 
 // lookUp finds the version that began a stream in this host's own table or by asking others.
-func (v *Directory) lookUp(ctx context.Context, r *serve.Request) (serve.StreamVersion, error) {
-	own := v.table.Find(v.Now(), r.Resumes)
-	if own.Conflict {
-		return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "attempt %s began at several versions", r.Resumes)
+func (v *Directory) lookUp(ctx context.Context, r *serve.Request, route string) (serve.StreamVersion, error) {
+	if found, err := v.findOwn(r.Resumes, sourceSelf); found != nil || err != nil {
+		return value(found), err
 	}
-	if own.Origin != nil {
-		return streamVersion(own, sourceSelf), nil
-	}
-	found, oneVersion, err := v.ask(ctx, fleet.StreamLookup{Attempt: r.Resumes, Service: r.Service})
+	found, oneVersion, err := v.ask(ctx, fleet.StreamLookup{Attempt: r.Resumes, Service: r.Service, Route: route})
 	if err != nil {
 		return serve.StreamVersion{}, err
 	}
@@ -175,12 +241,32 @@
 		v.table.Add(v.Now(), start)
 		v.tell(start) // A host that has kept it may be gone.
 		return *found, nil
-	case oneVersion && v.oneVersion(v.Now(), r.Service):
+	case oneVersion && v.oneOrigin(v.Now(), route, r.Service):
 		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
 	}
 	return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "no host that was asked knows attempt %s", r.Resumes)
 }
 
+// findOwn finds a stream in this host's own table; nil if it is not there.
+func (v *Directory) findOwn(attempt, source string) (*serve.StreamVersion, error) {
+	own := v.table.Find(v.Now(), attempt)
+	if own.Conflict {
+		return nil, errors.Wrapf(serve.ErrVersionUnknown, "attempt %s began at several versions", attempt)
+	}
+	if own.Origin == nil {
+		return nil, nil
+	}
+	found := streamVersion(own, source)
+	return &found, nil
+}
+
+func value(v *serve.StreamVersion) serve.StreamVersion {
+	if v == nil {
+		return serve.StreamVersion{}
+	}
+	return *v
+}
+
 func streamVersion(found fleet.StreamLookupResult, source string) serve.StreamVersion {
 	return serve.StreamVersion{
 		Service:  found.Origin.Service,
@@ -239,7 +325,8 @@
 func (v *Directory) Respond(q fleet.StreamLookup) *fleet.StreamLookupResult {
 	now := v.Now()
 	result := v.table.Find(now, q.Attempt)
-	result.OneVersion = v.history.Complete(now, v.StartedAt()) && v.oneVersion(now, q.Service)
+	services := v.services(now, q.Route, q.Service)
+	result.OneVersion = !v.Isolated(now) && v.history.Complete(now, services) && v.oneOrigin(now, q.Route, q.Service)
 	return &result
 }
 
@@ -272,51 +359,72 @@
 	starts := v.pending
 	v.pending = nil
 	v.mu.Unlock()
-	batches := map[string][]fleet.StreamStart{}
+	if len(starts) == 0 {
+		return
+	}
+	batches := map[streamorigin.Host][]fleet.StreamStart{}
 	for _, s := range starts {
 		told := 0
 		for _, k := range v.keepers(s.Attempt, askedKeepers) {
-			if told < streamKeepers && !v.backedOff(k.Addr) {
-				batches[k.Addr] = append(batches[k.Addr], s)
+			if told < streamKeepers && !v.backedOff(k.Name) {
+				batches[k] = append(batches[k], s)
 				told++
 			}
 		}
 	}
-	for addr, batch := range batches {
+	for host, batch := range batches {
 		for part := range slices.Chunk(batch, maxStreamBatch) {
-			go v.send(ctx, addr, part)
+			go v.send(ctx, host, part)
 		}
 	}
 }
 
 // send tells another host of streams. What is lost is kept by one host less.
-func (v *Directory) send(ctx context.Context, addr string, starts []fleet.StreamStart) {
+func (v *Directory) send(ctx context.Context, to streamorigin.Host, starts []fleet.StreamStart) {
 	v.Count("stream_starts_told", int64(len(starts)), nil)
-	if _, err := v.Send(ctx, addr, peer.Request{StreamStarts: starts}); err != nil {
+	if _, err := v.Send(ctx, to.Addr, peer.Request{StreamStarts: starts}); err != nil {
 		v.Count("stream_starts_lost", int64(len(starts)), nil)
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		v.backoffUntil[addr] = v.Now().Add(streamKeeperBackoff)
+		v.backOff(to.Name)
 	}
 }
 
-func (v *Directory) backedOff(addr string) bool {
+func (v *Directory) backOff(host string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.Now().Before(v.backoffUntil[addr])
+	v.backoffUntil[host] = v.Now().Add(streamKeeperBackoff)
 }
 
-// CheckVersions tells other hosts of earlier streams of services that have got a second version, since those
-// were not told.
-func (v *Directory) CheckVersions(now time.Time) {
-	for service, versions := range v.Locator.VersionedServices(now) {
-		several := len(versions) > 1
-		v.mu.Lock()
-		before := v.several[service]
-		v.several[service] = several
-		v.mu.Unlock()
-		if several && !before {
-			v.tell(v.table.Of(service, now.Add(-earlierStreamsTime), maxEarlierStreams)...)
+func (v *Directory) backedOff(host string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.Now().Before(v.backoffUntil[host])
+}
+
+// Check must be called regularly. It notices when this host may have missed changes, and tells other hosts of earlier
+// streams of routes that have got a second version or service, since those were not told.
+func (v *Directory) Check(now time.Time) {
+	v.history.Check(now, v.Isolated(now))
+	if now.Sub(v.checkedAt) < checkInterval {
+		return
+	}
+	v.checkedAt = now
+	v.routes.Observe(now, v.Config())
+	told := map[string]bool{}
+	several := map[string]bool{}
+	for route, services := range v.routes.All(now) {
+		if v.oneOrigin(now, route, services[0]) {
+			continue
+		}
+		several[route] = true
+		if v.several[route] {
+			continue
+		}
+		for _, service := range v.services(now, route, services[0]) {
+			if !told[service] {
+				told[service] = true
+				v.tell(v.table.Of(service, now.Add(-earlierStreamsTime), maxEarlierStreams)...)
+			}
 		}
 	}
+	v.several = several
 }
