Streams: what began a stream outlives the hosts while several versions serve

Cause: the version that began a stream was kept by two hosts and nowhere else.

Change: streams that begin while their route's streams may be of several versions are also written to the store, by one host for all (rendezvous hashing; the next one if the store takes nothing from it), one batch at a time with a pause of 20 ms, so that the calls do not grow with the number of hosts. A host that does not find a stream at the four keepers reads what was written since its last read.

--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -27,8 +27,8 @@
 // Topic is one keyed topic of the platform's store.
 type Topic int
 
-// The topics that a host reads. A host writes only to TopicHosts, TopicClaims, TopicCrashes and
-// TopicVersions.
+// The topics that a host reads. A host writes only to TopicHosts, TopicClaims, TopicCrashes,
+// TopicVersions and TopicStreams.
 const (
 	// TopicConfig holds the operator's configuration.
 	TopicConfig Topic = iota
@@ -43,6 +43,9 @@
 	// TopicVersions holds the software versions at which streams may have begun. It is read when a second one
 	// appears, and by hosts that may have missed changes.
 	TopicVersions
+	// TopicStreams holds where streams began while that may be at several versions. It is read for streams that no
+	// host knows.
+	TopicStreams
 )
 
 // Topics lists the topics that hosts follow.
@@ -50,7 +53,7 @@
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"config", "endpoints", "hosts", "claims", "crashes", "versions"}[t]
+	return [...]string{"config", "endpoints", "hosts", "claims", "crashes", "versions", "streams"}[t]
 }
 
 // Entry is a record of a keyed topic. An entry without a value deletes the key.
--- a/pkg/follow/rate_limited_store.go
+++ b/pkg/follow/rate_limited_store.go
@@ -12,6 +12,8 @@
 const (
 	// callsPerSecond is the sustained rate of store calls per host.
 	callsPerSecond = 6
+	// streamCallsPerSecond is that of the calls for the origins of streams, which are written while the streams begin.
+	streamCallsPerSecond = 60
 	// callBurst is the maximum number of calls without a pause. It covers the calls at startup
 	// and after a store outage.
 	callBurst = 20
@@ -32,6 +34,9 @@
 	// MaxPause returns the bound on the pause after rejected reads; nil means defaultMaxPause.
 	MaxPause func() time.Duration
 
+	// rate is the sustained rate of calls per second.
+	rate float64
+
 	mu sync.Mutex
 	// overload holds reads back after rejections.
 	overload overloadPause
@@ -42,7 +47,17 @@
 
 // NewRateLimitedStore returns a store that limits the calls to s.
 func NewRateLimitedStore(s fleet.Store) *RateLimitedStore {
-	return &RateLimitedStore{Store: s, tokens: callBurst, asOf: time.Now()}
+	return newRateLimitedStore(s, callsPerSecond)
+}
+
+// NewRateLimitedStreamStore is like NewRateLimitedStore for the origins of streams. It has a rate of its own, so that
+// they do not delay other calls.
+func NewRateLimitedStreamStore(s fleet.Store) *RateLimitedStore {
+	return newRateLimitedStore(s, streamCallsPerSecond)
+}
+
+func newRateLimitedStore(s fleet.Store, rate float64) *RateLimitedStore {
+	return &RateLimitedStore{Store: s, rate: rate, tokens: callBurst, asOf: time.Now()}
 }
 
 // Newest implements fleet.Store.
@@ -158,10 +173,10 @@
 func (c *RateLimitedStore) tryAcquire(now time.Time, reserve float64) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tokens = min(callBurst, c.tokens+now.Sub(c.asOf).Seconds()*callsPerSecond)
+	c.tokens = min(callBurst, c.tokens+now.Sub(c.asOf).Seconds()*c.rate)
 	c.asOf = now
 	if deficit := reserve + 1 - c.tokens; deficit > 0 {
-		return time.Duration(deficit/callsPerSecond*float64(time.Second)) + time.Millisecond
+		return time.Duration(deficit/c.rate*float64(time.Second)) + time.Millisecond
 	}
 	c.tokens--
 	return 0
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -36,7 +36,7 @@
 	case r.StreamLookup != nil:
 		response.StreamLookup = g.streams.Respond(*r.StreamLookup)
 	case len(r.StreamStarts) > 0:
-		g.streams.Add(r.StreamStarts)
+		g.streams.Add(r.StreamStarts, r.WriteStreams)
 	}
 	response.LinksLost = g.links.Table.Lost()
 	claim := g.election.NewestToSend(now)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -99,6 +99,7 @@
 		g.storeCrashes,
 		g.streams.Run,
 		g.streams.KeepRecord,
+		g.streams.WriteOrigins,
 		g.announce,
 		g.mesh.serve,
 		g.followController,
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -5,17 +5,20 @@
 	"time"
 
 	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/streamorigin"
 	"github.com/tealvane/tealvane/pkg/streamversions"
 )
 
 // newStreamVersions returns what knows which software versions began streams.
-func (g *Gateway) newStreamVersions(store fleet.Store) *streamversions.Directory {
+func (g *Gateway) newStreamVersions(store *follow.RateLimitedStore, unlimited fleet.Store) *streamversions.Directory {
 	d := streamversions.New()
 	d.Now, d.Config = g.Now, g.config.Load
 	d.Era = func() int64 { return g.directory.Offset().Era() }
-	d.Locator, d.Store, d.Log = g.locator, store, g.log
+	streams := follow.NewRateLimitedStreamStore(unlimited)
+	streams.OnCall, streams.OnPause, streams.MaxPause = store.OnCall, store.OnPause, store.MaxPause
+	d.Locator, d.Store, d.StreamStore, d.Log = g.locator, store, streams, g.log
 	d.Hosts = func() (streamorigin.Host, []streamorigin.Host) {
 		self, others := g.mesh.member, []streamorigin.Host(nil)
 		for _, m := range g.mesh.others() {
--- a/pkg/gateway/versions_loss_test.go
+++ b/pkg/gateway/versions_loss_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,6 +191,40 @@
 	}
 }
 
+// Guards against refusing all streams that clients take up after a loss of all hosts while two software versions serve.
+func TestStreamsGoOnAtTheirVersionAfterLossOfAllHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	hosts, _ := d.startVersions()
+	const streams = 24
+	first := map[string]string{}
+	for i := range streams {
+		id := fmt.Sprint("kept-", i)
+		first[id] = d.begin(hosts[i%3], id)
+	}
+	// The last streams may not be in the store yet.
+	wait := time.NewTimer(500 * time.Millisecond)
+	<-wait.C
+	d.killAll(hosts)
+	hosts = d.startHosts("d", "e", "f")
+	complete := 0
+	for i := range streams {
+		id := fmt.Sprint("kept-", i)
+		got := d.resume(hosts[i%3], id+"-again", id)
+		if got.status != http.StatusOK {
+			continue
+		}
+		all := first[id] + got.body
+		is.Equal(len(versionsIn(all)), 1)
+		if strings.Count(all, "data:") == streamEvents {
+			complete++
+		}
+	}
+	t.Logf("%d of %d streams went on", complete, streams)
+	is.True(complete >= streams/2)
+}
+
 // Guards against refusing streams of the only version that has served all along after a loss of all hosts.
 func TestStreamsOfOneVersionGoOnAfterLossOfAllHosts(t *testing.T) {
 	t.Parallel()
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -41,6 +41,8 @@
 	// StreamStarts tells where streams began, and StreamLookup asks for it.
 	StreamStarts []fleet.StreamStart `cbor:"12,keyasint,omitempty"`
 	StreamLookup *fleet.StreamLookup `cbor:"13,keyasint,omitempty"`
+	// WriteStreams asks the receiving host to write StreamStarts to the platform's store.
+	WriteStreams bool `cbor:"14,keyasint,omitempty"`
 	// Known is set by the receiving node if the sender is a known host.
 	Known bool `cbor:"-"`
 }
--- a/pkg/streamversions/directory.go
+++ b/pkg/streamversions/directory.go
@@ -1,5 +1,6 @@
 // Package streamversions finds out which software version began a stream that a client takes up again, and tells the
-// hosts that keep it. What it decides by is in package streamorigin.
+// hosts that keep it. While streams may have begun at several versions it also keeps that in the store. What it decides
+// by is in package streamorigin.
 package streamversions
 
 import (
@@ -41,6 +42,7 @@
 	// sourceOneVersion and sourceSelf are the sources of knowledge that are not another host.
 	sourceOneVersion = "one_version"
 	sourceSelf       = "self"
+	sourceStore      = "store"
 )
 
 // Locator knows the software versions of services.
@@ -55,9 +57,9 @@
 type Directory struct {
 	Now     func() time.Time
 	Locator Locator
-	// Store keeps the versions.
-	Store fleet.Store
-	Log   *slog.Logger
+	// Store keeps the versions, and StreamStore the origins of streams.
+	Store, StreamStore fleet.Store
+	Log                *slog.Logger
 	// Config returns the configuration in force, nil if there is none, and Era the era of the store.
 	Config func() *fleet.Config
 	Era    func() int64
@@ -76,8 +78,9 @@
 	table   *streamorigin.Table
 	routes  *streamorigin.Routes
 	history streamorigin.History
-	// wake ends the wait for streams to tell others of.
-	wake chan struct{}
+	originReader
+	// wake ends the wait for streams to tell others of, and wakeWriter that for streams to write to the store.
+	wake, wakeWriter chan struct{}
 
 	// several holds the routes whose streams may have begun at several versions or services, as of the last Check
 	// at checkedAt. Only Check uses them.
@@ -89,6 +92,8 @@
 	pending []fleet.StreamStart
 	// undecided holds streams of which it is not known yet whether others must be told.
 	undecided []undecidedStart
+	// unwritten holds streams to write to the store.
+	unwritten []fleet.StreamStart
 	// backoffUntil is the time until which a host is not sent streams, by its name.
 	backoffUntil map[string]time.Time
 	// admitted holds the versions of services at which streams may begin, and stored the store's record.
@@ -108,6 +113,7 @@
 		table:        streamorigin.NewTable(),
 		routes:       streamorigin.NewRoutes(),
 		wake:         make(chan struct{}, 1),
+		wakeWriter:   make(chan struct{}, 1),
 		backoffUntil: map[string]time.Time{},
 	}
 }
@@ -206,7 +212,7 @@
 	switch {
 	case err != nil:
 		source = "unknown"
-	case source != sourceSelf && source != sourceOneVersion:
+	case source != sourceSelf && source != sourceOneVersion && source != sourceStore:
 		source = "peer"
 	}
 	v.Count("stream_lookups", 1, map[string]string{"source": source})
@@ -226,7 +232,7 @@
 	return v.lookUp(ctx, r, route)
 }
 
-// lookUp finds the version that began a stream in this host's own table or by asking others.
+// lookUp finds the version that began a stream in this host's own table, by asking others or in the store.
 func (v *Directory) lookUp(ctx context.Context, r *serve.Request, route string) (serve.StreamVersion, error) {
 	if found, err := v.findOwn(r.Resumes, sourceSelf); found != nil || err != nil {
 		return value(found), err
@@ -235,6 +241,14 @@
 	if err != nil {
 		return serve.StreamVersion{}, err
 	}
+	if found == nil && r.Resumes != "" {
+		if err := v.readOrigins(ctx); err != nil {
+			v.Log.Info("looking up a stream in the store failed", "error", err.Error())
+		}
+		if found, err = v.findOwn(r.Resumes, sourceStore); err != nil {
+			return serve.StreamVersion{}, err
+		}
+	}
 	switch {
 	case found != nil:
 		start := fleet.StreamStart{Attempt: r.Resumes, Origin: fleet.StreamOrigin{Service: found.Service, Version: found.Required.Version}}
@@ -244,7 +258,7 @@
 	case oneVersion && v.oneOrigin(v.Now(), route, r.Service):
 		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
 	}
-	return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "no host that was asked knows attempt %s", r.Resumes)
+	return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "neither the hosts that were asked nor the store know attempt %s", r.Resumes)
 }
 
 // findOwn finds a stream in this host's own table; nil if it is not there.
@@ -330,8 +344,11 @@
 	return &result
 }
 
-// Add adds streams that another host has begun.
-func (v *Directory) Add(starts []fleet.StreamStart) {
+// Add adds streams that another host has begun, and writes them to the store if it asks for that.
+func (v *Directory) Add(starts []fleet.StreamStart, write bool) {
+	if write {
+		v.Write(starts)
+	}
 	now := v.Now()
 	for _, s := range starts {
 		v.table.Add(now, s)
@@ -353,7 +370,7 @@
 	}
 }
 
-// flush tells the hosts that keep the pending streams of them.
+// flush tells the hosts that keep the pending streams of them, and the one that writes them to the store.
 func (v *Directory) flush(ctx context.Context) {
 	v.mu.Lock()
 	starts := v.pending
@@ -377,6 +394,7 @@
 			go v.send(ctx, host, part)
 		}
 	}
+	go v.sendToWriter(ctx, starts)
 }
 
 // send tells another host of streams. What is lost is kept by one host less.
