--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -37,6 +37,8 @@
 	RetryAfter string
 	// Unframed sends the response with neither a length nor chunks if it is not nil.
 	Unframed *Unframed
+	// Raw, if not nil, writes the whole response to a request that runs. The connection is closed afterwards.
+	Raw func(conn net.Conn, header http.Header, r *http.Request)
 }
 
 // Unframed is a response whose body ends with its connection.
--- a/internal/standin/site/requests.go
+++ b/internal/standin/site/requests.go
@@ -62,6 +62,15 @@
 		w.WriteHeader(b.Status)
 		return
 	}
+	if b.Raw != nil {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		b.Raw(conn, w.Header().Clone(), r)
+		return
+	}
 	if b.Unframed != nil {
 		e.sendUnframed(w, r, id, *b.Unframed)
 		return
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -65,12 +65,18 @@
 	done  chan struct{}
 }
 
-// startProcess starts a command. The process is killed at the end of the test.
+// startProcess starts one of the commands of this repository, as startCommand does.
 func startProcess(t testing.TB, name string, args ...string) *process {
+	t.Helper()
+	return startCommand(t, filepath.Join(buildCommands(t), name), args...)
+}
+
+// startCommand starts a command. The process is killed at the end of the test.
+func startCommand(t testing.TB, path string, args ...string) *process {
 	t.Helper()
 	p := &process{
 		t:     t,
-		cmd:   exec.Command(filepath.Join(buildCommands(t), name), args...),
+		cmd:   exec.Command(path, args...),
 		lines: make(chan string, 1000),
 		done:  make(chan struct{}),
 	}
