--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -242,6 +243,13 @@
 	return len(s.topic(name).newest)
 }
 
+// Contains reports whether a value in the history of a topic contains a text.
+func (s *Store) Contains(name, text string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.topic(name).records, func(r record) bool { return bytes.Contains(r.value, []byte(text)) })
+}
+
 // Compact drops the history of a topic. The newest record of each key remains.
 func (s *Store) Compact(name string) {
 	s.mu.Lock()
--- a/pkg/follow/rate_limited_store.go
+++ b/pkg/follow/rate_limited_store.go
@@ -50,10 +50,11 @@
 	return newRateLimitedStore(s, callsPerSecond)
 }
 
-// NewRateLimitedStreamStore is like NewRateLimitedStore for the origins of streams. It has a rate of its own, so that
-// they do not delay other calls.
-func NewRateLimitedStreamStore(s fleet.Store) *RateLimitedStore {
-	return newRateLimitedStore(s, streamCallsPerSecond)
+// ForStreams returns a store for the origins of streams. It has a rate of its own, so that they do not delay other calls.
+func (c *RateLimitedStore) ForStreams() *RateLimitedStore {
+	out := newRateLimitedStore(c.Store, streamCallsPerSecond)
+	out.OnCall, out.OnPause, out.MaxPause = c.OnCall, c.OnPause, c.MaxPause
+	return out
 }
 
 func newRateLimitedStore(s fleet.Store, rate float64) *RateLimitedStore {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -248,7 +248,7 @@
 		Now:     g.Now,
 		Tracer:  cfg.Tracer.Tracer("github.com/tealvane/tealvane"),
 	}
-	g.streams = g.newStreamVersions(store, cfg.Store)
+	g.streams = g.newStreamVersions(store)
 	g.server.Versions = g.streams
 	g.budget.SetHosts(maxAssumedHosts) // until the hosts are read
 	g.guard = g.newGuard()
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -98,8 +98,6 @@
 		g.followCrashes,
 		g.storeCrashes,
 		g.streams.Run,
-		g.streams.KeepRecord,
-		g.streams.WriteOrigins,
 		g.announce,
 		g.mesh.serve,
 		g.followController,
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/follow"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/streamorigin"
@@ -12,13 +11,11 @@
 )
 
 // newStreamVersions returns what knows which software versions began streams.
-func (g *Gateway) newStreamVersions(store *follow.RateLimitedStore, unlimited fleet.Store) *streamversions.Directory {
+func (g *Gateway) newStreamVersions(store *follow.RateLimitedStore) *streamversions.Directory {
 	d := streamversions.New()
-	d.Now, d.Config = g.Now, g.config.Load
+	d.Now, d.Config, d.Count = g.Now, g.config.Load, g.metrics.add
 	d.Era = func() int64 { return g.directory.Offset().Era() }
-	streams := follow.NewRateLimitedStreamStore(unlimited)
-	streams.OnCall, streams.OnPause, streams.MaxPause = store.OnCall, store.OnPause, store.MaxPause
-	d.Locator, d.Store, d.StreamStore, d.Log = g.locator, store, streams, g.log
+	d.Locator, d.Store, d.StreamStore, d.Log = g.locator, store, store.ForStreams(), g.log
 	d.Hosts = func() (streamorigin.Host, []streamorigin.Host) {
 		self, others := g.mesh.member, []streamorigin.Host(nil)
 		for _, m := range g.mesh.others() {
@@ -32,7 +29,6 @@
 	}
 	d.Isolated = g.isolated
 	d.Controlling = func() bool { return g.election.HeldToken() != 0 }
-	d.Count = g.metrics.add
 	return d
 }
 
--- a/pkg/gateway/versions_loss_test.go
+++ b/pkg/gateway/versions_loss_test.go
@@ -203,9 +203,9 @@
 		id := fmt.Sprint("kept-", i)
 		first[id] = d.begin(hosts[i%3], id)
 	}
-	// The last streams may not be in the store yet.
-	wait := time.NewTimer(500 * time.Millisecond)
-	<-wait.C
+	for id := range first {
+		d.waitFor("the store has the streams", func() bool { return d.store.Contains("keyed.streams", id) })
+	}
 	d.killAll(hosts)
 	hosts = d.startHosts("d", "e", "f")
 	complete := 0
--- a/pkg/streamversions/directory.go
+++ b/pkg/streamversions/directory.go
@@ -234,8 +234,8 @@
 
 // lookUp finds the version that began a stream in this host's own table, by asking others or in the store.
 func (v *Directory) lookUp(ctx context.Context, r *serve.Request, route string) (serve.StreamVersion, error) {
-	if found, err := v.findOwn(r.Resumes, sourceSelf); found != nil || err != nil {
-		return value(found), err
+	if own, ok, err := v.findOwn(r.Resumes, sourceSelf); ok || err != nil {
+		return own, err
 	}
 	found, oneVersion, err := v.ask(ctx, fleet.StreamLookup{Attempt: r.Resumes, Service: r.Service, Route: route})
 	if err != nil {
@@ -245,9 +245,13 @@
 		if err := v.readOrigins(ctx); err != nil {
 			v.Log.Info("looking up a stream in the store failed", "error", err.Error())
 		}
-		if found, err = v.findOwn(r.Resumes, sourceStore); err != nil {
+		own, ok, err := v.findOwn(r.Resumes, sourceStore)
+		if err != nil {
 			return serve.StreamVersion{}, err
 		}
+		if ok {
+			found = &own
+		}
 	}
 	switch {
 	case found != nil:
@@ -261,24 +265,16 @@
 	return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "neither the hosts that were asked nor the store know attempt %s", r.Resumes)
 }
 
-// findOwn finds a stream in this host's own table; nil if it is not there.
-func (v *Directory) findOwn(attempt, source string) (*serve.StreamVersion, error) {
+// findOwn finds a stream in this host's own table and reports whether it is there.
+func (v *Directory) findOwn(attempt, source string) (version serve.StreamVersion, ok bool, err error) {
 	own := v.table.Find(v.Now(), attempt)
-	if own.Conflict {
-		return nil, errors.Wrapf(serve.ErrVersionUnknown, "attempt %s began at several versions", attempt)
-	}
-	if own.Origin == nil {
-		return nil, nil
-	}
-	found := streamVersion(own, source)
-	return &found, nil
-}
-
-func value(v *serve.StreamVersion) serve.StreamVersion {
-	if v == nil {
-		return serve.StreamVersion{}
+	switch {
+	case own.Conflict:
+		return serve.StreamVersion{}, false, errors.Wrapf(serve.ErrVersionUnknown, "attempt %s began at several versions", attempt)
+	case own.Origin == nil:
+		return serve.StreamVersion{}, false, nil
 	}
-	return *v
+	return streamVersion(own, source), true, nil
 }
 
 func streamVersion(found fleet.StreamLookupResult, source string) serve.StreamVersion {
@@ -355,8 +351,17 @@
 	}
 }
 
-// Run tells other hosts of streams until ctx is done.
+// Run tells other hosts and the store of streams, and keeps the record of versions, until ctx is done.
 func (v *Directory) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){v.keepRecord, v.keepWriting, v.keepTelling} {
+		loops.Go(func() { loop(ctx) })
+	}
+	loops.Wait()
+}
+
+// keepTelling tells other hosts of streams until ctx is done.
+func (v *Directory) keepTelling(ctx context.Context) {
 	for {
 		select {
 		case <-v.wake:
--- a/pkg/streamversions/originlog.go
+++ b/pkg/streamversions/originlog.go
@@ -85,8 +85,8 @@
 	wake(v.wakeWriter)
 }
 
-// WriteOrigins writes the queued streams to the store until ctx is done.
-func (v *Directory) WriteOrigins(ctx context.Context) {
+// keepWriting writes the queued streams to the store until ctx is done.
+func (v *Directory) keepWriting(ctx context.Context) {
 	for {
 		select {
 		case <-v.wakeWriter:
--- a/pkg/streamversions/record.go
+++ b/pkg/streamversions/record.go
@@ -42,40 +42,48 @@
 	retryAt time.Time
 }
 
-// KeepRecord keeps in the store where streams may have begun, and lets streams begin at a version of software once
+// keepRecord keeps in the store where streams may have begun, and lets streams begin at a version of software once
 // the store names it. The controller writes the record; another host does if the controller fails to.
-func (v *Directory) KeepRecord(ctx context.Context) {
-	var lackingSince, readAt time.Time
+func (v *Directory) keepRecord(ctx context.Context) {
+	var lack recordLack
 	wait.Every(ctx, recordInterval, func() {
 		now := v.Now()
 		known, ok := v.knownOrigins(now)
 		if !ok {
 			return
 		}
-		owner := v.Controlling()
-		if v.storedCopy().record.Covers(known) || !owner && !v.startsWait(known) {
-			lackingSince = time.Time{}
-			if owner {
-				v.writeRecord(ctx, known, true)
-			}
+		if v.Controlling() {
+			v.writeRecord(ctx, known, true)
 		} else {
-			if lackingSince.IsZero() {
-				lackingSince = now
-			}
-			lacking := now.Sub(lackingSince)
-			if !owner && lacking >= recordReadDelay && now.Sub(readAt) >= recordWriteDelay {
-				readAt = now
-				_ = v.readRecord(ctx) // Logged.
-			}
-			if owner || lacking >= recordWriteDelay && v.storedCopy().known {
-				v.writeRecord(ctx, known, owner)
-			}
+			v.assistController(ctx, now, known, &lack)
 		}
 		v.admit(now)
 		v.settleUndecided(ctx)
 	})
 }
 
+// recordLack is since when the record lacks what this host knows, and when this host last read it for that.
+type recordLack struct{ since, readAt time.Time }
+
+// assistController reads the record while streams wait for a version to be named there, and writes it if the controller
+// does not.
+func (v *Directory) assistController(ctx context.Context, now time.Time, known streamorigin.Record, lack *recordLack) {
+	if v.storedCopy().record.Covers(known) || !v.startsWait(known) {
+		lack.since = time.Time{}
+		return
+	}
+	if lack.since.IsZero() {
+		lack.since = now
+	}
+	if now.Sub(lack.since) >= recordReadDelay && now.Sub(lack.readAt) >= recordWriteDelay {
+		lack.readAt = now
+		_ = v.readRecord(ctx) // Logged.
+	}
+	if now.Sub(lack.since) >= recordWriteDelay && v.storedCopy().known {
+		v.writeRecord(ctx, known, false)
+	}
+}
+
 // knownOrigins returns where streams may have begun as far as this host knows, and whether it knows any service
 // that resumable routes have.
 func (v *Directory) knownOrigins(now time.Time) (streamorigin.Record, bool) {
