--- /dev/null
+++ b/pkg/streamversions/simulation_test.go
@@ -0,0 +1,493 @@
+package streamversions_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/proptest"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/peer"
+	"github.com/tealvane/tealvane/pkg/serve"
+	"github.com/tealvane/tealvane/pkg/streamorigin"
+	"github.com/tealvane/tealvane/pkg/streamversions"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, 50, 8) }
+
+// loadTime is how long a new endpoint takes before it can begin a stream, in which hosts that are cut off notice it.
+const loadTime = 2500 * time.Millisecond
+
+// simStore keeps the topics of a simulation. Each host has a fault of its own.
+type simStore struct {
+	mu     sync.Mutex
+	era    int64
+	topics map[fleet.Topic][]fleet.Entry
+	copied map[fleet.Topic][]fleet.Entry
+}
+
+type storeFault int
+
+const (
+	noFault storeFault = iota
+	rejectsWrites
+	losesWriteAnswers
+	rejectsAll
+	storeFaults
+)
+
+// simHostStore is the store as one host reaches it.
+type simHostStore struct {
+	*simStore
+	host *simHost
+}
+
+func (s simHostStore) Newest(_ context.Context, t fleet.Topic) (fleet.Batch, error) {
+	b, err := s.Read(context.Background(), t, fleet.NewPosition(s.currentEra(), 0), 0)
+	newest := map[string]fleet.Entry{}
+	for _, e := range b.Entries {
+		newest[e.Key] = e
+	}
+	b.Entries = b.Entries[:0]
+	for _, e := range newest {
+		b.Entries = append(b.Entries, e)
+	}
+	return b, err
+}
+
+func (s simHostStore) Page(context.Context, fleet.Topic, string) (fleet.Batch, bool, error) {
+	panic("not used")
+}
+
+func (s simHostStore) Extent(context.Context, fleet.Topic) (first, end fleet.Position, err error) {
+	panic("not used")
+}
+
+func (s simHostStore) Read(_ context.Context, t fleet.Topic, from fleet.Position, _ time.Duration) (fleet.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.host.fault == rejectsAll {
+		return fleet.Batch{}, fleet.ErrStoreRejected
+	}
+	if from.Era() != s.era {
+		return fleet.Batch{}, fleet.ErrStoreRestored
+	}
+	all := s.topics[t]
+	b := fleet.Batch{Next: fleet.NewPosition(s.era, int64(len(all)))}
+	for i, e := range all[from.Offset():] {
+		e.Offset = from + fleet.Position(i)
+		b.Entries = append(b.Entries, e)
+	}
+	return b, nil
+}
+
+func (s simHostStore) Put(_ context.Context, t fleet.Topic, key string, value []byte, at fleet.Position) (fleet.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.host.fault == rejectsAll || s.host.fault == rejectsWrites {
+		return 0, fleet.ErrStoreRejected
+	}
+	next := fleet.NewPosition(s.era, int64(len(s.topics[t])))
+	if at != fleet.AnyOffset && at != next {
+		return 0, errors.Mark(errors.New("another entry"), fleet.ErrStoreConflict)
+	}
+	s.topics[t] = append(s.topics[t], fleet.Entry{Key: key, Value: value})
+	if s.host.fault == losesWriteAnswers {
+		return 0, fleet.ErrStoreUnavailable
+	}
+	return next, nil
+}
+
+func (s *simStore) currentEra() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+func (s *simStore) copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = map[fleet.Topic][]fleet.Entry{}
+	for t, all := range s.topics {
+		s.copied[t] = slices.Clone(all)
+	}
+}
+
+func (s *simStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copied == nil {
+		return
+	}
+	s.era++
+	s.topics, s.copied = s.copied, nil
+}
+
+// simHost is a host of a simulation.
+type simHost struct {
+	name    string
+	up      bool
+	fault   storeFault
+	cut     bool
+	cutAt   time.Time
+	stop    context.CancelFunc
+	streams *streamversions.Directory
+	locator *fleet.Locator
+	list    *fleet.Directory
+	config  *fleet.Config
+	offset  fleet.Position
+}
+
+// isolated reports whether the host hears of no changes.
+func (h *simHost) isolated() bool { return h.cut && h.fault == rejectsAll }
+
+type simStream struct {
+	id     string
+	at     time.Time
+	origin fleet.StreamOrigin
+}
+
+type simulation struct {
+	rand      *rand.Rand
+	store     *simStore
+	hosts     []*simHost
+	endpoints map[fleet.EndpointID]fleet.Endpoint
+	// usableAt is when an endpoint has its models.
+	usableAt map[fleet.EndpointID]time.Time
+	config   *fleet.Config
+	starts   int64
+	n        int
+	begun    []simStream
+
+	resumed, wentOn int
+	failures        []string
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{
+		rand:      rand.New(rand.NewPCG(seed, 0)),
+		store:     &simStore{topics: map[fleet.Topic][]fleet.Entry{}},
+		endpoints: map[fleet.EndpointID]fleet.Endpoint{}, usableAt: map[fleet.EndpointID]time.Time{},
+	}
+	s.setServices("llm")
+	s.addEndpoint("llm", "1")
+	s.addEndpoint("llm2", "9")
+	for i := range 3 + s.rand.IntN(2) {
+		h := &simHost{name: fmt.Sprint("h", i)}
+		s.hosts = append(s.hosts, h)
+	}
+	if s.rand.IntN(3) == 0 {
+		s.setFault(rejectsWrites) // There is no record then.
+	}
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	return s
+}
+
+// setServices puts a configuration in force in which the route has services.
+func (s *simulation) setServices(services ...string) {
+	s.n++
+	r := fleet.Route{Name: "r", Host: "h", PathPrefix: "/", Kind: fleet.Stream, Resumable: true}
+	for _, service := range services {
+		r.Targets = append(r.Targets, fleet.Target{Service: service, Weight: 1})
+	}
+	s.config = &fleet.Config{Version: int64(s.n), Routes: []fleet.Route{r}}
+	s.tellAll()
+}
+
+func (s *simulation) addEndpoint(service, version string) {
+	s.n++
+	id := fleet.EndpointID(fmt.Sprint("e", s.n))
+	s.endpoints[id] = fleet.Endpoint{ID: id, Service: service, Version: version, Addr: "127.0.0.1:1", Zone: "z"}
+	s.usableAt[id] = time.Now().Add(loadTime)
+	s.tellAll()
+}
+
+// removeVersion removes the endpoints of a version unless they are the only ones of the service.
+func (s *simulation) removeVersion(service, version string) {
+	var others, own []fleet.EndpointID
+	for id, e := range s.endpoints {
+		switch {
+		case e.Service != service:
+		case e.Version == version:
+			own = append(own, id)
+		case !time.Now().Before(s.usableAt[id]):
+			others = append(others, id)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	for _, id := range own {
+		delete(s.endpoints, id)
+	}
+	s.tellAll()
+}
+
+func (s *simulation) tellAll() {
+	for _, h := range s.hosts {
+		s.tell(h)
+	}
+}
+
+// tell lets a host hear of the endpoints and the configuration.
+func (s *simulation) tell(h *simHost) {
+	if !h.up || h.isolated() {
+		return
+	}
+	h.config = s.config
+	h.offset++
+	list := map[fleet.Position]fleet.Endpoint{}
+	for _, e := range s.endpoints {
+		list[fleet.NewPosition(s.store.currentEra(), int64(len(list))+1000*int64(h.offset))] = e
+	}
+	h.list.Replace(time.Now(), fleet.NewPosition(s.store.currentEra(), 1000*int64(h.offset+1)), list)
+	h.locator.MarkStale()
+}
+
+func (s *simulation) start(h *simHost) {
+	s.starts++
+	h.up, h.cut = true, false
+	h.list = fleet.NewDirectory()
+	h.locator = fleet.NewLocator(h.list)
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	d := streamversions.New()
+	d.Now, d.Locator, d.Log = time.Now, h.locator, slog.New(slog.DiscardHandler)
+	d.Store, d.StreamStore = simHostStore{s.store, h}, simHostStore{s.store, h}
+	d.Config = func() *fleet.Config { return h.config }
+	d.Era = s.store.currentEra
+	d.HostEntries = func() int64 { return s.starts }
+	d.Isolated = func(now time.Time) bool { return h.isolated() && now.Sub(h.cutAt) > 2*time.Second }
+	d.Controlling = func() bool { return s.controller() == h }
+	d.Count = func(string, int64, map[string]string) {}
+	d.Hosts = func() (self streamorigin.Host, others []streamorigin.Host) {
+		for _, o := range s.hosts {
+			if o != h {
+				others = append(others, streamorigin.Host{Name: o.name, Addr: o.name, Zone: "z"})
+			}
+		}
+		return streamorigin.Host{Name: h.name, Addr: h.name, Zone: "z"}, others
+	}
+	d.Send = func(_ context.Context, addr string, r peer.Request) (peer.Response, error) { return s.send(h, addr, r) }
+	h.streams = d
+	s.tell(h)
+	go d.Run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			d.Check(time.Now())
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+}
+
+func (s *simulation) controller() *simHost {
+	for _, h := range s.hosts {
+		if h.up && !h.cut && h.fault != rejectsAll {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *simulation) send(from *simHost, addr string, r peer.Request) (peer.Response, error) {
+	i := slices.IndexFunc(s.hosts, func(h *simHost) bool { return h.name == addr })
+	to := s.hosts[i]
+	if !to.up || to.cut || from.cut {
+		return peer.Response{}, errors.New("unreachable")
+	}
+	if r.StreamLookup != nil {
+		return peer.Response{StreamLookup: to.streams.Respond(*r.StreamLookup)}, nil
+	}
+	to.streams.Add(r.StreamStarts, r.WriteStreams)
+	return peer.Response{}, nil
+}
+
+func (s *simulation) kill(h *simHost) {
+	h.up = false
+	h.stop()
+}
+
+// host returns a host that is up.
+func (s *simulation) host() *simHost {
+	var up []*simHost
+	for _, h := range s.hosts {
+		if h.up {
+			up = append(up, h)
+		}
+	}
+	return up[s.rand.IntN(len(up))]
+}
+
+func (s *simulation) step() {
+	version := func() string { return fmt.Sprint(1 + s.rand.IntN(3)) }
+	switch h := s.host(); s.rand.IntN(14) {
+	case 0:
+		s.kill(h)
+		s.start(h)
+	case 1, 2:
+		s.killAll()
+	case 3, 4:
+		s.addEndpoint("llm", version())
+	case 5, 6:
+		s.removeVersion("llm", version())
+	case 7:
+		h.fault = storeFault(s.rand.IntN(int(storeFaults)))
+	case 8:
+		s.setFault(storeFault(s.rand.IntN(int(storeFaults))))
+	case 9:
+		h.cut, h.cutAt = true, time.Now()
+	case 10:
+		for _, h := range s.hosts {
+			h.cut, h.fault = false, noFault
+			s.tell(h)
+		}
+	case 11:
+		if s.store.copied != nil {
+			s.store.restore()
+			s.tellAll()
+		} else {
+			s.store.copy()
+		}
+	case 12:
+		s.setServices([][]string{{"llm"}, {"llm2"}, {"llm", "llm2"}}[s.rand.IntN(3)]...)
+	case 13:
+		s.rollBack(version())
+	}
+}
+
+func (s *simulation) setFault(f storeFault) {
+	for _, h := range s.hosts {
+		h.fault = f
+	}
+}
+
+func (s *simulation) killAll() {
+	for _, h := range s.hosts {
+		s.kill(h)
+	}
+	time.Sleep(time.Duration(s.rand.IntN(1000)) * time.Millisecond)
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+}
+
+// rollBack adds a version and removes it again while the store may reject writes, before all hosts are lost.
+func (s *simulation) rollBack(version string) {
+	s.setFault(storeFault(s.rand.IntN(2)))
+	s.addEndpoint("llm", version)
+	time.Sleep(loadTime + time.Duration(s.rand.IntN(1000))*time.Millisecond)
+	for range 6 {
+		s.begin()
+	}
+	s.removeVersion("llm", version)
+	s.killAll()
+	s.setFault(noFault)
+	s.tellAll()
+	time.Sleep(time.Duration(s.rand.IntN(3000)) * time.Millisecond)
+	for range 6 {
+		s.resume()
+	}
+}
+
+func (s *simulation) request(h *simHost, id string) *serve.Request {
+	r := h.config.Routes[0]
+	return &serve.Request{ID: id, Route: r, Service: r.Choose(s.rand.IntN), Arrived: time.Now()}
+}
+
+// usable returns the endpoints at which a host may run a request.
+func (s *simulation) usable(h *simHost, service string, required fleet.VersionRequirement) []fleet.Endpoint {
+	at := h.locator.LocateVersion(time.Now(), service, "", "", required)
+	ready := slices.DeleteFunc(slices.Clone(at.Ready), func(e fleet.Endpoint) bool {
+		_, lives := s.endpoints[e.ID]
+		return !lives || time.Now().Before(s.usableAt[e.ID])
+	})
+	slices.SortFunc(ready, func(a, b fleet.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return ready
+}
+
+func (s *simulation) begin() {
+	h := s.host()
+	if h.config == nil {
+		return
+	}
+	s.n++
+	r := s.request(h, fmt.Sprint("s", s.n))
+	ready := s.usable(h, r.Service, fleet.VersionRequirement{})
+	if len(ready) == 0 {
+		return
+	}
+	e := ready[s.rand.IntN(len(ready))]
+	origin := fleet.StreamOrigin{Service: e.Service, Version: e.Version}
+	h.streams.RecordStart(r, origin)
+	s.begun = append(s.begun, simStream{r.ID, time.Now(), origin})
+}
+
+// resume takes a stream up that began lately.
+func (s *simulation) resume() {
+	s.begun = slices.DeleteFunc(s.begun, func(x simStream) bool { return time.Since(x.at) > 17*time.Second })
+	h := s.host()
+	if len(s.begun) == 0 || h.config == nil {
+		return
+	}
+	stream := s.begun[s.rand.IntN(len(s.begun))]
+	s.n++
+	r := s.request(h, fmt.Sprint("s", s.n))
+	r.LastEvent, r.Resumes = "1", stream.id
+	s.resumed++
+	found, err := h.streams.Find(context.Background(), r)
+	if err != nil || !r.Route.Serves(found.Service) {
+		return
+	}
+	usable := s.usable(h, found.Service, found.Required)
+	if len(usable) > 0 {
+		s.wentOn++
+	}
+	for _, e := range usable {
+		if (fleet.StreamOrigin{Service: e.Service, Version: e.Version}) != stream.origin {
+			s.failures = append(s.failures, fmt.Sprintf("stream %s, begun at %v, may go on at %s %s by the word of %q at %s", stream.id, stream.origin, e.Service, e.Version, found.Source, h.name))
+			return
+		}
+	}
+}
+
+// Guards against streams that go on at another service or software version than the one that began them, when hosts are
+// killed, all at once too, or cut off, the store rejects calls, loses answers or is restored, and versions and routes change.
+func TestStreamsGoOnOnlyWhereTheyBegan(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var s *simulation
+		synctest.Test(t, func(*testing.T) {
+			s = newSimulation(seed)
+			time.Sleep(loadTime + time.Second)
+			for range 60 {
+				s.step()
+				for range s.rand.IntN(4) {
+					s.begin()
+					time.Sleep(time.Duration(s.rand.IntN(60)) * time.Millisecond)
+					s.resume()
+				}
+				time.Sleep(time.Duration(s.rand.IntN(1500)) * time.Millisecond)
+				s.resume()
+			}
+			for _, h := range s.hosts {
+				s.kill(h)
+			}
+			time.Sleep(time.Second)
+		})
+		for _, f := range s.failures {
+			rt.Error(f)
+		}
+		rt.Logf("%d of %d went on", s.wentOn, s.resumed)
+	})
+}
