--- a/test/process/order_soak_test.go
+++ b/test/process/order_soak_test.go
@@ -1,8 +1,6 @@
 package process_test
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -10,11 +8,8 @@
 	"math/rand"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,12 +31,8 @@
 	orderLogs    = flag.String("order-logs", "", "directory for the logs of the hosts of the soak of the order of streams")
 )
 
-const (
-	orderEvents      = 12
-	orderVersionPool = 3
-	// orderStall exceeds the time after which a host looks for another endpoint.
-	orderStall = 1500 * time.Millisecond
-)
+// orderVersions is the number of software versions.
+const orderVersions = 3
 
 // orderSoak is a deployment whose hosts are processes. Its endpoints end responses in all ways that a connection allows, and
 // its clients read at several speeds and take up what breaks off.
@@ -55,15 +46,13 @@
 	rand      *rand.Rand
 	hosts     []*limitsHost
 	endpoints []*site.Endpoint
-	runs      map[string]streamjudge.Run
-	streams   []streamjudge.Stream
 	version   int64
-
-	begun, resumed, wentOn, complete atomic.Int64
+	traffic   *streamjudge.Traffic
 }
 
 func newOrderSoak(t *testing.T, seed int64) *orderSoak {
-	s := &orderSoak{t: t, store: site.NewStore(), dir: t.TempDir(), rand: rand.New(rand.NewSource(seed)), runs: map[string]streamjudge.Run{}}
+	s := &orderSoak{t: t, store: site.NewStore(), dir: t.TempDir(), rand: rand.New(rand.NewSource(seed)), traffic: streamjudge.NewTraffic(uint64(seed))}
+	s.traffic.Host, s.traffic.Model, s.traffic.Routes = "h.example", "warm", streamjudge.Routes{Resumable: "/again/", Once: "/once/"}
 	listener, err := s.store.Listen()
 	if err != nil {
 		t.Fatal(err)
@@ -74,7 +63,7 @@
 	for i := range 6 {
 		s.endpoints = append(s.endpoints, s.startEndpoint(fmt.Sprint("e", i), "llm", i%2))
 	}
-	s.startEndpoint("other", "llm2", orderVersionPool)
+	s.startEndpoint("other", "llm2", orderVersions)
 	for i := range *orderHosts {
 		s.hosts = append(s.hosts, s.startHost(fmt.Sprint("h", i)))
 	}
@@ -106,9 +95,9 @@
 	e, err := site.StartEndpoint(s.store, site.EndpointConfig{
 		ID: name, Service: service, Zone: "zone-a", Slots: 64, WeightsMB: 125, AdapterSlots: 4, LoadedModels: []string{"warm"}, Version: fmt.Sprint(version, ".0"),
 		Models: []site.Model{{Name: "warm", WeightsMB: 50, LoadS: 1, DiskS: 0.2, WarmS: 0.1}},
-		Behave: func(id, _ string, n int) site.Behavior {
+		Behave: func(_, _ string, n int) site.Behavior {
 			return site.Behavior{Raw: func(conn net.Conn, header http.Header, r *http.Request) {
-				s.respond(conn, header, r, fmt.Sprint(name, "/", n), streamjudge.Run{Origin: origin, Last: orderEvents}, id)
+				s.traffic.Respond(s.t.Context(), conn, header, r, fmt.Sprint(name, "/", n), origin)
 			}}
 		},
 	})
@@ -119,70 +108,6 @@
 	return e
 }
 
-// respond writes a stream in one of several framings, splits it anywhere and may break it off anywhere.
-func (s *orderSoak) respond(conn net.Conn, header http.Header, r *http.Request, tag string, run streamjudge.Run, id string) {
-	s.mu.Lock()
-	draw := rand.New(rand.NewSource(s.rand.Int63()))
-	run.Stream, _, _ = strings.Cut(id, ".")
-	run.After, _ = strconv.Atoi(r.Header.Get("Last-Event-Id")) // A missing ID starts the stream at its first event.
-	s.runs[tag] = run
-	s.mu.Unlock()
-	var body bytes.Buffer
-	for n := run.After + 1; n <= run.Last; n++ {
-		body.WriteString(streamjudge.Event(tag, n))
-	}
-	whole := body.Bytes()
-	cut, reset := len(whole), draw.Intn(2) == 0
-	if draw.Intn(4) == 0 {
-		cut = draw.Intn(len(whole) + 1)
-	}
-	header.Set("Content-Type", "text/event-stream")
-	chunked, length := draw.Intn(4) > 0, draw.Intn(2) == 0
-	switch {
-	case chunked:
-		header.Set("Transfer-Encoding", "chunked")
-	case length:
-		header.Set("Content-Length", strconv.Itoa(len(whole)))
-	case cut < len(whole):
-		reset = true // A plain close would be its end.
-	}
-	head := &bytes.Buffer{}
-	_ = header.Write(head) // A buffer does not fail.
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", head)
-	var out io.Writer = conn
-	var chunks io.WriteCloser
-	if chunked {
-		chunks = httputil.NewChunkedWriter(conn)
-		out = chunks
-	}
-	stallAt := -1
-	if draw.Intn(8) == 0 {
-		stallAt = draw.Intn(cut + 1)
-	}
-	for sent := 0; sent < cut; {
-		n := min(cut-sent, 1+draw.Intn(60))
-		if _, err := out.Write(whole[sent : sent+n]); err != nil {
-			return
-		}
-		if sent <= stallAt && stallAt < sent+n {
-			wait.For(s.t.Context(), orderStall)
-		}
-		sent += n
-		wait.For(s.t.Context(), time.Duration(draw.Intn(12))*time.Millisecond)
-	}
-	if cut == len(whole) && chunked && draw.Intn(12) > 0 {
-		_ = chunks.Close()
-		_, _ = io.WriteString(conn, "\r\n") // The host may have closed the connection.
-		if draw.Intn(6) == 0 {
-			_, _ = io.WriteString(conn, streamjudge.Event(tag, run.Last)) // Bytes of no response.
-		}
-		return
-	}
-	if reset && cut < len(whole) {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	}
-}
-
 func (s *orderSoak) startHost(name string) *limitsHost {
 	file := filepath.Join(s.dir, name+".yaml")
 	settings := fmt.Sprintf(`
@@ -260,7 +185,7 @@
 	)
 	s.mu.Lock()
 	kind, i, pause := s.rand.Intn(kinds), s.rand.Intn(len(s.hosts)), time.Duration(100+s.rand.Intn(2500))*time.Millisecond
-	j, version := s.rand.Intn(len(s.endpoints)), s.rand.Intn(orderVersionPool)
+	j, version := s.rand.Intn(len(s.endpoints)), s.rand.Intn(orderVersions)
 	s.mu.Unlock()
 	h := s.host(i)
 	replace := func(signal syscall.Signal) {
@@ -309,90 +234,6 @@
 	}
 }
 
-// client reads streams until stop is set, and takes those that break off up again.
-func (s *orderSoak) client(seed int64, stop *atomic.Bool) {
-	r := rand.New(rand.NewSource(seed))
-	for n := 0; !stop.Load(); n++ {
-		stream := streamjudge.Stream{ID: fmt.Sprint("o-", seed, "-", n), Resumable: r.Intn(3) > 0}
-		route := "/once/"
-		if stream.Resumable {
-			route = "/again/"
-		}
-		events, first := 0, ""
-		for attempt := range 4 {
-			id := fmt.Sprint(stream.ID, ".", attempt)
-			a := s.request(s.host(r.Intn(*orderHosts)).callers, route, id, first, events, r)
-			got := strings.Count(a.Body, "\n\n")
-			switch {
-			case events > 0:
-				s.resumed.Add(1)
-				if got > 0 {
-					s.wentOn.Add(1)
-				}
-			case got > 0:
-				s.begun.Add(1)
-				first = id
-			}
-			stream.Attempts = append(stream.Attempts, a)
-			if events += got; a.Complete || !stream.Resumable {
-				break
-			}
-			wait.For(s.t.Context(), time.Duration(r.Intn(300))*time.Millisecond)
-		}
-		if stream.Attempts[len(stream.Attempts)-1].Complete {
-			s.complete.Add(1)
-		}
-		s.mu.Lock()
-		s.streams = append(s.streams, stream)
-		s.mu.Unlock()
-		wait.For(s.t.Context(), time.Duration(r.Intn(50))*time.Millisecond)
-	}
-}
-
-// request sends a request over a connection of its own and reads the response until it ends or the client leaves. A
-// response other than 200 counts as none.
-func (s *orderSoak) request(addr, route, id, resumes string, last int, r *rand.Rand) streamjudge.Attempt {
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
-	if err != nil {
-		return streamjudge.Attempt{}
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	version := "1.1"
-	if r.Intn(5) == 0 {
-		version = "1.0"
-	}
-	resume := ""
-	if last > 0 {
-		resume = fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", last, resumes)
-	}
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: h.example\r\nX-Request-Attempt-Id: %s\r\nX-Remaining-Milliseconds: 4500\r\nX-Model-Name: warm\r\n%sContent-Length: 1\r\n\r\nx", route, version, id, resume)
-	if err != nil {
-		return streamjudge.Attempt{}
-	}
-	in := bufio.NewReaderSize(conn, 16+r.Intn(200))
-	resp, err := http.ReadResponse(in, nil)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return streamjudge.Attempt{}
-	}
-	var out bytes.Buffer
-	slow, leaveAfter := r.Intn(6) == 0, 1<<20
-	if r.Intn(5) == 0 {
-		leaveAfter = r.Intn(400)
-	}
-	for part := make([]byte, 1+r.Intn(100)); out.Len() < leaveAfter; {
-		n, err := resp.Body.Read(part)
-		out.Write(part[:n])
-		if err != nil {
-			return streamjudge.Attempt{Body: out.String(), Complete: err == io.EOF}
-		}
-		if slow {
-			wait.For(s.t.Context(), 5*time.Millisecond)
-		}
-	}
-	return streamjudge.Attempt{Body: out.String()}
-}
-
 // Guards against streams that miss an event or get one twice, that are joined from two runs, services or software versions, or
 // that look complete before their end, when hosts that are processes are frozen, killed, stopped or all killed at
 // once, endpoints break off anywhere, and versions and routes change, in series and overlapping.
@@ -404,7 +245,9 @@
 			var stop atomic.Bool
 			var clients sync.WaitGroup
 			for i := range *orderClients {
-				clients.Go(func() { s.client(seed*10_000+int64(i), &stop) })
+				draw := rand.New(rand.NewSource(seed*10_000 + int64(i)))
+				address := func() string { return s.host(draw.Intn(*orderHosts)).callers }
+				clients.Go(func() { s.traffic.Client(t.Context(), fmt.Sprint("o-", i), address, &stop) })
 			}
 			for n, end := 0, time.Now().Add(*orderTime); time.Now().Before(end); n++ {
 				s.mu.Lock()
@@ -415,18 +258,12 @@
 			}
 			stop.Store(true)
 			clients.Wait()
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			kinds := map[streamjudge.Kind]int{}
-			for _, stream := range s.streams {
-				for _, f := range streamjudge.Check(stream, s.runs) {
-					if kinds[f.Kind]++; kinds[f.Kind] <= 3 {
-						t.Error(f)
-					}
-				}
+			report := s.traffic.Check()
+			for _, f := range report.Findings {
+				t.Error(f)
 			}
-			t.Logf("%d streams began, %d of %d that were taken up went on, %d ended as complete; findings: %v", s.begun.Load(), s.wentOn.Load(), s.resumed.Load(), s.complete.Load(), kinds)
-			if s.complete.Load() == 0 || s.wentOn.Load() == 0 {
+			t.Log(report)
+			if report.Complete == 0 || report.WentOn == 0 {
 				t.Error("no stream was complete or went on")
 			}
 		})
