Serve: attempts without a connection do not use up the attempts of a request

Cause: an attempt for which no connection could be made, to an endpoint that is down or because all connections were in use, counted as a rejection, and four of them refuse the request. Where one endpoint has the model, or is the only one of the stream's version, all four were made in a moment, and the request never showed as waiting demand. Change: such attempts do not count. An endpoint without connections is tried by one request in a quarter of a second, the others wait (or go elsewhere) as for a slot; a refusal then says endpoints_unreachable. An endpoint at whose address another one answers is not tried again by any request. Tests: the requests of TestRequestWaitsWhileEndpointIsUnreachable were refused at once before, and all 50 of TestUnreachableEndpointIsTriedByOneRequestAtATime tried to connect in the same moment.

--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -56,9 +56,11 @@
 		unreachable := errors.Is(err, ErrUnreachable)
 		if unreachable {
 			x.recordUnreachable(e)
+		} else {
+			s.Health.recordNoSlot(s.Now().Add(notSentCooldown), e.ID, x.request.Need().QualifiedName())
 		}
 		s.Queue.Release(x.request, e.ID, SlotResult{Failed: true, NotRun: true, Unreachable: unreachable})
-		return attemptNotRun
+		return attemptNotSent
 	}
 	x.result.Sent++
 	var unusable *UnusableError
@@ -109,7 +111,7 @@
 		s.Health.RecordNotLoaded(now, e.ID, name, x.rejected)
 		x.result.Note = "endpoint does not hold " + name
 	case WrongEndpoint:
-		s.Health.RecordConnectionFailure(now, e.ID)
+		s.Health.recordReplaced(now, e.ID)
 		x.avoid[e.ID] = Exclude
 		x.result.Note = "another endpoint has the address"
 	}
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -283,7 +283,7 @@
 	if w.resumed {
 		latest = w.resumeUntil
 	}
-	return !s.Ready && !s.Limited && !s.LoadsAdapter && (s.ReadyAt.IsZero() || s.ReadyAt.After(latest))
+	return !s.Ready && !s.Limited && !s.Unreachable && !s.LoadsAdapter && (s.ReadyAt.IsZero() || s.ReadyAt.After(latest))
 }
 
 func newRefusal(w *waiter, s HoldInput, retryAfter time.Duration) *Refusal {
@@ -301,6 +301,8 @@
 		cause = CauseNoRoom
 	case s.Limited:
 		cause = CauseLimited
+	case s.Unreachable:
+		cause = CauseUnreachable
 	}
 	return &Refusal{Cause: cause, NotRun: true, RetryAfter: retryAfter}
 }
@@ -356,7 +358,8 @@
 func (d *Dispatcher) holdInput(now time.Time, sh *shard, w *waiter) (s HoldInput, missing bool) {
 	location := d.placement.Find(now, w.need)
 	limitedUntil, limited := d.limitedUntil(now, w.need, location.Ready)
-	s = HoldInput{Now: now, Ready: len(location.Ready) > 0 && !limited, ReadyAt: location.ReadyAt, ColdReadyAt: location.ColdReadyAt, HasEndpoints: location.HasEndpoints, LoadsAdapter: location.LoadsAdapter, NotConfigured: location.NotConfigured, Limited: limited}
+	unreachable := d.allUnreachable(now, w.need, location.Ready)
+	s = HoldInput{Now: now, Ready: len(location.Ready) > 0 && !limited && !unreachable, Unreachable: unreachable, ReadyAt: location.ReadyAt, ColdReadyAt: location.ColdReadyAt, HasEndpoints: location.HasEndpoints, LoadsAdapter: location.LoadsAdapter, NotConfigured: location.NotConfigured, Limited: limited}
 	if s.ReadyAt.IsZero() || !limitedUntil.IsZero() && limitedUntil.Before(s.ReadyAt) {
 		s.ReadyAt = limitedUntil
 	}
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -12,6 +12,14 @@
 	// suspectDuration is how long an endpoint is used only as a last resort after a failed
 	// connection.
 	suspectDuration = 1500 * time.Millisecond
+	// unreachableCooldown is how long an endpoint gets no further requests after no connection to it could be
+	// made. Requests wait for it or for another endpoint meanwhile.
+	unreachableCooldown = 250 * time.Millisecond
+	// notSentCooldown is how long an endpoint gets no further requests for a model after there was no connection
+	// for one.
+	notSentCooldown = 60 * time.Millisecond
+	// unreachableMemory is how long after a failed connection one request at a time tries the endpoint.
+	unreachableMemory = 2 * time.Second
 	// unreachableReportDuration is how long a failed connection is reported to the controller.
 	unreachableReportDuration = 600 * time.Millisecond
 	// overloadedCooldown is how long an endpoint gets no further requests for a model after it
@@ -44,8 +52,11 @@
 
 type endpointState struct {
 	suspectUntil time.Time
-	// unreachableAt is the time of the last failed connection.
-	unreachableAt time.Time
+	// unreachableAt is the time of the last failed connection, zero once the endpoint has sent a byte since.
+	// triedAt is when a request was last sent to it nevertheless.
+	unreachableAt, triedAt time.Time
+	// replaced is set once another endpoint has answered at the address.
+	replaced bool
 	// closedUntil maps a model or adapter to the time until which the endpoint gets no
 	// requests for it.
 	closedUntil map[string]time.Time
@@ -95,6 +106,21 @@
 	h.state(id).unreachableAt = now
 }
 
+// unreachable reports whether a request should not try to connect to the endpoint now: an attempt has just failed, or
+// another request has just begun one.
+func (e *endpointState) unreachable(now time.Time) bool {
+	return e.replaced || now.Sub(e.unreachableAt) < unreachableCooldown ||
+		now.Sub(e.unreachableAt) < unreachableMemory && now.Sub(e.triedAt) < unreachableCooldown
+}
+
+// recordReplaced records that another endpoint has the address: this one has terminated.
+func (h *Health) recordReplaced(now time.Time, id fleet.EndpointID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := h.state(id)
+	e.replaced, e.unreachableAt = true, now
+}
+
 // AllUnreachable returns the endpoints to which a connection failed recently.
 func (h *Health) AllUnreachable(now time.Time) []fleet.EndpointID {
 	h.mu.Lock()
@@ -144,7 +170,8 @@
 func (h *Health) RecordByte(now time.Time, id fleet.EndpointID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.state(id).lastByte = now
+	e := h.state(id)
+	e.lastByte, e.unreachableAt = now, time.Time{}
 }
 
 // RecordLoad records the load that an endpoint of a service reported.
@@ -175,6 +202,7 @@
 		e.lastByte = now
 	}
 	e.running++
+	e.triedAt = now
 	e.service = service
 }
 
@@ -232,8 +260,9 @@
 	// FailureRate and ServiceFailureRate are the moving averages of both.
 	Failing                         bool
 	FailureRate, ServiceFailureRate float64
-	// Closed reports that the endpoint must not get requests for the model or adapter now.
-	Closed bool
+	// Closed reports that the endpoint must not get requests for the model or adapter now, Unreachable that it is
+	// closed because no connection to it could be made.
+	Closed, Unreachable bool
 	// Limited reports that this host has used up its part of the endpoint's request rate, or
 	// that the endpoint asked for a pause. LimitedUntil is when the endpoint accepts requests
 	// again, or zero if that is not known.
@@ -252,6 +281,7 @@
 	}
 	suspect := now.Before(e.suspectUntil) || e.running > 0 && now.Sub(e.lastByte) > stalledAfter
 	failing := e.failureRate > h.serviceFailureRate[service]+failureRateMargin
+	unreachable := e.unreachable(now)
 	return EndpointCondition{
 		Limited:      limited,
 		LimitedUntil: limitedUntil,
@@ -260,7 +290,8 @@
 		LoadAge:      now.Sub(e.loadAt),
 		Suspect:      suspect || failing,
 		Failing:      failing && !suspect,
-		Closed:       now.Before(e.closedUntil[name]),
+		Closed:       unreachable || now.Before(e.closedUntil[name]),
+		Unreachable:  unreachable,
 
 		FailureRate:        e.failureRate,
 		ServiceFailureRate: h.serviceFailureRate[service],
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -71,6 +71,8 @@
 	Now time.Time
 	// Ready reports whether an endpoint can serve the request now.
 	Ready bool
+	// Unreachable reports that endpoints hold the model, but no connection to them could be made just now.
+	Unreachable bool
 	// ReadyAt is when the next endpoint finishes loading the model, or zero if none is
 	// loading it. If Limited is set, it is also when an endpoint accepts requests again, if
 	// that is earlier.
--- a/pkg/serve/request.go
+++ b/pkg/serve/request.go
@@ -258,12 +258,15 @@
 	CauseNoModel    Cause = "no_such_model"
 	// CauseLimited means that all endpoints with the model loaded are rate limited or asked
 	// for a pause.
-	CauseLimited    Cause = "endpoint_limit"
-	CauseDeadline   Cause = "deadline"
-	CauseClientGone Cause = "client_gone"
-	CauseBroken     Cause = "endpoint_failed"
-	CauseBudget     Cause = "retry_budget"
-	CauseStopping   Cause = "stopping"
+	CauseLimited Cause = "endpoint_limit"
+	// CauseUnreachable means that no connection to the endpoints with the model loaded could be made while the
+	// request waited.
+	CauseUnreachable Cause = "endpoints_unreachable"
+	CauseDeadline    Cause = "deadline"
+	CauseClientGone  Cause = "client_gone"
+	CauseBroken      Cause = "endpoint_failed"
+	CauseBudget      Cause = "retry_budget"
+	CauseStopping    Cause = "stopping"
 	// CauseCrashes means that runs of the request repeatedly ended with a crash of their
 	// endpoint.
 	CauseCrashes Cause = "crashes_endpoints"
--- a/pkg/serve/select_endpoint.go
+++ b/pkg/serve/select_endpoint.go
@@ -103,6 +103,13 @@
 	})
 }
 
+// allUnreachable reports whether there are ready endpoints and no connection to any of them could be made just now.
+func (d *Dispatcher) allUnreachable(now time.Time, n Need, ready []fleet.Endpoint) bool {
+	return len(ready) > 0 && !slices.ContainsFunc(ready, func(e fleet.Endpoint) bool {
+		return !d.health.Condition(now, e.ID, n.Service, n.QualifiedName()).Unreachable
+	})
+}
+
 // limitedUntil reports whether all the given endpoints are rate limited, and returns when the
 // first of them accepts requests again, or the zero time if that is not known.
 func (d *Dispatcher) limitedUntil(now time.Time, n Need, ready []fleet.Endpoint) (at time.Time, limited bool) {
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -173,6 +173,8 @@
 	attemptNotRun
 	// attemptNoSlot means that the request was not sent because the endpoint is brittle and no host has a slot.
 	attemptNoSlot
+	// attemptNotSent means that the request was not sent, because there was no connection for it.
+	attemptNotSent
 	// attemptFailed means that the request may have run without a complete response.
 	attemptFailed
 )
@@ -239,7 +241,7 @@
 // probeOutcome returns the outcome of a probe for the result of its attempt.
 func (x *exchange) probeOutcome(r attemptResult) ProbeOutcome {
 	switch {
-	case r == attemptNotRun, r == attemptNoSlot:
+	case r == attemptNotRun, r == attemptNoSlot, r == attemptNotSent:
 		return ProbeNotRun
 	case r == attemptDone && (x.result.Complete || x.result.Unconfirmed):
 		return ProbeServed
--- /dev/null
+++ b/pkg/serve/unreachable_test.go
@@ -0,0 +1,99 @@
+package serve_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/wait"
+	"github.com/tealvane/tealvane/pkg/fleet"
+	"github.com/tealvane/tealvane/pkg/serve"
+)
+
+// unreachableFor makes an endpoint unreachable for its next n requests.
+func unreachableFor(n int) []script {
+	var out []script
+	for range n {
+		out = append(out, script{unreachable: true})
+	}
+	return append(out, script{events: 3, broken: -1})
+}
+
+// dispatchWaiting dispatches waiting requests periodically, as a host does, until stop is called.
+func dispatchWaiting(s *serve.Server) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go wait.Every(ctx, 20*time.Millisecond, dispatcher(s).DispatchWaiting)
+	return cancel
+}
+
+// Guards against refusing a request within milliseconds because the only endpoint with its model cannot be reached, and
+// a stream that a client takes up because that is the only one of its version.
+func TestRequestWaitsWhileEndpointIsUnreachable(t *testing.T) {
+	for name, lastEvent := range map[string]string{"new": "", "taken up": "2"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newFakeBackend("a", "b")
+				b.setVersions("1", "2")
+				b.setScript("a", unreachableFor(6)...)
+				b.setScript("b", unreachableFor(6)...)
+				server := newServer(b)
+				server.Versions = &fakeVersions{found: serve.StreamVersion{Service: "s", Required: fleet.RequireVersion("1")}}
+				defer dispatchWaiting(server)()
+				r := request("r", fleet.Stream, true)
+				r.LastEvent = lastEvent
+				var out sink
+				server.Serve(context.Background(), r, &out)
+				is.Equal(out.status, 200)
+				is.True(time.Since(r.Arrived) > time.Second) // no more than a few attempts a second at each endpoint
+			})
+		})
+	}
+}
+
+// Guards against a request that waits for an unreachable endpoint until its client has left.
+func TestRequestForUnreachableEndpointIsRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a")
+		b.setScript("a", unreachableFor(1000)...)
+		var out sink
+		start := time.Now()
+		newServer(b).Serve(context.Background(), request("r", fleet.Stream, true), &out)
+		is.Equal(out.refusal.Cause, serve.CauseUnreachable)
+		is.True(out.promisesNotRun())
+		is.True(out.refusal.RetryAfter > 0)
+		is.True(time.Since(start) < 3*time.Second)
+	})
+}
+
+// Guards against many requests that wait for one unreachable endpoint and all try to connect at the same time.
+func TestUnreachableEndpointIsTriedByOneRequestAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a")
+		b.ready[0].Slots = 100
+		b.setScript("a", unreachableFor(1000)...)
+		server := newServer(b)
+		done := make(chan struct{})
+		for range 50 {
+			go func() {
+				server.Serve(context.Background(), request("r", fleet.Stream, true), &sink{})
+				done <- struct{}{}
+			}()
+			synctest.Wait()
+		}
+		stop := dispatchWaiting(server)
+		time.Sleep(time.Second)
+		stop()
+		b.mu.Lock()
+		sends := len(b.sends)
+		b.mu.Unlock()
+		is.True(sends <= 8)
+		for range 50 {
+			<-done
+		}
+	})
+}
