Orders: a model is loaded from a copy at the software version that a stream requires

Cause: no model was ever loaded for a version; demand was that of all versions. Change: waiting requests that require a version are reported with it; the controller loads the model at an endpoint of that version that has a copy (never from the store, which takes longer than a client waits) and keeps the only replica there. The stream waits for it; without such an endpoint it is refused at once as before.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -73,6 +74,11 @@
 // TakesRequests reports whether new requests may be sent to the endpoint.
 func (e Endpoint) TakesRequests() bool { return !e.Draining && !e.Unreadable }
 
+// hasCopy reports whether the endpoint can load a model without the weight store.
+func (e Endpoint) hasCopy(model string) bool {
+	return slices.Contains(e.InMemory, model) || slices.Contains(e.OnDisk, model)
+}
+
 // Report is the response of an endpoint to a status call. It may lag behind the actual state.
 type Report struct {
 	Loaded []LoadedModel
--- a/pkg/fleet/locator.go
+++ b/pkg/fleet/locator.go
@@ -206,6 +206,9 @@
 	// LoadsAdapter reports that no endpoint serves the adapter, but one has its model and can load the adapter
 	// in a short time.
 	LoadsAdapter bool
+	// LoadsModel reports that no endpoint of the required software version has the model, but one that takes requests
+	// has a copy from which it can load it in a short time.
+	LoadsModel bool
 }
 
 // Locate returns the location of a model, or of one of its adapters if adapter is set. An
@@ -227,8 +230,8 @@
 	return loc
 }
 
-// LocateVersion is like Locate for the endpoints that meet a requirement only. No load brings a model to them in
-// time for a stream that has begun, so ColdReadyAt is not set.
+// LocateVersion is like Locate for the endpoints that meet a requirement only. No load from the weight store brings a
+// model to them in time for a stream that has begun, so ColdReadyAt is not set.
 func (l *Locator) LocateVersion(now time.Time, service, model, adapter string, version VersionRequirement) Location {
 	if !version.Set {
 		return l.Locate(now, service, model, adapter)
@@ -247,6 +250,8 @@
 	}
 	l.locateModel(now, ModelRef{service, model}, adapter, version, &loc)
 	loc.ColdReadyAt = time.Time{}
+	loc.LoadsModel = len(loc.Ready) == 0 && loc.ReadyAt.IsZero() && !loc.LoadsAdapter &&
+		slices.ContainsFunc(l.index.endpoints(service), func(e Endpoint) bool { return version.Allows(e) && e.hasCopy(model) })
 	return loc
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -320,6 +320,7 @@
 		ColdReadyAt:   at.ColdReadyAt,
 		HasEndpoints:  at.HasEndpoints,
 		LoadsAdapter:  at.LoadsAdapter,
+		LoadsModel:    at.LoadsModel,
 		NotConfigured: c != nil && !c.HasModel(n.Service, n.Model, n.Adapter),
 	}
 }
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -354,6 +354,11 @@
 		if d.waiting > 0 {
 			r.Due = firstDue(r.Due, r.Waiting, r.OnTime, d.due, d.onTime)
 		}
+		for _, v := range d.requiredVersions() {
+			if v.Set && !slices.Contains(r.Versions, v.Version) {
+				r.Versions = append(r.Versions, v.Version)
+			}
+		}
 		r.Waiting += d.waiting
 		r.OnTime += d.onTime
 		r.Inflight += d.inflight
@@ -363,6 +368,7 @@
 	}
 	out := make([]residency.Model, 0, len(byName))
 	for _, name := range sortedKeys(byName) {
+		slices.Sort(byName[name].Versions)
 		out = append(out, *byName[name])
 	}
 	return out
--- a/pkg/orders/endpointtracker.go
+++ b/pkg/orders/endpointtracker.go
@@ -309,6 +309,7 @@
 	e := residency.Endpoint{
 		ID:         t.endpoint.ID,
 		Zone:       t.endpoint.Zone,
+		Version:    t.endpoint.Version,
 		CapacityMB: engine.WeightsMB - t.otherUsage(now, engine).mb,
 		Copies:     make(map[string]residency.Tier, len(t.copies)),
 		Busy:       t.busy || !t.synced || now.Before(t.retryAt) || now.Before(t.busyUntil) || now.Before(t.loadsFrom),
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -54,6 +54,8 @@
 	Copies map[string]Tier
 	// Busy is set while the endpoint executes an order. It accepts no other.
 	Busy bool
+	// Version is the version of its software.
+	Version string
 	// SpeedPercent is the endpoint's work per second relative to the mean of the service, which
 	// is 100; 0 if unknown.
 	SpeedPercent int
@@ -86,6 +88,9 @@
 	FastRate float64
 	SlowRate float64
 	Inflight int
+	// Versions holds the software versions that some of the waiting requests require. They go on streams that
+	// began there.
+	Versions []string
 	// AwaitingFirstByte is the moving average of the number of requests that wait at endpoints for
 	// the first byte of their response.
 	AwaitingFirstByte float64
@@ -180,6 +185,9 @@
 	adapterCost = 0.15
 )
 
+// modelVersion identifies a model at the endpoints of a software version.
+type modelVersion struct{ model, version string }
+
 type decider struct {
 	snap     Snapshot
 	models   map[string]*Model
@@ -193,8 +201,10 @@
 	scheduled  map[fleet.EndpointID]bool
 	zones      map[string]map[string]int
 	// copies counts the endpoints that have a cached copy of each model.
-	copies    map[string]int
-	endpoints []Endpoint
+	copies map[string]int
+	// versionReplicas counts the replicas of each model at endpoints of each software version.
+	versionReplicas map[modelVersion]int
+	endpoints       []Endpoint
 }
 
 // Decide returns the swaps to start now, at most one per endpoint.
@@ -219,6 +229,8 @@
 		zones:      map[string]map[string]int{},
 		copies:     map[string]int{},
 		endpoints:  snap.Endpoints,
+
+		versionReplicas: map[modelVersion]int{},
 	}
 	for i := range snap.Models {
 		d.models[snap.Models[i].Name] = &snap.Models[i]
@@ -276,10 +288,16 @@
 }
 
 func (d *decider) resolve(s shortfall) {
+	if s.cold && !s.version.Set && d.replicas[s.model.Name] >= d.desired[s.model.Name] {
+		return // The model is loaded for requests that require a version.
+	}
 	best := candidate{cost: math.Inf(1)}
 	hasCopy := false
 	for i := range d.endpoints {
 		e := &d.endpoints[i]
+		if s.version.Set && e.Version != s.version.Version {
+			continue
+		}
 		tier := e.Copies[s.model.Name]
 		if e.Busy || d.scheduled[e.ID] {
 			hasCopy = hasCopy || tier > InStore
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -62,6 +62,77 @@
 	return e
 }
 
+// ofVersion returns the endpoint with a software version.
+func ofVersion(version string, e residency.Endpoint) residency.Endpoint {
+	e.Version = version
+	return e
+}
+
+// requiring returns the model with waiting requests that require software versions.
+func requiring(m residency.Model, versions ...string) residency.Model {
+	m.Versions = versions
+	return m
+}
+
+// Guards against streams that cannot go on although an endpoint of their software version could load their model in
+// time, and against loads for them that come too late or at another version.
+func TestModelIsLoadedAtRequiredVersion(t *testing.T) {
+	waiting := func(name string) residency.Model { return requiring(model(name, 2, time.Second, 0.1), "v1") }
+	for _, c := range []struct {
+		name      string
+		endpoints []residency.Endpoint
+		models    []residency.Model
+		want      map[string]string // model by endpoint
+	}{
+		{
+			"from a copy at the version, though another version has the model",
+			[]residency.Endpoint{
+				ofVersion("v2", endpoint("other", "a", []string{"m", "z"})),
+				ofVersion("v1", endpoint("copy", "a", []string{"x", "y"}, "m")),
+			},
+			[]residency.Model{waiting("m"), model("x", 0, 0, 0.1), model("y", 0, 0, 0.1)},
+			map[string]string{"copy": "m"},
+		},
+		{
+			"not from the weight store",
+			[]residency.Endpoint{ofVersion("v2", endpoint("other", "a", []string{"m", "z"})), ofVersion("v1", endpoint("none", "a", []string{"x", "y"}))},
+			[]residency.Model{waiting("m")},
+			map[string]string{},
+		},
+		{
+			"not twice",
+			[]residency.Endpoint{ofVersion("v1", endpoint("has", "a", []string{"m"})), ofVersion("v1", endpoint("copy", "a", nil, "m"))},
+			[]residency.Model{waiting("m")},
+			map[string]string{},
+		},
+		{
+			"once for requests that require the version and others",
+			[]residency.Endpoint{ofVersion("v1", endpoint("copy", "a", nil, "m")), ofVersion("v2", endpoint("other", "a", nil, "m"))},
+			[]residency.Model{waiting("m")},
+			map[string]string{"copy": "m"},
+		},
+		{
+			"not in place of the only copy of another one at the version",
+			[]residency.Endpoint{
+				ofVersion("v2", endpoint("other", "a", []string{"m", "n"})),
+				ofVersion("v1", endpoint("copy", "a", []string{"n", "n2"}, "m")),
+			},
+			[]residency.Model{waiting("m"), waiting("n"), requiring(model("n2", 0, 0, 0.1))},
+			map[string]string{"copy": "m"},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := map[string]string{}
+			for _, s := range residency.Decide(residency.Snapshot{Now: now, Endpoints: c.endpoints, Models: c.models, Limits: limits}) {
+				got[string(s.Endpoint)] = s.Load
+				is.True(!slices.Contains(s.Evict, "n"))
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
 func TestDecide(t *testing.T) {
 	type want map[string]string // model by endpoint
 	busy := endpoint("home", "a", []string{"x", "y"}, "cold")
--- a/pkg/residency/shortfall.go
+++ b/pkg/residency/shortfall.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
 // shortfall is a model that has fewer replicas than it should.
@@ -13,6 +15,8 @@
 	due time.Time
 	// cold is set if requests wait for the model and it has no replica.
 	cold bool
+	// version is the software version that the waiting requests require, unset if any serves them.
+	version fleet.VersionRequirement
 	// late is set if none of the waiting requests can start in time.
 	late bool
 	// extra is set for a replica that only shortens prompt queues. Such a replica must not
@@ -42,16 +46,43 @@
 }
 
 // allows reports whether a candidate may be used. An extra replica neither loads from the
-// weight store nor evicts a model that is in use.
+// weight store nor evicts a model that is in use. No load from the weight store is in time for a stream that goes on at
+// its version.
 func (s shortfall) allows(c candidate) bool {
+	if s.version.Set {
+		return c.swap.From != InStore
+	}
 	return !s.extra || c.swap.From != InStore && c.loss <= maxExtraLoss
 }
 
+// versionShortfalls returns the software versions that waiting requests for a model require and that have no replica.
+func (d *decider) versionShortfalls(m *Model) []shortfall {
+	var list []shortfall
+	for _, v := range m.Versions {
+		if d.versionReplicas[modelVersion{m.Name, v}] == 0 {
+			list = append(list, shortfall{model: m, due: m.Due, cold: true, late: m.OnTime == 0, version: fleet.RequireVersion(v)})
+		}
+	}
+	return list
+}
+
+// compareVersions orders required versions before none: an endpoint of any version serves requests that require none.
+func compareVersions(a, b fleet.VersionRequirement) int {
+	if a.Set != b.Set {
+		if a.Set {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Version, b.Version)
+}
+
 // shortfalls returns the models that lack replicas, most urgent first.
 func (d *decider) shortfalls() []shortfall {
 	var list []shortfall
 	for name, m := range d.models {
 		have := d.replicas[name]
+		list = append(list, d.versionShortfalls(m)...)
 		if have >= d.desired[name] {
 			if d.promptsQueue(m) {
 				list = append(list, shortfall{model: m, due: d.snap.Now.Add(spareDelay), extra: true})
@@ -81,6 +112,7 @@
 			-cmp.Compare(a.overload, b.overload),
 			cmp.Compare(a.priority(), b.priority()),
 			a.due.Compare(b.due),
+			compareVersions(a.version, b.version),
 			cmp.Compare(a.model.Name, b.model.Name),
 		)
 	})
--- a/pkg/residency/speed.go
+++ b/pkg/residency/speed.go
@@ -16,12 +16,14 @@
 // addReplica counts a new replica of a model.
 func (d *decider) addReplica(model string, e *Endpoint) {
 	d.replicas[model]++
+	d.versionReplicas[modelVersion{model, e.Version}]++
 	d.capacity[model] += e.speed()
 }
 
 // removeReplica stops counting a replica of a model.
 func (d *decider) removeReplica(model string, e *Endpoint) {
 	d.replicas[model]--
+	d.versionReplicas[modelVersion{model, e.Version}]--
 	d.capacity[model] -= e.speed()
 }
 
--- a/pkg/residency/victims.go
+++ b/pkg/residency/victims.go
@@ -53,6 +53,9 @@
 	if m.Waiting > 0 && replicas <= 1 {
 		return victim{}, false
 	}
+	if slices.Contains(m.Versions, e.Version) && d.versionReplicas[modelVersion{r.Model, e.Version}] <= 1 {
+		return victim{}, false
+	}
 	// A replica that a hot model requires is not evicted.
 	if replicas <= d.desired[r.Model] && d.desired[r.Model] > 0 && m.FastRate >= hotRate {
 		return victim{}, false
--- a/pkg/serve/demand.go
+++ b/pkg/serve/demand.go
@@ -92,14 +92,10 @@
 		if w.need.Model == "" {
 			continue
 		}
-		n := w.need
-		if n.Adapter == "" {
-			n = n.anyVersion() // A model is not loaded for a version.
-		}
-		d := byNeed[n]
+		d := byNeed[w.need]
 		if d == nil {
-			d = &Demand{Need: n, Priority: w.request.Route.Priority}
-			byNeed[n] = d
+			d = &Demand{Need: w.need, Priority: w.request.Route.Priority}
+			byNeed[w.need] = d
 		}
 		d.addWaiting(DemandRank(w.request, now))
 	}
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -67,6 +67,9 @@
 	// LoadsAdapter reports that no endpoint serves the adapter, but one has its model and can load the adapter
 	// in a short time.
 	LoadsAdapter bool
+	// LoadsModel reports that no endpoint of the required software version has the model, but one can load it from a
+	// copy of its own.
+	LoadsModel bool
 	// NotConfigured reports that no configuration names the model or adapter.
 	NotConfigured bool
 }
@@ -277,13 +280,14 @@
 }
 
 // versionGone reports whether no endpoint of the required software version can serve the waiter in time. Its
-// adapter is loaded there if need be, but not its model, which would take too long.
+// adapter is loaded there if need be, and its model if an endpoint has a copy: a load from the weight store would take
+// too long.
 func (s HoldInput) versionGone(w *waiter) bool {
 	latest := w.request.StartDeadline()
 	if w.resumed {
 		latest = w.resumeUntil
 	}
-	return !s.Ready && !s.Limited && !s.Unreachable && !s.LoadsAdapter && (s.ReadyAt.IsZero() || s.ReadyAt.After(latest))
+	return !s.Ready && !s.Limited && !s.Unreachable && !s.LoadsAdapter && !s.LoadsModel && (s.ReadyAt.IsZero() || s.ReadyAt.After(latest))
 }
 
 func newRefusal(w *waiter, s HoldInput, retryAfter time.Duration) *Refusal {
@@ -359,14 +363,14 @@
 	location := d.placement.Find(now, w.need)
 	limitedUntil, limited := d.limitedUntil(now, w.need, location.Ready)
 	unreachable := d.allUnreachable(now, w.need, location.Ready)
-	s = HoldInput{Now: now, Ready: len(location.Ready) > 0 && !limited && !unreachable, Unreachable: unreachable, ReadyAt: location.ReadyAt, ColdReadyAt: location.ColdReadyAt, HasEndpoints: location.HasEndpoints, LoadsAdapter: location.LoadsAdapter, NotConfigured: location.NotConfigured, Limited: limited}
+	s = HoldInput{Now: now, Ready: len(location.Ready) > 0 && !limited && !unreachable, Unreachable: unreachable, ReadyAt: location.ReadyAt, ColdReadyAt: location.ColdReadyAt, HasEndpoints: location.HasEndpoints, LoadsAdapter: location.LoadsAdapter, LoadsModel: location.LoadsModel, NotConfigured: location.NotConfigured, Limited: limited}
 	if s.ReadyAt.IsZero() || !limitedUntil.IsZero() && limitedUntil.Before(s.ReadyAt) {
 		s.ReadyAt = limitedUntil
 	}
 	if d.contention(w.need.Service) {
 		s.Contention = d.contentionInput(now, sh, w)
 	}
-	return s, !s.Ready && !s.NotConfigured && w.need.Model != "" && (!w.need.Version.Set || s.LoadsAdapter)
+	return s, !s.Ready && !s.NotConfigured && w.need.Model != "" && (!w.need.Version.Set || s.LoadsAdapter || s.LoadsModel)
 }
 
 // keepDemand keeps counting a refused request as demand if its model has to be loaded from the
--- a/pkg/serve/fake_backend_test.go
+++ b/pkg/serve/fake_backend_test.go
@@ -61,6 +61,8 @@
 	ready  []fleet.Endpoint
 	// otherModels is set if there are endpoints of all versions, with other models.
 	otherModels bool
+	// loadsModel is set if an endpoint without the model can load it from a copy.
+	loadsModel  bool
 	readyAt     time.Time
 	coldReadyAt time.Time
 }
@@ -83,7 +85,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ready := slices.DeleteFunc(slices.Clone(b.ready), func(e fleet.Endpoint) bool { return !n.Version.Allows(e) })
-	return serve.Location{Ready: ready, ReadyAt: b.readyAt, ColdReadyAt: b.coldReadyAt, HasEndpoints: len(ready) > 0 || !n.Version.Set || b.otherModels}
+	return serve.Location{Ready: ready, ReadyAt: b.readyAt, ColdReadyAt: b.coldReadyAt, LoadsModel: b.loadsModel && len(ready) == 0, HasEndpoints: len(ready) > 0 || !n.Version.Set || b.otherModels}
 }
 
 func (b *fakeBackend) setReady(ids ...string) {
--- a/pkg/serve/hold.go
+++ b/pkg/serve/hold.go
@@ -86,6 +86,9 @@
 	Limited bool
 	// LoadsAdapter reports that an endpoint can load the adapter in a short time.
 	LoadsAdapter bool
+	// LoadsModel reports that no endpoint of the required software version has the model, but one can load it from a
+	// copy of its own.
+	LoadsModel bool
 	// NotConfigured reports that no configuration names the model or adapter.
 	NotConfigured bool
 	// Contention is set if the service of the request is scheduled for contention.
--- a/pkg/serve/unreachable_test.go
+++ b/pkg/serve/unreachable_test.go
@@ -97,3 +97,35 @@
 		}
 	})
 }
+
+// Guards against refusing a stream at once whose model an endpoint of its software version can load in time.
+func TestStreamWaitsForLoadAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a", "b")
+		b.setVersions("2", "2")
+		b.otherModels, b.loadsModel = true, true
+		server := newServer(b)
+		server.Versions = &fakeVersions{found: serve.StreamVersion{Service: "s", Required: fleet.RequireVersion("1")}}
+		defer dispatchWaiting(server)()
+		r := request("r", fleet.Stream, true)
+		r.LastEvent = "2"
+		var out sink
+		done := make(chan struct{})
+		go func() {
+			server.Serve(context.Background(), r, &out)
+			close(done)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		waiting := map[fleet.VersionRequirement]int{}
+		for _, d := range dispatcher(server).Demand() {
+			waiting[d.Version] += d.Waiting
+		}
+		is.Equal(waiting[fleet.RequireVersion("1")], 1)
+		b.mu.Lock()
+		b.ready[0].Version = "1" // The model is loaded.
+		b.mu.Unlock()
+		<-done
+		is.Equal(out.status, 200)
+	})
+}
