Serve: streams that go on at their software version are served first

Change: a stream whose software version is required goes first among those that wait at the host and at the endpoint. Test: TestStreamThatGoesOnIsServedFirst failed before.

--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -30,7 +30,7 @@
 		Endpoint:  e,
 		Deadline:  x.request.ClientDeadline,
 		LastEvent: x.lastEvent,
-		Urgency:   Urgency(x.request, start),
+		Urgency:   x.urgency(start),
 	})
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -172,6 +172,9 @@
 	work float64
 }
 
+// goesOn reports whether the request goes on a stream at the software version that began it.
+func (w *waiter) goesOn() bool { return w.need.Version.Set }
+
 type grant struct {
 	endpoint fleet.Endpoint
 	refusal  *Refusal
--- a/pkg/serve/urgency.go
+++ b/pkg/serve/urgency.go
@@ -34,3 +34,11 @@
 		return firstOtherLevel + level%otherPriorityLevels
 	}
 }
+
+// urgency returns the urgency of an attempt. A stream that goes on precedes others.
+func (x *exchange) urgency(now time.Time) int {
+	if x.requiredVersion().Set {
+		return 0
+	}
+	return Urgency(x.request, now)
+}
--- a/pkg/serve/version_test.go
+++ b/pkg/serve/version_test.go
@@ -166,3 +166,35 @@
 		}
 	})
 }
+
+// Guards against streams that lose their few endpoints to new ones: their clients have waited longest.
+func TestStreamThatGoesOnIsServedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a")
+		b.setVersions("1")
+		b.ready[0].Slots = 1
+		server := newServer(b)
+		server.Versions = &fakeVersions{found: serve.StreamVersion{Service: "s", Required: fleet.RequireVersion("1")}}
+		d := dispatcher(server)
+		holder := request("holder", fleet.Stream, true)
+		_, refusal := d.Acquire(context.Background(), holder, serve.PriorAttempts{})
+		is.True(refusal == nil)
+		done := make(chan string, 2)
+		for _, id := range []string{"new", "resumed"} {
+			go func() {
+				r := request(id, fleet.Stream, true)
+				if id == "resumed" {
+					r.LastEvent = "2"
+				}
+				server.Serve(context.Background(), r, &sink{})
+				done <- id
+			}()
+			synctest.Wait()
+		}
+		d.Release(holder, "a", serve.SlotResult{})
+		is.Equal(<-done, "resumed")
+		is.Equal(<-done, "new")
+		is.Equal(b.sends[0].Urgency, 0)
+	})
+}
--- a/pkg/serve/waitlist.go
+++ b/pkg/serve/waitlist.go
@@ -12,7 +12,8 @@
 // waitList holds the waiting requests of a service: in one order of priority and objective, or
 // under contention in a fair queue over accounts. It is not safe for concurrent use.
 type waitList struct {
-	// resumed holds requests whose response has begun. They are served before all others.
+	// resumed holds requests whose response has begun, and those that go on streams where they began. They are served
+	// before all others: their clients have waited longest, and few endpoints can serve them.
 	resumed []*waiter
 	// sorted is used while fair is nil.
 	sorted []*waiter
@@ -71,7 +72,7 @@
 
 // push inserts w ordered by the priority of its route and then by its objective.
 func (l *waitList) push(w *waiter) {
-	if w.resumed {
+	if w.resumed || w.goesOn() {
 		l.resumed = append(l.resumed, w)
 		return
 	}
