Serve: streams that go on at their software version are not refused for contention

Cause: the admitted share, and the expected wait of new requests, decided for them too, though they go first and are few. Test: TestStreamThatGoesOnIsNotRefusedForContention failed before. Allowances of client accounts hold as for other requests.

--- a/pkg/serve/contention.go
+++ b/pkg/serve/contention.go
@@ -24,10 +24,11 @@
 }
 
 // refuseContended refuses a request that is not among the admitted share, and reports whether it
-// did so. The request then does not wait, and counts as demand by its arrival only.
+// did so. The request then does not wait, and counts as demand by its arrival only. A stream that goes on at its software
+// version is always admitted: it is served before the requests whose number the share limits.
 func (x *exchange) refuseContended(ctx context.Context) bool {
 	q, ok := x.server.Queue.(ContentionQueue)
-	if !ok {
+	if !ok || x.requiredVersion().Set {
 		return false
 	}
 	refusal := q.AdmitNew(x.request)
--- a/pkg/serve/contention_test.go
+++ b/pkg/serve/contention_test.go
@@ -188,3 +188,25 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Guards against streams that are refused for a share of new requests although they have begun: only few endpoints
+// can serve the rest, and it is lost.
+func TestStreamThatGoesOnIsNotRefusedForContention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a")
+		b.setVersions("1")
+		b.setScript("a", script{events: 3, broken: -1})
+		s := newServer(b)
+		s.Versions = &fakeVersions{found: serve.StreamVersion{Service: "s", Required: fleet.RequireVersion("1")}}
+		dispatcher(s).Contention = func(string) bool { return true }
+		setLevel(s, 0, 6*time.Second)
+		var fresh, goesOn sink
+		s.Serve(t.Context(), request("new", fleet.Stream, true), &fresh)
+		is.Equal(fresh.refusal.Cause, serve.CauseContention)
+		r := request("taken-up", fleet.Stream, true)
+		r.LastEvent = "2"
+		s.Serve(t.Context(), r, &goesOn)
+		is.Equal(goesOn.status, 200)
+	})
+}
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -370,7 +370,7 @@
 	if s.ReadyAt.IsZero() || !limitedUntil.IsZero() && limitedUntil.Before(s.ReadyAt) {
 		s.ReadyAt = limitedUntil
 	}
-	if d.contention(w.need.Service) {
+	if d.contention(w.need.Service) && !w.goesOn() {
 		s.Contention = d.contentionInput(now, sh, w)
 	}
 	return s, !s.Ready && !s.NotConfigured && w.need.Model != "" && (!w.need.Version.Set || s.LoadsAdapter || s.LoadsModel)
