Links: a question of another host for this one's links decides nothing by itself

Change: such a question is answered by whether any endpoint is reached; the table changes only with samples that ask others, which a host without links at all does once. An endpoint that an asked host does not list is unknown, not reached. Test: TestCrashOfEndpointsIsNoLossOfLinks asks hosts for their links and has one whose list is ahead; it failed before (16 of 28 endpoints alive).

--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -16,6 +16,7 @@
 	switch {
 	case err == nil:
 		g.links.Table.RecordConnected(id)
+		g.health.RecordReached(id)
 		return
 	case errors.Is(err, upstream.ErrConnectSlow):
 		g.recordSlowConnect(id)
@@ -76,7 +77,7 @@
 		Now:       g.Now,
 		Endpoints: g.endpointsInUse,
 		Connect:   g.checkEndpoint,
-		Hosts:     func(n int) []string { return g.mesh.sample(g.Now(), n) },
+		Hosts:     func(n int) []string { return g.mesh.sampleWithUnreachable(g.Now(), n) },
 		Ask: func(ctx context.Context, addr string, ids []fleet.EndpointID) (links.Answer, error) {
 			response, err := g.mesh.send(ctx, addr, peer.Request{Reach: ids})
 			if err != nil || response.Reach == nil {
@@ -108,9 +109,9 @@
 }
 
 // linksLost finds out whether this host seems to have lost its links to endpoints.
-func (g *Gateway) linksLost(ctx context.Context) bool {
-	g.logSample(g.prober.SampleAlone(ctx))
-	return g.links.Table.Lost()
+func (g *Gateway) linksLost(context.Context) bool {
+	g.startSample("")
+	return g.prober.Lost()
 }
 
 // checkLinks starts the checks that are due of links that are down or suspect.
--- a/pkg/links/prober.go
+++ b/pkg/links/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,10 +13,11 @@
 const (
 	// sampleTimeout is the time to connect to a sampled endpoint.
 	sampleTimeout = 300 * time.Millisecond
-	// askedHosts is the number of hosts that are asked whether they reach the endpoints that this one does not.
-	askedHosts = 3
-	// askTimeout bounds their answers, which take up to sampleTimeout.
-	askTimeout = sampleTimeout + 200*time.Millisecond
+	// askedHosts is the number of hosts that are asked whether they reach the endpoints that this one does not. Most of
+	// them may have lost the same links.
+	askedHosts = 8
+	// askTimeout bounds their answers, which take up to twice sampleTimeout.
+	askTimeout = 2*sampleTimeout + 200*time.Millisecond
 	// furtherSample is the number of endpoints that an asked host tries if it reaches none of the first sample.
 	furtherSample = 2 * SampleSize
 	// MaxAskedEndpoints is the largest number of endpoints in one question.
@@ -38,6 +40,10 @@
 	Hosts func(n int) []string
 	// Ask asks a host whether it reaches endpoints.
 	Ask func(ctx context.Context, addr string, endpoints []fleet.EndpointID) (Answer, error)
+
+	mu              sync.Mutex
+	lastLinked      bool
+	linkedCheckedAt time.Time
 }
 
 // SampleResult is the result of a sample.
@@ -50,24 +56,31 @@
 	Changed bool
 }
 
-// Sample finds out whether this host seems to have lost its links. failed is an endpoint that could not be reached,
-// or "". It returns at once if a recent sample still applies.
-func (p *Prober) Sample(ctx context.Context, failed fleet.EndpointID) SampleResult {
-	return p.sample(ctx, failed, true)
+// Lost finds out whether this host seems to have lost its links, for a question of another host: it asks no host in
+// turn. Whoever reaches any endpoint has links, since most of the others may have crashed.
+func (p *Prober) Lost() bool { return p.Links.Table.Lost() || !p.linked() }
+
+// linked reports whether this host reaches one of a few endpoints. The result holds for sampleTTL.
+func (p *Prober) linked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := p.Now(); now.Sub(p.linkedCheckedAt) < sampleTTL {
+		return p.lastLinked
+	}
+	sample := Sample(p.candidates(), "", SampleSize+furtherSample)
+	first := min(SampleSize, len(sample))
+	reached, _ := p.connect(sample[:first])
+	if reached == 0 {
+		reached, _ = p.connect(sample[first:]) // Most endpoints may have crashed.
+	}
+	p.lastLinked, p.linkedCheckedAt = reached > 0 || len(sample) == 0, p.Now()
+	return p.lastLinked
 }
 
-// SampleAlone is like Sample but asks no other host, so that hosts which ask one another do not wait for each other.
-func (p *Prober) SampleAlone(ctx context.Context) SampleResult { return p.sample(ctx, "", false) }
-
-func (p *Prober) sample(ctx context.Context, failed fleet.EndpointID, ask bool) SampleResult {
-	ended, begun := p.Links.BeginSample(p.Now())
-	if !begun {
-		if ended != nil {
-			select {
-			case <-ended:
-			case <-ctx.Done():
-			}
-		}
+// Sample finds out whether this host seems to have lost its links. failed is an endpoint that could not be reached,
+// or "". It returns at once if a recent sample still applies, or one is in progress.
+func (p *Prober) Sample(ctx context.Context, failed fleet.EndpointID) SampleResult {
+	if _, begun := p.Links.BeginSample(p.Now()); !begun {
 		return SampleResult{}
 	}
 	var result SampleResult
@@ -75,78 +88,82 @@
 	if failed != "" {
 		result.Unreached = append(result.Unreached, failed)
 	}
-	if ask && seemLost(result.Reached, len(result.Unreached)) && !p.Links.Table.Lost() {
-		result.Crashed = p.crashed(ctx, result.Unreached)
-		result.Unreached = slices.DeleteFunc(result.Unreached, func(id fleet.EndpointID) bool { return slices.Contains(result.Crashed, id) })
-		p.Links.Table.RecordCrashed(p.Now(), result.Crashed)
+	// A host that reaches nothing and knows that its links are lost need not ask again.
+	if seemLost(result.Reached, len(result.Unreached)) && (result.Reached > 0 || !p.Links.Table.Lost()) {
+		result.Unreached, result.Crashed = p.withoutCrashed(ctx, result.Unreached)
 	}
 	result.Changed = p.Links.EndSample(p.Now(), result.Reached, len(result.Unreached))
 	return result
 }
 
-// Reach connects to a sample of up to size endpoints and returns how many were reached and how many not.
-func (p *Prober) Reach(size int) (reached, unreached int) {
+// Reach connects to a sample of up to size endpoints and returns how many were reached and how many not, without
+// those that other hosts do not reach either.
+func (p *Prober) Reach(ctx context.Context, size int) (reached, unreached int) {
 	reached, failed := p.connect(Sample(p.candidates(), "", size))
+	if seemLost(reached, len(failed)) {
+		failed, _ = p.withoutCrashed(ctx, failed)
+	}
 	return reached, len(failed)
 }
 
+// withoutCrashed divides endpoints that this host cannot reach into those that others reach, or of which none knows, and
+// those that have crashed.
+func (p *Prober) withoutCrashed(ctx context.Context, unreached []fleet.EndpointID) (own, crashed []fleet.EndpointID) {
+	crashed = p.crashed(ctx, unreached)
+	p.Links.Table.RecordCrashed(p.Now(), crashed)
+	return slices.DeleteFunc(unreached, func(id fleet.EndpointID) bool { return slices.Contains(crashed, id) }), crashed
+}
+
 // candidates returns the endpoints that are not known to have crashed.
 func (p *Prober) candidates() []fleet.Endpoint {
 	now := p.Now()
 	return slices.DeleteFunc(p.Endpoints(), func(e fleet.Endpoint) bool { return p.Links.Table.Crashed(now, e.ID) })
 }
 
-// crashed returns the endpoints among unreached that no other host reaches either.
+// crashed returns the endpoints among unreached that no other host reaches either. It returns none if a host that was
+// asked does not answer.
 func (p *Prober) crashed(ctx context.Context, unreached []fleet.EndpointID) []fleet.EndpointID {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	hosts := p.Hosts(askedHosts)
-	answers := make(chan Answer, len(hosts))
+	type response struct {
+		answer Answer
+		err    error
+	}
+	responses := make(chan response, len(hosts))
 	for _, addr := range hosts {
 		go func() {
 			a, err := p.Ask(ctx, addr, unreached)
-			if err != nil {
-				a = Answer{} // It says nothing.
-			}
-			answers <- a
+			responses <- response{a, err}
 		}()
 	}
-	var all []Answer
+	var answers []Answer
 	for range hosts {
-		all = append(all, <-answers)
+		r := <-responses
+		if r.err != nil {
+			return nil // That host may be the only one that reaches them.
+		}
+		answers = append(answers, r.answer)
 	}
-	return unreachedByAll(unreached, all)
+	return unreachedByAll(unreached, answers)
 }
 
 // Answer finds out for another host which endpoints this one cannot reach either.
 func (p *Prober) Answer(asked []fleet.EndpointID) Answer {
 	asked = asked[:min(len(asked), MaxAskedEndpoints)]
-	var known, others []fleet.Endpoint
-	for _, e := range p.candidates() {
-		if slices.Contains(asked, e.ID) {
-			known = append(known, e)
-		} else {
-			others = append(others, e)
-		}
-	}
-	others = Sample(others, "", SampleSize+furtherSample)
-	first := min(SampleSize, len(others))
-	reached, unreached := p.connect(append(known, others[:first]...))
-	if reached == 0 {
-		reached, _ = p.connect(others[first:]) // Most endpoints may have crashed.
-	}
-	a := Answer{Linked: reached > 0}
-	now := p.Now()
-	for _, id := range asked {
-		if slices.Contains(unreached, id) || p.Links.Table.Crashed(now, id) {
-			a.Unreached = append(a.Unreached, id)
-		}
-	}
-	return a
+	known := slices.DeleteFunc(p.Endpoints(), func(e fleet.Endpoint) bool { return !slices.Contains(asked, e.ID) })
+	reached, unreached := p.tryAll(known)
+	return Answer{Unreached: unreached, Reached: reached, Linked: len(reached) > 0 || p.linked()}
 }
 
 // connect connects to endpoints and returns how many were reached and which not.
 func (p *Prober) connect(endpoints []fleet.Endpoint) (reached int, unreached []fleet.EndpointID) {
+	ids, unreached := p.tryAll(endpoints)
+	return len(ids), unreached
+}
+
+// tryAll connects to endpoints and returns which were reached and which not.
+func (p *Prober) tryAll(endpoints []fleet.Endpoint) (reached, unreached []fleet.EndpointID) {
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
 	type result struct {
@@ -160,7 +177,7 @@
 	for range endpoints {
 		switch r := <-results; {
 		case r.err == nil:
-			reached++
+			reached = append(reached, r.id)
 		case !errors.Is(r.err, ErrNoResult):
 			unreached = append(unreached, r.id)
 		}
@@ -170,22 +187,22 @@
 
 // Answer is what another host says of endpoints that this one cannot reach.
 type Answer struct {
-	// Unreached holds those that it cannot reach either.
+	// Unreached holds those that it cannot reach either, Reached those that it reaches. Endpoints that its list does
+	// not have are in neither.
 	Unreached []fleet.EndpointID `cbor:"1,keyasint,omitempty"`
+	Reached   []fleet.EndpointID `cbor:"3,keyasint,omitempty"`
 	// Linked reports whether it reaches any endpoint.
 	Linked bool `cbor:"2,keyasint,omitempty"`
 }
 
-// unreachedByAll returns the endpoints that no host with links reaches. Without an answer of such a host there are
-// none: hosts that have lost their links say nothing about endpoints.
+// unreachedByAll returns the endpoints that a host with links cannot reach, and that no host reaches. Hosts that have lost
+// their links say nothing about endpoints.
 func unreachedByAll(endpoints []fleet.EndpointID, answers []Answer) []fleet.EndpointID {
-	answers = slices.DeleteFunc(answers, func(a Answer) bool { return !a.Linked })
-	if len(answers) == 0 {
-		return nil
-	}
 	var out []fleet.EndpointID
 	for _, id := range endpoints {
-		if !slices.ContainsFunc(answers, func(a Answer) bool { return !slices.Contains(a.Unreached, id) }) {
+		failed := slices.ContainsFunc(answers, func(a Answer) bool { return a.Linked && slices.Contains(a.Unreached, id) })
+		reached := slices.ContainsFunc(answers, func(a Answer) bool { return slices.Contains(a.Reached, id) })
+		if failed && !reached {
 			out = append(out, id)
 		}
 	}
--- a/pkg/links/prober_test.go
+++ b/pkg/links/prober_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +20,9 @@
 
 // simulation has hosts that are cut off from all endpoints, or silent to other hosts, and endpoints that have crashed.
 type simulation struct {
-	now                 time.Time
+	now time.Time
+	// ahead is a host whose list no longer has the crashed endpoints.
+	ahead               string
 	endpoints           []fleet.Endpoint
 	crashed             map[fleet.EndpointID]bool
 	cutOff, unreachable map[string]bool
@@ -36,7 +39,7 @@
 		s.probers[name] = &links.Prober{
 			Links:     links.NewHostLinks(),
 			Now:       func() time.Time { return s.now },
-			Endpoints: func() []fleet.Endpoint { return append([]fleet.Endpoint{}, s.endpoints...) },
+			Endpoints: func() []fleet.Endpoint { return s.listed(name) },
 			Connect:   func(_ context.Context, e fleet.Endpoint) error { return s.connect(name, e.ID) },
 			Hosts:     func(n int) []string { return s.others(name, n) },
 			Ask: func(_ context.Context, addr string, ids []fleet.EndpointID) (links.Answer, error) {
@@ -61,6 +64,11 @@
 	return nil
 }
 
+// listed returns the endpoints in a host's list. One host has dropped those that have crashed already.
+func (s *simulation) listed(host string) []fleet.Endpoint {
+	return slices.DeleteFunc(slices.Clone(s.endpoints), func(e fleet.Endpoint) bool { return host == s.ahead && s.crashed[e.ID] })
+}
+
 func (s *simulation) others(host string, n int) []string {
 	var out []string
 	for name := range s.probers { // in a random order
@@ -87,10 +95,13 @@
 		for _, e := range s.endpoints[alive:] {
 			s.crashed[e.ID] = true
 		}
+		s.ahead = fmt.Sprint("h", rapid.IntRange(0, len(s.probers)).Draw(t, "host ahead"))
 		for range rapid.IntRange(1, 40).Draw(t, "requests") {
 			host := fmt.Sprint("h", rapid.IntRange(0, len(s.probers)-1).Draw(t, "host"))
 			s.failedRequest(host, s.endpoints[rapid.IntRange(0, len(s.endpoints)-1).Draw(t, "endpoint")].ID)
-			if s.probers[host].Links.Table.Lost() {
+			asked := s.probers[fmt.Sprint("h", rapid.IntRange(0, len(s.probers)-1).Draw(t, "asked host"))]
+			asked.Answer([]fleet.EndpointID{s.endpoints[len(s.endpoints)-1].ID})
+			if s.probers[host].Links.Table.Lost() || asked.Lost() {
 				t.Fatalf("%s believes to have lost its links, with %d of %d endpoints alive", host, alive, len(s.endpoints))
 			}
 			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "pause")) * time.Millisecond)
