--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -355,7 +355,11 @@
 			r.Due = firstDue(r.Due, r.Waiting, r.OnTime, d.due, d.onTime)
 		}
 		for _, v := range d.requiredVersions() {
-			if v.Set && !slices.Contains(r.Versions, v.Version) {
+			if !v.Set {
+				continue
+			}
+			r.WaitingForVersion += d.versions[v]
+			if !slices.Contains(r.Versions, v.Version) {
 				r.Versions = append(r.Versions, v.Version)
 			}
 		}
--- a/pkg/orders/demand.go
+++ b/pkg/orders/demand.go
@@ -130,8 +130,9 @@
 	fast, slow        float64
 	awaitingFirstByte float64
 	lastUsed          time.Time
-	// versions holds the software versions that waiting requests require, unset for those that require none.
-	versions map[fleet.VersionRequirement]bool
+	// versions counts the waiting requests by the software version that they require, unset for those that require
+	// none.
+	versions map[fleet.VersionRequirement]int
 }
 
 // totals sums the reports that have not expired.
@@ -185,9 +186,9 @@
 	}
 	if n.Waiting > 0 {
 		if d.versions == nil {
-			d.versions = map[fleet.VersionRequirement]bool{}
+			d.versions = map[fleet.VersionRequirement]int{}
 		}
-		d.versions[n.Version] = true
+		d.versions[n.Version] += n.Waiting
 	}
 	d.waiting += n.Waiting
 	d.onTime += n.OnTime
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -88,9 +88,10 @@
 	FastRate float64
 	SlowRate float64
 	Inflight int
-	// Versions holds the software versions that some of the waiting requests require. They go on streams that
-	// began there.
-	Versions []string
+	// Versions holds the software versions that some of the waiting requests require, and WaitingForVersion how many
+	// these are. They go on streams that began there.
+	Versions          []string
+	WaitingForVersion int
 	// AwaitingFirstByte is the moving average of the number of requests that wait at endpoints for
 	// the first byte of their response.
 	AwaitingFirstByte float64
@@ -271,7 +272,7 @@
 	if m.FastRate >= spareRate {
 		n++
 	}
-	if m.Waiting > 0 {
+	if m.Waiting > m.WaitingForVersion {
 		n = max(n, 1)
 	}
 	return n
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -68,12 +68,18 @@
 	return e
 }
 
-// requiring returns the model with waiting requests that require software versions.
+// requiring returns the model with waiting requests that all require software versions.
 func requiring(m residency.Model, versions ...string) residency.Model {
-	m.Versions = versions
+	m.Versions, m.WaitingForVersion = versions, m.Waiting
 	return m
 }
 
+// busy returns the endpoint while it executes an order.
+func busy(e residency.Endpoint) residency.Endpoint {
+	e.Busy = true
+	return e
+}
+
 // Guards against streams that cannot go on although an endpoint of their software version could load their model in
 // time, and against loads for them that come too late or at another version.
 func TestModelIsLoadedAtRequiredVersion(t *testing.T) {
@@ -111,6 +117,12 @@
 			[]residency.Model{waiting("m")},
 			map[string]string{"copy": "m"},
 		},
+		{
+			"not at another version while the endpoint with the copy is busy",
+			[]residency.Endpoint{ofVersion("v1", busy(endpoint("copy", "a", []string{"x", "y"}, "m"))), ofVersion("v2", endpoint("other", "a", []string{"x", "y"}, "m"))},
+			[]residency.Model{waiting("m")},
+			map[string]string{},
+		},
 		{
 			"not in place of the only copy of another one at the version",
 			[]residency.Endpoint{
--- a/pkg/residency/shortfall.go
+++ b/pkg/residency/shortfall.go
@@ -89,7 +89,7 @@
 			}
 			continue
 		}
-		s := shortfall{model: m, due: d.snap.Now.Add(spareDelay), cold: have == 0 && m.Waiting > 0}
+		s := shortfall{model: m, due: d.snap.Now.Add(spareDelay), cold: have == 0 && m.Waiting > m.WaitingForVersion}
 		if m.FastRate >= hotRate {
 			s.overload = m.FastRate / (d.snap.Limits.RatePerReplica * float64(max(1, have)))
 		}
