Serve: streams that go on leave other accounts their share under contention

Change: where slots are shared between accounts such a stream is first within its own account; the search for slots ends only if all waiting needs found none. Test: TestStreamThatGoesOnStarvesNoOther failed before.

--- a/pkg/serve/contention_test.go
+++ b/pkg/serve/contention_test.go
@@ -210,3 +210,40 @@
 		is.Equal(goesOn.status, 200)
 	})
 }
+
+// Guards against new requests that get no free slot under contention while one stream waits for its software version,
+// and against streams of one account that keep all others from their share.
+func TestStreamThatGoesOnStarvesNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a", "b")
+		b.setVersions("2", "1")
+		b.ready[0].Slots, b.ready[1].Slots = 1, 1
+		d := dispatcher(newServer(b))
+		d.Contention = func(string) bool { return true }
+		held := map[string]*serve.Request{}
+		for _, version := range []string{"1", "2"} { // All slots are in use.
+			held[version] = request("held-"+version, fleet.Stream, true)
+			_, refusal := d.Acquire(t.Context(), held[version], serve.PriorAttempts{Version: fleet.RequireVersion(version)})
+			is.True(refusal == nil)
+		}
+		granted := make(chan string, 8)
+		acquire := func(id, account string, version fleet.VersionRequirement) {
+			go func() {
+				r := request(id, fleet.Stream, true)
+				r.Account = account
+				if _, refusal := d.Acquire(t.Context(), r, serve.PriorAttempts{Version: version}); refusal == nil {
+					granted <- id
+				}
+			}()
+			synctest.Wait()
+		}
+		acquire("stream", "x", fleet.RequireVersion("1"))
+		acquire("new", "y", fleet.VersionRequirement{})
+		d.Release(held["2"], "a", serve.SlotResult{})
+		is.Equal(<-granted, "new")
+		d.Release(held["1"], "b", serve.SlotResult{})
+		is.Equal(<-granted, "stream")
+		time.Sleep(time.Minute)
+	})
+}
--- a/pkg/serve/waiting_order.go
+++ b/pkg/serve/waiting_order.go
@@ -46,15 +46,22 @@
 	}
 }
 
+// goesOnRank is added to the rank of streams that go on where they began, which puts them ahead of the other requests of
+// their account.
+const goesOnRank = 2 * returnRank
+
 // returnRank is added to the rank of requests that have been refused before, which puts them ahead of
 // all others.
 const returnRank = -int(classTooLate) - 1
 
 // waitingRank ranks the waiting requests of one priority under contention, lowest first. It changes
 // with time. Requests of one rank are served by their objective.
-func waitingRank(now time.Time, usualRun, leastRun time.Duration, r *Request) int {
-	rank := int(classifyWith(now, usualRun, leastRun, r))
-	if r.returned {
+func waitingRank(now time.Time, usualRun, leastRun time.Duration, w *waiter) int {
+	rank := int(classifyWith(now, usualRun, leastRun, w.request))
+	switch {
+	case w.goesOn():
+		rank += goesOnRank
+	case w.request.returned:
 		rank += returnRank
 	}
 	return rank
--- a/pkg/serve/waitlist.go
+++ b/pkg/serve/waitlist.go
@@ -12,8 +12,8 @@
 // waitList holds the waiting requests of a service: in one order of priority and objective, or
 // under contention in a fair queue over accounts. It is not safe for concurrent use.
 type waitList struct {
-	// resumed holds requests whose response has begun, and those that go on streams where they began. They are served
-	// before all others: their clients have waited longest, and few endpoints can serve them.
+	// resumed holds requests whose response has begun, and unless fair is set those that go on streams where they began.
+	// They are served before all others: their clients have waited longest, and few endpoints can serve them.
 	resumed []*waiter
 	// sorted is used while fair is nil.
 	sorted []*waiter
@@ -72,12 +72,12 @@
 
 // push inserts w ordered by the priority of its route and then by its objective.
 func (l *waitList) push(w *waiter) {
-	if w.resumed || w.goesOn() {
+	if w.resumed || w.goesOn() && !l.isFair() {
 		l.resumed = append(l.resumed, w)
 		return
 	}
 	if l.isFair() {
-		w.item = fairItem(w, waitingRank(l.now, l.usualRun, l.leastRun, w.request))
+		w.item = fairItem(w, waitingRank(l.now, l.usualRun, l.leastRun, w))
 		l.fair.Push(w.item)
 		l.needs[w.need]++
 		return
@@ -118,7 +118,7 @@
 		return
 	}
 	l.now, l.usualRun = now, usualRun
-	l.fair.Rerank(func(it *wfq.Item[*waiter]) int { return waitingRank(now, usualRun, l.leastRun, it.Value.request) })
+	l.fair.Rerank(func(it *wfq.Item[*waiter]) int { return waitingRank(now, usualRun, l.leastRun, it.Value) })
 }
 
 // place returns the position, from 1, that w has or would have among the waiting requests with the
@@ -157,7 +157,7 @@
 	}
 	l.fair.Serve(func(it *wfq.Item[*waiter]) wfq.Decision {
 		switch {
-		case len(exhausted) == len(l.needs):
+		case l.allIn(exhausted):
 			return wfq.Stop
 		case !grant(it.Value):
 			return wfq.Skip
@@ -168,6 +168,16 @@
 	})
 }
 
+// allIn reports whether all requests in fair have one of the given needs.
+func (l *waitList) allIn(needs map[Need]bool) bool {
+	for n := range l.needs {
+		if !needs[n] {
+			return false
+		}
+	}
+	return true
+}
+
 // fairItem returns the item of a waiting request in a fair queue.
 func fairItem(w *waiter, rank int) *wfq.Item[*waiter] {
 	r := w.request
