Serve: attempts without a connection end in time and use no retries

Change: such attempts end when the request would no longer wait, a stream that goes on waits until just before its client leaves, since no other host can serve it sooner; they keep the retry; one request at a time tries, whatever the reason; only a connection reopens an endpoint; another endpoint at its address closes it for 4 s.

--- a/pkg/serve/attempt.go
+++ b/pkg/serve/attempt.go
@@ -57,12 +57,14 @@
 		if unreachable {
 			x.recordUnreachable(e)
 		} else {
-			s.Health.recordNoSlot(s.Now().Add(notSentCooldown), e.ID, x.request.Need().QualifiedName())
+			s.Health.recordNoConnection(s.Now(), e.ID)
 		}
 		s.Queue.Release(x.request, e.ID, SlotResult{Failed: true, NotRun: true, Unreachable: unreachable})
 		return attemptNotSent
 	}
 	x.result.Sent++
+	x.notSentSince = time.Time{}
+	s.Health.RecordReached(e.ID)
 	var unusable *UnusableError
 	if errors.As(err, &unusable) {
 		s.Health.Signals.Observe(s.Now(), e.ID, unusable.Signals, start, false)
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -271,6 +271,10 @@
 	} else {
 		until, retryAfter, hold = Hold(r, s)
 	}
+	if last := r.StartDeadline().Add(-refusalMargin); w.goesOn() && !w.resumed && last.After(until) {
+		// No other host can serve it sooner, so that its client gains nothing by coming back.
+		until, hold = last, s.Now.Before(last) && !s.NotConfigured
+	}
 	if at := d.closeAt.Load(); at != nil && until.After(*at) {
 		until = *at
 		hold = hold && s.Now.Before(until)
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -15,9 +15,12 @@
 	// unreachableCooldown is how long an endpoint gets no further requests after no connection to it could be
 	// made. Requests wait for it or for another endpoint meanwhile.
 	unreachableCooldown = 250 * time.Millisecond
-	// notSentCooldown is how long an endpoint gets no further requests for a model after there was no connection
-	// for one.
-	notSentCooldown = 60 * time.Millisecond
+	// noConnectionCooldown replaces unreachableCooldown where there was no connection for another reason, such as that
+	// all are in use.
+	noConnectionCooldown = 60 * time.Millisecond
+	// replacedTTL is how long an endpoint gets no requests after another one has answered at its address. The list
+	// drops a terminated endpoint within about this time.
+	replacedTTL = 4 * time.Second
 	// unreachableMemory is how long after a failed connection one request at a time tries the endpoint.
 	unreachableMemory = 2 * time.Second
 	// unreachableReportDuration is how long a failed connection is reported to the controller.
@@ -52,11 +55,11 @@
 
 type endpointState struct {
 	suspectUntil time.Time
-	// unreachableAt is the time of the last failed connection, zero once the endpoint has sent a byte since.
-	// triedAt is when a request was last sent to it nevertheless.
-	unreachableAt, triedAt time.Time
-	// replaced is set once another endpoint has answered at the address.
-	replaced bool
+	// unreachableAt is the time of the last failed connection, and noConnectionAt when there was last none for a
+	// request for any reason. Both are zero once a connection was made. triedAt is when a request last tried.
+	unreachableAt, noConnectionAt, triedAt time.Time
+	// replacedAt is when another endpoint last answered at the address.
+	replacedAt time.Time
 	// closedUntil maps a model or adapter to the time until which the endpoint gets no
 	// requests for it.
 	closedUntil map[string]time.Time
@@ -109,16 +112,37 @@
 // unreachable reports whether a request should not try to connect to the endpoint now: an attempt has just failed, or
 // another request has just begun one.
 func (e *endpointState) unreachable(now time.Time) bool {
-	return e.replaced || now.Sub(e.unreachableAt) < unreachableCooldown ||
-		now.Sub(e.unreachableAt) < unreachableMemory && now.Sub(e.triedAt) < unreachableCooldown
+	return now.Sub(e.replacedAt) < replacedTTL ||
+		closedSince(now, e.unreachableAt, e.triedAt, unreachableCooldown) ||
+		closedSince(now, e.noConnectionAt, e.triedAt, noConnectionCooldown)
 }
 
-// recordReplaced records that another endpoint has the address: this one has terminated.
+// closedSince reports whether an endpoint that failed at a time, and was last tried at another, should not be tried yet.
+func closedSince(now, failed, tried time.Time, cooldown time.Duration) bool {
+	return now.Sub(failed) < cooldown || now.Sub(failed) < unreachableMemory && now.Sub(tried) < cooldown
+}
+
+// recordNoConnection records that there was no connection for a request, although the endpoint may be reachable.
+func (h *Health) recordNoConnection(now time.Time, id fleet.EndpointID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state(id).noConnectionAt = now
+}
+
+// RecordReached records that a connection to an endpoint was made.
+func (h *Health) RecordReached(id fleet.EndpointID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e := h.endpoints[id]; e != nil {
+		e.unreachableAt, e.noConnectionAt = time.Time{}, time.Time{}
+	}
+}
+
+// recordReplaced records that another endpoint has the address: this one has most likely terminated.
 func (h *Health) recordReplaced(now time.Time, id fleet.EndpointID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	e := h.state(id)
-	e.replaced, e.unreachableAt = true, now
+	h.state(id).replacedAt = now
 }
 
 // AllUnreachable returns the endpoints to which a connection failed recently.
@@ -170,8 +194,7 @@
 func (h *Health) RecordByte(now time.Time, id fleet.EndpointID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	e := h.state(id)
-	e.lastByte, e.unreachableAt = now, time.Time{}
+	h.state(id).lastByte = now
 }
 
 // RecordLoad records the load that an endpoint of a service reported.
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -153,6 +153,8 @@
 	// begun reports whether the response of the current attempt has begun: an event of a stream was read, or
 	// all of another response.
 	begun bool
+	// notSentSince is when the rest of a begun response was first not sent since a run broke off, or zero.
+	notSentSince time.Time
 	// retryReserved is set if an abandoned attempt has already taken the retry that follows
 	// it.
 	retryReserved atomic.Bool
@@ -205,6 +207,14 @@
 		switch result {
 		case attemptDone:
 			return
+		case attemptNoSlot:
+			x.keepRetry()
+		case attemptNotSent:
+			x.keepRetry()
+			if now := x.server.Now(); !now.Before(x.notSentUntil(now)) {
+				x.finish(ctx, Refusal{Cause: CauseUnreachable, NotRun: true, RetryAfter: minRetryAfter})
+				return
+			}
 		case attemptNotRun:
 			x.rejected++
 			if x.rejected >= maxRejections {
@@ -221,6 +231,27 @@
 	}
 }
 
+// keepRetry keeps the retry that was taken for an attempt which was not sent.
+func (x *exchange) keepRetry() {
+	if x.result.Sent > 0 {
+		x.retryReserved.Store(true)
+	}
+}
+
+// notSentUntil returns until when a request may try to connect, as long as it would wait for a slot.
+func (x *exchange) notSentUntil(now time.Time) time.Time {
+	switch {
+	case !x.headSent && x.requiredVersion().Set:
+		return x.request.StartDeadline().Add(-refusalMargin)
+	case !x.headSent:
+		return holdUntil(x.request)
+	}
+	if x.notSentSince.IsZero() {
+		x.notSentSince = now
+	}
+	return resumeUntil(x.request, x.notSentSince)
+}
+
 // rejectedRefusal returns the refusal of a request that too many endpoints have rejected.
 func (x *exchange) rejectedRefusal() Refusal {
 	if x.noPath < x.rejected {
