Upstream: a head whose connection ends within a line is a broken connection

Cause: net/textproto takes what came of the last line for a whole one, so that a head cut within its status line, the name of a header or between CR and LF was malformed. The endpoint, which may just have crashed, was logged and counted as one that does not speak HTTP and used only as a last resort for 1.5 s.

Change: the error that ended the connection within a head is the error of the head. Complete lines that are not HTTP are reported as before (TestInvalidHeadIsReported).

--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -20,7 +20,11 @@
 
 // headError returns the error of a failed read of a head without the bytes that were read, which would
 // be logged with it.
-func headError(err error) error {
+func (l *headLimiter) headError(err error) error {
+	if l.srcErr != nil {
+		// net/textproto takes what came of the last line for a whole one.
+		return errors.Wrap(l.srcErr, "head of the response is incomplete")
+	}
 	var network net.Error
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrHeadTooLong) || errors.As(err, &network) {
 		return err
@@ -34,6 +38,8 @@
 	// limited is set while a head is read, of which up to remaining further bytes are read.
 	limited   bool
 	remaining int
+	// srcErr is the error that has ended the connection within the head.
+	srcErr error
 }
 
 // Read implements io.Reader.
@@ -46,6 +52,12 @@
 	}
 	n, err := l.src.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if l.srcErr == nil {
+		l.srcErr = err
+	}
 	return n, err
 }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -277,7 +277,7 @@
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
 		if err != nil {
-			return nil, headError(err)
+			return nil, c.head.headError(err)
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
