--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -38,13 +38,19 @@
 
 // exchange sends a request and reads the response up to its end.
 func (d *deployment) exchange(h *host, path, model, id string) received {
+	d.t.Helper()
+	return d.exchangeAs("1.1", h, path, model, id)
+}
+
+// exchangeAs is exchange of a client of an HTTP version.
+func (d *deployment) exchangeAs(version string, h *host, path, model, id string) received {
 	d.t.Helper()
 	conn, err := net.Dial("tcp", h.Addr())
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Attempt-Id: %s\r\nX-Remaining-Milliseconds: 6000\r\nX-Model-Name: %s\r\nContent-Length: %d\r\n\r\n%s", path, id, model, len(id), id)
+	fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: h.example\r\nX-Request-Attempt-Id: %s\r\nX-Remaining-Milliseconds: 6000\r\nX-Model-Name: %s\r\nContent-Length: %d\r\n\r\n%s", path, version, id, model, len(id), id)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		d.t.Fatal(err)
