Serve: a new stream without framing that ends before its first event is broken

Cause: the end of a connection behind a head without a length or chunks was the end of the body, whatever came before. An endpoint that stopped right behind its head gave the clients of streams a 200 with an empty body whose connection was closed, which is how such a response ends.

Change: a new event stream whose end nothing states needs an event. Without one its run is broken: run again where the route may be resumed, else 502, and a failure of the endpoint. The rest of a stream and plain answers are passed on as before, since they may be empty.

--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -59,6 +59,8 @@
 	// end other bodies after a part.
 	CutBetweenEvents
 	CutInsideEvent
+	// CutBeforeBody ends after the head.
+	CutBeforeBody
 )
 
 // EndpointConfig configures an Endpoint.
--- a/internal/standin/site/requests.go
+++ b/internal/standin/site/requests.go
@@ -192,6 +192,9 @@
 	head := &bytes.Buffer{}
 	_ = header.Write(head) // A buffer does not fail.
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", head)
+	if u.Cut == CutBeforeBody {
+		parts = nil
+	}
 	for i, p := range parts {
 		if i == 1 && u.Cut == CutInsideEvent {
 			_, _ = io.WriteString(conn, p[:len(p)/2])
--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -81,7 +81,7 @@
 // unframedCases returns the cases of all routes. ID stands for the ID of the request. Requests that may run
 // again do so if their first run is known to have broken off.
 func unframedCases() []unframedCase {
-	const whole, between, inside = site.CutNowhere, site.CutBetweenEvents, site.CutInsideEvent
+	const whole, between, inside, empty = site.CutNowhere, site.CutBetweenEvents, site.CutInsideEvent, site.CutBeforeBody
 	secondHalf := "id: 2\ndata"
 	return []unframedCase{
 		{"stream, whole", "/story/", "warm", site.Unframed{Cut: whole}, received{200, threeEvents, closed}, 1},
@@ -103,6 +103,9 @@
 		{"unsafe, cut", "/screen/", "", site.Unframed{Cut: between}, received{200, "answer ", closed}, 1},
 		{"unsafe, cut, reset", "/screen/", "", site.Unframed{Cut: between, Reset: true}, received{502, "endpoint_failed\n", statedComplete}, 1},
 		{"safe, cut", "/lookup/", "", site.Unframed{Cut: between}, received{200, "answer ", closed}, 1},
+		{"stream, empty", "/story/", "warm", site.Unframed{Cut: empty}, received{502, "endpoint_failed\n", statedComplete}, 1},
+		{"resumable, empty", "/chat/", "warm", site.Unframed{Cut: empty}, received{200, threeEvents, closed}, 2},
+		{"safe, empty", "/lookup/", "", site.Unframed{Cut: empty}, received{200, "", closed}, 1},
 		{"safe, cut, reset", "/lookup/", "", site.Unframed{Cut: between, Reset: true}, received{200, "answer to ID", closed}, 2},
 	}
 }
--- a/pkg/serve/forward.go
+++ b/pkg/serve/forward.go
@@ -27,10 +27,14 @@
 		}
 	}}
 	if x.request.Route.Kind == fleet.Stream && response.Status < 300 {
+		var events io.Reader = body
+		if x.needsEvent(response) {
+			events = &nonEmptyReader{src: body}
+		}
 		if x.request.Route.Resumable {
-			return x.forwardEvents(response, body, e)
+			return x.forwardEvents(response, events, e)
 		}
-		return x.forwardStream(response, body)
+		return x.forwardStream(response, events)
 	}
 	head, err := io.ReadAll(io.LimitReader(body, bufferedBodyBytes))
 	if err != nil {
@@ -46,6 +50,31 @@
 	return x.forwardRaw(response, body, head)
 }
 
+// errNoEvent is returned when a stream ends with its connection before its first event.
+var errNoEvent = errors.New("stream ended with its connection before its first event")
+
+// needsEvent reports whether a response without any event is a broken one: nothing states its end, and it is
+// not the rest of a stream, which may have no more events.
+func (x *exchange) needsEvent(response *Response) bool {
+	return response.Framing == FramingConnection && response.Events && !x.headSent && x.lastEvent == ""
+}
+
+// nonEmptyReader returns errNoEvent if its source ends before the first byte.
+type nonEmptyReader struct {
+	src   io.Reader
+	begun bool
+}
+
+// Read implements io.Reader.
+func (r *nonEmptyReader) Read(p []byte) (int, error) {
+	n, err := r.src.Read(p)
+	r.begun = r.begun || n > 0
+	if err == io.EOF && !r.begun {
+		return n, errNoEvent
+	}
+	return n, err
+}
+
 // notifyReader calls onRead after each read that returned bytes.
 type notifyReader struct {
 	src    io.Reader
--- a/pkg/serve/unconfirmed_test.go
+++ b/pkg/serve/unconfirmed_test.go
@@ -74,3 +74,36 @@
 		})
 	}
 }
+
+// Guards against passing on as a stream a head whose endpoint has ended before the first event.
+func TestUnframedStreamWithoutEventsIsBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		resumable bool
+		framing   serve.Framing
+		lastEvent string
+		outcome   string
+		runs      int
+	}{
+		"stream":                 {false, serve.FramingConnection, "", "failed_endpoint_failed", 1},
+		"resumable":              {true, serve.FramingConnection, "", "status_200", 2},
+		"rest of a stream":       {true, serve.FramingConnection, "2", "unconfirmed_200", 1},
+		"end stated by a chunk":  {true, serve.FramingChunks, "", "status_200", 1},
+		"end stated by a length": {false, serve.FramingLength, "", "status_200", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newFakeBackend("a")
+				b.setScript("a", script{broken: -1, framing: c.framing}, script{events: 2, broken: -1, framing: serve.FramingChunks})
+				r := request("r", fleet.Stream, c.resumable)
+				r.LastEvent = c.lastEvent
+				var out sink
+				result := newServer(b).Serve(context.Background(), r, &out)
+				is.Equal(result.Outcome(), c.outcome)
+				is.Equal(result.Runs, c.runs)
+				is.True(!out.aborted)
+				is.True(!out.promisesNotRun())
+			})
+		})
+	}
+}
