Store: a record without a valid key is skipped

Cause: a record that is empty, or whose key is longer than the record, made the decoder return an error for the whole read. The follower then asked from the same offset for ever, so that nothing later in the topic was read.

Change: such a record keeps its offset and is passed up beside the entries, counted, logged and skipped. The origins of streams are read to the end of the topic, also past a read without entries.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -41,6 +41,8 @@
 	key    string
 	value  []byte
 	offset int64
+	// malformed is set if value is the whole content, without a key.
+	malformed bool
 }
 
 // topic is a keyed topic with one partition.
@@ -224,16 +226,28 @@
 
 func (t *topic) put(key string, value []byte) int64 {
 	r := record{key: key, value: slices.Clone(value), offset: t.end}
-	t.records = append(t.records, r)
-	t.end++
 	if len(value) == 0 {
 		delete(t.newest, key)
 	} else {
 		t.newest[key] = r
 	}
+	t.append(r)
+	return r.offset
+}
+
+func (t *topic) append(r record) {
+	t.records = append(t.records, r)
+	t.end++
 	close(t.appended)
 	t.appended = make(chan struct{})
-	return r.offset
+}
+
+// PutMalformed appends a record with this content, which begins with no valid key.
+func (s *Store) PutMalformed(name string, content []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.append(record{value: slices.Clone(content), offset: t.end, malformed: true})
 }
 
 // KeyCount returns the number of keys in a topic.
@@ -325,6 +339,11 @@
 		if r.offset < from {
 			continue
 		}
+		if r.malformed {
+			out = binary.BigEndian.AppendUint32(out, uint32(len(r.value)))
+			out = append(out, r.value...)
+			continue
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
 		out = append(out, byte(len(r.key)))
 		out = append(out, r.key...)
--- a/pkg/fleet/store.go
+++ b/pkg/fleet/store.go
@@ -67,10 +67,20 @@
 // Batch is the result of a read.
 type Batch struct {
 	Entries []Entry
+	// Malformed holds the records in between that have no valid key, so that they are no entries.
+	Malformed []MalformedRecord
 	// Next is the position of the next read.
 	Next Position
 }
 
+// MalformedRecord is a record without a valid key, for example of another writer.
+type MalformedRecord struct {
+	// Offset is the position of the record, NoPosition if that is not valid either.
+	Offset Position
+	// Content is what can be read of the record.
+	Content []byte
+}
+
 // CompactedError is returned by Read if the requested records have been compacted.
 type CompactedError struct {
 	// First is the first position that can be read.
--- a/pkg/follow/rate_limited_store.go
+++ b/pkg/follow/rate_limited_store.go
@@ -31,6 +31,8 @@
 	OnCall func(fleet.Topic)
 	// OnPause, if not nil, is called when a rejected read starts a pause.
 	OnPause func()
+	// OnMalformed, if not nil, is called with each record of a read that is no entry.
+	OnMalformed func(fleet.Topic, fleet.MalformedRecord)
 	// MaxPause returns the bound on the pause after rejected reads; nil means defaultMaxPause.
 	MaxPause func() time.Duration
 
@@ -53,7 +55,7 @@
 // ForStreams returns a store for the origins of streams. It has a rate of its own, so that they do not delay other calls.
 func (c *RateLimitedStore) ForStreams() *RateLimitedStore {
 	out := newRateLimitedStore(c.Store, streamCallsPerSecond)
-	out.OnCall, out.OnPause, out.MaxPause = c.OnCall, c.OnPause, c.MaxPause
+	out.OnCall, out.OnPause, out.OnMalformed, out.MaxPause = c.OnCall, c.OnPause, c.OnMalformed, c.MaxPause
 	return out
 }
 
@@ -69,6 +71,7 @@
 	}
 	b, err := c.Store.Newest(ctx, t)
 	c.endRead(began, err)
+	c.reportMalformed(t, b)
 	return b, err
 }
 
@@ -80,6 +83,7 @@
 	}
 	b, more, err := c.Store.Page(ctx, t, after)
 	c.endRead(began, err)
+	c.reportMalformed(t, b)
 	return b, more, err
 }
 
@@ -91,6 +95,7 @@
 	}
 	b, err := c.Store.Read(ctx, t, from, wait)
 	c.endRead(began, err)
+	c.reportMalformed(t, b)
 	return b, err
 }
 
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -274,7 +274,7 @@
 }
 
 func (g *Gateway) applyEndpoints(b fleet.Batch) {
-	if len(b.Entries) == 0 {
+	if len(b.Entries) == 0 && len(b.Malformed) == 0 {
 		return
 	}
 	g.updateDirectory(b)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -217,6 +217,7 @@
 	g.store = store
 	g.self = orders.Holder{Host: s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	g.log = cfg.Logger.With("host", s.Host, "incarnation", g.self.Incarnation)
+	store.OnMalformed = follow.LogMalformed(g.log, g.metrics.count)
 	g.locator = fleet.NewLocator(g.directory)
 	g.health.Signals.Changed = g.signalChanged
 	g.health.Brittle.Changed = g.brittleChanged
--- a/pkg/streamversions/originlog.go
+++ b/pkg/streamversions/originlog.go
@@ -168,7 +168,7 @@
 			v.addWritten(e)
 		}
 		r.next = b.Next
-		if len(b.Entries) == 0 {
+		if b.Next == from {
 			r.readAt = v.Now()
 			return nil
 		}
