Slots: figures of an endpoint do not size allocations

Cause: Table.shares allocated room for as many hosts as an endpoint has slots, or half its stated rejections, and converted the latter to an int without a bound, which gives different results on arm64 and x86-64.

Change: slots and rejections are bounded where they are shared, and the allocation is that of the hosts known.

--- a/pkg/slotshare/share.go
+++ b/pkg/slotshare/share.go
@@ -18,6 +18,21 @@
 // slot more often; with more of them less is lost when one fails, or when hosts disagree about one.
 const slotsPerOwner = 4
 
+// maxSlots and maxRejections bound what an endpoint states, beyond what any endpoint has, so that its shares fit the
+// memory and an int.
+const (
+	maxSlots      = 1 << 16
+	maxRejections = 1 << 20
+)
+
+// boundRejections returns a stated number of rejections within its bounds.
+func boundRejections(n float64) float64 {
+	if !(n > 0) { // Also for a number that is not defined.
+		return 0
+	}
+	return min(n, maxRejections)
+}
+
 // Share is a host's share of the slots of an endpoint.
 type Share struct {
 	Host  string
@@ -48,13 +63,13 @@
 
 // ownerCount returns the number of hosts that own the slots of an endpoint. Each of them may cause a rejection now and
 // then, so that there are fewer where an endpoint can take few.
-func ownerCount(slots int, maxRejections float64) int {
-	return max(1, min(slots/slotsPerOwner, int(maxRejections/2)))
+func ownerCount(slots int, rejections float64) int {
+	return max(1, min(slots/slotsPerOwner, int(boundRejections(rejections)/2)))
 }
 
 // rejectionsPerOwner returns how many rejections in a second one of the owners may cause.
-func rejectionsPerOwner(maxRejections float64, owners int) int {
-	return max(1, int(ownersShare*maxRejections/float64(max(1, owners))))
+func rejectionsPerOwner(rejections float64, owners int) int {
+	return max(1, int(ownersShare*boundRejections(rejections)/float64(max(1, owners))))
 }
 
 // divide divides slots among up to n of the ranked hosts.
--- a/pkg/slotshare/table.go
+++ b/pkg/slotshare/table.go
@@ -137,16 +137,17 @@
 // noticed. It must be called with mu held.
 func (t *Table) shares(e fleet.Endpoint, l Limit) (shares []Share, since time.Time) {
 	order := t.ranks[e.ID]
-	n := ownerCount(e.Slots, l.MaxRejections)
+	slots := max(0, min(e.Slots, maxSlots))
+	n := ownerCount(slots, l.MaxRejections)
 	if t.Apart {
-		n = max(1, e.Slots)
+		n = max(1, slots)
 	}
 	if len(order) < min(n+spareRanks, len(t.hosts)) {
 		order = ranked(e.ID, t.hosts, n+spareRanks)
 		t.ranks[e.ID] = order
 	}
 	since = t.hostsChanged.Add(listTime)
-	up := make([]string, 0, n)
+	up := make([]string, 0, len(order))
 	for _, h := range order {
 		if d := t.down[h]; d != nil && !d.since.IsZero() {
 			if len(up) < n && d.since.After(since) {
@@ -156,7 +157,7 @@
 		}
 		up = append(up, h)
 	}
-	return divide(e.Slots, n, up), since
+	return divide(slots, n, up), since
 }
 
 // ownPart returns this host's part of an endpoint, with the slots that it may use. It must be called with mu
