Fleet: an odd start time does not keep a sound endpoint out of use for good

Cause: an entry with a greater start time supersedes the endpoint's former incarnation, whose own entries are then ignored as delayed writes, until the process starts again. Where endpoints state no start time, their entries counted as unreadable after one odd entry that has one.

Change: three entries of the former incarnation over one and a half heartbeat intervals or more, without one of the other in between, bring it back. A removal of the name starts the count again. It does not count as restarted.

Measured (-race): TestEndpointReturnsAfterOddNewerIncarnation failed before (the endpoint of four heartbeats in four seconds was not used); it passes now, for endpoints with and without a start time, with all of ./pkg/fleet. A host that learns the list from others may need the next read of its own, about a minute; this was read in the code, not run.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -17,6 +17,8 @@
 	entries map[EndpointID]*entry
 	// current maps each endpoint name to its newest known incarnation.
 	current map[string]EndpointID
+	// former holds, by name, the entries of former incarnations since the newest one of the current.
+	former map[string]formerEntries
 	// changed holds the endpoints that have changed since the last call of takeChanges.
 	changed map[EndpointID]bool
 	// missing counts the entries that have disappeared and may still return.
@@ -58,7 +60,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[EndpointID]*entry{}, current: map[string]EndpointID{}, changed: map[EndpointID]bool{}, prunedOffset: NoPosition}
+	return &Directory{entries: map[EndpointID]*entry{}, current: map[string]EndpointID{}, former: map[string]formerEntries{}, changed: map[EndpointID]bool{}, prunedOffset: NoPosition}
 }
 
 // Offset returns the offset of the next unread entry of the list.
@@ -118,7 +120,7 @@
 }
 
 func (d *Directory) apply(now time.Time, offset Position, e Endpoint) {
-	if e.Unreadable || e.ID.StartMillis() < d.current[e.ID.Name()].StartMillis() && e.ID.StartMillis() == 0 {
+	if e.Unreadable || d.lacksStart(e.ID) && !d.returns(now, offset, e.ID) {
 		d.markUnreadable(now, offset, e.ID.Name())
 		return
 	}
@@ -131,7 +133,7 @@
 		return
 	}
 	former, known := d.current[e.ID.Name()]
-	if !d.supersede(e.ID) {
+	if !d.supersede(now, offset, e.ID) {
 		return
 	}
 	// Draining is final for an incarnation: a delayed copy of an older heartbeat must not
@@ -140,20 +142,27 @@
 		e.Draining = true
 	}
 	d.put(now, offset, old, e)
-	if known && former != e.ID {
+	if known && former != e.ID && old == nil {
 		d.entries[e.ID].restartedAt = now
 	}
 }
 
+// lacksStart reports whether an entry lacks the start time that the endpoint has stated before.
+func (d *Directory) lacksStart(id EndpointID) bool {
+	return id.StartMillis() == 0 && d.current[id.Name()].StartMillis() > 0
+}
+
 // supersede makes an incarnation the current one of its name and marks the previous one as
 // gone. It returns false for an incarnation older than the current one: the store may apply a
-// delayed write of a previous incarnation.
-func (d *Directory) supersede(id EndpointID) bool {
+// delayed write of a previous incarnation. If only the older one goes on writing entries, the other one
+// was an odd entry of another writer.
+func (d *Directory) supersede(now time.Time, offset Position, id EndpointID) bool {
 	name := id.Name()
 	previous, known := d.current[name]
-	if known && id.StartMillis() < previous.StartMillis() {
+	if known && id.StartMillis() < previous.StartMillis() && !d.returns(now, offset, id) {
 		return false
 	}
+	delete(d.former, name)
 	if known && previous != id && !d.entries[previous].gone {
 		d.markGoneLocked(d.entries[previous])
 	}
@@ -218,6 +227,7 @@
 	e.offset = offset
 	e.routingOffset = offset
 	d.routingOffset = max(d.routingOffset, offset)
+	delete(d.former, e.ID.Name())
 	d.handleRemoval(now, e)
 }
 
--- a/pkg/fleet/expiry.go
+++ b/pkg/fleet/expiry.go
@@ -19,11 +19,14 @@
 // mayHaveExpired reports whether entries of live endpoints may expire in an outage of the store that
 // lasts this long. A removal during a shorter one means that the endpoint has left.
 func (d *Directory) mayHaveExpired(outage time.Duration) bool {
-	interval := d.HeartbeatInterval
-	if interval == 0 {
-		interval = defaultHeartbeatInterval
+	return outage.Seconds() >= (expiryIntervals-lastHeartbeatIntervals)*d.heartbeatInterval().Seconds()
+}
+
+func (d *Directory) heartbeatInterval() time.Duration {
+	if d.HeartbeatInterval == 0 {
+		return defaultHeartbeatInterval
 	}
-	return outage.Seconds() >= (expiryIntervals-lastHeartbeatIntervals)*interval.Seconds()
+	return d.HeartbeatInterval
 }
 
 // tombstoneTTL is how long a removed endpoint is remembered, so that a delayed copy of its
@@ -113,6 +116,7 @@
 			d.prunedOffset = max(d.prunedOffset, e.offset)
 			if d.current[id.Name()] == id {
 				delete(d.current, id.Name())
+				delete(d.former, id.Name())
 				pruned = append(pruned, id)
 			}
 		}
--- a/pkg/fleet/incarnation_test.go
+++ b/pkg/fleet/incarnation_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -151,3 +152,53 @@
 	d.Apply(at(2), fleet.NewPosition(1, 2), a)
 	is.Equal(len(d.Live(at(4))), 1)
 }
+
+// Guards against an odd entry with a start time in the future that keeps a sound endpoint out of use for good, although
+// the endpoint goes on writing its entry.
+func TestEndpointReturnsAfterOddNewerIncarnation(t *testing.T) {
+	for _, start := range []int64{0, 100} { // Not all endpoints state when they started.
+		t.Run(fmt.Sprint(start), func(t *testing.T) {
+			is := is.New(t)
+			d := fleet.NewDirectory()
+			l := fleet.NewLocator(d)
+			sound := incarnation("a", start, "m")
+			d.Apply(at(0), 1, sound)
+			d.Apply(at(1), 2, incarnation("a", 253402300799999, "n"))
+			l.MarkStale()
+			is.Equal(ready(l, 1, "m"), []string{})
+			for i := range 4 {
+				s := 1.5 + float64(i)
+				d.Apply(at(s), fleet.Position(3+i), sound)
+				l.MarkStale()
+				is.Equal(len(ready(l, s, "m")) > 0, i >= 2)
+			}
+			is.Equal(ids(d.Live(at(5))), []fleet.EndpointID{sound.ID})
+			is.True(d.Gone("a@253402300799999"))
+			is.True(d.Live(at(5))[0].RestartedAt.IsZero()) // It has not started again.
+		})
+	}
+}
+
+// Guards against entries of a former incarnation that bring it back: several delayed ones at once, and ones beside the
+// entries of its successor.
+func TestDelayedEntriesDoNotBringBackFormerIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDirectory()
+	d.Apply(at(0), 1, incarnation("a", 100, "m"))
+	d.Apply(at(1), 2, incarnation("a", 200))
+	for i := range fleet.Position(9) {
+		d.Apply(at(1.2), 3+i, incarnation("a", 100, "m"))
+	}
+	is.Equal(ids(d.Live(at(1.2))), []fleet.EndpointID{"a@200"})
+	for i := range 20 {
+		s := 2 + float64(i)
+		d.Apply(at(s), fleet.Position(20+2*i), incarnation("a", 200))
+		d.Apply(at(s+0.5), fleet.Position(21+2*i), incarnation("a", 100, "m"))
+		is.Equal(ids(d.Live(at(s+0.5))), []fleet.EndpointID{"a@200"})
+	}
+	d.Remove(at(30), 70, "a") // Its successor has left.
+	for i := range 9 {
+		d.Apply(at(31+float64(i)/10), fleet.Position(71+i), incarnation("a", 100, "m"))
+	}
+	is.Equal(len(d.Live(at(32))), 0)
+}
--- a/pkg/gateway/oddentries_test.go
+++ b/pkg/gateway/oddentries_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/internal/standin/site"
@@ -52,3 +53,32 @@
 	"odd entry of a sound endpoint": func(s *site.Store, topic string) { s.Put(topic, "e1", []byte(oddEntry("127.0.0.1:65536", "8"))) },
 	"removal of an unknown entry":   func(s *site.Store, topic string) { s.Put(topic, "x", nil) },
 }
+
+// Guards against an odd entry that names a sound endpoint, with a start time in the future: no host may keep the endpoint
+// out of use while it goes on writing its entry.
+func TestHostsUseEndpointAgainAfterOddStartTime(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish(config(1))
+	e := d.startEngine("e1")
+	a, b := d.startHost("a"), d.startHost("b")
+	d.waitFor("the hosts know each other", func() bool { return a.Peers() == 1 && b.Peers() == 1 })
+	odd := oddEntry("127.0.0.1:9", "8")
+	d.store.Put("keyed.servers", "e1", []byte(odd[:len(odd)-1]+`,"born":253402300799999}`))
+	for name, h := range map[string]*host{"a": a, "b": b} {
+		d.waitFor("host "+name+" knows the odd entry", func() bool { return h.DrainingOrGone("e1") })
+	}
+	next := time.Now()
+	for name, h := range map[string]*host{"a": a, "b": b} {
+		d.waitFor("host "+name+" uses the endpoint", func() bool {
+			if now := time.Now(); !now.Before(next) {
+				e.Heartbeat()
+				next = now.Add(time.Second)
+			}
+			return !h.DrainingOrGone("e1")
+		})
+	}
+	for _, h := range []*host{a, b} {
+		is.New(t).Equal(d.request(h, "/chat/x", "warm").status, http.StatusOK)
+	}
+}
