--- a/pkg/gateway/oddentries_test.go
+++ b/pkg/gateway/oddentries_test.go
@@ -82,3 +82,25 @@
 		is.New(t).Equal(d.request(h, "/chat/x", "warm").status, http.StatusOK)
 	}
 }
+
+// Guards against one odd record in a topic other than the list that stops a host from following it.
+func TestHostsFollowAllTopicsPastOddRecords(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	d.startEngine("e1")
+	a := d.startHost("a")
+	d.waitFor("the host is the controller", a.IsController)
+	for _, topic := range []string{"keyed.op", "keyed.hosts", "keyed.claims", "keyed.crashes", "keyed.versions", "keyed.streams"} {
+		for _, name := range []string{"empty record", "key longer than the record", "empty key", "unreadable entry", "very deeply nested"} {
+			oddRecords[name](d.store, topic)
+		}
+	}
+	d.publish(config(2))
+	d.waitFor("the host has the next configuration", func() bool { return a.ConfigVersion() == 2 })
+	b := d.startHost("b")
+	d.waitFor("the hosts know each other", func() bool { return a.Peers() == 1 && b.Peers() == 1 })
+	is.Equal(d.request(a, "/chat/x", "warm").status, http.StatusOK)
+	is.Equal(d.request(b, "/chat/x", "warm").status, http.StatusOK)
+}
