Orders: tests of the limits that a mend of the unknown host has to keep

The simulated hosts can now be started without drawn schedules; checks and schedules are unchanged.

Run: all of ./pkg/orders (42.8 s); with -race only the two new tests.

--- a/pkg/orders/oneholder_test.go
+++ b/pkg/orders/oneholder_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/orders"
 	"pgregory.net/rapid"
@@ -36,6 +37,51 @@
 	}
 }
 
+// Guards against a holder that ends its orders in a long store outage although all hosts acknowledge it.
+func TestHolderOrdersThroughLongStoreOutage(t *testing.T) {
+	is := is.New(t)
+	w := startHolders(t.Fatalf, 3)
+	w.run(time.Minute)
+	for _, h := range w.hosts {
+		h.mode = rejects
+	}
+	w.run(10 * time.Minute)
+	is.True(w.now.Sub(w.received[len(w.received)-1].at) <= lease)
+}
+
+// Guards against a successor that waits for a dead holder longer than the leases, just after its own start too.
+func TestSuccessorOrdersSoonAfterStart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// uptime is how long all hosts have run when the holder dies. othersDown is how long the others are
+		// down from then on.
+		uptime, othersDown time.Duration
+	}{
+		{"the holder dies", time.Minute, 0},
+		{"the holder dies just after the start of all", lease / 2, 0},
+		{"all die and the holder's host does not return", time.Minute, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := startHolders(t.Fatalf, 3)
+			w.run(c.uptime)
+			died, holder := w.now, w.controller(nil)
+			for _, h := range w.hosts {
+				if h == holder {
+					h.up, h.changeAt = false, died.Add(time.Hour)
+				} else if c.othersDown > 0 {
+					h.up, h.changeAt = false, died.Add(c.othersDown)
+				}
+			}
+			w.run(c.othersDown + 2*lease)
+			is.True(len(w.received) > 0)
+			last := w.received[len(w.received)-1]
+			is.True(last.host != holder.name)
+			is.True(w.now.Sub(last.at) <= tick)
+		})
+	}
+}
+
 // storeMode is how the store treats the calls of one host.
 type storeMode int
 
@@ -78,7 +124,10 @@
 }
 
 type holderSimulation struct {
-	t     *rapid.T
+	// t draws the schedule, and is nil where there is none. fatalf reports a broken rule.
+	t      *rapid.T
+	fatalf func(format string, args ...any)
+
 	now   time.Time
 	ticks int
 	hosts []*simHost
@@ -93,8 +142,15 @@
 }
 
 func newHolderSimulation(t *rapid.T) *holderSimulation {
-	w := &holderSimulation{t: t, now: start, partitioned: map[[2]string]bool{}, entries: map[string]string{}}
-	for _, name := range []string{"a", "b", "c"}[:rapid.IntRange(2, 3).Draw(t, "hosts")] {
+	w := startHolders(t.Fatalf, rapid.IntRange(2, 3).Draw(t, "hosts"))
+	w.t = t
+	return w
+}
+
+// startHolders starts a number of hosts at the same time.
+func startHolders(fatalf func(string, ...any), hosts int) *holderSimulation {
+	w := &holderSimulation{fatalf: fatalf, now: start, partitioned: map[[2]string]bool{}, entries: map[string]string{}}
+	for _, name := range []string{"a", "b", "c"}[:hosts] {
 		h := &simHost{name: name}
 		w.hosts = append(w.hosts, h)
 		w.start(h)
@@ -169,6 +225,12 @@
 	return a != b && a.up && b.up && !w.partitioned[pair(a, b)]
 }
 
+func (w *holderSimulation) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.tick()
+	}
+}
+
 func (w *holderSimulation) tick() {
 	w.now = w.now.Add(tick)
 	w.ticks++
@@ -295,15 +357,15 @@
 	for i := len(w.received) - 1; i >= 0; i-- {
 		before := w.received[i]
 		if before.token == o.token && before.host != o.host {
-			w.t.Fatalf("%s and %s use token %d", before.host, o.host, o.token)
+			w.fatalf("%s and %s use token %d", before.host, o.host, o.token)
 		}
 		if before.token > o.token {
-			w.t.Fatalf("order of %s with token %d %v after one of %s with token %d", o.host, o.token, o.at.Sub(before.at), before.host, before.token)
+			w.fatalf("order of %s with token %d %v after one of %s with token %d", o.host, o.token, o.at.Sub(before.at), before.host, before.token)
 		}
 		if before.host != o.host {
 			other = true
 		} else if other && o.at.Sub(before.at) < lease {
-			w.t.Fatalf("%s gives orders again with token %d after another host, %v after its orders with token %d", o.host, o.token, o.at.Sub(before.at), before.token)
+			w.fatalf("%s gives orders again with token %d after another host, %v after its orders with token %d", o.host, o.token, o.at.Sub(before.at), before.token)
 		}
 		if o.at.Sub(before.at) >= 2*lease {
 			break
