Streams begin at a new version only once hosts out of step no longer trust their view

Cause: a host decides without a lookup for 2 s after its last contact, but streams began at a new version as soon as the store's record named it. The design relied on the time that an endpoint takes to load a model. With a copy that was there at once, streams of the new version that were taken up at a host cut off from the others went on at the old one.

Change: each host lets streams begin at a version streamorigin.TrustTime and one check after it first saw the record name it. The former versions serve meanwhile; without any there is no wait.

No further message or store call.

--- a/pkg/streamorigin/record_test.go
+++ b/pkg/streamorigin/record_test.go
@@ -52,6 +52,18 @@
 	is.Equal(streamorigin.Admit([]string{"1"}, []string{"2"}, recorded("1")), []string{"2"}) // There is nothing else.
 }
 
+// Guards against a version that counts as new again, or as known for long after it was gone.
+func TestJoined(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var j streamorigin.Joined
+	is.Equal(j.Since(now, "s", "1"), time.Duration(0))
+	j.Retain(map[string][]string{"s": {"1"}})
+	is.Equal(j.Since(now.Add(time.Second), "s", "1"), time.Second)
+	j.Retain(map[string][]string{"s": {"2"}})
+	is.Equal(j.Since(now.Add(2*time.Second), "s", "1"), time.Duration(0))
+}
+
 // Guards against taking the present service of a route for the one that began its streams.
 func TestRoutesRememberEarlierServices(t *testing.T) {
 	is := is.New(t)
--- a/pkg/streamversions/directory.go
+++ b/pkg/streamversions/directory.go
@@ -79,6 +79,8 @@
 	// at checkedAt. Only Check uses them.
 	several   map[string]bool
 	checkedAt time.Time
+	// joined holds the versions that the record names and streams do not begin at yet. Only keepRecord uses it.
+	joined streamorigin.Joined
 
 	mu sync.Mutex
 	// pending holds the streams to tell others of.
--- a/pkg/streamversions/record.go
+++ b/pkg/streamversions/record.go
@@ -28,6 +28,9 @@
 	recordKey = "record"
 	// maxRecordBytes is the largest record that is written with its routes.
 	maxRecordBytes = 200 << 10
+	// admissionDelay is the time from the record naming a version to the first stream that begins at it. A host that
+	// has not heard of the version no longer decides by what it knows by then.
+	admissionDelay = streamorigin.TrustTime + recordInterval
 	// recordRetryDelay is the pause after a call for the record that failed.
 	recordRetryDelay = 500 * time.Millisecond
 )
@@ -137,9 +140,14 @@
 			continue // It is not known which of several the store names.
 		}
 		admitted[service] = streamorigin.Admit(before[service], versions, func(version string) bool {
-			return known.record != nil && known.record.Era == v.Era() && known.record.Names(service, version)
+			if known.record == nil || known.record.Era != v.Era() || !known.record.Names(service, version) {
+				return false
+			}
+			// All versions are alike to a host that has just started.
+			return len(before[service]) == 0 || v.joined.Since(now, service, version) >= admissionDelay
 		})
 	}
+	v.joined.Retain(live)
 	v.mu.Lock()
 	v.admitted = admitted
 	v.mu.Unlock()
