Streams of the only version of a service do not go on at one that joins while they wait

Cause: a resumption that was decided as one_version required no version. If it waited for a slot, or its host stood still, until a second version took requests, it ran there.

Change: such a decision names the version that it rests on. If the endpoint that is granted has another one, the slot is returned and the request requires that version. Nothing changes while there is one version.

Measured: TestStreamOfOnlyVersionAvoidsJoinedOne printed "new != old" in both cases without the check.

--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -299,7 +299,13 @@
 		ctx, cancel = context.WithTimeout(ctx, minRetryTime)
 		defer cancel()
 	}
-	return x.server.Queue.Acquire(ctx, x.request, PriorAttempts{Version: x.requiredVersion(), Avoid: x.avoid, ResponseStarted: x.headSent})
+	for {
+		e, refusal := x.server.Queue.Acquire(ctx, x.request, PriorAttempts{Version: x.requiredVersion(), Avoid: x.avoid, ResponseStarted: x.headSent})
+		if refusal != nil || !x.joinedSince(e) {
+			return e, refusal
+		}
+		x.server.Queue.Release(x.request, e.ID, SlotResult{NotRun: true})
+	}
 }
 
 // mayRunAgain reports whether the request may be sent again after it may have run.
--- a/pkg/serve/version.go
+++ b/pkg/serve/version.go
@@ -31,6 +31,9 @@
 	// Service is the service that began the stream.
 	Service  string
 	Required fleet.VersionRequirement
+	// Assumed is the only version that the service is known to have had, if Required is not set. An endpoint of
+	// another one that joins while the request waits must not run it.
+	Assumed fleet.VersionRequirement
 	// Source says where the knowledge comes from: this host, the name of another one, or all endpoints if they
 	// have one version. Age is the time since the source learned of it.
 	Source string
@@ -87,6 +90,17 @@
 	return fleet.VersionRequirement{}
 }
 
+// joinedSince reports whether an endpoint has another version than the only one that there was when the version of the
+// stream was decided. The request requires that one from then on.
+func (x *exchange) joinedSince(e fleet.Endpoint) bool {
+	assumed := x.result.StreamVersion.Assumed
+	if x.requiredVersion().Set || assumed.Allows(e) {
+		return false
+	}
+	x.setVersion(assumed)
+	return true
+}
+
 // need returns what an endpoint must have for the rest of the request.
 func (x *exchange) need() Need {
 	n := x.request.Need()
--- a/pkg/serve/version_test.go
+++ b/pkg/serve/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -107,6 +108,34 @@
 	})
 }
 
+// Guards against streams of the only version of a service that wait and then go on at one that has joined meanwhile.
+func TestStreamOfOnlyVersionAvoidsJoinedOne(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		t.Run(fmt.Sprint("endpoint of its version ", other), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newFakeBackend("new", "old")
+				b.setVersions("2", "1")
+				if !other {
+					b.setReady("new")
+					b.setVersions("2")
+				}
+				server := newServer(b)
+				server.Versions = &fakeVersions{found: serve.StreamVersion{Service: "s", Assumed: fleet.RequireVersion("1")}}
+				r := request("r", fleet.Stream, true)
+				r.LastEvent = "2"
+				var out sink
+				server.Serve(context.Background(), r, &out)
+				for _, e := range b.runs["r"] {
+					is.Equal(string(e), "old")
+				}
+				is.Equal(len(b.runs["r"]) > 0, other)
+				is.Equal(out.promisesNotRun(), !other)
+			})
+		})
+	}
+}
+
 // Guards against resumed streams that wait for a slot at their version and block requests that may run at another
 // one, or take their slots.
 func TestWaitingForVersionBlocksNoOther(t *testing.T) {
--- a/pkg/streamversions/directory.go
+++ b/pkg/streamversions/directory.go
@@ -178,11 +178,22 @@
 
 // oneOrigin reports whether, as far as this host knows, all streams of a route began at one version of one service.
 func (v *Directory) oneOrigin(now time.Time, route, service string) bool {
+	_, ok := v.onlyVersion(now, route, service)
+	return ok
+}
+
+// onlyVersion returns the version at which all streams of a route began, as far as this host knows, and whether there was
+// only one. It is not set if no endpoint has had one lately.
+func (v *Directory) onlyVersion(now time.Time, route, service string) (only fleet.VersionRequirement, ok bool) {
 	n := 0
 	for _, s := range v.services(now, route, service) {
-		n += max(1, len(v.versions(now, s)))
+		versions := v.versions(now, s)
+		n += max(1, len(versions))
+		if len(versions) > 0 {
+			only = fleet.RequireVersion(versions[0])
+		}
 	}
-	return n <= 1
+	return only, n <= 1
 }
 
 // Find implements serve.StreamVersions.
@@ -203,8 +214,8 @@
 	v.routes.Observe(v.Now(), v.Config())
 	route := streamorigin.RouteKey(r.Route)
 	certain := v.knowsHistory(ctx, v.services(v.Now(), route, r.Service))
-	if certain && v.oneOrigin(v.Now(), route, r.Service) {
-		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
+	if only, ok := v.onlyVersion(v.Now(), route, r.Service); ok && certain {
+		return serve.StreamVersion{Service: r.Service, Assumed: only, Source: sourceOneVersion}, nil
 	}
 	if certain && r.Resumes == "" {
 		return serve.StreamVersion{}, errors.Wrap(serve.ErrVersionUnknown, "the client does not name the attempt that began the stream")
@@ -233,14 +244,15 @@
 			found = &own
 		}
 	}
+	only, ok := v.onlyVersion(v.Now(), route, r.Service)
 	switch {
 	case found != nil:
 		start := fleet.StreamStart{Attempt: r.Resumes, Origin: fleet.StreamOrigin{Service: found.Service, Version: found.Required.Version}}
 		v.table.Add(v.Now(), start)
 		v.tell(start) // A host that has kept it may be gone.
 		return *found, nil
-	case oneVersion && v.oneOrigin(v.Now(), route, r.Service):
-		return serve.StreamVersion{Service: r.Service, Source: sourceOneVersion}, nil
+	case oneVersion && ok:
+		return serve.StreamVersion{Service: r.Service, Assumed: only, Source: sourceOneVersion}, nil
 	}
 	return serve.StreamVersion{}, errors.Wrapf(serve.ErrVersionUnknown, "neither the hosts that were asked nor the store know attempt %s", r.Resumes)
 }
