--- a/pkg/streamversions/simulation_test.go
+++ b/pkg/streamversions/simulation_test.go
@@ -40,6 +40,7 @@
 	locator *fleet.Locator
 	list    *fleet.Directory
 	offset  fleet.Position
+	view
 }
 
 // isolated reports whether the host hears of no changes.
@@ -64,6 +65,9 @@
 	starts   atomic.Int64
 	n        int
 	begun    []simStream
+	// loads is how long new endpoints take, loadTime if it is nil, and views is set if hosts hear of changes late.
+	loads func() time.Duration
+	views *views
 
 	resumed, wentOn int
 	failures        []string
@@ -107,6 +111,9 @@
 	id := fleet.EndpointID(fmt.Sprint("e", s.n))
 	s.endpoints[id] = fleet.Endpoint{ID: id, Service: service, Version: version, Addr: "127.0.0.1:1", Zone: "z"}
 	s.usableAt[id] = time.Now().Add(loadTime)
+	if s.loads != nil {
+		s.usableAt[id] = time.Now().Add(s.loads())
+	}
 	s.tellAll()
 }
 
@@ -132,6 +139,10 @@
 }
 
 func (s *simulation) tellAll() {
+	if s.views != nil {
+		s.views.add(time.Now(), s.endpoints)
+		return
+	}
 	for _, h := range s.hosts {
 		s.tell(h)
 	}
@@ -142,10 +153,15 @@
 	if !h.up.Load() || h.isolated() {
 		return
 	}
+	s.setList(h, s.endpoints)
+}
+
+// setList sets the endpoints of which a host has heard.
+func (s *simulation) setList(h *simHost, endpoints map[fleet.EndpointID]fleet.Endpoint) {
 	h.config.Store(s.config)
 	h.offset++
 	list := map[fleet.Position]fleet.Endpoint{}
-	for _, e := range s.endpoints {
+	for _, e := range endpoints {
 		list[fleet.NewPosition(s.store.currentEra(), int64(len(list))+1000*int64(h.offset))] = e
 	}
 	h.list.Replace(time.Now(), fleet.NewPosition(s.store.currentEra(), 1000*int64(h.offset+1)), list)
@@ -166,7 +182,13 @@
 	d.Config = h.config.Load
 	d.Era = s.store.currentEra
 	d.HostEntries = func() int64 { return s.starts.Load() }
-	d.Isolated = func(now time.Time) bool { return h.isolated() && now.Sub(time.Unix(0, h.cutAt.Load())) > 2*time.Second }
+	h.heard(time.Now())
+	d.Isolated = func(now time.Time) bool {
+		if s.views != nil {
+			return now.Sub(time.Unix(0, h.heardAt.Load())) > streamorigin.TrustTime
+		}
+		return h.isolated() && now.Sub(time.Unix(0, h.cutAt.Load())) > 2*time.Second
+	}
 	d.Controlling = func() bool { return s.controller() == h }
 	d.Count = func(string, int64, map[string]string) {}
 	d.Hosts = func() (self streamorigin.Host, others []streamorigin.Host) {
@@ -183,7 +205,9 @@
 	go d.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
-			d.Check(time.Now())
+			if !h.frozen.Load() {
+				d.Check(time.Now())
+			}
 			time.Sleep(20 * time.Millisecond)
 		}
 	}()
@@ -191,7 +215,7 @@
 
 func (s *simulation) controller() *simHost {
 	for _, h := range s.hosts {
-		if h.up.Load() && !h.cut.Load() && h.storeFault() != rejectsAll {
+		if h.up.Load() && !h.cut.Load() && !h.frozen.Load() && h.storeFault() != rejectsAll {
 			return h
 		}
 	}
@@ -201,7 +225,7 @@
 func (s *simulation) send(from *simHost, addr string, r peer.Request) (peer.Response, error) {
 	i := slices.IndexFunc(s.hosts, func(h *simHost) bool { return h.name == addr })
 	to := s.hosts[i]
-	if !to.up.Load() || to.cut.Load() || from.cut.Load() {
+	if !to.up.Load() || to.cut.Load() || from.cut.Load() || to.frozen.Load() || from.frozen.Load() {
 		return peer.Response{}, errors.New("unreachable")
 	}
 	if r.StreamLookup != nil {
@@ -316,8 +340,9 @@
 	return ready
 }
 
-func (s *simulation) begin() {
-	h := s.host()
+func (s *simulation) begin() { s.beginAt(s.host()) }
+
+func (s *simulation) beginAt(h *simHost) {
 	if h.config.Load() == nil {
 		return
 	}
@@ -335,8 +360,12 @@
 
 // resume takes a stream up that began lately.
 func (s *simulation) resume() {
+	s.resumeAt(s.host(), func() {})
+}
+
+// resumeAt takes a stream up at a host, which runs wait between its decision and its choice of an endpoint.
+func (s *simulation) resumeAt(h *simHost, wait func()) {
 	s.begun = slices.DeleteFunc(s.begun, func(x simStream) bool { return time.Since(x.at) > 17*time.Second })
-	h := s.host()
 	if len(s.begun) == 0 || h.config.Load() == nil {
 		return
 	}
@@ -349,7 +378,12 @@
 	if err != nil || !r.Route.Serves(found.Service) {
 		return
 	}
-	usable := s.usable(h, found.Service, found.Required)
+	wait()
+	required := found.Required
+	if !required.Set {
+		required = found.Assumed
+	}
+	usable := s.usable(h, found.Service, required)
 	if len(usable) > 0 {
 		s.wentOn++
 	}
