Hosts trust their view by the age of its content, not of the response that brought it

Cause: a response counted as contact when it was read, though it may have waited in the socket while the host was suspended, or come from a host that had heard the controller up to 900 ms ago. By so much a host trusted its view longer than the admission of a version waits.

Change: for the decision whether a host knows the versions, contact counts from the sending of the pull, less the age of the upstream host's own contact. Other uses of the time of a response are unchanged. No message or store call more.

--- a/pkg/gateway/noticetracker.go
+++ b/pkg/gateway/noticetracker.go
@@ -21,6 +21,8 @@
 	// responded, firstResponseAt when one first did.
 	lastResponseAt  time.Time
 	firstResponseAt time.Time
+	// informedUpTo is the time up to which responses have told this host what the controller knew.
+	informedUpTo time.Time
 }
 
 // noticeTTL is how long after a response this host counts as up to date. It is a multiple of
@@ -37,6 +39,23 @@
 	return now.Sub(t.lastResponseAt)
 }
 
+// viewAge returns the maximum age of what responses have told this host.
+func (t *noticeTracker) viewAge(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.informedUpTo)
+}
+
+// recordView records that a response to a pull that was sent at a time has been applied. It may have waited since then, if this
+// host was suspended, and the upstream host had heard of the controller heartbeatAge before.
+func (t *noticeTracker) recordView(sent time.Time, heartbeatAge time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if upTo := sent.Add(-heartbeatAge); upTo.After(t.informedUpTo) {
+		t.informedUpTo = upTo
+	}
+}
+
 // recordResponse records that an upstream host has responded.
 func (t *noticeTracker) recordResponse(now time.Time) {
 	t.mu.Lock()
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -156,6 +156,7 @@
 func (g *Gateway) sendPull(ctx context.Context, to relay.Member, p fleet.Pull, crashesNext int64) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	sent := g.Now()
 	response, err := g.mesh.send(ctx, to.Addr, peer.Request{Pull: &p})
 	if err != nil {
 		return err
@@ -193,10 +194,15 @@
 	}
 	g.applyOccupancy(now, response.Notice.Occupancy)
 	g.applyNotice(now, *response.Notice)
-	if !response.Controlling && milliseconds(response.Notice.HeartbeatAge) > maxNoticeAge {
+	heartbeatAge := milliseconds(response.Notice.HeartbeatAge)
+	if response.Controlling {
+		heartbeatAge = 0
+	}
+	if heartbeatAge > maxNoticeAge {
 		return errStaleUpstream
 	}
 	g.notices.recordResponse(now)
+	g.notices.recordView(sent, heartbeatAge)
 	return nil
 }
 
