--- a/pkg/streamversions/outofstep_test.go
+++ b/pkg/streamversions/outofstep_test.go
@@ -131,6 +131,7 @@
 		s = newSimulation(seed)
 		s.setFault(noFault)
 		s.views = &views{}
+		s.late.Store(true)
 		s.views.add(time.Now(), s.endpoints)
 		s.loads = func() time.Duration { return time.Duration(s.rand.Int64N(int64(loadTime))) }
 		s.spread(loadTime + 2*time.Second)
--- a/pkg/streamversions/simulation_test.go
+++ b/pkg/streamversions/simulation_test.go
@@ -65,6 +65,8 @@
 	starts   atomic.Int64
 	n        int
 	begun    []simStream
+	// late is whether hosts hear of changes late.
+	late atomic.Bool
 	// loads is how long new endpoints take, loadTime if it is nil, and views is set if hosts hear of changes late.
 	loads func() time.Duration
 	views *views
@@ -184,7 +186,7 @@
 	d.HostEntries = func() int64 { return s.starts.Load() }
 	h.heard(time.Now())
 	d.Isolated = func(now time.Time) bool {
-		if s.views != nil {
+		if s.late.Load() {
 			return now.Sub(time.Unix(0, h.heardAt.Load())) > streamorigin.TrustTime
 		}
 		return h.isolated() && now.Sub(time.Unix(0, h.cutAt.Load())) > 2*time.Second
