--- a/pkg/links/prober.go
+++ b/pkg/links/prober.go
@@ -69,11 +69,11 @@
 	}
 	sample := Sample(p.candidates(), "", SampleSize+furtherSample)
 	first := min(SampleSize, len(sample))
-	reached, _ := p.connect(sample[:first])
-	if reached == 0 {
+	reached, unreached := p.connect(sample[:first])
+	if reached == 0 && len(unreached) > 0 {
 		reached, _ = p.connect(sample[first:]) // Most endpoints may have crashed.
 	}
-	p.lastLinked, p.linkedCheckedAt = reached > 0 || len(sample) == 0, p.Now()
+	p.lastLinked, p.linkedCheckedAt = reached > 0 || len(unreached) == 0, p.Now()
 	return p.lastLinked
 }
 
@@ -152,18 +152,19 @@
 func (p *Prober) Answer(asked []fleet.EndpointID) Answer {
 	asked = asked[:min(len(asked), MaxAskedEndpoints)]
 	known := slices.DeleteFunc(p.Endpoints(), func(e fleet.Endpoint) bool { return !slices.Contains(asked, e.ID) })
-	reached, unreached := p.tryAll(known)
-	return Answer{Unreached: unreached, Reached: reached, Linked: len(reached) > 0 || p.linked()}
+	_, unreached := p.connect(known)
+	a := Answer{Unreached: unreached}
+	for _, e := range known {
+		if !slices.Contains(unreached, e.ID) {
+			a.Reached = append(a.Reached, e.ID) // Also if all connections to it are in use.
+		}
+	}
+	a.Linked = len(a.Reached) > 0 || p.linked()
+	return a
 }
 
 // connect connects to endpoints and returns how many were reached and which not.
 func (p *Prober) connect(endpoints []fleet.Endpoint) (reached int, unreached []fleet.EndpointID) {
-	ids, unreached := p.tryAll(endpoints)
-	return len(ids), unreached
-}
-
-// tryAll connects to endpoints and returns which were reached and which not.
-func (p *Prober) tryAll(endpoints []fleet.Endpoint) (reached, unreached []fleet.EndpointID) {
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
 	type result struct {
@@ -177,7 +178,7 @@
 	for range endpoints {
 		switch r := <-results; {
 		case r.err == nil:
-			reached = append(reached, r.id)
+			reached++
 		case !errors.Is(r.err, ErrNoResult):
 			unreached = append(unreached, r.id)
 		}
@@ -187,8 +188,8 @@
 
 // Answer is what another host says of endpoints that this one cannot reach.
 type Answer struct {
-	// Unreached holds those that it cannot reach either, Reached those that it reaches. Endpoints that its list does
-	// not have are in neither.
+	// Unreached holds those that it cannot reach either, Reached those that it reaches or may reach. Endpoints that
+	// its list does not have are in neither.
 	Unreached []fleet.EndpointID `cbor:"1,keyasint,omitempty"`
 	Reached   []fleet.EndpointID `cbor:"3,keyasint,omitempty"`
 	// Linked reports whether it reaches any endpoint.
--- a/pkg/links/prober_test.go
+++ b/pkg/links/prober_test.go
@@ -26,11 +26,13 @@
 	endpoints           []fleet.Endpoint
 	crashed             map[fleet.EndpointID]bool
 	cutOff, unreachable map[string]bool
-	probers             map[string]*links.Prober
+	// partly holds hosts that reach the first two endpoints only, and exhausted those without free connections.
+	partly, exhausted map[string]bool
+	probers           map[string]*links.Prober
 }
 
 func newSimulation(hosts, endpoints int) *simulation {
-	s := &simulation{now: time.Unix(1000, 0), crashed: map[fleet.EndpointID]bool{}, cutOff: map[string]bool{}, unreachable: map[string]bool{}, probers: map[string]*links.Prober{}}
+	s := &simulation{now: time.Unix(1000, 0), crashed: map[fleet.EndpointID]bool{}, cutOff: map[string]bool{}, partly: map[string]bool{}, exhausted: map[string]bool{}, unreachable: map[string]bool{}, probers: map[string]*links.Prober{}}
 	for i := range endpoints {
 		s.endpoints = append(s.endpoints, fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i))})
 	}
@@ -56,7 +58,10 @@
 // connect records the result as a host does that connects to an endpoint.
 func (s *simulation) connect(host string, id fleet.EndpointID) error {
 	table := s.probers[host].Links.Table
-	if s.cutOff[host] || s.crashed[id] {
+	if s.exhausted[host] {
+		return links.ErrNoResult
+	}
+	if s.cutOff[host] || s.crashed[id] || s.partly[host] && id != s.endpoints[0].ID && id != s.endpoints[1].ID {
 		table.RecordFailed(s.now, id)
 		return errRefused
 	}
@@ -119,15 +124,19 @@
 				s.crashed[e.ID] = true
 			}
 		},
-		"no host answers":   func(s *simulation) { s.unreachable["h1"], s.unreachable["h2"] = true, true },
+		"no host answers": func(s *simulation) { s.unreachable["h1"], s.unreachable["h2"] = true, true },
+		"all but one have lost the same links, and that one has no free connections": func(s *simulation) {
+			s.cutOff["h0"], s.exhausted["h2"] = false, true
+			s.partly["h0"], s.partly["h1"] = true, true
+		},
 		"no host has links": func(s *simulation) { s.cutOff["h1"], s.cutOff["h2"] = true, true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSimulation(3, 20)
-			prepare(s)
 			s.cutOff["h0"] = true
+			prepare(s)
 			for i := range 3 {
-				s.failedRequest("h0", s.endpoints[i].ID)
+				s.failedRequest("h0", s.endpoints[2+i].ID)
 				s.now = s.now.Add(600 * time.Millisecond)
 			}
 			if !s.probers["h0"].Links.Table.Lost() {
