Serve: requests that wait for a connection go on when one is free

Now they try again after 60 ms, or when a request at the endpoint has ended. Test: TestRequestsWaitForFreeConnections.

--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -407,6 +407,9 @@
 // Release implements Queue.
 func (d *Dispatcher) Release(r *Request, e fleet.EndpointID, result SlotResult) {
 	d.health.End(e)
+	if !result.NotRun {
+		d.health.recordFreed(e)
+	}
 	d.recordCompletion(r, e, result)
 	if result.Unreachable {
 		d.health.RecordUnreachable(d.now(), e)
--- a/pkg/serve/health.go
+++ b/pkg/serve/health.go
@@ -112,14 +112,10 @@
 // unreachable reports whether a request should not try to connect to the endpoint now: an attempt has just failed, or
 // another request has just begun one.
 func (e *endpointState) unreachable(now time.Time) bool {
+	failedAgo := now.Sub(e.unreachableAt)
 	return now.Sub(e.replacedAt) < replacedTTL ||
-		closedSince(now, e.unreachableAt, e.triedAt, unreachableCooldown) ||
-		closedSince(now, e.noConnectionAt, e.triedAt, noConnectionCooldown)
-}
-
-// closedSince reports whether an endpoint that failed at a time, and was last tried at another, should not be tried yet.
-func closedSince(now, failed, tried time.Time, cooldown time.Duration) bool {
-	return now.Sub(failed) < cooldown || now.Sub(failed) < unreachableMemory && now.Sub(tried) < cooldown
+		now.Sub(e.noConnectionAt) < noConnectionCooldown ||
+		failedAgo < unreachableCooldown || failedAgo < unreachableMemory && now.Sub(e.triedAt) < unreachableCooldown
 }
 
 // recordNoConnection records that there was no connection for a request, although the endpoint may be reachable.
@@ -236,6 +232,13 @@
 	h.state(id).running--
 }
 
+// recordFreed records that the connection of a request may be free now.
+func (h *Health) recordFreed(id fleet.EndpointID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state(id).noConnectionAt = time.Time{}
+}
+
 // InFlight returns the number of running requests of each endpoint of the services that include
 // accepts. Endpoints without running requests are left out.
 func (h *Health) InFlight(include func(service string) bool) map[fleet.EndpointID]int {
--- a/pkg/serve/unreachable_test.go
+++ b/pkg/serve/unreachable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -217,3 +218,33 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against requests that wait although a connection has become free, and against attempts without end while none
+// is.
+func TestRequestsWaitForFreeConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFakeBackend("a")
+		b.ready[0].Slots = 100
+		b.setScript("a", slices.Repeat([]script{{notSent: true}}, 100)...)
+		server := newServer(b)
+		defer dispatchWaiting(server)()
+		r := request("r", fleet.Stream, true)
+		var out sink
+		server.Serve(t.Context(), r, &out)
+		is.True(len(b.sends) < 60) // one in 60 ms
+		b.setScript("a", script{notSent: true}, script{events: 3, broken: -1})
+		earlier := request("earlier", fleet.Stream, true)
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			dispatcher(server).Release(earlier, "a", serve.SlotResult{})
+		}()
+		e, refusal := dispatcher(server).Acquire(t.Context(), earlier, serve.PriorAttempts{})
+		is.True(refusal == nil)
+		is.Equal(string(e.ID), "a")
+		r = request("later", fleet.Stream, true)
+		server.Serve(t.Context(), r, &out)
+		is.Equal(out.status, 200)
+		is.True(time.Since(r.Arrived) <= 20*time.Millisecond)
+	})
+}
