--- a/pkg/gateway/versions_load_test.go
+++ b/pkg/gateway/versions_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -37,3 +38,26 @@
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(versionsIn(got.body), map[string]bool{"1.0": true})
 }
+
+// Guards against refusing streams that began on a host which is cut off, or stands still, from before a second software
+// version joined: it has told nobody where they began.
+func TestStreamsOfSilentHostGoOnAfterVersionJoins(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t)
+	d.publish(config(1))
+	d.startVersion("e1", "1.0", nil)
+	hosts := d.startHosts("a", "b", "c")
+	d.waitForController(hosts...)
+	silent := hosts[slices.IndexFunc(hosts, func(h *host) bool { return !h.IsController() })]
+	other := hosts[slices.IndexFunc(hosts, func(h *host) bool { return h != silent })]
+	d.waitFor("one version is known", func() bool { return d.resume(other, "calm", "never-seen").status == http.StatusOK })
+	first := d.begin(silent, "begun")
+	silent.DisconnectPeers()
+	silent.storeListener.SetFault(site.FaultReject)
+	d.startVersion("e2", "2.0", nil)
+	d.waitFor("streams begin at the new version", func() bool { return versionsIn(d.begin(other, "new"))["2.0"] })
+	got := d.resume(other, "resumed", "begun")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(len(versionsIn(first+got.body)), 1)
+}
