--- a/pkg/gateway/crashstore.go
+++ b/pkg/gateway/crashstore.go
@@ -162,7 +162,7 @@
 // other topics, a recent claim does not count: an isolated host may still read new claims from
 // the store, and must learn of a block within seconds.
 func (g *Gateway) receivesCrashes() bool {
-	return !g.mesh.isRelay() && g.notices.age(g.Now()) < isolationTimeout || g.expectsUpdates()
+	return !g.mesh.isRelay() && g.notices.Age(g.Now()) < isolationTimeout || g.expectsUpdates()
 }
 
 // replaceCrashRecords applies a complete listing. Records that it lacks, for example after a restore of
@@ -271,7 +271,7 @@
 
 // recordsToWrite returns up to maxRecordsPerWrite records that this host must write.
 func (g *Gateway) recordsToWrite(now time.Time, backup bool) []crashRecord {
-	isController, isolated := g.election.HeldToken() != 0, g.notices.age(now) > isolationTimeout
+	isController, isolated := g.election.HeldToken() != 0, g.notices.Age(now) > isolationTimeout
 	byContent := map[uint64]crashRecord{}
 	if isController || isolated {
 		minCrashes := minStoredCrashes
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -207,8 +207,8 @@
 	}
 	// A failed controller is replaced, and the first notice of its successor received, within
 	// twice firstNoticeTimeout.
-	sinceUpdate := min(g.notices.age(now), now.Sub(g.startedAt))
-	return g.notices.recent(now) || sinceUpdate < 2*firstNoticeTimeout && g.mesh.claimSeenRecently(now)
+	sinceUpdate := min(g.notices.Age(now), now.Sub(g.startedAt))
+	return g.notices.Recent(now) || sinceUpdate < 2*firstNoticeTimeout && g.mesh.claimSeenRecently(now)
 }
 
 // receivesOrExpectsUpdates reports whether this host learns all topics from others, or has just
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -126,7 +126,7 @@
 	// the notices received from the upstream host.
 	children         *children
 	demandAggregator *relay.Aggregator
-	notices          noticeTracker
+	notices          relay.NoticeTracker
 	// occupancy is the view of the requests of all hosts.
 	occupancy *sharedOccupancy
 	// guard blocks requests that crash endpoints. crashCursors tracks which crashes other hosts
--- a/pkg/gateway/hosts.go
+++ b/pkg/gateway/hosts.go
@@ -102,7 +102,7 @@
 	f.Relayed = func() bool {
 		now := g.Now()
 		starting := now.Sub(g.startedAt) <= g.undecidedGrace()
-		return !g.mesh.isRelay() && (g.notices.recent(now) || starting && (g.startup.relayedStart() || g.mesh.membershipStable(now)) && g.expectsUpdates())
+		return !g.mesh.isRelay() && (g.notices.Recent(now) || starting && (g.startup.relayedStart() || g.mesh.membershipStable(now)) && g.expectsUpdates())
 	}
 	f.Run(ctx)
 }
--- a/pkg/gateway/occupancy.go
+++ b/pkg/gateway/occupancy.go
@@ -5,6 +5,7 @@
 
 	"github.com/tealvane/tealvane/pkg/fleet"
 	"github.com/tealvane/tealvane/pkg/occupancy"
+	"github.com/tealvane/tealvane/pkg/relay"
 )
 
 // sharedOccupancy exchanges the view of the endpoints' occupancy with the other hosts. Its messages
@@ -44,7 +45,7 @@
 
 // reportBytes returns how many bytes of endpoint loads a demand report may carry.
 func (g *Gateway) reportBytes() int {
-	return int(g.linkBytesPerSecond() * fullDemandInterval.Seconds() / listLinkDivisor)
+	return int(g.linkBytesPerSecond() * relay.FullDemandInterval.Seconds() / listLinkDivisor)
 }
 
 // sentOccupancy is the view last sent to a child.
--- a/pkg/gateway/peerhandler.go
+++ b/pkg/gateway/peerhandler.go
@@ -91,7 +91,7 @@
 
 // applyNotice applies a notice of the controller that another host has sent.
 func (g *Gateway) applyNotice(now time.Time, n fleet.Notice) {
-	if !g.notices.accept(n) || !g.locator.ApplyNotice(now, n) {
+	if !g.notices.Accept(n) || !g.locator.ApplyNotice(now, n) {
 		return
 	}
 	if n.Token != 0 {
--- a/pkg/gateway/pull.go
+++ b/pkg/gateway/pull.go
@@ -16,9 +16,6 @@
 	// the shortest. Requests that arrive together are covered by one report.
 	maxReportInterval = 250 * time.Millisecond
 	minReportInterval = 20 * time.Millisecond
-	// fullDemandInterval is how long the last full demand stays valid, unless requests wait for
-	// a missing model. Full reports are large, and relays pull many times a second.
-	fullDemandInterval = 100 * time.Millisecond
 	// controllerFallbackInterval is the interval between pulls from the controller itself while
 	// all relays of the zone are down. It must be shorter than the time after which the
 	// controller counts as lost.
@@ -103,7 +100,7 @@
 		HostsNext: g.cache.HostsOffset(),
 		Heartbeat: g.controllerHeartbeat(now),
 	}
-	p.Source, p.Token, p.Version = g.notices.position()
+	p.Source, p.Token, p.Version = g.notices.Position()
 	if !g.settings.Orders.EndpointsCheckTokens {
 		p.DownstreamHeartbeats = g.demandAggregator.Heartbeats(now)
 	}
@@ -201,15 +198,15 @@
 	if heartbeatAge > maxNoticeAge {
 		return errStaleUpstream
 	}
-	g.notices.recordResponse(now)
-	g.notices.recordView(sent, heartbeatAge)
+	g.notices.RecordResponse(now)
+	g.notices.RecordView(sent, heartbeatAge)
 	return nil
 }
 
 // demandFor returns the demand of this host and of those behind it, or a short report if to
 // received the full demand recently.
 func (g *Gateway) demandFor(now time.Time, to relay.Member, urgent bool) fleet.DemandReport {
-	if g.notices.demandSentRecently(now, to.Addr) && !urgent {
+	if g.notices.DemandSentRecently(now, to.Addr) && !urgent {
 		return fleet.DemandReport{
 			Host:          g.self.Host,
 			Incarnation:   g.self.Incarnation,
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -44,7 +44,7 @@
 func (g *Gateway) updateBlocks(now time.Time) {
 	g.guard.UpdateTrials(now)
 	isController := g.election.HeldToken() != 0
-	if !isController && g.notices.recent(now) {
+	if !isController && g.notices.Recent(now) {
 		return
 	}
 	decide := g.guard.Decide
@@ -57,7 +57,7 @@
 	switch {
 	case isController:
 		g.guard.Grant(now)
-	case g.notices.age(now) > isolationTimeout:
+	case g.notices.Age(now) > isolationTimeout:
 		g.guard.GrantLocally(now, min(maxIsolatedTrialSpan, time.Duration(g.mesh.hosts())*isolatedTrialSpanPerHost))
 	}
 }
--- a/pkg/gateway/startup.go
+++ b/pkg/gateway/startup.go
@@ -308,7 +308,7 @@
 			delay = max(membersRereadDelay, g.reads.HostsWindow(g.readers()))
 			next = now.Add(wait.Jitter(delay))
 		}
-		if g.startup.relayed && !now.Before(next) && !g.notices.recent(now) {
+		if g.startup.relayed && !now.Before(next) && !g.notices.Recent(now) {
 			delay *= 2
 			next = now.Add(wait.Jitter(delay))
 			if err := g.readMembers(ctx); err != nil {
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -34,5 +34,5 @@
 
 // isolated reports whether this host neither reads the list of endpoints nor hears of its changes.
 func (g *Gateway) isolated(now time.Time) bool {
-	return g.listViewAge(now) > streamorigin.TrustTime && g.notices.viewAge(now) > streamorigin.TrustTime && g.election.HeldToken() == 0
+	return g.listViewAge(now) > streamorigin.TrustTime && g.notices.ViewAge(now) > streamorigin.TrustTime && g.election.HeldToken() == 0
 }
--- a/pkg/gateway/noticetracker.go
+++ b/pkg/relay/noticetracker.go
@@ -1,4 +1,4 @@
-package gateway
+package relay
 
 import (
 	"sync"
@@ -7,9 +7,13 @@
 	"github.com/tealvane/tealvane/pkg/fleet"
 )
 
-// noticeTracker tracks the last notice that was applied, so that the next pull requests only
+// FullDemandInterval is how long the last full demand stays valid, unless requests wait for
+// a missing model. Full reports are large, and relays pull many times a second.
+const FullDemandInterval = 100 * time.Millisecond
+
+// NoticeTracker tracks the last notice that was applied, so that the next pull requests only
 // newer changes. It is safe for concurrent use.
-type noticeTracker struct {
+type NoticeTracker struct {
 	mu      sync.Mutex
 	source  string
 	token   int64
@@ -25,30 +29,30 @@
 	informedUpTo time.Time
 }
 
-// noticeTTL is how long after a response this host counts as up to date. It is a multiple of
+// NoticeTTL is how long after a response this host counts as up to date. It is a multiple of
 // the longest interval between two responses.
-const noticeTTL = time.Second
+const NoticeTTL = time.Second
 
-// recent reports whether this host currently receives updates.
-func (t *noticeTracker) recent(now time.Time) bool { return t.age(now) < noticeTTL }
+// Recent reports whether this host currently receives updates.
+func (t *NoticeTracker) Recent(now time.Time) bool { return t.Age(now) < NoticeTTL }
 
-// age returns the time since this host last received an update.
-func (t *noticeTracker) age(now time.Time) time.Duration {
+// Age returns the time since this host last received an update.
+func (t *NoticeTracker) Age(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return now.Sub(t.lastResponseAt)
 }
 
-// viewAge returns the maximum age of what responses have told this host.
-func (t *noticeTracker) viewAge(now time.Time) time.Duration {
+// ViewAge returns the maximum age of what responses have told this host.
+func (t *NoticeTracker) ViewAge(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return now.Sub(t.informedUpTo)
 }
 
-// recordView records that a response to a pull that was sent at a time has been applied. It may have waited since then, if this
+// RecordView records that a response to a pull that was sent at a time has been applied. It may have waited since then, if this
 // host was suspended, and the upstream host had heard of the controller heartbeatAge before.
-func (t *noticeTracker) recordView(sent time.Time, heartbeatAge time.Duration) {
+func (t *NoticeTracker) RecordView(sent time.Time, heartbeatAge time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if upTo := sent.Add(-heartbeatAge); upTo.After(t.informedUpTo) {
@@ -56,8 +60,15 @@
 	}
 }
 
-// recordResponse records that an upstream host has responded.
-func (t *noticeTracker) recordResponse(now time.Time) {
+// FirstResponse returns when an upstream host first responded, or the zero time.
+func (t *NoticeTracker) FirstResponse() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.firstResponseAt
+}
+
+// RecordResponse records that an upstream host has responded.
+func (t *NoticeTracker) RecordResponse(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastResponseAt = now
@@ -66,28 +77,28 @@
 	}
 }
 
-// demandSentRecently reports whether the host at addr received the full demand within
-// fullDemandInterval. If not, it records that the demand is sent now.
-func (t *noticeTracker) demandSentRecently(now time.Time, addr string) bool {
+// DemandSentRecently reports whether the host at addr received the full demand within
+// FullDemandInterval. If not, it records that the demand is sent now.
+func (t *NoticeTracker) DemandSentRecently(now time.Time, addr string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.demandSentTo == addr && now.Sub(t.demandSentAt) < fullDemandInterval {
+	if t.demandSentTo == addr && now.Sub(t.demandSentAt) < FullDemandInterval {
 		return true
 	}
 	t.demandSentTo, t.demandSentAt = addr, now
 	return false
 }
 
-// position returns the source, the token and the version of the last notice applied.
-func (t *noticeTracker) position() (source string, token, version int64) {
+// Position returns the source, the token and the version of the last notice applied.
+func (t *NoticeTracker) Position() (source string, token, version int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.source, t.token, t.version
 }
 
-// accept reports whether a notice is newer than the last one applied, and records it if so. Two
+// Accept reports whether a notice is newer than the last one applied, and records it if so. Two
 // pulls may be in flight, and an older response must not overwrite a newer one.
-func (t *noticeTracker) accept(n fleet.Notice) bool {
+func (t *NoticeTracker) Accept(n fleet.Notice) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if n.Source == t.source && n.Token == t.token && n.Version < t.version {
