--- a/pkg/links/prober.go
+++ b/pkg/links/prober.go
@@ -70,10 +70,12 @@
 	sample := Sample(p.candidates(), "", SampleSize+furtherSample)
 	first := min(SampleSize, len(sample))
 	reached, unreached := p.connect(sample[:first])
-	if reached == 0 && len(unreached) > 0 {
-		reached, _ = p.connect(sample[first:]) // Most endpoints may have crashed.
+	if reached == 0 {
+		var further []fleet.EndpointID
+		reached, further = p.connect(sample[first:]) // Most endpoints may have crashed.
+		unreached = append(unreached, further...)
 	}
-	p.lastLinked, p.linkedCheckedAt = reached > 0 || len(unreached) == 0, p.Now()
+	p.lastLinked, p.linkedCheckedAt = reached > 0 || !seemLost(reached, len(unreached)), p.Now()
 	return p.lastLinked
 }
 
--- a/pkg/links/prober_test.go
+++ b/pkg/links/prober_test.go
@@ -145,3 +145,14 @@
 		})
 	}
 }
+
+// Guards against a host that takes its links for lost because its only endpoint has crashed: it would not record the crash
+// of an endpoint under a request.
+func TestCrashOfOnlyEndpointIsNoLossOfLinks(t *testing.T) {
+	s := newSimulation(2, 1)
+	s.crashed[s.endpoints[0].ID] = true
+	s.failedRequest("h0", s.endpoints[0].ID)
+	if s.probers["h0"].Lost() {
+		t.Error("the host believes to have lost its links")
+	}
+}
