--- a/pkg/serve/unreachable_test.go
+++ b/pkg/serve/unreachable_test.go
@@ -233,15 +233,16 @@
 		var out sink
 		server.Serve(t.Context(), r, &out)
 		is.True(len(b.sends) < 60) // one in 60 ms
+		time.Sleep(time.Second)
 		b.setScript("a", script{notSent: true}, script{events: 3, broken: -1})
 		earlier := request("earlier", fleet.Stream, true)
+		e, refusal := dispatcher(server).Acquire(t.Context(), earlier, serve.PriorAttempts{})
+		is.True(refusal == nil)
+		is.Equal(string(e.ID), "a")
 		go func() {
 			time.Sleep(10 * time.Millisecond)
 			dispatcher(server).Release(earlier, "a", serve.SlotResult{})
 		}()
-		e, refusal := dispatcher(server).Acquire(t.Context(), earlier, serve.PriorAttempts{})
-		is.True(refusal == nil)
-		is.Equal(string(e.ID), "a")
 		r = request("later", fleet.Stream, true)
 		server.Serve(t.Context(), r, &out)
 		is.Equal(out.status, 200)
