Streamjudge: the names of headers come from whoever uses it

Cause: the traffic of the soaks named the platform's headers outside platform/ and the stand-ins. Change: they are a field, set by the two soaks (pkg/gateway and test/process), beside host, model and routes. Measured: both soaks pass, one run each.

--- a/internal/streamjudge/traffic.go
+++ b/internal/streamjudge/traffic.go
@@ -24,19 +24,29 @@
 	trafficEvents = 12
 	// stallTime exceeds the time after which a host looks for another endpoint.
 	stallTime = 1500 * time.Millisecond
+	// remainingTime is how long a client says that it waits, somewhat less than clientTime.
+	remainingTime = 4500 * time.Millisecond
 	// clientTime is how long a client waits for a response, dialTime for a connection.
 	clientTime = 5 * time.Second
 	dialTime   = time.Second
 )
 
+// Headers are the names of the request headers that clients set.
+type Headers struct {
+	// Attempt holds the ID of an attempt, Resumes that of the attempt that began the stream, Remaining the
+	// milliseconds for which the client waits, and Model the name of the model.
+	Attempt, Resumes, Remaining, Model string
+}
+
 // Routes are the paths of the routes that clients use.
 type Routes struct{ Resumable, Once string }
 
 // Traffic plays endpoints and clients over connections and records what both saw. It is safe for concurrent use.
 type Traffic struct {
-	// Host, Model and Routes are those of the clients' requests. They must be set before first use.
+	// Host, Model, Routes and Headers are those of the clients' requests. They must be set before first use.
 	Host, Model string
 	Routes      Routes
+	Headers     Headers
 
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -63,7 +73,7 @@
 func (t *Traffic) Respond(ctx context.Context, conn net.Conn, header http.Header, r *http.Request, tag, origin string) {
 	draw := t.draw()
 	run := Run{Origin: origin, Last: trafficEvents}
-	run.Stream, _, _ = strings.Cut(r.Header.Get("X-Request-Attempt-Id"), ".")
+	run.Stream, _, _ = strings.Cut(r.Header.Get(t.Headers.Attempt), ".")
 	run.After, _ = strconv.Atoi(r.Header.Get("Last-Event-Id")) // A missing ID starts the stream at its first event.
 	t.mu.Lock()
 	t.runs[tag] = run
@@ -175,10 +185,10 @@
 		version = "1.0"
 	}
 	if last > 0 {
-		resume = fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", last, resumes)
+		resume = fmt.Sprintf("Last-Event-Id: %d\r\n%s: %s\r\n", last, t.Headers.Resumes, resumes)
 	}
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: %s\r\nX-Request-Attempt-Id: %s\r\nX-Remaining-Milliseconds: 4500\r\nX-Model-Name: %s\r\n%sContent-Length: 1\r\n\r\nx",
-		path, version, t.Host, id, t.Model, resume)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%sContent-Length: 1\r\n\r\nx",
+		path, version, t.Host, t.Headers.Attempt, id, t.Headers.Remaining, remainingTime.Milliseconds(), t.Headers.Model, t.Model, resume)
 	if err != nil {
 		return Attempt{}
 	}
--- a/pkg/gateway/order_soak_test.go
+++ b/pkg/gateway/order_soak_test.go
@@ -36,6 +36,7 @@
 func newOrderSoak(t *testing.T, seed int64) *orderSoak {
 	s := &orderSoak{deployment: newDeployment(t), rand: rand.New(rand.NewSource(seed)), traffic: streamjudge.NewTraffic(uint64(seed))}
 	s.traffic.Host, s.traffic.Model, s.traffic.Routes = "h.example", "warm", streamjudge.Routes{Resumable: "/chat/", Once: "/once/"}
+	s.traffic.Headers = streamjudge.Headers{Attempt: "X-Request-Attempt-Id", Resumes: "Resumes", Remaining: "X-Remaining-Milliseconds", Model: "X-Model-Name"}
 	c := config(1)
 	once := c.Routes[0]
 	once.Name, once.PathPrefix, once.Resumable = "once", "/once/", false
--- a/test/process/order_soak_test.go
+++ b/test/process/order_soak_test.go
@@ -53,6 +53,7 @@
 func newOrderSoak(t *testing.T, seed int64) *orderSoak {
 	s := &orderSoak{t: t, store: site.NewStore(), dir: t.TempDir(), rand: rand.New(rand.NewSource(seed)), traffic: streamjudge.NewTraffic(uint64(seed))}
 	s.traffic.Host, s.traffic.Model, s.traffic.Routes = "h.example", "warm", streamjudge.Routes{Resumable: "/again/", Once: "/once/"}
+	s.traffic.Headers = streamjudge.Headers{Attempt: "X-Request-Attempt-Id", Resumes: "Resumes", Remaining: "X-Remaining-Milliseconds", Model: "X-Model-Name"}
 	listener, err := s.store.Listen()
 	if err != nil {
 		t.Fatal(err)
