Links: only a refused connection is evidence of a crash

The only host with links is slow just then, since it serves the others, and the word of hosts that had lost the same links stood. Change: an asked host says which endpoints refuse it; any other result than a refusal keeps an endpoint from counting as crashed.

--- a/pkg/gateway/endpointlinks.go
+++ b/pkg/gateway/endpointlinks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -91,8 +92,11 @@
 // checkEndpoint connects to an endpoint.
 func (g *Gateway) checkEndpoint(ctx context.Context, e fleet.Endpoint) error {
 	err := g.transport.Check(ctx, e)
-	if errors.Is(err, upstream.ErrPoolExhausted) {
+	switch {
+	case errors.Is(err, upstream.ErrPoolExhausted):
 		return errors.Mark(err, links.ErrNoResult)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return errors.Mark(err, links.ErrRefused)
 	}
 	return err
 }
--- a/pkg/links/prober.go
+++ b/pkg/links/prober.go
@@ -24,6 +24,9 @@
 	MaxAskedEndpoints = 8
 )
 
+// ErrRefused means that an endpoint's machine has refused a connection.
+var ErrRefused = errors.New("connection refused")
+
 // ErrNoResult means that an attempt to connect says nothing about the link.
 var ErrNoResult = errors.New("connection not attempted")
 
@@ -34,7 +37,8 @@
 	Now   func() time.Time
 	// Endpoints returns the endpoints that take requests.
 	Endpoints func() []fleet.Endpoint
-	// Connect connects to an endpoint. An error marked ErrNoResult does not count.
+	// Connect connects to an endpoint. An error marked ErrNoResult does not count, and one marked ErrRefused shows that
+	// the endpoint does not run if the link works.
 	Connect func(ctx context.Context, e fleet.Endpoint) error
 	// Hosts returns addresses of up to n other hosts.
 	Hosts func(n int) []string
@@ -147,26 +151,42 @@
 		}
 		answers = append(answers, r.answer)
 	}
-	return unreachedByAll(unreached, answers)
+	return refusedByAll(unreached, answers)
 }
 
 // Answer finds out for another host which endpoints this one cannot reach either.
 func (p *Prober) Answer(asked []fleet.EndpointID) Answer {
 	asked = asked[:min(len(asked), MaxAskedEndpoints)]
 	known := slices.DeleteFunc(p.Endpoints(), func(e fleet.Endpoint) bool { return !slices.Contains(asked, e.ID) })
-	_, unreached := p.connect(known)
-	a := Answer{Unreached: unreached}
-	for _, e := range known {
-		if !slices.Contains(unreached, e.ID) {
-			a.Reached = append(a.Reached, e.ID) // Also if all connections to it are in use.
+	results := p.connectEach(known)
+	var a Answer
+	for id, err := range results {
+		if errors.Is(err, ErrRefused) {
+			a.Refused = append(a.Refused, id)
+		} else {
+			a.NotRefused = append(a.NotRefused, id)
 		}
+		a.Linked = a.Linked || err == nil
 	}
-	a.Linked = len(a.Reached) > 0 || p.linked()
+	a.Linked = a.Linked || p.linked()
 	return a
 }
 
 // connect connects to endpoints and returns how many were reached and which not.
 func (p *Prober) connect(endpoints []fleet.Endpoint) (reached int, unreached []fleet.EndpointID) {
+	for id, err := range p.connectEach(endpoints) {
+		switch {
+		case err == nil:
+			reached++
+		case !errors.Is(err, ErrNoResult):
+			unreached = append(unreached, id)
+		}
+	}
+	return reached, unreached
+}
+
+// connectEach connects to endpoints at the same time and returns the error of each.
+func (p *Prober) connectEach(endpoints []fleet.Endpoint) map[fleet.EndpointID]error {
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
 	type result struct {
@@ -177,35 +197,32 @@
 	for _, e := range endpoints {
 		go func() { results <- result{e.ID, p.Connect(ctx, e)} }()
 	}
+	out := make(map[fleet.EndpointID]error, len(endpoints))
 	for range endpoints {
-		switch r := <-results; {
-		case r.err == nil:
-			reached++
-		case !errors.Is(r.err, ErrNoResult):
-			unreached = append(unreached, r.id)
-		}
+		r := <-results
+		out[r.id] = r.err
 	}
-	return reached, unreached
+	return out
 }
 
 // Answer is what another host says of endpoints that this one cannot reach.
 type Answer struct {
-	// Unreached holds those that it cannot reach either, Reached those that it reaches or may reach. Endpoints that
-	// its list does not have are in neither.
-	Unreached []fleet.EndpointID `cbor:"1,keyasint,omitempty"`
-	Reached   []fleet.EndpointID `cbor:"3,keyasint,omitempty"`
+	// Refused holds those that refuse its connections too, NotRefused those that it reaches or may reach. Endpoints
+	// that its list does not have are in neither.
+	Refused    []fleet.EndpointID `cbor:"1,keyasint,omitempty"`
+	NotRefused []fleet.EndpointID `cbor:"3,keyasint,omitempty"`
 	// Linked reports whether it reaches any endpoint.
 	Linked bool `cbor:"2,keyasint,omitempty"`
 }
 
-// unreachedByAll returns the endpoints that a host with links cannot reach, and that no host reaches. Hosts that have lost
-// their links say nothing about endpoints.
-func unreachedByAll(endpoints []fleet.EndpointID, answers []Answer) []fleet.EndpointID {
+// refusedByAll returns the endpoints that refuse a host with links, and that no host may reach: the only one that reaches
+// an endpoint may be slow, since it serves the others.
+func refusedByAll(endpoints []fleet.EndpointID, answers []Answer) []fleet.EndpointID {
 	var out []fleet.EndpointID
 	for _, id := range endpoints {
-		failed := slices.ContainsFunc(answers, func(a Answer) bool { return a.Linked && slices.Contains(a.Unreached, id) })
-		reached := slices.ContainsFunc(answers, func(a Answer) bool { return slices.Contains(a.Reached, id) })
-		if failed && !reached {
+		refused := slices.ContainsFunc(answers, func(a Answer) bool { return a.Linked && slices.Contains(a.Refused, id) })
+		reachable := slices.ContainsFunc(answers, func(a Answer) bool { return slices.Contains(a.NotRefused, id) })
+		if refused && !reachable {
 			out = append(out, id)
 		}
 	}
--- a/pkg/links/prober_test.go
+++ b/pkg/links/prober_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -16,8 +15,6 @@
 
 func TestMain(m *testing.M) { proptest.Main(m, 200, 100) }
 
-var errRefused = errors.New("connection refused")
-
 // simulation has hosts that are cut off from all endpoints, or silent to other hosts, and endpoints that have crashed.
 type simulation struct {
 	now time.Time
@@ -28,7 +25,9 @@
 	cutOff, unreachable map[string]bool
 	// partly holds hosts that reach the first two endpoints only, and exhausted those without free connections.
 	partly, exhausted map[string]bool
-	probers           map[string]*links.Prober
+	// slow holds hosts whose attempts to connect end without a result in time.
+	slow    map[string]bool
+	probers map[string]*links.Prober
 }
 
 func newSimulation(hosts, endpoints int) *simulation {
@@ -46,7 +45,7 @@
 			Hosts:     func(n int) []string { return s.others(name, n) },
 			Ask: func(_ context.Context, addr string, ids []fleet.EndpointID) (links.Answer, error) {
 				if s.unreachable[addr] {
-					return links.Answer{}, errRefused
+					return links.Answer{}, links.ErrRefused
 				}
 				return s.probers[addr].Answer(ids), nil
 			},
@@ -61,9 +60,12 @@
 	if s.exhausted[host] {
 		return links.ErrNoResult
 	}
+	if s.slow[host] {
+		return context.DeadlineExceeded
+	}
 	if s.cutOff[host] || s.crashed[id] || s.partly[host] && id != s.endpoints[0].ID && id != s.endpoints[1].ID {
 		table.RecordFailed(s.now, id)
-		return errRefused
+		return links.ErrRefused
 	}
 	table.RecordConnected(id)
 	return nil
@@ -156,3 +158,17 @@
 		t.Error("the host believes to have lost its links")
 	}
 }
+
+// Guards against taking endpoints for crashed on the word of hosts that have lost the same links, because the only host
+// with links is slow to connect.
+func TestSlowHostWithLinksIsNoWitnessOfCrash(t *testing.T) {
+	s := newSimulation(3, 20)
+	s.partly["h0"], s.partly["h1"], s.slow = true, true, map[string]bool{"h2": true}
+	for range 20 { // Which endpoints are sampled is drawn.
+		s.failedRequest("h0", s.endpoints[2].ID)
+		if s.probers["h0"].Links.Table.Crashed(s.now, s.endpoints[2].ID) {
+			t.Fatal("a host with links was only slow to connect to the endpoint")
+		}
+		s.now = s.now.Add(600 * time.Millisecond)
+	}
+}
