Links: hosts ask others in two stages, rarely while lost, and not before claims

Cause: each of seven hosts that had lost links asked all others with each sample and before each claim, so that answers to the older question for links came after its 0.3 s, and the controller without links did not give up its claim (trace: 'releaseIfCutOff peerLinked false' five times in 2 s, no endpoint taken for crashed). Change: two hosts are asked first, the other six only if neither may reach the endpoints; once in 3 s while the links are lost; a claim samples as before.

--- a/pkg/gateway/claimlinks.go
+++ b/pkg/gateway/claimlinks.go
@@ -63,7 +63,7 @@
 	if !g.settings.Endpoints.ViaPeers || g.mesh.hosts() == 1 {
 		return true
 	}
-	if reached, unreached := g.prober.Reach(ctx, claimSampleSize); reached >= unreached {
+	if reached, unreached := g.prober.Reach(claimSampleSize); reached >= unreached {
 		return true
 	}
 	linked, allAnswered := g.peerHasLinks(ctx)
--- a/pkg/links/prober.go
+++ b/pkg/links/prober.go
@@ -13,9 +13,13 @@
 const (
 	// sampleTimeout is the time to connect to a sampled endpoint.
 	sampleTimeout = 300 * time.Millisecond
-	// askedHosts is the number of hosts that are asked whether they reach the endpoints that this one does not. Most of
-	// them may have lost the same links.
-	askedHosts = 8
+	// firstAskedHosts is the number of hosts that are asked first whether they reach the endpoints that this one does not,
+	// and askedHosts that of all if these do not either: most hosts may have lost the same links.
+	firstAskedHosts = 2
+	askedHosts      = 8
+	// lostAskInterval is the least interval between two questions while the links are lost. Hosts that are asked too
+	// often answer others too late.
+	lostAskInterval = 3 * time.Second
 	// askTimeout bounds their answers, which take up to twice sampleTimeout.
 	askTimeout = 2*sampleTimeout + 200*time.Millisecond
 	// furtherSample is the number of endpoints that an asked host tries if it reaches none of the first sample.
@@ -45,6 +49,9 @@
 	// Ask asks a host whether it reaches endpoints.
 	Ask func(ctx context.Context, addr string, endpoints []fleet.EndpointID) (Answer, error)
 
+	// askedAt is when others were last asked. Only samples use it, of which there is one at a time.
+	askedAt time.Time
+
 	mu              sync.Mutex
 	lastLinked      bool
 	linkedCheckedAt time.Time
@@ -94,21 +101,27 @@
 	if failed != "" {
 		result.Unreached = append(result.Unreached, failed)
 	}
-	// A host that reaches nothing and knows that its links are lost need not ask again.
-	if seemLost(result.Reached, len(result.Unreached)) && (result.Reached > 0 || !p.Links.Table.Lost()) {
+	if seemLost(result.Reached, len(result.Unreached)) && p.mayAsk(result.Reached) {
 		result.Unreached, result.Crashed = p.withoutCrashed(ctx, result.Unreached)
 	}
 	result.Changed = p.Links.EndSample(p.Now(), result.Reached, len(result.Unreached))
 	return result
 }
 
-// Reach connects to a sample of up to size endpoints and returns how many were reached and how many not, without
-// those that other hosts do not reach either.
-func (p *Prober) Reach(ctx context.Context, size int) (reached, unreached int) {
-	reached, failed := p.connect(Sample(p.candidates(), "", size))
-	if seemLost(reached, len(failed)) {
-		failed, _ = p.withoutCrashed(ctx, failed)
+// mayAsk reports whether a sample that reached some endpoints may ask other hosts. One that reaches none and knows that
+// its links are lost would learn nothing.
+func (p *Prober) mayAsk(reached int) bool {
+	now := p.Now()
+	if p.Links.Table.Lost() && (reached == 0 || now.Sub(p.askedAt) < lostAskInterval) {
+		return false
 	}
+	p.askedAt = now
+	return true
+}
+
+// Reach connects to a sample of up to size endpoints and returns how many were reached and how many not.
+func (p *Prober) Reach(size int) (reached, unreached int) {
+	reached, failed := p.connect(Sample(p.candidates(), "", size))
 	return reached, len(failed)
 }
 
@@ -132,6 +145,20 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	hosts := p.Hosts(askedHosts)
+	first := min(firstAskedHosts, len(hosts))
+	answers, all := p.ask(ctx, hosts[:first], unreached)
+	if !all || len(refusedByAll(unreached, answers)) == 0 {
+		return nil
+	}
+	further, all := p.ask(ctx, hosts[first:], unreached)
+	if !all {
+		return nil // The one that does not answer may be the only one that reaches them.
+	}
+	return refusedByAll(unreached, append(answers, further...))
+}
+
+// ask asks hosts at the same time, and reports whether all have answered.
+func (p *Prober) ask(ctx context.Context, hosts []string, unreached []fleet.EndpointID) (answers []Answer, all bool) {
 	type response struct {
 		answer Answer
 		err    error
@@ -143,15 +170,14 @@
 			responses <- response{a, err}
 		}()
 	}
-	var answers []Answer
 	for range hosts {
 		r := <-responses
 		if r.err != nil {
-			return nil // That host may be the only one that reaches them.
+			return nil, false
 		}
 		answers = append(answers, r.answer)
 	}
-	return refusedByAll(unreached, answers)
+	return answers, true
 }
 
 // Answer finds out for another host which endpoints this one cannot reach either.
