--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,26 +11,43 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
-
-	"github.com/tealvane/tealvane/internal/standin/site"
 )
 
 // host is an entry host that runs as a process of its own.
 type host struct {
 	name, callers, readiness, peers string
 	settings                        string
-	log                             *os.File
-	process                         *exec.Cmd
-	ended                           chan struct{}
+	// process is nil until the host was started.
+	process *exec.Cmd
+	ended   chan struct{}
 }
 
 // deployment is a small deployment on loopback addresses.
 type deployment struct {
 	dir   string
-	store *site.Store
 	hosts []*host
+
+	mu sync.Mutex
+	// over is set once all processes are being ended.
+	over bool
+}
+
+// running is the deployment to end if the program is told to stop.
+var (
+	runningMu sync.Mutex
+	running   *deployment
+)
+
+// endRunning ends the processes of the deployment, if there is one.
+func endRunning() {
+	runningMu.Lock()
+	defer runningMu.Unlock()
+	if running != nil {
+		running.end()
+	}
 }
 
 // settingsFile is deploy/gateway.yaml.tmpl with the figures of a small deployment.
@@ -69,6 +87,9 @@
 		return nil, err
 	}
 	d := &deployment{dir: dir}
+	runningMu.Lock()
+	running = d
+	runningMu.Unlock()
 	for i := range n {
 		h := &host{name: fmt.Sprint("front-", i+1)}
 		for _, a := range []*string{&h.callers, &h.readiness} {
@@ -106,23 +127,31 @@
 	return l.Addr().String(), nil
 }
 
-// start starts a host with the command of the deploy file.
+// start starts a host with the command of the deploy file. The process also ends if this one is killed.
 func (d *deployment) start(h *host) error {
-	var err error
-	if h.log, err = os.OpenFile(filepath.Join(d.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.over {
+		return errors.New("the deployment has ended")
+	}
+	log, err := os.OpenFile(filepath.Join(d.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
 		return err
 	}
-	h.process = exec.Command("target/tealvane-gateway")
-	h.process.Env = append(os.Environ(), "TEALVANE_BOOT="+h.settings)
-	h.process.Stdout, h.process.Stderr = h.log, h.log
-	if err := h.process.Start(); err != nil {
+	defer log.Close()
+	process := exec.Command("target/tealvane-gateway")
+	process.Env = append(os.Environ(), "TEALVANE_BOOT="+h.settings)
+	process.Stdout, process.Stderr = log, log
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.Start(); err != nil {
 		return err
 	}
-	h.ended = make(chan struct{})
-	go func(p *exec.Cmd, ended chan struct{}) {
-		_ = p.Wait()
+	ended := make(chan struct{})
+	go func() {
+		_ = process.Wait()
 		close(ended)
-	}(h.process, h.ended)
+	}()
+	h.process, h.ended = process, ended
 	return nil
 }
 
@@ -165,18 +194,17 @@
 	return nil
 }
 
-// end ends all processes and removes the folder, unless KEEP is set.
+// end ends all processes and removes the folder.
 func (d *deployment) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.over = true
 	for _, h := range d.hosts {
 		if h.process == nil {
 			continue
 		}
-		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
 		<-h.ended
-		_ = h.log.Close()
-	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(d.dir)
 	}
+	_ = os.RemoveAll(d.dir)
 }
--- a/review/stand2/lossy_store.go
+++ b/review/stand2/lossy_store.go
@@ -110,7 +110,9 @@
 		s.record.line("the store accepts a claim")
 	}
 	for name, values := range resp.Header {
-		w.Header()[name] = values
+		if name != "Store-Era" { // The pages do not name it.
+			w.Header()[name] = values
+		}
 	}
 	w.WriteHeader(resp.StatusCode)
 	_, _ = w.Write(answer)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // The results of a case, which are the exit codes.
@@ -25,6 +28,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
+	go endEarly()
 	result, err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -32,3 +36,18 @@
 	}
 	os.Exit(result)
 }
+
+// timeLimit is the longest time that a case may run.
+const timeLimit = 115 * time.Second
+
+// endEarly ends all processes and this one on a signal or after timeLimit.
+func endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	endRunning()
+	os.Exit(failed)
+}
--- a/review/stand2/recovery.go
+++ b/review/stand2/recovery.go
@@ -61,7 +61,7 @@
 		return failed, err
 	}
 	time.Sleep(3 * time.Second)
-	c := &clients{record: r, hosts: d.hosts, transport: &http.Transport{MaxIdleConnsPerHost: 100}, models: []string{"m0", "m1", "m2", "m3"}}
+	c := &clients{record: r, hosts: d.hosts, transport: &http.Transport{MaxIdleConnsPerHost: 100}, retries: &http.Transport{DisableKeepAlives: true}, models: []string{"m0", "m1", "m2", "m3"}}
 	go c.run()
 	lossy.setPhase("before")
 	time.Sleep(rollAt)
@@ -163,6 +163,8 @@
 	record    *recorder
 	hosts     []*host
 	transport *http.Transport
+	// retries opens a new channel for each repeat.
+	retries *http.Transport
 
 	mu      sync.Mutex
 	models  []string
@@ -220,7 +222,11 @@
 	end := time.Now().Add(budget)
 	for attempt := range 2 {
 		h := c.hosts[(n+attempt)%len(c.hosts)]
-		status, retry := c.send(fmt.Sprintf("r%d-%d", n, attempt), model, h, time.Until(end))
+		transport := c.transport
+		if attempt > 0 {
+			transport = c.retries
+		}
+		status, retry := c.send(transport, fmt.Sprintf("r%d-%d", n, attempt), model, h, time.Until(end))
 		if status == http.StatusOK {
 			return true
 		}
@@ -233,7 +239,7 @@
 }
 
 // send sends one attempt. It returns status 200 only for a complete stream, and 0 without an answer.
-func (c *clients) send(id, model string, h *host, left time.Duration) (status int, retry time.Duration) {
+func (c *clients) send(transport *http.Transport, id, model string, h *host, left time.Duration) (status int, retry time.Duration) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+"/summary/x", strings.NewReader("{}"))
 	if err != nil {
 		panic(err)
@@ -243,7 +249,7 @@
 	req.Header.Set("X-Model-Name", model)
 	req.Header.Set("X-Token-Counts", "491,70")
 	req.Header.Set("X-Remaining-Milliseconds", strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	client := http.Client{Transport: c.transport, Timeout: left}
+	client := http.Client{Transport: transport, Timeout: left}
 	resp, err := client.Do(req)
 	if err != nil {
 		c.record.answer(id, 0, "from "+h.name+" for "+model+": no answer")
