Upstream: a reset that the write of the request gets is no end of the response

Seen by callers: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a connection once, to whichever call comes first. Long bodies are written beside the read of the response. Where the write got ECONNRESET, the read saw an end of file, as after a FIN, and for a body that ends with its connection that is its end. The result of the write was looked at only to keep the connection.

Fix: the connection's read, which heads and bodies share, returns an end of file only after the write beside it has ended (internal/duplexconn). The write is ended by a deadline in the past, so that the end of a response never waits for an endpoint that does not read: a write that has got an error returns that one, all others return at once. EPIPE is not a cut: Linux reports it for a reset that follows a FIN, and a read that still gets an end of file shows that the error went to nobody else. The upload that is ended had no further use: its connection was closed with the body. A head that is cut in the same way now also fails with the reset, or the timeout, that has cut it, and a timeout counts as a lost link.

An ETIMEDOUT after a FIN can't be told from one before it and counts as a cut: an endpoint that never reads, whose early body the client takes longer than 2 s to read.

--- a/pkg/proxy/unframed_test.go
+++ b/pkg/proxy/unframed_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -65,3 +67,30 @@
 	defer resp.Body.Close()
 	is.True(!upstream.EndsWithConnection(resp))
 }
+
+// Guards against passing on as an end, by way of another host, a reset that has cut the response to a request that
+// was still being written to the endpoint.
+func TestResetDuringUploadBehindHelperIsNoEnd(t *testing.T) {
+	p := newHostPair(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	const size = 8 << 20
+	p.server.Limits.Bytes = size
+	for n := range 20 {
+		resp, err := p.send(t.Context(), strings.Repeat("a", size))
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close() // Its error is that of the read.
+		}
+		if err == nil {
+			t.Errorf("try %d: the part that was sent was taken for a complete body", n)
+		}
+	}
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/tealvane/tealvane/internal/duplexconn"
 	"golang.org/x/sys/unix"
 )
 
@@ -53,6 +54,8 @@
 // conn is a connection that serves one request at a time.
 type conn struct {
 	net.Conn
+	// raw is the connection that Conn reads and writes.
+	raw  net.Conn
 	in   *bufio.Reader
 	head headLimiter
 	// expires is the time until which the idle connection may be reused.
@@ -61,7 +64,8 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw, head: headLimiter{src: raw}}
+	duplex := duplexconn.New(raw)
+	c := &conn{Conn: duplex, raw: raw, head: headLimiter{src: duplex}}
 	c.in = bufio.NewReaderSize(&c.head, readBuffer)
 	return c
 }
@@ -73,7 +77,7 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(syscall.Conn)
+	tcp, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
 	}
