Upstream: a status below 100 is no interim response

Seen by callers: an endpoint in trouble sent a response of status 000; where its body was itself a head, the status and the body of that inner head reached the caller as the answer.

Cause: everything below 200 except 101 was skipped as an interim response, and net/http reads 000, 042 or +20 as a status. What followed on the connection, its body first, was read as the next head.

Fix: only 1xx are interim. A final head is checked where it is read, and one below 100 is a malformed head like other bytes that are no HTTP/1: the connection is closed, the attempt fails as one that may have run, and the endpoint is reported (head_malformed).

Statuses from 600 are left as they were: RFC 9110, section 15 has them treated as server errors, which is what happens (they are at least 500), and the platform's protocol returns a worker's status unchanged.

--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,6 +19,20 @@
 // ErrMalformedHead is returned if an endpoint sends something else than a response of HTTP/1.
 var ErrMalformedHead = errors.New("head of the response is malformed")
 
+// isInterim reports whether a response with a status precedes another one.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// CheckHead returns an error marked ErrMalformedHead if a response is not one of HTTP/1. net/http reads any number of
+// three digits as a status.
+func CheckHead(r *http.Response) error {
+	if r.StatusCode < http.StatusContinue {
+		return errors.Wrapf(ErrMalformedHead, "status %03d", r.StatusCode)
+	}
+	return nil
+}
+
 // headError returns the error of a failed read of a head without the bytes that were read, which would
 // be logged with it.
 func (l *headLimiter) headError(err error) error {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -279,9 +279,13 @@
 		if err != nil {
 			return nil, c.head.headError(err)
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
+		if isInterim(resp.StatusCode) {
+			continue
+		}
+		if err := CheckHead(resp); err != nil {
+			return nil, err
 		}
+		return resp, nil
 	}
 	return nil, ErrHeadTooLong
 }
