Upstream: a response 101 to a request without an upgrade is malformed

Seen by callers: the 101 of an endpoint reached the client as its answer, although no request of a host asks for another protocol (Upgrade is not passed on).

Cause: 101 was excepted from the interim responses as a final response. A client that gets one takes what follows for another protocol.

Fix: a final head has a status of 200 or more. RFC 9110, section 15.2.2 allows 101 only in answer to an Upgrade.

--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -24,10 +24,10 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// CheckHead returns an error marked ErrMalformedHead if a response is not one of HTTP/1. net/http reads any number of
-// three digits as a status.
+// CheckHead returns an error marked ErrMalformedHead if a response, which no request has asked to be a switch of
+// protocols, is not a final one of HTTP/1. net/http reads any number of three digits as a status.
 func CheckHead(r *http.Response) error {
-	if r.StatusCode < http.StatusContinue {
+	if r.StatusCode < http.StatusOK {
 		return errors.Wrapf(ErrMalformedHead, "status %03d", r.StatusCode)
 	}
 	return nil
--- a/pkg/upstream/invalidhead_test.go
+++ b/pkg/upstream/invalidhead_test.go
@@ -46,9 +46,10 @@
 	is.Equal(violations, []upstream.Violation{upstream.HeadMalformed})
 }
 
-// Guards against taking what follows a head with an invalid status for the response.
+// Guards against taking what follows a head with an invalid status for the response, and against switching to a
+// protocol that the request did not ask for.
 func TestResponseWithoutValidStatusIsMalformed(t *testing.T) {
-	for _, status := range []string{"000", "042", "099", "+20"} {
+	for _, status := range []string{"000", "042", "099", "+20", "101"} {
 		for name, sent := range map[string]string{
 			"plain body":     "Content-Length: 2\r\n\r\nno",
 			"no body":        "\r\n",
