Upstream: a field name that is no token makes a head malformed

Seen by callers: an endpoint in trouble sent a head in which the name of a field held a blank. The client got it as an answer, with that line passed on ("X A: 1"), or with a body that was not the endpoint's: a "Content-Length : 1" or "Transfer-Encoding : chunked" does not frame the body, which was then read by what else stood in the head, or up to the end of the connection.

Cause: net/http, in net/textproto, accepts blanks in names, keeps them, and does not understand such a field. Other bytes that may not stand in a name were an error already.

Evidence: TestResponseWithInvalidFieldNameIsMalformed, 17 kinds of names, each in a head with a length, with chunks, unframed and in an interim response. Before, the five kinds with a blank were taken in all four forms, 20 of 68; tabs, control bytes, NUL, CR, DEL, bytes above ASCII, delimiters, an empty name, a line that begins with a blank and one without a colon were malformed before and are kept as tests.

A head with another name is malformed as other bytes that are no HTTP/1: the attempt fails, the connection is closed, the endpoint reported.

Trailers are left: none is passed on, and they frame nothing.

--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxHeadBytes bounds what is read for the head of a response, with the interim responses before it.
@@ -30,6 +31,17 @@
 	if r.StatusCode < http.StatusOK {
 		return errors.Wrapf(ErrMalformedHead, "status %03d", r.StatusCode)
 	}
+	return checkFieldNames(r.Header)
+}
+
+// checkFieldNames returns an error marked ErrMalformedHead if a name is not valid. net/http accepts names with blanks, and
+// ignores such a field where it frames the body.
+func checkFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrap(ErrMalformedHead, "invalid field name")
+		}
+	}
 	return nil
 }
 
--- a/pkg/upstream/invalidhead_test.go
+++ b/pkg/upstream/invalidhead_test.go
@@ -83,3 +83,36 @@
 		}
 	}
 }
+
+// Guards against passing on a field whose name is no token, and against a body that is framed otherwise than its
+// endpoint meant, since the name of a field that frames it is not understood.
+func TestResponseWithInvalidFieldNameIsMalformed(t *testing.T) {
+	for name, field := range map[string]string{
+		"blank inside":          "X A: 1",
+		"blank before colon":    "X-A : 1",
+		"blank and length":      "Content-Length : 1",
+		"blank and chunks":      "Transfer-Encoding : chunked",
+		"blank and own request": "X-Id : own",
+		"blank first":           " X-A: 1",
+		"only a blank":          " : 1",
+		"empty":                 ": 1",
+		"tab":                   "X\tA: 1",
+		"tab before colon":      "X-A\t: 1",
+		"control byte":          "X\x01A: 1",
+		"NUL":                   "X\x00A: 1",
+		"CR":                    "X\rA: 1",
+		"DEL":                   "X\x7fA: 1",
+		"byte above ASCII":      "X\xe4A: 1",
+		"delimiter":             "X(A): 1",
+		"no colon":              "X-A",
+	} {
+		for form, sent := range map[string]string{
+			"length":     "HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok",
+			"chunks":     "HTTP/1.1 200 OK\r\n" + field + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+			"unframed":   "HTTP/1.1 200 OK\n" + field + "\n\nok",
+			"in interim": "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + inner,
+		} {
+			t.Run(name+", "+form, func(t *testing.T) { checkInvalid(t, sent) })
+		}
+	}
+}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -279,13 +279,12 @@
 		if err != nil {
 			return nil, c.head.headError(err)
 		}
-		if isInterim(resp.StatusCode) {
-			continue
+		if !isInterim(resp.StatusCode) {
+			return resp, CheckHead(resp)
 		}
-		if err := CheckHead(resp); err != nil {
+		if err := checkFieldNames(resp.Header); err != nil {
 			return nil, err
 		}
-		return resp, nil
 	}
 	return nil, ErrHeadTooLong
 }
--- a/pkg/upstream/violation_test.go
+++ b/pkg/upstream/violation_test.go
@@ -51,11 +51,23 @@
 	}
 }
 
-// What is read as a complete response must be the same that net/http reads without a bound.
+// hasBlankInName reports whether the name of a field has a blank, which net/http accepts.
+func hasBlankInName(h http.Header) bool {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
+
+// What is read as a complete response must be the same that net/http reads without a bound, but for names of fields
+// with blanks, which must be errors.
 func FuzzHead(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 	f.Add([]byte("\x00\x01"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\nok"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		client, server := net.Pipe()
 		defer client.Close()
@@ -67,14 +79,14 @@
 		want, wantErr := http.ReadResponse(bufio.NewReader(strings.NewReader(string(sent))), nil)
 		resp, err := upstream.DoOnConn(t.Context(), client, upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 		if err != nil {
-			if wantErr == nil && want.StatusCode >= 200 && len(sent) < 64<<10 {
+			if wantErr == nil && want.StatusCode >= 200 && len(sent) < 64<<10 && !hasBlankInName(want.Header) {
 				t.Fatalf("%v, want status %d", err, want.StatusCode)
 			}
 			return
 		}
 		defer resp.Body.Close()
-		if wantErr != nil {
-			t.Fatalf("read status %d, want %v", resp.StatusCode, wantErr)
+		if wantErr != nil || hasBlankInName(want.Header) {
+			t.Fatalf("read status %d, want an error (%v)", resp.StatusCode, wantErr)
 		}
 		if want.StatusCode >= 200 && resp.StatusCode != want.StatusCode {
 			t.Fatalf("read status %d, want %d", resp.StatusCode, want.StatusCode)
