Proxy: the head that another host passes on is checked

Seen by callers: a client whose request goes by way of a host of the former version gets a 101, or a head with a blank in the name of a field, that this host would not take from the endpoint itself.

Cause: heads are checked where they are read from the endpoint, and hosts of the former version, which run beside new ones during an update, do not check them. Nothing looked at the head in the frame.

Fix: the same check on the decoded head.

Not to be told from here: a body without a length that a host of the former version passes on as ended regularly although a reset has cut it.

--- a/pkg/proxy/client.go
+++ b/pkg/proxy/client.go
@@ -123,6 +123,9 @@
 	}
 	body := &responseBody{session: s}
 	resp := head.response(r.Method, body)
+	if err := upstream.CheckHead(resp); err != nil {
+		return nil, errors.Wrap(err, "response of the other host")
+	}
 	body.endsWithConnection = upstream.EndsWithConnection(resp)
 	return resp, nil
 }
