Engines: a reset that the write of a call gets is no end of its response

Seen by callers: an engine answered the import of a KV cache at once with a 200 without a length, sent a part of its body and reset the connection while the call was still being written. The import counted as done.

Cause: the transport of net/http reads and writes a connection side by side too, and has the same gap as our own pool had: the write gets the reset, the read an end of file. Calls whose body is not looked at then succeed.

Fix: connections of these transports are wrapped by internal/duplexconn as those of the pool are. internal/strictclient does that for every transport of net/http here: engines, orders, the log, the host list, the weight store and the platform's store. In the others a cut showed before, because JSON, records and tokens state their own end.

--- a/pkg/external/httpadapter/client.go
+++ b/pkg/external/httpadapter/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/strictclient"
 	"github.com/tealvane/tealvane/pkg/external"
 	"go.opentelemetry.io/otel/propagation"
 )
@@ -34,10 +35,10 @@
 }
 
 // newClient returns a client that does not follow redirects, so that a call
-// reaches only the addressed system.
-func newClient(transport http.RoundTripper) client {
+// reaches only the addressed system. The transport must not be in use yet.
+func newClient(transport *http.Transport) client {
 	return client{http: &http.Client{
-		Transport:     transport,
+		Transport:     strictclient.Wrap(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/pkg/external/httpadapter/platform.go
+++ b/pkg/external/httpadapter/platform.go
@@ -18,6 +18,9 @@
 	responseTimeout = 2 * time.Second
 )
 
+// defaultTransport returns a transport with the default settings of net/http.
+func defaultTransport() *http.Transport { return http.DefaultTransport.(*http.Transport).Clone() }
+
 // Log is the client of one stream of the log service.
 type Log struct {
 	client
@@ -26,7 +29,7 @@
 
 // NewLog returns a client for a stream of the log service at the base URL.
 func NewLog(base, stream string) *Log {
-	return &Log{newClient(http.DefaultTransport.(*http.Transport).Clone()), base + "/v1/streams/" + url.PathEscape(stream)}
+	return &Log{newClient(defaultTransport()), base + "/v1/streams/" + url.PathEscape(stream)}
 }
 
 type appendRequest struct {
@@ -87,7 +90,7 @@
 }
 
 // NewHostList returns a client for the host list at the base URL.
-func NewHostList(base string) *HostList { return &HostList{newClient(http.DefaultTransport), base} }
+func NewHostList(base string) *HostList { return &HostList{newClient(defaultTransport()), base} }
 
 type listResponse struct {
 	Hosts []external.ListedHost `json:"hosts"`
@@ -110,7 +113,7 @@
 
 // NewWeightStore returns a client for the weight store at the base URL.
 func NewWeightStore(base string) *WeightStore {
-	return &WeightStore{newClient(http.DefaultTransport), base}
+	return &WeightStore{newClient(defaultTransport()), base}
 }
 
 // Limits implements external.WeightStore.
