Store, engines: a head that is no response of HTTP/1 is no answer

Seen: a host took a response of the store with status 000, 042 or 101 for a rejection. A rejection means that the call had no effect, so that a host whose release of the control claim was executed, with such an answer, went on controlling. A head with a blank in the name of a field was taken as whole: the era of the store in "Store-Era : 3" was overlooked, and calls of engines, the log, the host list and the weight store succeeded.

Cause: net/http accepts statuses below 100 and blanks in names, as at the connections to endpoints; its transports are also used for these calls.

Statuses 000, 042, 101, 600 and 999 of engines, and names with a control byte, were errors before whose calls may have had an effect; their cases are kept.

Fix: internal/strictclient checks each head as the endpoints' connections do (upstream.CheckHead). The store's calls then count as unanswered, those of the others as unavailable: both may have taken effect. The response is closed unread, which closes its connection.

--- a/internal/strictclient/strictclient.go
+++ b/internal/strictclient/strictclient.go
@@ -7,10 +7,16 @@
 	"net/http"
 
 	"github.com/tealvane/tealvane/internal/duplexconn"
+	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
+// Transport is a round tripper that returns only valid responses.
+type Transport struct {
+	transport *http.Transport
+}
+
 // Wrap returns a round tripper that uses a transport with a DialContext. The transport must not be in use yet.
-func Wrap(t *http.Transport) http.RoundTripper {
+func Wrap(t *http.Transport) *Transport {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
@@ -19,5 +25,18 @@
 		}
 		return duplexconn.New(c), nil
 	}
-	return t
+	return &Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := upstream.CheckHead(resp); err != nil {
+		_ = resp.Body.Close() // Without reading it, which closes the connection.
+		return nil, err
+	}
+	return resp, nil
 }
--- a/pkg/external/httpadapter/broken_test.go
+++ b/pkg/external/httpadapter/broken_test.go
@@ -1,6 +1,7 @@
 package httpadapter_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,3 +50,46 @@
 		})
 	}
 }
+
+// Guards against taking bytes that are no response of HTTP/1 for one, or for a call that had no effect.
+func TestInvalidHeadIsAnError(t *testing.T) {
+	engine := httpadapter.NewEngine()
+	for name, call := range map[string]func(addr string) error{
+		"generate": func(addr string) error {
+			stream, err := engine.Generate(t.Context(), addr, external.GenerateRequest{RequestID: "q"})
+			if err == nil {
+				_, err = readAll(stream)
+			}
+			return err
+		},
+		"call": func(addr string) error {
+			_, err := engine.Call(t.Context(), addr, external.ServiceCall{RequestID: "q"})
+			return err
+		},
+		"cancel": func(addr string) error { return engine.Cancel(t.Context(), addr, "q") },
+		"append": func(addr string) error {
+			_, err := httpadapter.NewLog(addr, "s").Append(t.Context(), []byte("a"))
+			return err
+		},
+		"list": func(addr string) error { _, err := httpadapter.NewHostList(addr).List(t.Context()); return err },
+		"limits": func(addr string) error {
+			_, err := httpadapter.NewWeightStore(addr).Limits(t.Context())
+			return err
+		},
+	} {
+		for _, head := range []string{
+			"000 A\r\n", "042 A\r\n", "101 A\r\n", "101 A\r\nUpgrade: a\r\nConnection: upgrade\r\n", "600 A\r\n", "999 A\r\n",
+			"200 OK\r\nX A: 1\r\n", "200 OK\r\nContent-Length : 1\r\n", "200 OK\r\nX\x01A: 1\r\n",
+		} {
+			t.Run(fmt.Sprintf("%s, %q", name, head), func(t *testing.T) {
+				const body = `{"request_id":"q","index":0,"done":true,"offset":1,"hosts":[]}` + "\n"
+				url := serveConn(t, func(c net.Conn) {
+					fmt.Fprintf(c, "HTTP/1.1 %sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+				})
+				if err := call(url); err == nil || errors.Is(err, external.ErrRejected) {
+					t.Errorf("got %v", err)
+				}
+			})
+		}
+	}
+}
