Store, engines: a head without end is bounded

Seen: an engine, or the store, that sends bytes without end where the head of a response is due made the calling host keep up to 10 MiB of them for each call, and allocate 50 to 95 MiB on the way; some such calls side by side end a host of 284 MB, and the requests of other clients with it.

Cause: heads at connections to endpoints are bounded, but calls to the store and on our own interface use transports of net/http, whose default is 10 MiB.

Fix: internal/strictclient sets the bound that heads of endpoints have, 64 KiB.

--- a/internal/strictclient/strictclient.go
+++ b/internal/strictclient/strictclient.go
@@ -10,7 +10,7 @@
 	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
-// Transport is a round tripper that returns only valid responses.
+// Transport is a round tripper that returns only valid responses, whose heads have up to upstream.MaxHeadBytes.
 type Transport struct {
 	transport *http.Transport
 }
@@ -25,6 +25,7 @@
 		}
 		return duplexconn.New(c), nil
 	}
+	t.MaxResponseHeaderBytes = upstream.MaxHeadBytes
 	return &Transport{t}
 }
 
--- a/pkg/external/httpadapter/broken_test.go
+++ b/pkg/external/httpadapter/broken_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +95,42 @@
 		}
 	}
 }
+
+// Guards against an engine that ends a host by sending bytes without end where the head of a response or a token is
+// due.
+func TestEndlessHeadIsBounded(t *testing.T) {
+	engine := httpadapter.NewEngine()
+	for name, c := range map[string]struct {
+		start, repeated string
+		max             uint64
+	}{
+		"no HTTP":           {"", "[", 1 << 20},
+		"header line":       {"HTTP/1.1 200 OK\r\nX-A: ", "a", 1 << 20},
+		"many headers":      {"HTTP/1.1 200 OK\r\n", "X-A: aaaaaaaa\r\n", 1 << 20},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n", 1 << 20},
+		"token":             {"HTTP/1.1 200 OK\r\n\r\n", "[", 4 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			block := []byte(strings.Repeat(c.repeated, 4096/len(c.repeated)))
+			url := serveConn(t, func(conn net.Conn) {
+				_, err := io.WriteString(conn, c.start)
+				for err == nil {
+					_, err = conn.Write(block)
+				}
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			stream, err := engine.Generate(t.Context(), url, external.GenerateRequest{RequestID: "q"})
+			if err == nil {
+				_, err = readAll(stream)
+			}
+			runtime.ReadMemStats(&after)
+			if err == nil || errors.Is(err, external.ErrRejected) {
+				t.Errorf("got %v", err)
+			}
+			if got := after.TotalAlloc - before.TotalAlloc; got >= c.max {
+				t.Errorf("allocated %d bytes", got)
+			}
+		})
+	}
+}
--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -10,10 +10,10 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// maxHeadBytes bounds what is read for the head of a response, with the interim responses before it.
-const maxHeadBytes = 64 << 10
+// MaxHeadBytes bounds what is read for the head of a response, with the interim responses before it.
+const MaxHeadBytes = 64 << 10
 
-// ErrHeadTooLong is returned if an endpoint sends maxHeadBytes, or maxInterimResponses, without a complete
+// ErrHeadTooLong is returned if an endpoint sends MaxHeadBytes, or maxInterimResponses, without a complete
 // head of a response.
 var ErrHeadTooLong = errors.New("head of the response is too long")
 
@@ -90,11 +90,11 @@
 
 // begin starts a head, of which buffered bytes may have been read already.
 func (l *headLimiter) begin(buffered *bufio.Reader) {
-	l.limited, l.remaining = true, maxHeadBytes-buffered.Buffered()
+	l.limited, l.remaining = true, MaxHeadBytes-buffered.Buffered()
 }
 
 // bytesRead returns how many bytes were read for the current or last head.
-func (l *headLimiter) bytesRead() int { return maxHeadBytes - l.remaining }
+func (l *headLimiter) bytesRead() int { return MaxHeadBytes - l.remaining }
 
 // end ends a head; the body after it has no limit.
 func (l *headLimiter) end() { l.limited = false }
