--- a/pkg/proxy/unframed_test.go
+++ b/pkg/proxy/unframed_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/tealvane/tealvane/pkg/upstream"
@@ -94,3 +96,41 @@
 		}
 	}
 }
+
+// Guards against keeping, on either host, what an endpoint sends without end while the client does not read it.
+func TestEndlessBodyBehindHelperIsNotKept(t *testing.T) {
+	const maxGrowth = 1 << 20
+	is := is.New(t)
+	sent := make(chan int, 1)
+	p := newHostPair(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		block, total := make([]byte, 64<<10), 0
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		for err == nil {
+			var n int
+			n, err = conn.Write(block)
+			total += n
+		}
+		sent <- total
+	})
+	resp, err := p.send(t.Context(), "")
+	is.NoErr(err)
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	_, err = io.CopyN(io.Discard, resp.Body, 64<<20) // Reads, and then does not.
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	is.True(heap()-before < maxGrowth)
+	is.NoErr(resp.Body.Close())
+	is.True(<-sent >= 64<<20) // The endpoint's connection is closed.
+}
