Gateway: a stopping host answers requests on open connections

Seen by callers: in a planned stop, a request on a connection that was opened before the host stopped listening, and first used after that, had its connection closed without an answer. The host had read it, and it had not run, which it could have said.

Cause: http.Server closes a connection whose request it reads after Shutdown was called. The host called it as soon as the load balancer had noticed the stop.

Fix: as pkg/entryhost does, Shutdown waits until all connections are closed or have been idle for 2 s, at most until the time at which the rest is cut. Until then requests are answered, and each answer closes its connection, as before. The tracker of connections moves from pkg/entryhost to internal/drain, which both use. The listener stays open meanwhile: the load balancer sends connections here then only if it has no better host, and these are answered too.

--- a/pkg/entryhost/host.go
+++ b/pkg/entryhost/host.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"github.com/tealvane/tealvane/internal/drain"
 	"github.com/tealvane/tealvane/pkg/completion"
 	"github.com/tealvane/tealvane/pkg/external"
 	"github.com/tealvane/tealvane/pkg/fairqueue"
@@ -208,8 +209,8 @@
 			return nil
 		})
 	}
-	conns := newConnTracker()
-	callers.ConnState = conns.track
+	conns := drain.NewTracker()
+	callers.ConnState = conns.Track
 	group.Go(func() error { return serveHTTP(callers, h.callers) })
 	group.Go(func() error { return serveHTTP(operators, h.operators) })
 	h.logger.Info("serving", "callers", h.CallersAddr(), "operators", h.OperatorsAddr(), "peers", h.node.Addr())
--- a/pkg/entryhost/listener.go
+++ b/pkg/entryhost/listener.go
@@ -10,16 +10,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tealvane/tealvane/internal/wait"
+	"github.com/tealvane/tealvane/internal/drain"
 )
 
-// idleGracePeriod is how long a connection must be idle before a stopping host closes it. It
-// leaves slow clients time to send their next request, whose response closes the connection.
-const idleGracePeriod = 2 * time.Second
-
-// connPollInterval is the interval at which Shutdown checks whether all connections are drained.
-const connPollInterval = 10 * time.Millisecond
-
 // drainListener is a TCP listener that can stop accepting connections without resetting those in
 // the accept queue. Closing a listener resets every connection that was established but not yet
 // accepted.
@@ -123,49 +116,13 @@
 type callersServer struct {
 	*http.Server
 	listener *drainListener
-	conns    *connTracker
+	conns    *drain.Tracker
 }
 
 // Shutdown stops the listener, waits until all connections are closed or idle, and shuts the
 // server down. It does not abort requests unless ctx ends.
 func (s *callersServer) Shutdown(ctx context.Context) error {
 	s.listener.Stop()
-	for !s.conns.drained(time.Now()) && wait.For(ctx, connPollInterval) {
-	}
+	s.conns.Wait(ctx)
 	return s.Server.Shutdown(ctx)
 }
-
-// connTracker tracks the open connections of a server. It is safe for concurrent use.
-type connTracker struct {
-	mu sync.Mutex
-	// idleSince holds the time at which each connection became idle, zero for active connections.
-	idleSince map[net.Conn]time.Time
-}
-
-func newConnTracker() *connTracker { return &connTracker{idleSince: map[net.Conn]time.Time{}} }
-
-// track records the state of a connection. It has the signature of http.Server.ConnState.
-func (t *connTracker) track(c net.Conn, s http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch s {
-	case http.StateClosed, http.StateHijacked:
-		delete(t.idleSince, c)
-	case http.StateIdle:
-		t.idleSince[c] = time.Now()
-	default:
-		t.idleSince[c] = time.Time{}
-	}
-}
-
-// drained reports whether all connections are closed or have been idle for idleGracePeriod.
-func (t *connTracker) drained(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, since := range t.idleSince {
-		if since.IsZero() || now.Sub(since) < idleGracePeriod {
-			return false
-		}
-	}
-	return true
-}
--- a/pkg/entryhost/listener_test.go
+++ b/pkg/entryhost/listener_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/drain"
 )
 
 // Guards against connections in the accept queue being reset when the listener stops.
@@ -59,9 +60,9 @@
 	is.NoErr(err)
 	began, end := make(chan bool, 2), make(chan bool)
 	var stopping atomic.Bool
-	conns := newConnTracker()
+	conns := drain.NewTracker()
 	s := &callersServer{listener: newDrainListener(tcp.(*net.TCPListener)), conns: conns}
-	s.Server = &http.Server{ConnState: conns.track, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s.Server = &http.Server{ConnState: conns.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tealvane/tealvane/internal/drain"
 	"github.com/tealvane/tealvane/pkg/peer"
 	"github.com/tealvane/tealvane/pkg/relay"
 	"golang.org/x/sync/errgroup"
@@ -58,7 +59,8 @@
 	for _, loop := range g.loops() {
 		go loop(loops)
 	}
-	early, server := g.earlyServer(), g.clientServer()
+	conns := drain.NewTracker()
+	early, server := g.earlyServer(), g.clientServer(conns)
 	group.Go(func() error {
 		return serveUntilClosed(&http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: readinessTimeout}, g.readinessListener)
 	})
@@ -70,7 +72,7 @@
 	group.Go(func() error { return g.serveClients(ctx, early, server) })
 	group.Go(func() error {
 		<-ctx.Done()
-		g.stop(loops, server, early)
+		g.stop(loops, conns, server, early)
 		return nil
 	})
 	err := group.Wait()
--- a/pkg/gateway/serving.go
+++ b/pkg/gateway/serving.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tealvane/tealvane/internal/clientconn"
+	"github.com/tealvane/tealvane/internal/drain"
 	"github.com/tealvane/tealvane/internal/wait"
 	"github.com/tealvane/tealvane/pkg/bodybudget"
 	"github.com/tealvane/tealvane/pkg/fleet"
@@ -107,9 +108,9 @@
 	g.log.Info("request", append(r.LogAttrs(), "config", g.configVersion(), "claim", g.locator.Token())...)
 }
 
-// clientServer returns the server of client requests.
-func (g *Gateway) clientServer() *http.Server {
-	return &http.Server{Handler: g.handler, ConnContext: clientconn.Save}
+// clientServer returns the server of client requests, whose connections are tracked.
+func (g *Gateway) clientServer(conns *drain.Tracker) *http.Server {
+	return &http.Server{Handler: g.handler, ConnContext: clientconn.Save, ConnState: conns.Track}
 }
 
 // applyLimits applies the configured limits to the server.
@@ -149,8 +150,9 @@
 }
 
 // stop shuts the host down gracefully. The host reports itself unready, serves until the load
-// balancer has noticed, releases the claim and waits for requests in flight.
-func (g *Gateway) stop(ctx context.Context, servers ...*http.Server) {
+// balancer has noticed, releases the claim and waits for requests in flight. Requests on open connections
+// get an answer, which closes their connection.
+func (g *Gateway) stop(ctx context.Context, conns *drain.Tracker, servers ...*http.Server) {
 	start := g.Now()
 	g.log.Info("host stopping")
 	g.stopping.Store(true)
@@ -162,6 +164,7 @@
 	limit := g.settings.Timing.Shutdown - shutdownMargin - g.Now().Sub(start)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	conns.Wait(ctx)
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
 			g.log.Warn("shutdown incomplete; closing the remaining connections", "error", err)
--- /dev/null
+++ b/pkg/gateway/stop_test.go
@@ -0,0 +1,111 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tealvane/tealvane/internal/standin/site"
+)
+
+// manualRequest is a request that is sent in parts over a connection of its own.
+type manualRequest struct {
+	t    *testing.T
+	conn net.Conn
+}
+
+const manualBody = "the body"
+
+func (d *deployment) connect(h *host) manualRequest {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", h.Addr())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = conn.Close() })
+	return manualRequest{d.t, conn}
+}
+
+// sendHead sends the head of a request for a model, or for none, and one byte of its body.
+func (r manualRequest) sendHead(path, model string) {
+	r.t.Helper()
+	_, err := fmt.Fprintf(r.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Attempt-Id: late\r\nX-Model-Name: %s\r\nX-Remaining-Milliseconds: 7000\r\nContent-Length: %d\r\n\r\n%s",
+		path, model, len(manualBody), manualBody[:1])
+	if err != nil {
+		r.t.Error(err)
+	}
+}
+
+// finish sends the rest of the body and returns the answer.
+func (r manualRequest) finish() reply {
+	if _, err := io.WriteString(r.conn, manualBody[1:]); err != nil {
+		return reply{body: err.Error()}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(r.conn), nil)
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{status: resp.StatusCode, body: err.Error()}
+	}
+	return reply{resp.StatusCode, string(body), resp.Header}
+}
+
+// Guards against a connection that is closed in a planned stop without an answer to its next request, although that
+// can still be served.
+func TestRequestsInPlannedStopAreServedOrRefused(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		// after is the time from the begin of the stop until the request is complete.
+		after       time.Duration
+		path, model string
+		// connected is set if only the connection was opened before.
+		connected bool
+		status    int
+	}{
+		"stream at once":                 {0, "/chat/", "warm", false, http.StatusOK},
+		"stream in time":                 {1500 * time.Millisecond, "/chat/", "warm", false, http.StatusOK},
+		"late short request":             {2700 * time.Millisecond, "/screen/", "", false, http.StatusOK},
+		"request on an open connection":  {2700 * time.Millisecond, "/screen/", "", true, http.StatusOK},
+		"stream in time, new connection": {1700 * time.Millisecond, "/chat/", "warm", true, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t)
+			d.publish(config(1))
+			d.startEndpoint(site.EndpointConfig{
+				ID: "e1", Service: "llm", Zone: "zone-a", Slots: 8, WeightsMB: 125, AdapterSlots: 4, Models: models,
+				LoadedModels: []string{"warm"}, Events: 7, EventInterval: 150 * time.Millisecond,
+			})
+			d.startEndpoint(site.EndpointConfig{ID: "p1", Service: "plain", Zone: "zone-a", Slots: 4})
+			h := d.startHost("a")
+			for range 3 {
+				is.Equal(d.request(h, "/chat/", "warm").status, http.StatusOK)
+				is.Equal(d.request(h, "/screen/", "").status, http.StatusOK)
+			}
+			r := d.connect(h)
+			if !c.connected {
+				r.sendHead(c.path, c.model)
+			}
+			time.Sleep(50 * time.Millisecond) // The host reads the head.
+			h.stop()
+			time.Sleep(c.after)
+			if c.connected {
+				r.sendHead(c.path, c.model)
+			}
+			got := r.finish()
+			if got.status != c.status {
+				t.Errorf("got %d %q, want %d", got.status, got.body, c.status)
+			}
+			is.NoErr(<-h.done)
+			h.done <- nil
+		})
+	}
+}
