Orders: a test changes the configuration between two tries of an order

Traced: the test lowered the slots and let the endpoint accept orders again at the instant of a try, between the order's check under the old configuration and its acceptance. The order's decision is right: a configuration can't be known before it is there, and one that changes while an order is on its way is what the endpoint's own limit and the next report are for.

The test now waits until nothing runs at that instant (synctest.Wait) before it changes the configuration.

--- a/pkg/orders/adaptertransit_test.go
+++ b/pkg/orders/adaptertransit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -98,6 +99,7 @@
 		steps(ctx, c, 800*time.Millisecond, adapters("x", "a1"))
 		e.set(func() { e.transit.unloading = true }) // rejects orders
 		steps(ctx, c, 600*time.Millisecond, adapters("x", "a2"))
+		synctest.Wait() // No order is between its check and its acceptance.
 		reduced := config()
 		reduced.Services["llm"].Engine.AdapterSlots = 1
 		current.Store(reduced)
