Serve: a request whose run a planned stop would cut is refused

Seen by callers: requests that came late in the grace of a planned stop, their heads before the host stopped listening and their bodies 5.5 to 7.2 s after SIGTERM with a grace of 8 s, were passed on to an endpoint and cut at 7.3 s, a few bytes into their answers, among them requests that may not be repeated (LOST).

Cause: a stop limited how long a request waits for a slot, not whether one is sent that gets a slot at once, and looked at no run time: the limit was 1.3 s before the cut, whatever runs take.

Evidence: TestRequestsInPlannedStopAreServedOrRefused (streams of 1.05 s, a cut at 3.3 s): streams complete after 2.6 and 3 s, and one at 2.7 s on an open connection, got 200 and were cut; now 503 and not run. Streams complete after 1.7 s, and short requests after 2.7 s, are served before and after. TestLateRequestsOverTwoHopsAreServedOrRefused holds the same by way of another host.

Fix: a stopping dispatcher knows when runs are cut, and refuses a request at once, as not run, if a run of its service would hardly have ended then: by the moving averages of the time of runs and of its deviation, as RFC 6298 has for round trips; 2.5 s before any run was measured. A client that leaves before the cut is served. Requests that wait for a slot or for the retry budget do so only up to that time (before, up to a fixed one); what goes on a response that has begun is sent as before. A refusal costs a client a try at another host, a cut its request.

--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -145,8 +145,8 @@
 // contracts, an unresponsive replica cannot be distinguished from a slow one.
 func (s *Queues) HasAlternative(serve.Need, fleet.EndpointID) bool { return false }
 
-// ClosesAt implements serve.Queue. The wait of requests is not limited.
-func (s *Queues) ClosesAt() time.Time { return time.Time{} }
+// LatestStart implements serve.Queue. The wait of requests is not limited.
+func (s *Queues) LatestStart(*serve.Request) time.Time { return time.Time{} }
 
 // ServiceTime implements serve.Queue. It is not used, since HasAlternative returns false.
 func (s *Queues) ServiceTime(string) time.Duration { return 0 }
--- a/pkg/gateway/serving.go
+++ b/pkg/gateway/serving.go
@@ -24,9 +24,8 @@
 	readinessPropagation = 2300 * time.Millisecond
 	// shutdownMargin is reserved at the end of the shutdown time.
 	shutdownMargin = 700 * time.Millisecond
-	// queueMargin is how long before the end of the shutdown time queued requests are refused,
-	// so that they receive a response.
-	queueMargin = 2 * time.Second
+	// releaseMargin is how long before the end of the shutdown time a host gives up releasing its claim.
+	releaseMargin = 2 * time.Second
 	// bodyMemoryDivisor is the share, as a divisor, of a host's memory that the bodies of clients' requests
 	// may take together.
 	bodyMemoryDivisor = 4
@@ -157,12 +156,11 @@
 	g.log.Info("host stopping")
 	g.stopping.Store(true)
 	g.slots.RecordDown(g.self.Host)
-	end := start.Add(g.settings.Timing.Shutdown - queueMargin)
-	g.dispatcher.CloseAt(end)
-	go g.releaseClaim(ctx, end)
+	end := start.Add(g.settings.Timing.Shutdown - shutdownMargin)
+	g.dispatcher.EndAt(end)
+	go g.releaseClaim(ctx, start.Add(g.settings.Timing.Shutdown-releaseMargin))
 	wait.For(ctx, readinessPropagation)
-	limit := g.settings.Timing.Shutdown - shutdownMargin - g.Now().Sub(start)
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, end.Sub(g.Now()))
 	defer cancel()
 	conns.Wait(ctx)
 	for _, s := range servers {
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -57,8 +57,8 @@
 	return reply{resp.StatusCode, string(body), resp.Header}
 }
 
-// Guards against a connection that is closed in a planned stop without an answer to its next request, although that
-// can still be served.
+// Guards against requests that come late in a planned stop and are cut off, after they were passed on or without an
+// answer, and against refusing those that can still be served.
 func TestRequestsInPlannedStopAreServedOrRefused(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
@@ -71,7 +71,10 @@
 	}{
 		"stream at once":                 {0, "/chat/", "warm", false, http.StatusOK},
 		"stream in time":                 {1500 * time.Millisecond, "/chat/", "warm", false, http.StatusOK},
+		"late stream":                    {2600 * time.Millisecond, "/chat/", "warm", false, http.StatusServiceUnavailable},
+		"later stream":                   {3 * time.Second, "/chat/", "warm", false, http.StatusServiceUnavailable},
 		"late short request":             {2700 * time.Millisecond, "/screen/", "", false, http.StatusOK},
+		"stream on an open connection":   {2700 * time.Millisecond, "/chat/", "warm", true, http.StatusServiceUnavailable},
 		"request on an open connection":  {2700 * time.Millisecond, "/screen/", "", true, http.StatusOK},
 		"stream in time, new connection": {1700 * time.Millisecond, "/chat/", "warm", true, http.StatusOK},
 	} {
@@ -80,7 +83,7 @@
 			is := is.New(t)
 			d := newDeployment(t)
 			d.publish(config(1))
-			d.startEndpoint(site.EndpointConfig{
+			engine := d.startEndpoint(site.EndpointConfig{
 				ID: "e1", Service: "llm", Zone: "zone-a", Slots: 8, WeightsMB: 125, AdapterSlots: 4, Models: models,
 				LoadedModels: []string{"warm"}, Events: 7, EventInterval: 150 * time.Millisecond,
 			})
@@ -90,6 +93,7 @@
 				is.Equal(d.request(h, "/chat/", "warm").status, http.StatusOK)
 				is.Equal(d.request(h, "/screen/", "").status, http.StatusOK)
 			}
+			runs := len(engine.Runs())
 			r := d.connect(h)
 			if !c.connected {
 				r.sendHead(c.path, c.model)
@@ -104,8 +108,49 @@
 			if got.status != c.status {
 				t.Errorf("got %d %q, want %d", got.status, got.body, c.status)
 			}
+			if c.status != http.StatusOK {
+				is.Equal(len(engine.Runs()), runs) // The refusal states that it has not run.
+				is.True(got.header.Get("Retry-After") != "")
+			}
 			is.NoErr(<-h.done)
 			h.done <- nil
 		})
 	}
 }
+
+// Guards against the same for a host whose requests go by way of another one.
+func TestLateRequestsOverTwoHopsAreServedOrRefused(t *testing.T) {
+	t.Parallel()
+	for after, want := range map[time.Duration]int{
+		1500 * time.Millisecond: http.StatusOK,
+		2600 * time.Millisecond: http.StatusServiceUnavailable,
+	} {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t)
+			d.startPlain(nil)
+			engine := d.startEndpoint(site.EndpointConfig{
+				ID: "e1", Service: "llm", Zone: "zone-a", Slots: 8, WeightsMB: 125, AdapterSlots: 4, Models: models,
+				LoadedModels: []string{"warm"}, Events: 7, EventInterval: 150 * time.Millisecond,
+			})
+			_, cut := d.startCutOffPair()
+			for range 3 {
+				is.Equal(d.request(cut, "/chat/", "warm").status, http.StatusOK)
+			}
+			runs := len(engine.Runs())
+			r := d.connect(cut)
+			r.sendHead("/chat/", "warm")
+			time.Sleep(50 * time.Millisecond) // The host reads the head.
+			cut.stop()
+			time.Sleep(after)
+			got := r.finish()
+			if got.status != want {
+				t.Errorf("got %d %q, want %d", got.status, got.body, want)
+			}
+			is.Equal(len(engine.Runs()) > runs, want == http.StatusOK)
+			is.NoErr(<-cut.done)
+			cut.done <- nil
+		})
+	}
+}
--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -112,20 +112,33 @@
 
 	mu     sync.Mutex
 	shards map[string]*shard
-	// closeAt is the time until which requests may wait, or nil while the host is not shutting
-	// down.
-	closeAt atomic.Pointer[time.Time]
+	// endsAt is the time at which runs are cut off, or nil while the host is not shutting down.
+	endsAt atomic.Pointer[time.Time]
 }
 
-// CloseAt limits the wait of all requests to the given time, because the host shuts down.
-func (d *Dispatcher) CloseAt(at time.Time) { d.closeAt.Store(&at) }
+// EndAt states that the host shuts down and cuts off runs at a time. Requests that would still run then are refused.
+func (d *Dispatcher) EndAt(at time.Time) { d.endsAt.Store(&at) }
 
-// ClosesAt implements Queue.
-func (d *Dispatcher) ClosesAt() time.Time {
-	if at := d.closeAt.Load(); at != nil {
-		return *at
+// LatestStart implements Queue.
+func (d *Dispatcher) LatestStart(r *Request) time.Time {
+	s := d.shard(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	latest, _ := d.latestStart(s, r)
+	return latest
+}
+
+// latestStart returns the latest time at which a request may be sent to an endpoint so that its run ends before runs
+// are cut off, unless the host is not shutting down. It must be called with s.mu held.
+func (d *Dispatcher) latestStart(s *shard, r *Request) (latest time.Time, ending bool) {
+	at := d.endsAt.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+	if !r.DeadlineIsStartOnly && !r.Deadline.After(*at) {
+		return *at, true // The client does not wait for longer.
 	}
-	return time.Time{}
+	return at.Add(-s.runTime.atMost()), true
 }
 
 // shard is the queue of one service.
@@ -137,6 +150,7 @@
 	stats       map[Need]*needStats
 	serviceTime time.Duration
 	readTime    readTime
+	runTime     runTime
 	// contended has entries only for services that are scheduled for contention.
 	contended map[Need]*contendedStats
 	// firstByte is the moving average of the time to the first byte, or 0 before the first one. It
@@ -235,13 +249,17 @@
 		w.resumed, w.resumeUntil = true, resumeUntil(r, now)
 	}
 	s.mu.Lock()
+	if latest, ending := d.latestStart(s, r); ending && !w.resumed && now.After(latest) {
+		s.mu.Unlock()
+		return fleet.Endpoint{}, &Refusal{Cause: CauseStopping, NotRun: true, RetryAfter: minRetryAfter}
+	}
 	s.waiting.setFair(d.contention(r.Service))
 	if e, ok := d.acquireNow(now, s, w); ok {
 		s.mu.Unlock()
 		return e, nil
 	}
 	input, missing := d.holdInput(now, s, w)
-	until, retryAfter, hold := d.hold(w, input)
+	until, retryAfter, hold := d.hold(s, w, input)
 	if !hold || !input.HasEndpoints {
 		s.keepDemand(now, w.need, input)
 		s.mu.Unlock()
@@ -259,9 +277,9 @@
 	return d.await(ctx, s, w, until)
 }
 
-// hold decides whether a request waits. It limits the result of Hold to the time set by
-// CloseAt.
-func (d *Dispatcher) hold(w *waiter, s HoldInput) (until time.Time, retryAfter time.Duration, hold bool) {
+// hold decides whether a request waits. It limits the result of Hold to the latest time at which the request may be
+// sent. It must be called with the lock of the shard held.
+func (d *Dispatcher) hold(sh *shard, w *waiter, s HoldInput) (until time.Time, retryAfter time.Duration, hold bool) {
 	r := w.request
 	if w.need.Version.Set && s.versionGone(w) {
 		return s.Now, maxRetryAfter, false
@@ -275,8 +293,8 @@
 		// No other host can serve it sooner, so that its client gains nothing by coming back.
 		until, hold = last, s.Now.Before(last) && !s.NotConfigured
 	}
-	if at := d.closeAt.Load(); at != nil && until.After(*at) {
-		until = *at
+	if latest, ending := d.latestStart(sh, r); ending && until.After(latest) {
+		until = latest
 		hold = hold && s.Now.Before(until)
 		retryAfter = max(retryAfter, minRetryAfter)
 	}
@@ -332,7 +350,7 @@
 		now := d.now()
 		s.mu.Lock()
 		input, _ := d.holdInput(now, s, w)
-		next, retryAfter, hold := d.hold(w, input)
+		next, retryAfter, hold := d.hold(s, w, input)
 		if hold && ctx.Err() == nil {
 			s.mu.Unlock()
 			until = next
@@ -423,6 +441,7 @@
 	}
 	if result.Duration > 0 {
 		s.serviceTime += time.Duration(float64(result.Duration-s.serviceTime) * serviceTimeWeight)
+		s.runTime.add(result.Duration)
 	}
 	if result.NotRun {
 		s.refund(r)
--- a/pkg/serve/queue.go
+++ b/pkg/serve/queue.go
@@ -23,8 +23,9 @@
 	RecordFirstByte(r *Request, after time.Duration)
 	// HasAlternative reports whether an endpoint other than e can meet a need now.
 	HasAlternative(n Need, e fleet.EndpointID) bool
-	// ClosesAt returns the time from which no request waits because the host shuts down, or the zero time.
-	ClosesAt() time.Time
+	// LatestStart returns the time after which a request is not sent to an endpoint because the host shuts down, or
+	// the zero time.
+	LatestStart(r *Request) time.Time
 	// ServiceTime returns the moving average of the service time of a service.
 	ServiceTime(service string) time.Duration
 }
--- a/pkg/serve/serve_test.go
+++ b/pkg/serve/serve_test.go
@@ -201,13 +201,13 @@
 		start := time.Now()
 		go func() {
 			time.Sleep(100 * time.Millisecond)
-			dispatcher(s).CloseAt(start.Add(time.Second))
+			dispatcher(s).EndAt(start.Add(time.Second))
 		}()
 		var out sink
 		s.Serve(context.Background(), request("r", fleet.AtMostOnce, false), &out)
 		is.True(out.promisesNotRun())
 		is.True(out.refusal.RetryAfter > 0)
-		is.True(time.Since(start) <= 1500*time.Millisecond)
+		is.True(time.Since(start) < time.Second)
 	})
 }
 
--- a/pkg/serve/server.go
+++ b/pkg/serve/server.go
@@ -294,7 +294,7 @@
 		return false
 	}
 	until := x.budgetWaitEnd()
-	for x.server.Now().Before(until) && !x.closed() {
+	for x.server.Now().Before(until) && !x.tooLate() {
 		if !wait.For(ctx, wait.Jitter(retryBudgetInterval)) {
 			return false
 		}
@@ -305,10 +305,10 @@
 	return false
 }
 
-// closed reports whether the host shuts down and requests no longer wait.
-func (x *exchange) closed() bool {
-	at := x.server.Queue.ClosesAt()
-	return !at.IsZero() && !x.server.Now().Before(at)
+// tooLate reports whether the host shuts down before the request could end.
+func (x *exchange) tooLate() bool {
+	latest := x.server.Queue.LatestStart(x.request)
+	return !latest.IsZero() && !x.server.Now().Before(latest)
 }
 
 // reserveRetry reserves the retry that follows an attempt before the attempt is abandoned, and
