Engines: responses of one system are bounded together

Seen: a service on our own interface that answers calls with bodies without end makes the host keep 16 MiB of each; 20 calls at once are enough to end a host of 284 MB, and the requests of other clients with it.

Cause: a bound for one response, and none for those that are read at once. The bodies of calls of which only the status counts were kept as well.

Fix: the responses of one system, by its address, share 64 MiB (bodybudget.Keyed), so that a faulty one leaves the others their memory. A response that does not fit, or states more than 16 MiB, fails its call at once, which may have run. Bodies that nobody looks at are discarded as they are read.

Not counted: what a body is decoded into.

--- a/pkg/bodybudget/budget_test.go
+++ b/pkg/bodybudget/budget_test.go
@@ -71,3 +71,24 @@
 	_, _, err = b.Read(bytes.NewReader(make([]byte, 41)), 41)
 	is.NoErr(err)
 }
+
+// Guards against the bodies of one key that take the memory of others, and against memory that is kept for keys
+// without bodies.
+func TestKeysHaveBudgetsOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	k := bodybudget.NewKeyed(1 << 20)
+	_, releaseA, err := k.Read("a", bytes.NewReader(make([]byte, 1<<20)), 1<<20)
+	is.NoErr(err)
+	_, _, err = k.Read("a", bytes.NewReader([]byte("b")), 1)
+	is.True(errors.Is(err, bodybudget.ErrExhausted))
+	body, releaseB, err := k.Read("b", bytes.NewReader([]byte("b")), -1)
+	is.NoErr(err)
+	is.Equal(string(body), "b")
+	is.Equal(k.Keys(), 2)
+	releaseA()
+	releaseB()
+	is.Equal(k.Keys(), 0)
+	_, _, err = k.Read("a", iotest.ErrReader(io.ErrUnexpectedEOF), -1)
+	is.True(err != nil)
+	is.Equal(k.Keys(), 0)
+}
--- a/pkg/external/httpadapter/client.go
+++ b/pkg/external/httpadapter/client.go
@@ -18,13 +18,16 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tealvane/tealvane/internal/strictclient"
+	"github.com/tealvane/tealvane/pkg/bodybudget"
 	"github.com/tealvane/tealvane/pkg/external"
 	"go.opentelemetry.io/otel/propagation"
 )
 
 const (
 	maxResponseBytes = 16 << 20
-	maxErrorBytes    = 4 << 10
+	// maxSystemBytes bounds the memory of the responses of one system that are read at once.
+	maxSystemBytes = 64 << 20
+	maxErrorBytes  = 4 << 10
 	// maxRetryAfter caps the value of Retry-After.
 	maxRetryAfter = 24 * time.Hour
 )
@@ -32,6 +35,8 @@
 // client is the HTTP client that the adapters share.
 type client struct {
 	http *http.Client
+	// bodies holds the memory for the responses of each system, by its address.
+	bodies *bodybudget.Keyed
 }
 
 // newClient returns a client that does not follow redirects, so that a call
@@ -40,7 +45,7 @@
 	return client{http: &http.Client{
 		Transport:     strictclient.Wrap(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}, bodies: bodybudget.NewKeyed(maxSystemBytes)}
 }
 
 // doJSON sends in as JSON and decodes the response into out. Either may be nil.
@@ -50,17 +55,34 @@
 		return err
 	}
 	defer resp.Body.Close()
-	// Read to the end, so that the connection can be reused.
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err == nil && out != nil {
-		err = json.Unmarshal(data, out)
-	}
-	if err != nil {
+	if err := c.decode(resp, out); err != nil {
 		return errors.Wrapf(external.ErrUnavailable, "%s %s: %v", method, target, err)
 	}
 	return nil
 }
 
+// errTooLong is returned for a response of more than maxResponseBytes.
+var errTooLong = errors.New("response is too long")
+
+// decode decodes a response into out, which may be nil. The response is read to its end, so that the connection can be
+// reused.
+func (c client) decode(resp *http.Response, out any) error {
+	if resp.ContentLength > maxResponseBytes {
+		return errTooLong
+	}
+	limited := io.LimitReader(resp.Body, maxResponseBytes)
+	if out == nil {
+		_, err := io.Copy(io.Discard, limited)
+		return err
+	}
+	data, release, err := c.bodies.Read(resp.Request.URL.Host, limited, resp.ContentLength)
+	if err != nil {
+		return err
+	}
+	defer release()
+	return json.Unmarshal(data, out)
+}
+
 // send returns the response to a call if its status is 2xx. The error wraps
 // ErrRejected if the call certainly had no effect: no connection was established,
 // or the status is 4xx.
--- a/pkg/external/httpadapter/order.go
+++ b/pkg/external/httpadapter/order.go
@@ -33,6 +33,7 @@
 	transport := &http.Transport{DialContext: dialOnce(), MaxConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
 	pinned := Engine{newClient(transport)}
+	pinned.bodies = e.bodies
 	status, err := pinned.Status(ctx, o.Addr)
 	if err != nil {
 		return pool.OrderRejected, err
