--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -34,8 +34,8 @@
 	return checkFieldNames(r.Header)
 }
 
-// checkFieldNames returns an error marked ErrMalformedHead if a name is not valid. net/http accepts names with blanks, and
-// ignores such a field where it frames the body.
+// checkFieldNames returns an error marked ErrMalformedHead if a name is not valid. net/http accepts names with blanks,
+// and ignores such a field where it frames the body.
 func checkFieldNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
