Store, engines: an interim response with an invalid field name is no answer

Seen: an answer of the store, of an engine or of a platform service behind an interim response with a blank in the name of a field was taken, while the same bytes of an endpoint are malformed.

Cause: transports of net/http read interim responses themselves, and the check of heads saw the final one only.

Fix: internal/strictclient checks interim responses in the hook that net/http has for them.

--- a/internal/strictclient/strictclient.go
+++ b/internal/strictclient/strictclient.go
@@ -5,12 +5,15 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/tealvane/tealvane/internal/duplexconn"
 	"github.com/tealvane/tealvane/pkg/upstream"
 )
 
-// Transport is a round tripper that returns only valid responses, whose heads have up to upstream.MaxHeadBytes.
+// Transport is a round tripper that returns only valid responses: no head, of an interim response either, has more than
+// upstream.MaxHeadBytes.
 type Transport struct {
 	transport *http.Transport
 }
@@ -31,7 +34,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.transport.RoundTrip(r)
+	resp, err := t.transport.RoundTrip(r.WithContext(checkInterim(r.Context())))
 	if err != nil {
 		return nil, err
 	}
@@ -41,3 +44,17 @@
 	}
 	return resp, nil
 }
+
+// checkInterim returns a context that fails a request for an invalid interim response, or for too many. A transport
+// leaves it to such a hook to bound their number.
+func checkInterim(ctx context.Context) context.Context {
+	received := 0
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			if received++; received > upstream.MaxInterimResponses {
+				return upstream.ErrHeadTooLong
+			}
+			return upstream.CheckFieldNames(http.Header(header))
+		},
+	})
+}
--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -13,7 +13,7 @@
 // MaxHeadBytes bounds what is read for the head of a response, with the interim responses before it.
 const MaxHeadBytes = 64 << 10
 
-// ErrHeadTooLong is returned if an endpoint sends MaxHeadBytes, or maxInterimResponses, without a complete
+// ErrHeadTooLong is returned if an endpoint sends MaxHeadBytes, or MaxInterimResponses, without a complete
 // head of a response.
 var ErrHeadTooLong = errors.New("head of the response is too long")
 
@@ -31,12 +31,12 @@
 	if r.StatusCode < http.StatusOK {
 		return errors.Wrapf(ErrMalformedHead, "status %03d", r.StatusCode)
 	}
-	return checkFieldNames(r.Header)
+	return CheckFieldNames(r.Header)
 }
 
-// checkFieldNames returns an error marked ErrMalformedHead if a name is not valid. net/http accepts names with blanks,
+// CheckFieldNames returns an error marked ErrMalformedHead if a name is not valid. net/http accepts names with blanks,
 // and ignores such a field where it frames the body.
-func checkFieldNames(h http.Header) error {
+func CheckFieldNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errors.Wrap(ErrMalformedHead, "invalid field name")
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -28,8 +28,8 @@
 	// maxStrayResponses limits the number of late responses to earlier requests that are
 	// skipped.
 	maxStrayResponses = 2
-	// maxInterimResponses limits the interim responses (1xx) before a response.
-	maxInterimResponses = 64
+	// MaxInterimResponses limits the interim responses (1xx) before a response.
+	MaxInterimResponses = 64
 	// maxStrayBytes limits the size of the body of such a response.
 	maxStrayBytes = 1 << 20
 )
@@ -274,7 +274,7 @@
 func readHead(c *conn, method string) (*http.Response, error) {
 	c.head.begin(c.in)
 	defer c.head.end()
-	for range maxInterimResponses + 1 {
+	for range MaxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
 		if err != nil {
 			return nil, c.head.headError(err)
@@ -282,7 +282,7 @@
 		if !isInterim(resp.StatusCode) {
 			return resp, CheckHead(resp)
 		}
-		if err := checkFieldNames(resp.Header); err != nil {
+		if err := CheckFieldNames(resp.Header); err != nil {
 			return nil, err
 		}
 	}
