Serve: the latest start goes by the longest runs, not by an average

Cause: the time that a run takes at most was the mean of the runs of the service and four mean deviations, both moving. Its runs differ by model and length: at that host, played again with its log, 266 runs had a median of 0.33 s, a 90th percentile of 1.57 s and a maximum of 3.42 s. After some short runs the estimate fell below 1.5 s.

Fix: the time is that of the longest run of this minute and the one before and a quarter of it, and 2.5 s at least before ten were measured. A new run exceeds the longest of n with about one chance in n; a refusal costs a client a try at another host.

--- a/pkg/serve/dispatcher.go
+++ b/pkg/serve/dispatcher.go
@@ -416,7 +416,7 @@
 	}
 	if result.Duration > 0 {
 		s.serviceTime += time.Duration(float64(result.Duration-s.serviceTime) * serviceTimeWeight)
-		s.runTime.add(result.Duration)
+		s.runTime.add(d.now(), result.Duration)
 	}
 	if result.NotRun {
 		s.refund(r)
--- a/pkg/serve/ending.go
+++ b/pkg/serve/ending.go
@@ -24,5 +24,5 @@
 	if !r.DeadlineIsStartOnly && !r.Deadline.After(*at) {
 		return *at, true // The client does not wait for longer.
 	}
-	return at.Add(-s.runTime.atMost()), true
+	return at.Add(-s.runTime.atMost(d.now())), true
 }
--- a/pkg/serve/runtime.go
+++ b/pkg/serve/runtime.go
@@ -3,39 +3,52 @@
 import "time"
 
 const (
-	// runTimeWeight is the least weight of one run in the moving averages of runTime.
-	runTimeWeight = 0.1
-	// unknownRunTime is the time that a run is expected to take at most before any was measured.
+	// runTimeWindow is the time over which the longest run is kept; the window before it counts as well.
+	runTimeWindow = time.Minute
+	// unknownRunTime is the least time that a run is expected to take at most before minRunTimeRuns were measured.
 	unknownRunTime = 2500 * time.Millisecond
-	// runTimeDeviations is the number of mean deviations, and runTimeMargin the least share of the mean as a
-	// divisor, by which hardly any run takes longer than the mean.
-	runTimeDeviations = 4
-	runTimeMargin     = 8
+	minRunTimeRuns = 10
+	// runTimeMargin is added to the longest run, as a divisor of its time.
+	runTimeMargin = 4
 )
 
-// runTime learns how long runs take: moving averages of their time and of its deviation, as RFC 6298 keeps for
-// round-trip times.
+// runTime learns how long runs take at most: the longest ones in the current window and in the one before.
 type runTime struct {
-	runs            int
-	mean, deviation time.Duration
+	since             time.Time
+	current, previous runTimeStats
+}
+
+// runTimeStats are the number of runs in a window and the time of the longest one.
+type runTimeStats struct {
+	runs    int
+	longest time.Duration
 }
 
 // add adds a run that was not cut short.
-func (r *runTime) add(d time.Duration) {
-	r.runs++
-	if r.runs == 1 {
-		r.mean = d
-		return
+func (r *runTime) add(now time.Time, d time.Duration) {
+	r.advance(now)
+	r.current.runs++
+	r.current.longest = max(r.current.longest, d)
+}
+
+// advance begins a new window if the current one has ended.
+func (r *runTime) advance(now time.Time) {
+	switch age := now.Sub(r.since); {
+	case age >= 2*runTimeWindow:
+		r.previous, r.current, r.since = runTimeStats{}, runTimeStats{}, now
+	case age >= runTimeWindow:
+		r.previous, r.current, r.since = r.current, runTimeStats{}, now
 	}
-	weight := max(runTimeWeight, 1/float64(r.runs))
-	r.deviation += time.Duration(float64((d-r.mean).Abs()-r.deviation) * weight)
-	r.mean += time.Duration(float64(d-r.mean) * weight)
 }
 
-// atMost returns a time that hardly any run exceeds.
-func (r *runTime) atMost() time.Duration {
-	if r.runs == 0 {
-		return unknownRunTime
+// atMost returns a time that hardly any run exceeds. Runs of a service differ by their models and lengths, so that
+// an average would not do.
+func (r *runTime) atMost(now time.Time) time.Duration {
+	r.advance(now)
+	longest := max(r.current.longest, r.previous.longest)
+	longest += longest / runTimeMargin
+	if r.current.runs+r.previous.runs < minRunTimeRuns {
+		return max(longest, unknownRunTime)
 	}
-	return r.mean + max(runTimeDeviations*r.deviation, r.mean/runTimeMargin)
+	return longest
 }
